Lay out the module, the shared types and the design

Cause: the repository is empty; the packages need agreed types before they can be written side by side. Ruled out: generated protocol buffers, see docs/design.md section 12.

--- /dev/null
+++ b/internal/ledger/command.go
@@ -0,0 +1,82 @@
+// Package ledger is the part of a data centre's state that holds requests:
+// their claim, dispatch decisions and outcomes. It carries the promises that
+// a non-idempotent request runs at most once and that "not run" is true.
+package ledger
+
+import (
+	"agatehaven.dev/agatehaven/internal/hlc"
+	"agatehaven.dev/agatehaven/internal/model"
+)
+
+// Command changes the ledger. Exactly one field is set.
+type Command struct {
+	Claim    *Claim    `cbor:"1,keyasint,omitempty"`
+	Dispatch *Dispatch `cbor:"2,keyasint,omitempty"`
+	Report   *Report   `cbor:"3,keyasint,omitempty"`
+	Cancel   *Cancel   `cbor:"4,keyasint,omitempty"`
+	Expire   *Expire   `cbor:"5,keyasint,omitempty"`
+	Park     *Park     `cbor:"6,keyasint,omitempty"`
+	Retry    *Retry    `cbor:"7,keyasint,omitempty"`
+}
+
+// Claim creates a request under its key. A known key with the same digest
+// returns the existing request; with another digest it returns
+// *fault.KeyReused. Full tables return *fault.LimitExceeded.
+type Claim struct {
+	Key      string   `cbor:"1,keyasint"`
+	Kind     string   `cbor:"2,keyasint"`
+	Team     string   `cbor:"3,keyasint"`
+	Payload  []byte   `cbor:"4,keyasint"`
+	Deadline hlc.Time `cbor:"5,keyasint"`
+}
+
+// Dispatch commits attempts to targets. Each item is checked again on apply;
+// items whose request, host or slot is no longer eligible are skipped.
+type Dispatch struct {
+	Items []DispatchItem `cbor:"1,keyasint"`
+}
+
+// DispatchItem is one dispatch decision.
+type DispatchItem struct {
+	Key              string `cbor:"1,keyasint"`
+	Attempt          int    `cbor:"2,keyasint"` // must be the next number
+	Host             string `cbor:"3,keyasint"`
+	Owner            string `cbor:"4,keyasint"`
+	OwnerIncarnation string `cbor:"5,keyasint"`
+	Reason           string `cbor:"6,keyasint"`
+}
+
+// Report brings results of attempts.
+type Report struct {
+	Reports []model.AttemptReport `cbor:"1,keyasint"`
+}
+
+// Cancel cancels a request: queued or parked ones finish as not_run at once,
+// dispatched ones are marked so that the owner stops them.
+type Cancel struct {
+	Key   string `cbor:"1,keyasint"`
+	Actor string `cbor:"2,keyasint"`
+}
+
+// Expire finishes queued and parked requests whose deadline has passed as
+// not_run, drops answers after their retention and forgets keys after theirs.
+type Expire struct{}
+
+// Park moves a queued request that can never run out of the queue, or back
+// into it (Reason empty).
+type Park struct {
+	Key    string `cbor:"1,keyasint"`
+	Reason string `cbor:"2,keyasint"`
+}
+
+// Retry puts a request whose last attempt ended back into the queue. Without
+// proof that the attempt did not begin it is accepted for idempotent requests
+// only. Refused=true records that the retry limits do not allow it, and
+// finishes the request.
+type Retry struct {
+	Key       string   `cbor:"1,keyasint"`
+	Attempt   int      `cbor:"2,keyasint"` // the attempt that ended
+	NotBefore hlc.Time `cbor:"3,keyasint"`
+	Refused   bool     `cbor:"4,keyasint"`
+	Reason    string   `cbor:"5,keyasint"`
+}
--- /dev/null
+++ b/internal/model/host.go
@@ -0,0 +1,71 @@
+package model
+
+import "agatehaven.dev/agatehaven/internal/hlc"
+
+// HostState is the lifecycle state of a host.
+type HostState string
+
+// Lifecycle states. Only HostReady counts as available and takes new work.
+const (
+	HostReady       HostState = "ready"
+	HostDraining    HostState = "draining"
+	HostMaintenance HostState = "maintenance"
+	HostVerifying   HostState = "verifying"
+	HostLost        HostState = "lost"
+	HostSetAside    HostState = "set_aside"
+)
+
+// Capability is an optional ability that a target announces.
+type Capability string
+
+// Capabilities of targets.
+const (
+	// CapabilityRevoke: the target can refuse an attempt for ever and tell
+	// whether it had begun.
+	CapabilityRevoke     Capability = "revoke"
+	CapabilityCheckpoint Capability = "checkpoint"
+	CapabilityThrottle   Capability = "throttle"
+)
+
+// HostInfo is what a target announces about its host.
+type HostInfo struct {
+	Name         string       `cbor:"1,keyasint" json:"host"`
+	DataCentre   string       `cbor:"2,keyasint" json:"data_centre"`
+	Rack         string       `cbor:"3,keyasint" json:"rack"`
+	Address      string       `cbor:"4,keyasint" json:"address"` // IP:port
+	Incarnation  string       `cbor:"5,keyasint" json:"incarnation"`
+	CPUMillis    int          `cbor:"6,keyasint" json:"cpu_millis"`
+	MemoryMB     int          `cbor:"7,keyasint" json:"memory_mb"`
+	Accelerators int          `cbor:"8,keyasint,omitempty" json:"accelerators,omitempty"`
+	Slots        int          `cbor:"9,keyasint" json:"slots"`
+	Connections  int          `cbor:"10,keyasint" json:"connections"`
+	Pool         string       `cbor:"11,keyasint,omitempty" json:"pool,omitempty"` // used only when first seen
+	Capabilities []Capability `cbor:"12,keyasint,omitempty" json:"capabilities,omitempty"`
+	// Leaving is set while the target is about to stop.
+	Leaving bool `cbor:"13,keyasint,omitempty" json:"leaving,omitempty"`
+}
+
+// Usage is a target's report of one running task. It lags behind by up to
+// several seconds.
+type Usage struct {
+	Request   string `cbor:"1,keyasint" json:"request"`
+	Attempt   int    `cbor:"2,keyasint" json:"attempt"`
+	CPUMillis int    `cbor:"3,keyasint" json:"cpu_millis"`
+	MemoryMB  int    `cbor:"4,keyasint" json:"memory_mb"`
+	RunMS     int64  `cbor:"5,keyasint" json:"run_ms"`
+}
+
+// Host is a host as its data centre group knows it.
+type Host struct {
+	Info   HostInfo  `cbor:"1,keyasint" json:"info"`
+	Pool   string    `cbor:"2,keyasint" json:"pool"`
+	State  HostState `cbor:"3,keyasint" json:"state"`
+	Reason string    `cbor:"4,keyasint" json:"reason"`
+	Since  hlc.Time  `cbor:"5,keyasint" json:"since"`
+	// Wave is the maintenance wave whose step the host is in, or empty.
+	Wave string `cbor:"6,keyasint,omitempty" json:"wave,omitempty"`
+	// OrderID names the reboot order of the current step.
+	OrderID string `cbor:"7,keyasint,omitempty" json:"order_id,omitempty"`
+	// MoveTo is the pool that a draining host moves to, or empty.
+	MoveTo string `cbor:"8,keyasint,omitempty" json:"move_to,omitempty"`
+}
--- /dev/null
+++ b/internal/model/records.go
@@ -0,0 +1,151 @@
+// Package model defines the operators' records and the domain types that
+// several packages share.
+package model
+
+import "encoding/json"
+
+// RecordKind names the type of an operator's record.
+type RecordKind string
+
+// Kinds of records.
+const (
+	KindPool    RecordKind = "pool"
+	KindJobKind RecordKind = "job_kind"
+	KindWave    RecordKind = "wave"
+	KindQuota   RecordKind = "quota"
+)
+
+// Schema versions that this build understands. Newer records are carried
+// unharmed but not interpreted.
+const (
+	SchemaMin = 1
+	SchemaMax = 2
+)
+
+// Record is one operator's record. Spec is the raw JSON document, so that a
+// process keeps fields and schemas that it does not know.
+type Record struct {
+	Schema int             `cbor:"1,keyasint" json:"schema"`
+	Kind   RecordKind      `cbor:"2,keyasint" json:"kind"`
+	Name   string          `cbor:"3,keyasint" json:"name"`
+	Spec   json.RawMessage `cbor:"4,keyasint" json:"spec"`
+	// Deleted marks a record that the operator removes.
+	Deleted bool `cbor:"5,keyasint,omitempty" json:"deleted,omitempty"`
+}
+
+// Records is the whole set of records at one revision.
+type Records struct {
+	Revision uint64   `cbor:"1,keyasint" json:"revision"`
+	Items    []Record `cbor:"2,keyasint" json:"items"` // ordered by kind, then name
+	// Floors in force: pool -> data centre -> least number of available hosts.
+	Floors map[string]map[string]int `cbor:"3,keyasint" json:"floors"`
+	// FloorRevision rises with every change of Floors, also when the records
+	// stay the same.
+	FloorRevision uint64 `cbor:"4,keyasint" json:"floor_revision"`
+}
+
+// Newer reports whether r is newer than o.
+func (r *Records) Newer(o *Records) bool {
+	if r.Revision != o.Revision {
+		return r.Revision > o.Revision
+	}
+	return r.FloorRevision > o.FloorRevision
+}
+
+// Pool is the spec of a pool record.
+type Pool struct {
+	Name string `json:"-"`
+	// MinAvailable is the owed number of available hosts in the region.
+	MinAvailable int `json:"min_available"`
+	// Floors splits MinAvailable over data centres (schema 2). If empty, the
+	// region group splits it evenly over Homes.
+	Floors map[string]int `json:"floors,omitempty"`
+	// Homes are the data centres that keep the ledger of plain keys. It cannot
+	// change after creation, since a moved key could run twice.
+	Homes []string `json:"homes"`
+	// Spare marks the pool whose hosts repair other pools (schema 2).
+	Spare bool `json:"spare,omitempty"`
+	// Desired is the number of hosts per data centre that repair restores.
+	Desired map[string]int `json:"desired,omitempty"`
+}
+
+// Priority is the scheduling class of a job kind.
+type Priority string
+
+// Scheduling classes.
+const (
+	Urgent  Priority = "urgent"
+	Normal  Priority = "normal"
+	Patient Priority = "patient"
+)
+
+// JobKind is the spec of a job kind record.
+type JobKind struct {
+	Name       string   `json:"-"`
+	Pool       string   `json:"pool"`
+	Priority   Priority `json:"priority"`
+	Idempotent bool     `json:"idempotent"`
+	// Declared size of one run; only a first guess.
+	CPUMillis    int `json:"cpu_millis"`
+	MemoryMB     int `json:"memory_mb"`
+	Accelerators int `json:"accelerators,omitempty"`
+	// RunTimeMS is the declared run time in milliseconds; only a first guess.
+	RunTimeMS int `json:"run_time_ms"`
+	// StopLimitMS is how long a graceful stop waits for a run, in milliseconds.
+	StopLimitMS int `json:"stop_limit_ms"`
+	// MaxAttempts bounds the attempts of an idempotent request.
+	MaxAttempts int `json:"max_attempts"`
+}
+
+// WaveState is the operator's desired state of a wave.
+type WaveState string
+
+// Desired states of a wave.
+const (
+	WaveRunning   WaveState = "running"
+	WavePaused    WaveState = "paused"
+	WaveCancelled WaveState = "cancelled"
+)
+
+// Wave is the spec of a maintenance wave record.
+type Wave struct {
+	Name  string    `json:"-"`
+	Pool  string    `json:"pool"`
+	State WaveState `json:"state"`
+	// MaxConcurrent bounds the hosts in maintenance per data centre; 0 leaves
+	// the bound to the floors.
+	MaxConcurrent int `json:"max_concurrent,omitempty"`
+	// FailureThreshold is the number of hosts per data centre that may fail
+	// to return, or be lost shortly after their step, before the wave pauses.
+	FailureThreshold int `json:"failure_threshold"`
+	// ReturnLimitMS is how long a rebooted host may take to announce itself.
+	ReturnLimitMS int `json:"return_limit_ms"`
+	// VerifyMS is how long a host must announce itself steadily after its
+	// reboot before it counts as available again.
+	VerifyMS int `json:"verify_ms"`
+	// Resume counts the operator's resumptions: a pause by the system itself
+	// ends when Resume rises.
+	Resume int `json:"resume,omitempty"`
+}
+
+// Quota is the spec of a team's quota record; the record's name is the team.
+type Quota struct {
+	Team string `json:"-"`
+	// MaxRunning bounds the team's running requests per data centre.
+	MaxRunning int `json:"max_running"`
+	// MaxQueued bounds the team's queued requests per data centre.
+	MaxQueued int `json:"max_queued"`
+}
+
+// Catalogue is the decoded form of Records. It is immutable once built.
+type Catalogue struct {
+	Revision uint64
+	Pools    map[string]*Pool
+	JobKinds map[string]*JobKind
+	Waves    map[string]*Wave
+	Quotas   map[string]*Quota
+	// Floors in force: pool -> data centre -> hosts.
+	Floors map[string]map[string]int
+	// Skipped lists records with a schema this build does not understand.
+	Skipped []Record
+}
--- /dev/null
+++ b/internal/model/request.go
@@ -0,0 +1,113 @@
+package model
+
+import "agatehaven.dev/agatehaven/internal/hlc"
+
+// RequestState is the position of a request in its life.
+type RequestState string
+
+// States of a request.
+const (
+	RequestQueued     RequestState = "queued"
+	RequestDispatched RequestState = "dispatched"
+	RequestParked     RequestState = "parked"
+	RequestFinished   RequestState = "finished"
+)
+
+// Outcome is what the API promises about a finished request.
+type Outcome string
+
+// Outcomes. OutcomeNotRun is given only with proof that no attempt began.
+// OutcomeUnknown may later become one of the others.
+const (
+	OutcomeDone    Outcome = "done"
+	OutcomeNotRun  Outcome = "not_run"
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// AttemptState is the position of one attempt.
+type AttemptState string
+
+// States of an attempt. Only AttemptNotBegun proves that it never ran.
+const (
+	AttemptAssigned  AttemptState = "assigned" // committed; may have been sent
+	AttemptSucceeded AttemptState = "succeeded"
+	AttemptFailed    AttemptState = "failed" // ran and failed
+	AttemptNotBegun  AttemptState = "not_begun"
+	AttemptUnknown   AttemptState = "unknown" // no proof either way
+)
+
+// Attempt is one dispatch of a request to one target.
+type Attempt struct {
+	Number            int          `cbor:"1,keyasint" json:"number"`
+	Host              string       `cbor:"2,keyasint" json:"host"`
+	Address           string       `cbor:"3,keyasint" json:"address"`
+	TargetIncarnation string       `cbor:"4,keyasint" json:"target_incarnation"`
+	Owner             string       `cbor:"5,keyasint" json:"owner"`             // entry host
+	OwnerIncarnation  string       `cbor:"6,keyasint" json:"owner_incarnation"` // its process
+	State             AttemptState `cbor:"7,keyasint" json:"state"`
+	At                hlc.Time     `cbor:"8,keyasint" json:"at"`
+	Reason            string       `cbor:"9,keyasint,omitempty" json:"reason,omitempty"`
+}
+
+// Request is a request as its home ledger knows it.
+type Request struct {
+	Key    string `cbor:"1,keyasint" json:"key"`
+	Digest string `cbor:"2,keyasint" json:"digest"` // SHA-256 of kind, team and payload
+	Kind   string `cbor:"3,keyasint" json:"kind"`
+	Team   string `cbor:"4,keyasint" json:"team"`
+	// Pool, Priority, Idempotent and MaxAttempts are copied from the job kind
+	// when the key is claimed, so that a later record cannot change them.
+	Pool        string       `cbor:"5,keyasint" json:"pool"`
+	Priority    Priority     `cbor:"6,keyasint" json:"priority"`
+	Idempotent  bool         `cbor:"7,keyasint" json:"idempotent"`
+	MaxAttempts int          `cbor:"8,keyasint" json:"max_attempts"`
+	Payload     []byte       `cbor:"9,keyasint" json:"payload,omitempty"`
+	Claimed     hlc.Time     `cbor:"10,keyasint" json:"claimed"`
+	Deadline    hlc.Time     `cbor:"11,keyasint" json:"deadline"`
+	State       RequestState `cbor:"12,keyasint" json:"state"`
+	Outcome     Outcome      `cbor:"13,keyasint,omitempty" json:"outcome,omitempty"`
+	// Succeeded tells, for OutcomeDone, whether the run succeeded.
+	Succeeded bool      `cbor:"14,keyasint,omitempty" json:"succeeded,omitempty"`
+	Reason    string    `cbor:"15,keyasint,omitempty" json:"reason,omitempty"`
+	Answer    []byte    `cbor:"16,keyasint,omitempty" json:"answer,omitempty"`
+	Finished  hlc.Time  `cbor:"17,keyasint,omitempty" json:"finished"`
+	Attempts  []Attempt `cbor:"18,keyasint,omitempty" json:"attempts,omitempty"`
+	// CancelRequested is set when the caller cancels a dispatched request.
+	CancelRequested bool `cbor:"19,keyasint,omitempty" json:"cancel_requested,omitempty"`
+	// NotBefore delays the next attempt of a retry (backoff).
+	NotBefore hlc.Time `cbor:"20,keyasint,omitempty" json:"not_before"`
+	CPUMillis int      `cbor:"21,keyasint" json:"cpu_millis"`
+	MemoryMB  int      `cbor:"22,keyasint" json:"memory_mb"`
+	// Accelerators is the declared number of accelerators.
+	Accelerators int `cbor:"23,keyasint,omitempty" json:"accelerators,omitempty"`
+}
+
+// Assignment tells the owner of an attempt to start it.
+type Assignment struct {
+	Key               string   `cbor:"1,keyasint"`
+	Attempt           int      `cbor:"2,keyasint"`
+	Kind              string   `cbor:"3,keyasint"`
+	Payload           []byte   `cbor:"4,keyasint"`
+	Host              string   `cbor:"5,keyasint"`
+	Address           string   `cbor:"6,keyasint"`
+	TargetIncarnation string   `cbor:"7,keyasint"`
+	CPUMillis         int      `cbor:"8,keyasint"`
+	MemoryMB          int      `cbor:"9,keyasint"`
+	CanRevoke         bool     `cbor:"10,keyasint"`
+	StopRequested     bool     `cbor:"11,keyasint"`
+	HostDraining      bool     `cbor:"12,keyasint"`
+	At                hlc.Time `cbor:"13,keyasint"`
+	StopLimitMS       int      `cbor:"14,keyasint"`
+	Accelerators      int      `cbor:"15,keyasint"`
+}
+
+// AttemptReport is a result that the owner or the resolver brings back.
+type AttemptReport struct {
+	Key     string       `cbor:"1,keyasint"`
+	Attempt int          `cbor:"2,keyasint"`
+	State   AttemptState `cbor:"3,keyasint"`
+	Reason  string       `cbor:"4,keyasint,omitempty"`
+	Answer  []byte       `cbor:"5,keyasint,omitempty"`
+	// RunMS is the observed run time in milliseconds, 0 if unknown.
+	RunMS int64 `cbor:"6,keyasint,omitempty"`
+}
--- /dev/null
+++ b/internal/model/wave.go
@@ -0,0 +1,23 @@
+package model
+
+import "agatehaven.dev/agatehaven/internal/hlc"
+
+// WaveProgress is the progress of one wave in one data centre.
+type WaveProgress struct {
+	Wave       string `cbor:"1,keyasint" json:"wave"`
+	DataCentre string `cbor:"2,keyasint" json:"data_centre"`
+	// Done, Failed and Skipped list hosts by name, in the order of their end.
+	Done    []string `cbor:"3,keyasint" json:"done"`
+	Failed  []string `cbor:"4,keyasint" json:"failed"`
+	Current []string `cbor:"5,keyasint" json:"current"`
+	// Paused is set when the system paused the wave itself.
+	Paused bool   `cbor:"6,keyasint" json:"paused"`
+	Reason string `cbor:"7,keyasint" json:"reason"`
+	// ResumeSeen is the value of Wave.Resume at the last pause.
+	ResumeSeen int      `cbor:"8,keyasint" json:"resume_seen"`
+	Started    hlc.Time `cbor:"9,keyasint" json:"started"`
+	Finished   hlc.Time `cbor:"10,keyasint,omitempty" json:"finished"`
+	// Steps holds when each finished host's step ended, for the attribution of
+	// later losses to the wave.
+	Steps map[string]hlc.Time `cbor:"11,keyasint" json:"steps,omitempty"`
+}
--- /dev/null
+++ b/internal/target/target.go
@@ -0,0 +1,70 @@
+// Package target holds the narrow interfaces to targets and to the platform,
+// with one HTTP adapter each.
+package target
+
+import (
+	"context"
+	"time"
+)
+
+// Task is one attempt as a target sees it.
+type Task struct {
+	Key          string `json:"request"`
+	Attempt      int    `json:"attempt"`
+	Kind         string `json:"kind"`
+	Payload      []byte `json:"payload"`
+	CPUMillis    int    `json:"cpu_millis"`
+	MemoryMB     int    `json:"memory_mb"`
+	Accelerators int    `json:"accelerators,omitempty"`
+	LeaseMS      int64  `json:"lease_ms"`
+}
+
+// TaskState is the state of an attempt at its target.
+type TaskState string
+
+// States of an attempt at its target.
+const (
+	TaskRunning   TaskState = "running"
+	TaskSucceeded TaskState = "succeeded"
+	TaskFailed    TaskState = "failed"
+	// TaskAbsent: the target does not know the attempt. It is no proof that
+	// the attempt will not begin, since a start may still be under way.
+	TaskAbsent TaskState = "absent"
+	// TaskRevoked: the attempt had not begun and never will.
+	TaskRevoked TaskState = "revoked"
+)
+
+// TaskStatus is a target's answer about one attempt. Answer has been checked
+// against its announced length and SHA-256.
+type TaskStatus struct {
+	Key      string
+	Attempt  int
+	State    TaskState
+	Progress int64
+	Answer   []byte
+	Reason   string
+	RunMS    int64
+}
+
+// Client calls targets. Every method returns *fault.SilentConnection if the
+// target gives no response in time, after it has discarded the connection.
+type Client interface {
+	// Start sends an attempt once. It never sends again by itself. A nil
+	// error means that the attempt has begun; *RefusedError means that it has
+	// not begun and never will; *NotSentError means that no byte was sent;
+	// any other error leaves it open.
+	Start(ctx context.Context, address string, t Task) error
+	// Poll reads the state of an attempt and waits up to wait for a change.
+	Poll(ctx context.Context, address, key string, attempt int, wait time.Duration) (TaskStatus, error)
+	// Stop asks the target to end an attempt.
+	Stop(ctx context.Context, address, key string, attempt int) error
+	// Revoke asks the target to refuse an attempt for ever, if it has not
+	// begun. Only for targets with model.CapabilityRevoke.
+	Revoke(ctx context.Context, address, key string, attempt int) (TaskStatus, error)
+}
+
+// Platform orders reboots.
+type Platform interface {
+	// Reboot restarts a host. The same order id has effect once.
+	Reboot(ctx context.Context, host, orderID string) error
+}
