--- /dev/null
+++ b/internal/control/contacts.go
@@ -0,0 +1,143 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"agatehaven.dev/agatehaven/internal/datacentre"
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/inventory"
+	"agatehaven.dev/agatehaven/internal/model"
+	"agatehaven.dev/agatehaven/internal/peer"
+)
+
+// contact is the leader's last knowledge of a host.
+type contact struct {
+	at          time.Time
+	incarnation string
+	// since is the first announcement of this incarnation.
+	since time.Time
+	// announced is false while the lease was only granted at the start of a
+	// term: such a contact is no evidence that the host is alive.
+	announced bool
+	running   []peer.AttemptRef
+}
+
+// grantLeases gives every host one full lease. The caller holds the lock.
+func (c *Controller) grantLeases() {
+	now := c.cfg.Clock.Now()
+	c.cfg.Machine.View(func(v datacentre.View) {
+		for _, h := range v.Hosts.Hosts() {
+			c.contacts[h.Info.Name] = &contact{at: now, since: now, incarnation: h.Info.Incarnation}
+		}
+	})
+}
+
+// Announce takes a target's announcement. It commits a change only if the
+// host is new, returned or changed; a plain heartbeat stays in memory, so the
+// log does not grow with the number of hosts.
+func (c *Controller) Announce(ctx context.Context, r *peer.AnnounceRequest) (*peer.AnnounceResponse, error) {
+	if !c.leading() {
+		return nil, &fault.NotLeader{Group: c.cfg.DataCentre, Leader: c.cfg.Group.Status().Leader}
+	}
+	if r.Info.DataCentre != c.cfg.DataCentre {
+		return nil, &fault.Invalid{Field: "data_centre", Reason: "host belongs to another data centre", Allowed: c.cfg.DataCentre}
+	}
+	c.recordContact(r)
+	c.policies.observeUsage(r.Usage, c.kindOf)
+	if err := c.registerIfChanged(ctx, &r.Info); err != nil {
+		return nil, err
+	}
+	return &peer.AnnounceResponse{LeaseMS: c.cfg.Timing.HostLease.Milliseconds()}, nil
+}
+
+func (c *Controller) recordContact(r *peer.AnnounceRequest) {
+	now := c.cfg.Clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := c.contacts[r.Info.Name]
+	if k == nil || k.incarnation != r.Info.Incarnation || !k.announced {
+		k = &contact{incarnation: r.Info.Incarnation, since: now, announced: true}
+		c.contacts[r.Info.Name] = k
+	}
+	k.at, k.running = now, r.Running
+}
+
+func (c *Controller) registerIfChanged(ctx context.Context, info *model.HostInfo) error {
+	var known model.Host
+	var exists bool
+	c.cfg.Machine.View(func(v datacentre.View) { known, exists = v.Hosts.Host(info.Name) })
+	if !exists || !sameInfo(&known.Info, info) || known.State == model.HostLost {
+		if err := c.proposeHost(ctx, inventory.Command{Register: &inventory.Register{Info: *info}}); err != nil {
+			return err
+		}
+	}
+	if info.Leaving && known.State == model.HostReady {
+		return c.proposeHost(ctx, inventory.Command{SetLeaving: &inventory.SetLeaving{
+			Host: info.Name, Reason: "target announced that it is leaving",
+		}})
+	}
+	return nil
+}
+
+// sameInfo compares what is committed about a host. The pool is ignored
+// because it counts only when a host is first seen.
+func sameInfo(a, b *model.HostInfo) bool {
+	return a.Incarnation == b.Incarnation && a.Address == b.Address && a.Rack == b.Rack &&
+		a.Slots == b.Slots && a.Connections == b.Connections && a.CPUMillis == b.CPUMillis &&
+		a.MemoryMB == b.MemoryMB && a.Accelerators == b.Accelerators && a.Leaving == b.Leaving &&
+		len(a.Capabilities) == len(b.Capabilities)
+}
+
+// expireLeases marks hosts lost whose lease has run out.
+func (c *Controller) expireLeases(ctx context.Context) {
+	now := c.cfg.Clock.Now()
+	for _, h := range c.hosts() {
+		if h.State == model.HostLost || h.State == model.HostMaintenance {
+			continue // a host in maintenance is expected to be silent
+		}
+		if now.Sub(c.lastContact(h.Info.Name)) <= c.cfg.Timing.HostLease {
+			continue
+		}
+		_ = c.proposeHost(ctx, inventory.Command{MarkLost: &inventory.MarkLost{
+			Host: h.Info.Name, Reason: "no announcement within the lease of " + c.cfg.Timing.HostLease.String(),
+		}})
+	}
+}
+
+func (c *Controller) lastContact(host string) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if k := c.contacts[host]; k != nil {
+		return k.at
+	}
+	// A host registered by an entry of an earlier term without a contact in
+	// this one: its lease starts when it is first looked at.
+	k := &contact{at: c.cfg.Clock.Now(), since: c.cfg.Clock.Now()}
+	c.contacts[host] = k
+	return k.at
+}
+
+// contactOf returns a copy of the last contact with a host.
+func (c *Controller) contactOf(host string) contact {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if k := c.contacts[host]; k != nil {
+		return *k
+	}
+	return contact{}
+}
+
+func (c *Controller) hosts() []model.Host {
+	var hosts []model.Host
+	c.cfg.Machine.View(func(v datacentre.View) { hosts = v.Hosts.Hosts() })
+	return hosts
+}
+
+// kindOf returns the job kind of a request, or empty if it is not known.
+func (c *Controller) kindOf(key string) string {
+	if r, ok := c.cfg.Machine.Request(key); ok {
+		return r.Kind
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,215 @@
+// Package control holds the responsibilities of a data centre group's leader:
+// placing requests, host leases, waves, repair, orphaned attempts, retries
+// and the adoption of records. Each runs in a goroutine of its own, reads a
+// snapshot of the state, and proposes commands that are checked again when
+// they are applied. All its own state is soft and is rebuilt by a new leader.
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"agatehaven.dev/agatehaven/internal/clock"
+	"agatehaven.dev/agatehaven/internal/codec"
+	"agatehaven.dev/agatehaven/internal/datacentre"
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/inventory"
+	"agatehaven.dev/agatehaven/internal/ledger"
+	"agatehaven.dev/agatehaven/internal/model"
+	"agatehaven.dev/agatehaven/internal/peer"
+	"agatehaven.dev/agatehaven/internal/replica"
+)
+
+// Group is what the controller needs of its replica.
+type Group interface {
+	Propose(ctx context.Context, data []byte) (any, error)
+	Status() replica.Status
+}
+
+// RecordSource reads the region group's records and acknowledges adoption.
+type RecordSource interface {
+	PullRecords(ctx context.Context, r *peer.PullRecordsRequest) (*peer.PullRecordsResponse, error)
+	AckAdoption(ctx context.Context, r *peer.AckAdoptionRequest) (*peer.AckAdoptionResponse, error)
+}
+
+// Resolver reads the state of an orphaned attempt from its target. The second
+// result is false if there is nothing to report yet.
+type Resolver interface {
+	Resolve(ctx context.Context, a ledger.OpenAttempt, canRevoke bool) (model.AttemptReport, bool)
+}
+
+// Platform orders reboots of hosts.
+type Platform interface {
+	Reboot(ctx context.Context, host, orderID string) error
+}
+
+// Timing holds the controller's intervals.
+type Timing struct {
+	// HostLease is how long a host counts as alive after an announcement.
+	HostLease time.Duration
+	// OwnerLease is how long an entry host counts as alive after a pull of its
+	// assignments.
+	OwnerLease time.Duration
+	// Tick is the period of the level-triggered loops.
+	Tick time.Duration
+	// ProposeTimeout bounds one proposal.
+	ProposeTimeout time.Duration
+	// RecordsWait is the long-poll time of the adoption loop.
+	RecordsWait time.Duration
+}
+
+// DefaultTiming returns the timing of docs/design.md.
+func DefaultTiming() Timing {
+	return Timing{
+		HostLease:      5 * time.Second,
+		OwnerLease:     5 * time.Second,
+		Tick:           100 * time.Millisecond,
+		ProposeTimeout: 3 * time.Second,
+		RecordsWait:    5 * time.Second,
+	}
+}
+
+// Config is the environment of a controller.
+type Config struct {
+	DataCentre string
+	Host       string
+	Group      Group
+	Machine    *datacentre.Machine
+	Records    RecordSource
+	Resolver   Resolver
+	Platform   Platform
+	Clock      clock.Clock
+	Log        zerolog.Logger
+	Timing     Timing
+	Policy     Policy
+}
+
+// Controller runs the leader's responsibilities on one replica. On replicas
+// that do not lead its loops are idle.
+type Controller struct {
+	cfg Config
+
+	mu       sync.Mutex
+	term      uint64
+	termStart time.Time
+	contacts map[string]*contact
+	owners   map[string]*owner
+	entries  map[string]string // open request key -> entry host that took it
+	policies *policies
+	acked    ackMark
+}
+
+// New returns a controller. Run starts it.
+func New(cfg Config) *Controller {
+	return &Controller{
+		cfg:      cfg,
+		contacts: make(map[string]*contact),
+		owners:   make(map[string]*owner),
+		entries:  make(map[string]string),
+		policies: newPolicies(cfg.Policy, cfg.Clock),
+	}
+}
+
+// Run runs all loops until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	loops := []struct {
+		name  string
+		every time.Duration
+		step  func(context.Context)
+		// onChange wakes the loop at each applied entry, not only by time.
+		onChange bool
+	}{
+		{"placement", c.cfg.Timing.Tick, c.place, true},
+		{"leases", c.cfg.Timing.Tick, c.expireLeases, false},
+		{"drains", c.cfg.Timing.Tick, c.completeDrains, true},
+		{"waves", c.cfg.Timing.Tick, c.runWaves, true},
+		{"repair", time.Second, c.repair, false},
+		{"resolve", time.Second, c.resolveOrphans, false},
+		{"retry", c.cfg.Timing.Tick, c.retryEnded, true},
+		{"expiry", time.Second, c.expireRequests, false},
+		{"suspects", time.Second, c.judgeHosts, false},
+		{"adoption", c.cfg.Timing.Tick, c.adopt, false},
+	}
+	var wg sync.WaitGroup
+	for _, l := range loops {
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				var changed <-chan struct{}
+				if l.onChange {
+					changed = c.cfg.Machine.Changed()
+				}
+				if c.leading() {
+					l.step(ctx)
+				}
+				select {
+				case <-changed:
+				case <-c.cfg.Clock.After(l.every):
+				case <-ctx.Done():
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// leading reports whether this replica leads its group. At the start of a new
+// term it grants every known host and owner one full lease, since the time of
+// their last contact with the former leader is not known.
+func (c *Controller) leading() bool {
+	status := c.cfg.Group.Status()
+	if status.Role != replica.RoleLeader {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if status.Term != c.term {
+		c.term, c.termStart = status.Term, c.cfg.Clock.Now()
+		c.contacts = make(map[string]*contact)
+		c.owners = make(map[string]*owner)
+		c.grantLeases()
+	}
+	return true
+}
+
+// propose commits one command and returns its result. Refusals by the state
+// machine are returned as errors.
+func (c *Controller) propose(ctx context.Context, cmd datacentre.Command) (datacentre.Result, error) {
+	data, err := codec.Marshal(cmd)
+	if err != nil {
+		return datacentre.Result{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timing.ProposeTimeout)
+	defer cancel()
+	applied, err := c.cfg.Group.Propose(ctx, data)
+	if err != nil {
+		return datacentre.Result{}, err
+	}
+	result, ok := applied.(datacentre.Result)
+	if !ok {
+		return datacentre.Result{}, &fault.Invalid{Field: "result", Reason: "unexpected type from the state machine"}
+	}
+	return result, result.Err
+}
+
+func (c *Controller) proposeHost(ctx context.Context, cmd inventory.Command) error {
+	_, err := c.propose(ctx, datacentre.Command{Inventory: &cmd})
+	c.logRefusal("inventory", err)
+	return err
+}
+
+func (c *Controller) proposeRequest(ctx context.Context, cmd ledger.Command) (datacentre.Result, error) {
+	result, err := c.propose(ctx, datacentre.Command{Ledger: &cmd})
+	c.logRefusal("ledger", err)
+	return result, err
+}
+
+// logRefusal records refused commands. They are expected when a plan meets a
+// newer state, so they are logged at debug level.
+func (c *Controller) logRefusal(part string, err error) {
+	if err != nil {
+		c.cfg.Log.Debug().Str("part", part).Str("code", string(fault.CodeOf(err))).Err(err).Msg("command refused")
+	}
+}
--- /dev/null
+++ b/internal/control/requests.go
@@ -0,0 +1,232 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"agatehaven.dev/agatehaven/internal/datacentre"
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/hlc"
+	"agatehaven.dev/agatehaven/internal/ledger"
+	"agatehaven.dev/agatehaven/internal/model"
+	"agatehaven.dev/agatehaven/internal/peer"
+)
+
+const (
+	// maxEntries bounds the memory of which entry host took which request.
+	maxEntries = 100_000
+	// resolveParallel bounds the orphaned attempts read from targets at once.
+	resolveParallel = 16
+)
+
+// Submit claims a key in this data centre's ledger and waits for the outcome
+// up to r.WaitMS.
+func (c *Controller) Submit(ctx context.Context, r *peer.SubmitRequest) (*peer.RequestResponse, error) {
+	if !c.leading() {
+		return nil, &fault.NotLeader{Group: c.cfg.DataCentre, Leader: c.cfg.Group.Status().Leader}
+	}
+	c.rememberEntry(r.Key, r.Entry)
+	_, err := c.proposeRequest(ctx, ledger.Command{Claim: &ledger.Claim{
+		Key: r.Key, Kind: r.Kind, Team: r.Team, Payload: r.Payload, Deadline: r.Deadline,
+	}})
+	if err != nil {
+		c.forgetEntry(r.Key)
+		return nil, err
+	}
+	return c.await(ctx, r.Key, time.Duration(r.WaitMS)*time.Millisecond)
+}
+
+// Await reads a request and waits for its outcome up to r.WaitMS.
+func (c *Controller) Await(ctx context.Context, r *peer.AwaitRequest) (*peer.RequestResponse, error) {
+	return c.await(ctx, r.Key, time.Duration(r.WaitMS)*time.Millisecond)
+}
+
+// CancelRequest cancels a request and returns it after the change.
+func (c *Controller) CancelRequest(ctx context.Context, r *peer.CancelRequestRequest) (*peer.RequestResponse, error) {
+	if _, err := c.proposeRequest(ctx, ledger.Command{Cancel: &ledger.Cancel{Key: r.Key, Actor: r.Actor}}); err != nil {
+		return nil, err
+	}
+	return c.await(ctx, r.Key, 0)
+}
+
+// ReportAttempts commits results of attempts.
+func (c *Controller) ReportAttempts(ctx context.Context, r *peer.ReportAttemptsRequest) (*peer.ReportAttemptsResponse, error) {
+	for i := range r.Reports {
+		c.policies.observeReport(c.cfg.Machine, &r.Reports[i])
+	}
+	if _, err := c.proposeRequest(ctx, ledger.Command{Report: &ledger.Report{Reports: r.Reports}}); err != nil {
+		return nil, err
+	}
+	return &peer.ReportAttemptsResponse{}, nil
+}
+
+// await waits until the request is finished or the time is over. A request
+// that finished as unknown is returned at once; a later call may see it
+// resolved.
+func (c *Controller) await(ctx context.Context, key string, wait time.Duration) (*peer.RequestResponse, error) {
+	deadline := c.cfg.Clock.After(wait)
+	for {
+		changed, stop := c.cfg.Machine.WatchRequest(key)
+		r, ok := c.cfg.Machine.Request(key)
+		if !ok {
+			stop()
+			return nil, &fault.NotFound{Kind: "request", Name: key}
+		}
+		if r.State == model.RequestFinished {
+			stop()
+			c.forgetEntry(key)
+			return response(r), nil
+		}
+		select {
+		case <-changed:
+			stop()
+		case <-deadline:
+			stop()
+			return response(r), nil
+		case <-ctx.Done():
+			stop()
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// response copies a request without its payload, which the caller knows.
+func response(r *model.Request) *peer.RequestResponse {
+	out := *r
+	out.Payload = nil
+	return &peer.RequestResponse{Request: out}
+}
+
+func (c *Controller) rememberEntry(key, entry string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.entries) < maxEntries {
+		c.entries[key] = entry
+	}
+}
+
+func (c *Controller) forgetEntry(key string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.entries, key)
+}
+
+// expireRequests finishes requests whose deadline has passed and drops what
+// its retention allows.
+func (c *Controller) expireRequests(ctx context.Context) {
+	now := hlc.Time{WallMillis: c.cfg.Clock.Now().UnixMilli()}
+	due := false
+	c.cfg.Machine.View(func(v datacentre.View) {
+		at, ok := v.Requests.NextDeadline()
+		due = ok && at.Before(now)
+	})
+	if due {
+		_, _ = c.proposeRequest(ctx, ledger.Command{Expire: &ledger.Expire{}})
+	}
+}
+
+// resolveOrphans reads the state of attempts whose owner is gone, and of
+// attempts with an unknown outcome, from their targets.
+func (c *Controller) resolveOrphans(ctx context.Context) {
+	type orphan struct {
+		attempt   ledger.OpenAttempt
+		canRevoke bool
+	}
+	var orphans []orphan
+	c.cfg.Machine.View(func(v datacentre.View) {
+		for _, a := range v.Requests.OpenAttempts() {
+			if a.State == model.AttemptAssigned && c.ownerAlive(a.Owner, a.OwnerIncarnation) {
+				continue
+			}
+			h, ok := v.Hosts.Host(a.Host)
+			if !ok || h.State == model.HostLost || h.Info.Incarnation != a.TargetIncarnation {
+				continue
+			}
+			orphans = append(orphans, orphan{a, hasCapability(&h.Info, model.CapabilityRevoke)})
+		}
+	})
+	var (
+		wg      sync.WaitGroup
+		limit   = make(chan struct{}, resolveParallel)
+		mu      sync.Mutex
+		reports []model.AttemptReport
+	)
+	for _, o := range orphans {
+		limit <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-limit }()
+			if report, ok := c.cfg.Resolver.Resolve(ctx, o.attempt, o.canRevoke); ok {
+				mu.Lock()
+				reports = append(reports, report)
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	if len(reports) > 0 {
+		_, _ = c.ReportAttempts(ctx, &peer.ReportAttemptsRequest{DataCentre: c.cfg.DataCentre, Reports: reports})
+	}
+}
+
+func hasCapability(info *model.HostInfo, want model.Capability) bool {
+	for _, have := range info.Capabilities {
+		if have == want {
+			return true
+		}
+	}
+	return false
+}
+
+// adopt pulls newer records from the region group into this data centre's
+// group and acknowledges them, so that floors may be lowered elsewhere.
+func (c *Controller) adopt(ctx context.Context) {
+	have := c.cfg.Machine.Records()
+	resp, err := c.cfg.Records.PullRecords(ctx, &peer.PullRecordsRequest{
+		Revision:      have.Revision,
+		FloorRevision: have.FloorRevision,
+		WaitMS:        c.cfg.Timing.RecordsWait.Milliseconds(),
+	})
+	if err != nil {
+		c.cfg.Log.Debug().Err(err).Msg("records not pulled")
+		return
+	}
+	if resp.Records != nil && resp.Records.Newer(have) {
+		if _, err := c.propose(ctx, datacentre.Command{Adopt: resp.Records}); err != nil {
+			c.cfg.Log.Warn().Err(err).Uint64("revision", resp.Records.Revision).Msg("records not adopted")
+			return
+		}
+		c.cfg.Log.Info().Uint64("revision", resp.Records.Revision).Msg("records adopted")
+	}
+	c.acknowledge(ctx)
+}
+
+// acknowledge tells the region group what is in force here, once for each
+// change and once for each term.
+func (c *Controller) acknowledge(ctx context.Context) {
+	have := c.cfg.Machine.Records()
+	if have.Revision == 0 {
+		return
+	}
+	c.mu.Lock()
+	mark := ackMark{term: c.term, revision: have.Revision, floors: have.FloorRevision}
+	done := c.acked == mark
+	c.mu.Unlock()
+	if done {
+		return
+	}
+	_, err := c.cfg.Records.AckAdoption(ctx, &peer.AckAdoptionRequest{
+		DataCentre: c.cfg.DataCentre, Revision: have.Revision, FloorRevision: have.FloorRevision,
+	})
+	if err != nil {
+		return
+	}
+	c.mu.Lock()
+	c.acked = mark
+	c.mu.Unlock()
+}
+
+// ackMark identifies the last acknowledgement.
+type ackMark struct {
+	term, revision, floors uint64
+}
--- /dev/null
+++ b/internal/datacentre/commands.go
@@ -0,0 +1,211 @@
+// Package datacentre composes the adopted records, the inventory and the
+// ledger of one data centre into the state machine of its group.
+package datacentre
+
+import (
+	"sync"
+
+	"agatehaven.dev/agatehaven/internal/codec"
+	"agatehaven.dev/agatehaven/internal/event"
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/inventory"
+	"agatehaven.dev/agatehaven/internal/ledger"
+	"agatehaven.dev/agatehaven/internal/model"
+	"agatehaven.dev/agatehaven/internal/replica"
+)
+
+// Events of this package.
+const eventRecordsAdopted event.Kind = "records_adopted"
+
+// Command is one log entry of a data centre group. Exactly one field is set.
+type Command struct {
+	Adopt     *model.Records     `cbor:"1,keyasint,omitempty"`
+	Inventory *inventory.Command `cbor:"2,keyasint,omitempty"`
+	Ledger    *ledger.Command    `cbor:"3,keyasint,omitempty"`
+}
+
+// Result is what a proposer gets back. Err is set if the command was refused;
+// then it had no effect.
+type Result struct {
+	Err        error
+	Request    *model.Request
+	Dispatched []ledger.DispatchItem
+	Host       *model.Host
+}
+
+// Machine is the state machine of a data centre group. The replica applies
+// entries from one goroutine; queries are safe for concurrent use.
+type Machine struct {
+	dataCentre string
+	group      string
+	onEvent    func(event.Event)
+
+	mu        sync.RWMutex
+	records   *model.Records
+	catalogue *model.Catalogue
+	hosts     *inventory.State
+	requests  *ledger.State
+	limits    ledger.Limits
+	changed   chan struct{}
+	watchers  map[string]*watcher
+}
+
+// New returns an empty machine. onEvent receives the events of applied
+// entries; it must not block.
+func New(dataCentre string, limits ledger.Limits, onEvent func(event.Event)) *Machine {
+	return &Machine{
+		dataCentre: dataCentre,
+		group:      dataCentre,
+		onEvent:    onEvent,
+		records:    &model.Records{},
+		catalogue:  emptyCatalogue(),
+		hosts:      inventory.New(),
+		requests:   ledger.New(limits),
+		limits:     limits,
+		changed:    make(chan struct{}),
+		watchers:   make(map[string]*watcher),
+	}
+}
+
+func emptyCatalogue() *model.Catalogue {
+	return &model.Catalogue{
+		Pools:    map[string]*model.Pool{},
+		JobKinds: map[string]*model.JobKind{},
+		Waves:    map[string]*model.Wave{},
+		Quotas:   map[string]*model.Quota{},
+		Floors:   map[string]map[string]int{},
+	}
+}
+
+// Apply implements replica.StateMachine. It returns a Result.
+func (m *Machine) Apply(e replica.Entry) any {
+	var cmd Command
+	if err := codec.Unmarshal(e.Data, &cmd); err != nil {
+		return Result{Err: err}
+	}
+	m.mu.Lock()
+	result, events := m.apply(e, &cmd)
+	m.notify(&cmd, events)
+	m.mu.Unlock()
+	for i := range events {
+		if m.onEvent != nil {
+			m.onEvent(events[i])
+		}
+	}
+	return result
+}
+
+func (m *Machine) apply(e replica.Entry, cmd *Command) (Result, []event.Event) {
+	switch {
+	case cmd.Adopt != nil:
+		return m.applyAdopt(e, cmd.Adopt)
+	case cmd.Inventory != nil:
+		return m.applyInventory(e, cmd.Inventory)
+	case cmd.Ledger != nil:
+		r, events := m.requests.Apply(m.ledgerContext(e), cmd.Ledger)
+		return Result{Err: r.Err, Request: r.Request, Dispatched: r.Dispatched}, events
+	}
+	return Result{Err: &fault.Invalid{Field: "command", Reason: "no field is set"}}, nil
+}
+
+// applyAdopt takes newer records into force. The revision never falls: older
+// or equal records are refused.
+func (m *Machine) applyAdopt(e replica.Entry, records *model.Records) (Result, []event.Event) {
+	if !records.Newer(m.records) {
+		return Result{Err: &fault.RevisionConflict{Expected: records.Revision, Current: m.records.Revision}}, nil
+	}
+	catalogue, err := model.ParseCatalogue(records)
+	if err != nil {
+		return Result{Err: err}, nil
+	}
+	m.records, m.catalogue = records, catalogue
+	return Result{}, []event.Event{{
+		ID:         event.ID{Group: m.group, Index: e.Index},
+		Time:       e.Time,
+		Kind:       eventRecordsAdopted,
+		DataCentre: m.dataCentre,
+		Actor:      "adoption",
+		Reason:     "newer records from the region group",
+	}}
+}
+
+// applyInventory applies a host command and tells the ledger which task
+// incarnations ended with it.
+func (m *Machine) applyInventory(e replica.Entry, cmd *inventory.Command) (Result, []event.Event) {
+	r, events := m.hosts.Apply(m.inventoryContext(e), cmd)
+	for _, lost := range r.Lost {
+		events = append(events, m.requests.HostLost(m.ledgerContext(e), lost.Name, lost.Incarnation, lost.Reason)...)
+	}
+	// Both parts number their events from 0; one entry needs distinct IDs.
+	for i := range events {
+		events[i].ID.Seq = i
+	}
+	return Result{Err: r.Err, Host: r.Host}, events
+}
+
+func (m *Machine) ledgerContext(e replica.Entry) ledger.Context {
+	return ledger.Context{
+		DataCentre: m.dataCentre,
+		Group:      m.group,
+		Index:      e.Index,
+		Time:       e.Time,
+		Catalogue:  m.catalogue,
+		Hosts:      m.hosts,
+	}
+}
+
+func (m *Machine) inventoryContext(e replica.Entry) inventory.Context {
+	return inventory.Context{
+		DataCentre: m.dataCentre,
+		Group:      m.group,
+		Index:      e.Index,
+		Time:       e.Time,
+		Catalogue:  m.catalogue,
+		Idle:       func(host string) bool { return m.requests.Running(host) == 0 },
+	}
+}
+
+type snapshot struct {
+	Records   *model.Records `cbor:"1,keyasint"`
+	Inventory []byte         `cbor:"2,keyasint"`
+	Ledger    []byte         `cbor:"3,keyasint"`
+}
+
+// Snapshot implements replica.StateMachine.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	hosts, err := m.hosts.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	requests, err := m.requests.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	return codec.Marshal(snapshot{Records: m.records, Inventory: hosts, Ledger: requests})
+}
+
+// Restore implements replica.StateMachine.
+func (m *Machine) Restore(data []byte) error {
+	var s snapshot
+	if err := codec.Unmarshal(data, &s); err != nil {
+		return err
+	}
+	catalogue, err := model.ParseCatalogue(s.Records)
+	if err != nil {
+		return err
+	}
+	hosts, requests := inventory.New(), ledger.New(m.limits)
+	if err := hosts.Restore(s.Inventory); err != nil {
+		return err
+	}
+	if err := requests.Restore(s.Ledger); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.records, m.catalogue, m.hosts, m.requests = s.Records, catalogue, hosts, requests
+	m.notifyAll()
+	return nil
+}
