--- a/internal/ledger/command.go
+++ b/internal/ledger/command.go
@@ -44,6 +44,13 @@
 	Owner            string `cbor:"4,keyasint"`
 	OwnerIncarnation string `cbor:"5,keyasint"`
 	Reason           string `cbor:"6,keyasint"`
+	// CPUMillis and MemoryMB are the learned size to reserve on the host; 0
+	// reserves the declared size of the request.
+	CPUMillis int `cbor:"7,keyasint,omitempty"`
+	MemoryMB  int `cbor:"8,keyasint,omitempty"`
+	// LentBy is the pool that lends the host; empty means that the host must
+	// belong to the request's own pool.
+	LentBy string `cbor:"9,keyasint,omitempty"`
 }
 
 // Report brings results of attempts.
--- /dev/null
+++ b/internal/ledger/outcome.go
@@ -0,0 +1,97 @@
+package ledger
+
+import "agatehaven.dev/agatehaven/internal/model"
+
+// maxKeptAttempts bounds the attempts kept in a request. Only attempts that
+// did not begin are dropped: a target that refuses every start must not make
+// the request grow, and the others are evidence for the outcome.
+const maxKeptAttempts = 16
+
+// undecided reports whether an attempt may still run.
+func undecided(s model.AttemptState) bool {
+	return s == model.AttemptAssigned || s == model.AttemptUnknown
+}
+
+// mayHaveBegun counts the attempts without proof that they did not begin.
+func mayHaveBegun(r *model.Request) int {
+	n := 0
+	for i := range r.Attempts {
+		if r.Attempts[i].State != model.AttemptNotBegun {
+			n++
+		}
+	}
+	return n
+}
+
+func hasAttempt(r *model.Request, s model.AttemptState) bool {
+	for i := range r.Attempts {
+		if r.Attempts[i].State == s {
+			return true
+		}
+	}
+	return false
+}
+
+func findAttempt(r *model.Request, number int) *model.Attempt {
+	for i := range r.Attempts {
+		if r.Attempts[i].Number == number {
+			return &r.Attempts[i]
+		}
+	}
+	return nil
+}
+
+func lastAttempt(r *model.Request) *model.Attempt {
+	if len(r.Attempts) == 0 {
+		return nil
+	}
+	return &r.Attempts[len(r.Attempts)-1]
+}
+
+func nextAttempt(r *model.Request) int {
+	if last := lastAttempt(r); last != nil {
+		return last.Number + 1
+	}
+	return 1
+}
+
+// awaitsRetry reports whether the last attempt of an open request ended and
+// the request waits for the decision about another one.
+func awaitsRetry(r *model.Request) bool {
+	return r.State == model.RequestDispatched && !hasAttempt(r, model.AttemptAssigned)
+}
+
+// outcomeOf derives the outcome of a request without assigned attempts from
+// the evidence about its attempts. Not_run needs proof for every attempt.
+func outcomeOf(r *model.Request) (o model.Outcome, succeeded bool) {
+	switch {
+	case hasAttempt(r, model.AttemptSucceeded):
+		return model.OutcomeDone, true
+	case hasAttempt(r, model.AttemptUnknown), hasAttempt(r, model.AttemptAssigned):
+		return model.OutcomeUnknown, false
+	case hasAttempt(r, model.AttemptFailed):
+		return model.OutcomeDone, false
+	}
+	return model.OutcomeNotRun, false
+}
+
+// mayRetry reports whether the rules allow another attempt after the current
+// ones ended.
+func mayRetry(r *model.Request) bool {
+	if r.CancelRequested {
+		return false
+	}
+	begun := mayHaveBegun(r)
+	return begun == 0 || (r.Idempotent && begun < max(r.MaxAttempts, 1))
+}
+
+// trimAttempts drops the oldest attempts that did not begin.
+func trimAttempts(r *model.Request) {
+	for i := 0; len(r.Attempts) > maxKeptAttempts && i < len(r.Attempts)-1; {
+		if r.Attempts[i].State != model.AttemptNotBegun {
+			i++
+			continue
+		}
+		r.Attempts = append(r.Attempts[:i], r.Attempts[i+1:]...)
+	}
+}
--- /dev/null
+++ b/internal/ledger/queries.go
@@ -0,0 +1,187 @@
+package ledger
+
+import (
+	"agatehaven.dev/agatehaven/internal/hlc"
+	"agatehaven.dev/agatehaven/internal/model"
+)
+
+// priorities lists the scheduling classes in the order of the queue.
+var priorities = [...]model.Priority{model.Urgent, model.Normal, model.Patient}
+
+// OpenAttempt is an attempt whose result can still be read from its target.
+type OpenAttempt struct {
+	Key               string
+	Attempt           int
+	Kind              string
+	Pool              string
+	Idempotent        bool
+	Host              string
+	Address           string
+	TargetIncarnation string
+	Owner             string
+	OwnerIncarnation  string
+	State             model.AttemptState // assigned or unknown
+	At                hlc.Time
+	// StopRequested is set if the result is not wanted any more.
+	StopRequested bool
+}
+
+// Get returns the request of a key.
+func (s *State) Get(key string) (*model.Request, bool) {
+	rec, ok := s.requests[key]
+	if !ok {
+		return nil, false
+	}
+	return rec.req, true
+}
+
+// Queued returns up to limit queued requests of a pool by priority, deadline
+// and claim order, including those whose NotBefore has not passed.
+func (s *State) Queued(pool string, limit int) []*model.Request {
+	var out []*model.Request
+	for _, p := range priorities {
+		out = append(out, s.QueuedClass(pool, p, limit-len(out))...)
+	}
+	return out
+}
+
+// QueuedClass returns up to limit queued requests of one priority, so that a
+// long queue of urgent requests does not hide the patient ones.
+func (s *State) QueuedClass(pool string, p model.Priority, limit int) []*model.Request {
+	q := s.queues[class{pool, p}]
+	if q == nil {
+		return nil
+	}
+	records := q.first(limit)
+	out := make([]*model.Request, len(records))
+	for i, rec := range records {
+		out[i] = rec.req
+	}
+	return out
+}
+
+// QueuedCount returns the number of queued requests of a pool.
+func (s *State) QueuedCount(pool string) int {
+	n := 0
+	for _, p := range priorities {
+		if q := s.queues[class{pool, p}]; q != nil {
+			n += q.Len()
+		}
+	}
+	return n
+}
+
+// RunningCount returns the number of dispatched requests of a pool.
+func (s *State) RunningCount(pool string) int { return s.running.pool[pool] }
+
+// TeamRunning returns the number of dispatched requests of a team.
+func (s *State) TeamRunning(team string) int { return s.running.team[team] }
+
+// TeamWaiting returns the number of queued and parked requests of a team.
+func (s *State) TeamWaiting(team string) int { return s.waiting.team[team] }
+
+// Running returns the slots held by assigned and unknown attempts on the
+// current incarnation of a host.
+func (s *State) Running(host string) int { return s.load(host).slots }
+
+// Reserved returns the CPU in thousandths of a core, the memory in MB and the
+// accelerators held on the current incarnation of a host.
+func (s *State) Reserved(host string) (cpuMillis, memoryMB, accelerators int) {
+	l := s.load(host)
+	return l.cpuMillis, l.memoryMB, l.accelerators
+}
+
+func (s *State) load(host string) load {
+	h := s.hosts[host]
+	if h == nil {
+		return load{}
+	}
+	return h.held[h.current]
+}
+
+// Assignments returns the assigned attempts of one incarnation of an owner in
+// claim order. CanRevoke, HostDraining and StopLimitMS come from the inventory
+// and the records and are left to the caller.
+func (s *State) Assignments(host, incarnation string) []model.Assignment {
+	refs := refsOf(s.owners[owner{host, incarnation}])
+	out := make([]model.Assignment, 0, len(refs))
+	for _, ref := range refs {
+		r := ref.rec.req
+		a := findAttempt(r, ref.number)
+		out = append(out, model.Assignment{
+			Key: r.Key, Attempt: a.Number, Kind: r.Kind, Payload: r.Payload,
+			Host: a.Host, Address: a.Address, TargetIncarnation: a.TargetIncarnation,
+			CPUMillis: a.CPUMillis, MemoryMB: a.MemoryMB, Accelerators: r.Accelerators,
+			StopRequested: stopRequested(r), At: a.At,
+		})
+	}
+	return out
+}
+
+// stopRequested reports whether running attempts of the request should end: it
+// was cancelled, or an earlier attempt has already finished it.
+func stopRequested(r *model.Request) bool {
+	return r.CancelRequested || r.State == model.RequestFinished
+}
+
+// OpenAttempts returns the assigned and unknown attempts in claim order, except
+// those on an earlier incarnation of their host, which no target can resolve.
+func (s *State) OpenAttempts() []OpenAttempt {
+	refs := refsOf(s.open)
+	out := make([]OpenAttempt, 0, len(refs))
+	for _, ref := range refs {
+		r := ref.rec.req
+		a := findAttempt(r, ref.number)
+		if s.hosts[a.Host].current != a.TargetIncarnation {
+			continue
+		}
+		out = append(out, OpenAttempt{
+			Key: r.Key, Attempt: a.Number, Kind: r.Kind, Pool: r.Pool, Idempotent: r.Idempotent,
+			Host: a.Host, Address: a.Address, TargetIncarnation: a.TargetIncarnation,
+			Owner: a.Owner, OwnerIncarnation: a.OwnerIncarnation,
+			State: a.State, At: a.At, StopRequested: stopRequested(r),
+		})
+	}
+	return out
+}
+
+func refsOf(set map[attemptRef]struct{}) []attemptRef {
+	refs := make([]attemptRef, 0, len(set))
+	for ref := range set {
+		refs = append(refs, ref)
+	}
+	sortRefs(refs)
+	return refs
+}
+
+// Recent returns up to limit requests, latest claim first.
+func (s *State) Recent(limit int) []*model.Request {
+	var out []*model.Request
+	for e := s.order.Back(); e != nil && len(out) < limit; e = e.Prev() {
+		out = append(out, e.Value.(*record).req)
+	}
+	return out
+}
+
+// NextDeadline returns the earliest time at which Expire has work.
+func (s *State) NextDeadline() (hlc.Time, bool) {
+	if s.due.Len() == 0 {
+		return hlc.Time{}, false
+	}
+	return s.dueTime(s.due.items[0].req)
+}
+
+// Ended returns, in claim order, the idempotent requests whose last attempt
+// failed, was lost or did not begin and which await a Retry.
+func (s *State) Ended() []*model.Request {
+	refs := make([]attemptRef, 0, len(s.ended))
+	for rec := range s.ended {
+		refs = append(refs, attemptRef{rec: rec})
+	}
+	sortRefs(refs)
+	out := make([]*model.Request, len(refs))
+	for i, ref := range refs {
+		out[i] = ref.rec.req
+	}
+	return out
+}
--- /dev/null
+++ b/internal/ledger/rules_test.go
@@ -0,0 +1,391 @@
+package ledger_test
+
+import (
+	"bytes"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/ledger"
+	"agatehaven.dev/agatehaven/internal/model"
+)
+
+var _ = Describe("claims", func() {
+	It("refuses what exceeds a limit and leaves no trace of it", func() {
+		// Guards against a full table that grows, and against a refused request
+		// that still runs.
+		limits := ledger.DefaultLimits()
+		limits.MaxRequests, limits.MaxQueuedPerPool, limits.MaxPayloadBytes = 4, 3, 4
+		f := newFixture(limits)
+		Expect(f.claim("a", "order", "small", 0).Err).NotTo(HaveOccurred())
+		Expect(f.claim("b", "order", "small", 0).Err).NotTo(HaveOccurred())
+		Expect(fault.CodeOf(f.claim("c", "order", "small", 0).Err)).To(Equal(fault.CodeLimitExceeded), "team quota")
+		Expect(f.claim("d", "order", "shop", 0).Err).NotTo(HaveOccurred())
+		Expect(fault.CodeOf(f.claim("e", "order", "shop", 0).Err)).To(Equal(fault.CodeLimitExceeded), "pool queue")
+		Expect(f.dispatch("d", 1, "h1")).To(BeTrue())
+		Expect(f.claim("e", "order", "shop", 0).Err).NotTo(HaveOccurred())
+		Expect(fault.CodeOf(f.claim("g", "order", "shop", 0).Err)).To(Equal(fault.CodeLimitExceeded), "ledger")
+		big := f.apply(ledger.Command{Claim: &ledger.Claim{Key: "h", Kind: "order", Payload: make([]byte, 5)}})
+		Expect(fault.CodeOf(big.Err)).To(Equal(fault.CodeLimitExceeded), "payload")
+		Expect(f.state.Recent(9)).To(HaveLen(4))
+	})
+
+	It("refuses unknown kinds and past deadlines", func() {
+		// Guards against requests that no pool could ever run.
+		f := newFixture(ledger.DefaultLimits())
+		Expect(fault.CodeOf(f.claim("a", "nothing", "shop", 0).Err)).To(Equal(fault.CodeNotFound))
+		late := f.apply(ledger.Command{Claim: &ledger.Claim{Key: "b", Kind: "order", Deadline: f.now}})
+		Expect(fault.CodeOf(late.Err)).To(Equal(fault.CodeInvalid))
+	})
+
+	It("does not confuse bodies whose concatenation is equal", func() {
+		// Guards against a reused key that returns another request's answer.
+		f := newFixture(ledger.DefaultLimits())
+		Expect(f.apply(ledger.Command{Claim: &ledger.Claim{Key: "a", Kind: "order", Team: "t", Payload: []byte("xy")}}).Err).NotTo(HaveOccurred())
+		other := f.apply(ledger.Command{Claim: &ledger.Claim{Key: "a", Kind: "order", Team: "tx", Payload: []byte("y")}})
+		Expect(fault.CodeOf(other.Err)).To(Equal(fault.CodeKeyReused))
+	})
+})
+
+var _ = Describe("dispatch on apply", func() {
+	var f *fixture
+	BeforeEach(func() {
+		f = newFixture(ledger.DefaultLimits())
+		for _, key := range []string{"a", "b", "c"} {
+			f.claim(key, "order", "shop", time.Minute)
+		}
+	})
+	change := func(name string, edit func(h *model.Host)) {
+		h := f.hosts[name]
+		edit(&h)
+		f.hosts[name] = h
+	}
+
+	It("accepts at most the slots of a host", func() {
+		// Guards against overload of a target by decisions made on old counts.
+		Expect(f.dispatch("a", 1, "h1")).To(BeTrue())
+		Expect(f.dispatch("b", 1, "h1")).To(BeTrue())
+		Expect(f.dispatch("c", 1, "h1")).To(BeFalse())
+	})
+
+	It("skips hosts that are leaving, not ready, unknown or of another pool", func() {
+		// Guards against new work on a target that leaves.
+		change("h1", func(h *model.Host) { h.Info.Leaving = true })
+		Expect(f.dispatch("a", 1, "h1")).To(BeFalse())
+		change("h1", func(h *model.Host) { h.Info.Leaving = false; h.State = model.HostDraining })
+		Expect(f.dispatch("a", 1, "h1")).To(BeFalse())
+		Expect(f.dispatch("a", 1, "nowhere")).To(BeFalse())
+		Expect(f.dispatch("a", 1, "s1")).To(BeFalse())
+		Expect(f.dispatchItem(ledger.DispatchItem{Key: "a", Attempt: 1, Host: "s1", LentBy: "spare"})).To(BeTrue())
+	})
+
+	It("skips requests past their deadline or before their backoff ends", func() {
+		// Guards against work whose caller was already told not_run.
+		f.claim("p", "proof", "shop", time.Hour)
+		f.dispatch("p", 1, "h1")
+		f.report("p", 1, model.AttemptFailed, "")
+		f.apply(ledger.Command{Retry: &ledger.Retry{Key: "p", Attempt: 1, NotBefore: f.now.Add(2 * time.Minute)}})
+		Expect(f.dispatch("p", 2, "h1")).To(BeFalse())
+		f.advance(time.Minute)
+		Expect(f.dispatch("a", 1, "h1")).To(BeFalse())
+		f.advance(time.Minute)
+		Expect(f.dispatch("p", 2, "h1")).To(BeTrue())
+	})
+
+	It("holds the quota of a team", func() {
+		// Guards against a team that takes all slots.
+		f.claim("q1", "order", "small", 0)
+		f.claim("q2", "order", "small", 0)
+		Expect(f.dispatch("q1", 1, "h1")).To(BeTrue())
+		Expect(f.dispatch("q2", 1, "h1")).To(BeFalse())
+		f.report("q1", 1, model.AttemptSucceeded, "")
+		Expect(f.dispatch("q2", 1, "h1")).To(BeTrue())
+	})
+
+	It("skips requests that do not fit the free CPU, memory or accelerators", func() {
+		// Guards against an overcommitted host. Learned sizes replace the
+		// declared ones.
+		f.claim("big", "huge", "shop", 0)
+		f.claim("big2", "huge", "shop", 0)
+		Expect(f.dispatch("big", 1, "h1")).To(BeTrue())
+		Expect(f.dispatch("big2", 1, "h1")).To(BeFalse())
+		Expect(f.dispatchItem(ledger.DispatchItem{Key: "big2", Attempt: 1, Host: "h1", CPUMillis: 1000})).To(BeFalse())
+		Expect(f.dispatchItem(ledger.DispatchItem{Key: "big2", Attempt: 1, Host: "h1", CPUMillis: 1000, MemoryMB: 1000})).To(BeTrue())
+		cpu, memory, _ := f.state.Reserved("h1")
+		Expect([]int{cpu, memory}).To(Equal([]int{6000, 6000}))
+		f.claim("x1", "render", "shop", 0)
+		f.claim("x2", "render", "shop", 0)
+		Expect(f.dispatch("x1", 1, "h2")).To(BeTrue())
+		Expect(f.dispatch("x2", 1, "h2")).To(BeFalse(), "one accelerator")
+	})
+})
+
+var _ = Describe("outcomes", func() {
+	var f *fixture
+	BeforeEach(func() { f = newFixture(ledger.DefaultLimits()) })
+	start := func(key, kind string) {
+		f.claim(key, kind, "shop", time.Minute)
+		Expect(f.dispatch(key, 1, "h1")).To(BeTrue())
+	}
+
+	It("never finishes as not_run while an attempt may have begun", func() {
+		// Guards against a false not_run: the caller would order again.
+		start("late", "proof")
+		f.report("late", 1, model.AttemptUnknown, "")
+		Expect(f.retry("late", 1, false)).To(Succeed())
+		start("failed", "proof")
+		f.report("failed", 1, model.AttemptFailed, "")
+		f.claim("queued", "order", "shop", time.Minute)
+		f.advance(time.Minute)
+		f.expire()
+		Expect(f.outcome("late")).To(Equal("finished unknown false"))
+		Expect(f.outcome("failed")).To(Equal("finished done false"))
+		Expect(f.outcome("queued")).To(Equal("finished not_run false"))
+	})
+
+	It("keeps a dispatched request open after its deadline", func() {
+		// Guards against an outcome that is given before the result is known.
+		start("a", "order")
+		f.advance(time.Hour)
+		f.expire()
+		Expect(f.outcome("a")).To(Equal("dispatched  false"))
+	})
+
+	It("resolves unknown by later evidence and never changes a proven outcome", func() {
+		// Guards against a lost result, and against a result that changes after
+		// the caller has read it.
+		for key, evidence := range map[string]model.AttemptState{
+			"a": model.AttemptSucceeded, "b": model.AttemptNotBegun, "c": model.AttemptFailed,
+		} {
+			start(key, "order")
+			f.report(key, 1, model.AttemptUnknown, "")
+			Expect(f.outcome(key)).To(Equal("finished unknown false"))
+			f.report(key, 1, evidence, "answer")
+			resolved := f.get(key)
+			for _, later := range []model.AttemptState{model.AttemptUnknown, model.AttemptFailed, model.AttemptSucceeded, model.AttemptNotBegun} {
+				f.report(key, 1, later, "other")
+			}
+			Expect(f.get(key)).To(BeIdenticalTo(resolved))
+		}
+		Expect(f.outcome("a")).To(Equal("finished done true"))
+		Expect(f.outcome("b")).To(Equal("finished not_run false"))
+		Expect(f.outcome("c")).To(Equal("finished done false"))
+	})
+
+	It("ignores reports of attempts that were never assigned", func() {
+		// Guards against a mismatched answer that finishes another request.
+		f.claim("a", "order", "shop", 0)
+		f.report("a", 1, model.AttemptSucceeded, "wrong")
+		f.report("b", 1, model.AttemptSucceeded, "wrong")
+		Expect(f.outcome("a")).To(Equal("queued  false"))
+	})
+
+	It("does not pass on an answer above the limit", func() {
+		// Guards against an answer that is cut or that fills the memory.
+		limits := ledger.DefaultLimits()
+		limits.MaxAnswerBytes = 4
+		f = newFixture(limits)
+		start("a", "proof")
+		f.report("a", 1, model.AttemptSucceeded, "12345")
+		Expect(f.outcome("a")).To(Equal("finished done false"))
+		Expect(f.get("a").Answer).To(BeNil())
+		Expect(f.get("a").Reason).To(Equal("answer of 5 bytes exceeds the limit of 4 bytes"))
+	})
+
+	It("stops the attempt that is left when an earlier one has succeeded", func() {
+		// Guards against a second attempt that runs on for nothing.
+		start("a", "proof")
+		f.lose("h1", "i1")
+		Expect(f.retry("a", 1, false)).To(Succeed())
+		Expect(f.dispatch("a", 2, "h2")).To(BeTrue())
+		Expect(f.state.Assignments("e1", "p1")[0].StopRequested).To(BeFalse())
+		f.report("a", 1, model.AttemptSucceeded, "first")
+		Expect(f.outcome("a")).To(Equal("finished done true"))
+		Expect(f.state.Assignments("e1", "p1")[0].StopRequested).To(BeTrue())
+		Expect(f.state.Running("h2")).To(Equal(1), "the slot is held until the attempt ends")
+		f.advance(48 * time.Hour)
+		f.expire()
+		Expect(f.outcome("a")).To(Equal("finished done true"), "kept while an attempt is assigned")
+	})
+
+	It("lets the owner's report finish a cancelled request", func() {
+		// Guards against a cancellation that reports not_run for work that ran.
+		start("ran", "proof")
+		start("refused", "proof")
+		for _, key := range []string{"ran", "refused"} {
+			Expect(f.cancel(key).Request.CancelRequested).To(BeTrue())
+		}
+		Expect(f.state.Assignments("e1", "p1")).To(HaveEach(HaveField("StopRequested", true)))
+		f.report("ran", 1, model.AttemptFailed, "")
+		f.report("refused", 1, model.AttemptNotBegun, "")
+		Expect(f.outcome("ran")).To(Equal("finished done false"))
+		Expect(f.outcome("refused")).To(Equal("finished not_run false"))
+		Expect(fault.CodeOf(f.cancel("none").Err)).To(Equal(fault.CodeNotFound))
+	})
+
+	It("frees the place of a cancelled request at once", func() {
+		// Guards against queues that stay full after a burst of cancellations.
+		limits := ledger.DefaultLimits()
+		limits.MaxQueuedPerPool = 1
+		f = newFixture(limits)
+		f.claim("a", "order", "shop", 0)
+		Expect(f.claim("b", "order", "shop", 0).Err).To(HaveOccurred())
+		f.cancel("a")
+		Expect(f.claim("b", "order", "shop", 0).Err).NotTo(HaveOccurred())
+		Expect(f.state.QueuedCount("plot")).To(Equal(1))
+	})
+})
+
+var _ = Describe("retries", func() {
+	var f *fixture
+	BeforeEach(func() { f = newFixture(ledger.DefaultLimits()) })
+
+	It("accepts a second attempt of a non-idempotent request only after not_begun", func() {
+		// Guards against a duplicate order.
+		for key, state := range map[string]model.AttemptState{"f": model.AttemptFailed, "u": model.AttemptUnknown} {
+			f.claim(key, "order", "shop", 0)
+			f.dispatch(key, 1, "h1")
+			f.report(key, 1, state, "")
+			Expect(f.retry(key, 1, false)).NotTo(Succeed())
+			Expect(f.dispatch(key, 2, "h2")).To(BeFalse())
+		}
+		f.claim("n", "order", "shop", 0)
+		f.dispatch("n", 1, "h2")
+		f.report("n", 1, model.AttemptNotBegun, "")
+		f.advance(time.Second)
+		Expect(f.dispatch("n", 2, "h2")).To(BeTrue())
+	})
+
+	It("waits for the decision about an idempotent request and records a refusal", func() {
+		// Guards against retries outside the retry limits.
+		f.claim("a", "proof", "shop", 0)
+		f.dispatch("a", 1, "h1")
+		f.report("a", 1, model.AttemptFailed, "log")
+		Expect(f.state.Ended()).To(HaveLen(1))
+		Expect(f.dispatch("a", 2, "h2")).To(BeFalse())
+		Expect(f.retry("a", 2, false)).NotTo(Succeed())
+		Expect(f.retry("a", 1, true)).To(Succeed())
+		Expect(f.outcome("a")).To(Equal("finished done false"))
+		Expect(string(f.get("a").Answer)).To(Equal("log"))
+		Expect(f.state.Ended()).To(BeEmpty())
+	})
+
+	It("backs off and stays bounded when targets refuse every start", func() {
+		// Guards against a request that grows, and against a dispatch loop.
+		f.claim("a", "order", "shop", 0)
+		var waited time.Duration
+		for n := 1; n <= 50; n++ {
+			Expect(f.dispatch("a", n, "h1")).To(BeTrue())
+			f.report("a", n, model.AttemptNotBegun, "")
+			wait := f.get("a").NotBefore.Sub(f.now)
+			waited += wait
+			f.advance(wait)
+		}
+		Expect(len(f.get("a").Attempts)).To(BeNumerically("<=", 16))
+		Expect(waited).To(BeNumerically(">", 3*time.Minute))
+	})
+})
+
+var _ = Describe("lost hosts", func() {
+	It("holds slots until a new incarnation proves that the tasks ended", func() {
+		// Guards against overload of a host that was only partitioned, and
+		// against slots that leak after a restart.
+		f := newFixture(ledger.DefaultLimits())
+		f.claim("a", "order", "shop", 0)
+		f.claim("b", "proof", "shop", 0)
+		f.dispatch("a", 1, "h1")
+		f.dispatch("b", 1, "h1")
+		f.lose("h1", "i1")
+		Expect(f.outcome("a")).To(Equal("finished unknown false"))
+		Expect(f.state.Ended()).To(HaveLen(1))
+		Expect(f.state.Running("h1")).To(Equal(2))
+		Expect(f.state.OpenAttempts()).To(HaveLen(2))
+		f.restartHost("h1", "i2")
+		Expect(f.state.Running("h1")).To(Equal(0))
+		Expect(f.state.OpenAttempts()).To(BeEmpty())
+		Expect(f.retry("b", 1, false)).To(Succeed())
+		Expect(f.dispatch("b", 2, "h1")).To(BeTrue())
+		Expect(f.state.Running("h1")).To(Equal(1))
+	})
+
+	It("does not touch attempts on the current incarnation after a restart", func() {
+		// Guards against a late order about the old incarnation.
+		f := newFixture(ledger.DefaultLimits())
+		f.restartHost("h1", "i2")
+		f.claim("a", "order", "shop", 0)
+		f.dispatch("a", 1, "h1")
+		f.lose("h1", "i1")
+		Expect(f.outcome("a")).To(Equal("dispatched  false"))
+	})
+})
+
+var _ = Describe("retention", func() {
+	It("drops answers, then forgets keys, and tells when it is due", func() {
+		// Guards against a ledger that fills up, and against a key that is
+		// forgotten early and runs again.
+		f := newFixture(ledger.DefaultLimits())
+		f.claim("a", "order", "shop", 0)
+		f.dispatch("a", 1, "h1")
+		f.report("a", 1, model.AttemptSucceeded, "answer")
+		at, _ := f.state.NextDeadline()
+		Expect(at).To(Equal(f.now.Add(10 * time.Minute)))
+		f.advance(10*time.Minute - time.Millisecond)
+		f.expire()
+		Expect(string(f.get("a").Answer)).To(Equal("answer"))
+		f.advance(time.Millisecond)
+		f.expire()
+		Expect(f.get("a").Answer).To(BeNil())
+		Expect(f.claim("a", "order", "shop", 0).Request.Outcome).To(Equal(model.OutcomeDone))
+		f.advance(24 * time.Hour)
+		f.expire()
+		Expect(f.outcome("a")).To(Equal("absent"))
+	})
+})
+
+var _ = Describe("queries", func() {
+	It("orders a queue by priority, deadline and claim", func() {
+		// Guards against urgent work behind patient work.
+		f := newFixture(ledger.DefaultLimits())
+		f.claim("patient", "archive", "shop", time.Second)
+		f.claim("never", "order", "shop", 0)
+		f.claim("late", "order", "shop", time.Hour)
+		f.claim("soon", "order", "shop", time.Minute)
+		f.claim("soon2", "order", "shop", time.Minute)
+		f.claim("urgent", "draw", "shop", time.Hour)
+		var keys []string
+		for _, r := range f.state.Queued("plot", 5) {
+			keys = append(keys, r.Key)
+		}
+		Expect(keys).To(Equal([]string{"urgent", "soon", "soon2", "late", "never"}))
+		Expect(f.state.Recent(2)[0].Key).To(Equal("urgent"))
+	})
+
+	It("never changes a request that a reader holds", func() {
+		// Guards against half-written requests outside the lock.
+		f := newFixture(ledger.DefaultLimits())
+		held := f.claim("a", "proof", "shop", 0).Request
+		f.dispatch("a", 1, "h1")
+		dispatched := f.get("a")
+		f.report("a", 1, model.AttemptSucceeded, "answer")
+		Expect(held.State).To(Equal(model.RequestQueued))
+		Expect(dispatched.Attempts[0].State).To(Equal(model.AttemptAssigned))
+		Expect(dispatched.Payload).NotTo(BeEmpty())
+	})
+})
+
+var _ = Describe("snapshots", func() {
+	It("refuses what is not a snapshot and keeps its state", func() {
+		// Guards against a replica that starts from half a state.
+		f := newFixture(ledger.DefaultLimits())
+		f.claim("a", "proof", "shop", 0)
+		before, err := f.state.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(fault.CodeOf(f.state.Restore(before[:len(before)-1]))).To(Equal(fault.CodeCorrupt))
+		Expect(fault.CodeOf(f.state.Restore([]byte{0xa0}))).To(Equal(fault.CodeCorrupt))
+		after, err := f.state.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(bytes.Equal(before, after)).To(BeTrue())
+	})
+})
--- /dev/null
+++ b/internal/ledger/snapshot.go
@@ -0,0 +1,71 @@
+package ledger
+
+import (
+	"sort"
+
+	"agatehaven.dev/agatehaven/internal/codec"
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/model"
+)
+
+// snapshotVersion is the version of the snapshot's format.
+const snapshotVersion = 1
+
+type snapshot struct {
+	Version  int              `cbor:"1,keyasint"`
+	Seq      uint64           `cbor:"2,keyasint"`
+	Requests []snapshotRecord `cbor:"3,keyasint"` // in claim order
+	Hosts    []snapshotHost   `cbor:"4,keyasint"` // by name
+}
+
+type snapshotRecord struct {
+	Seq     uint64         `cbor:"1,keyasint"`
+	Request *model.Request `cbor:"2,keyasint"`
+}
+
+// snapshotHost keeps the current incarnation of a host, since the attempts
+// alone do not tell which incarnation is the latest.
+type snapshotHost struct {
+	Name    string `cbor:"1,keyasint"`
+	Current string `cbor:"2,keyasint"`
+}
+
+// Snapshot encodes the ledger. Equal states give equal bytes.
+func (s *State) Snapshot() ([]byte, error) {
+	snap := snapshot{Version: snapshotVersion, Seq: s.seq}
+	for e := s.order.Front(); e != nil; e = e.Next() {
+		rec := e.Value.(*record)
+		snap.Requests = append(snap.Requests, snapshotRecord{Seq: rec.seq, Request: rec.req})
+	}
+	for name, h := range s.hosts {
+		snap.Hosts = append(snap.Hosts, snapshotHost{Name: name, Current: h.current})
+	}
+	sort.Slice(snap.Hosts, func(i, j int) bool { return snap.Hosts[i].Name < snap.Hosts[j].Name })
+	return codec.Marshal(&snap)
+}
+
+// Restore replaces the ledger by a snapshot. It returns *fault.Corrupt, and
+// keeps the present state, if the snapshot is not valid.
+func (s *State) Restore(data []byte) error {
+	var snap snapshot
+	if err := codec.Unmarshal(data, &snap); err != nil {
+		return err
+	}
+	if snap.Version != snapshotVersion {
+		return &fault.Corrupt{What: "ledger snapshot", Reason: "unknown version"}
+	}
+	for i, r := range snap.Requests {
+		if r.Request == nil || r.Seq > snap.Seq || (i > 0 && r.Seq <= snap.Requests[i-1].Seq) {
+			return &fault.Corrupt{What: "ledger snapshot", Reason: "requests are not in claim order"}
+		}
+	}
+	s.clear()
+	s.seq = snap.Seq
+	for _, r := range snap.Requests {
+		s.insert(&record{seq: r.Seq, req: r.Request})
+	}
+	for _, h := range snap.Hosts {
+		s.see(h.Name, h.Current)
+	}
+	return nil
+}
--- a/internal/model/request.go
+++ b/internal/model/request.go
@@ -47,6 +47,9 @@
 	State             AttemptState `cbor:"7,keyasint" json:"state"`
 	At                hlc.Time     `cbor:"8,keyasint" json:"at"`
 	Reason            string       `cbor:"9,keyasint,omitempty" json:"reason,omitempty"`
+	// CPUMillis and MemoryMB are reserved on the host for this attempt.
+	CPUMillis int `cbor:"10,keyasint,omitempty" json:"cpu_millis,omitempty"`
+	MemoryMB  int `cbor:"11,keyasint,omitempty" json:"memory_mb,omitempty"`
 }
 
 // Request is a request as its home ledger knows it.
