Check the ledger's invariants over random histories

Cause: at-most-once and an accurate not_run depend on the order of reports, losses and deadlines, which single examples do not cover.

Change: 30 seeded histories of 1,000 commands each run against fake targets that may secretly run any attempt not proven not begun.

--- /dev/null
+++ b/internal/ledger/random_test.go
@@ -0,0 +1,309 @@
+package ledger_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatehaven.dev/agatehaven/internal/ledger"
+	"agatehaven.dev/agatehaven/internal/model"
+)
+
+// secret is what really happened to an attempt. The ledger only sees reports.
+type secret struct {
+	host, incarnation string
+	ran, notBegun     bool
+}
+
+// history drives a ledger with random commands against fake targets. A target
+// may run any assigned attempt at any time, also after the ledger gave it up,
+// unless it was reported as not begun or its incarnation ended.
+type history struct {
+	*fixture
+	rng    *rand.Rand
+	copy   *ledger.State // restored from a snapshot, then applied in step
+	truth  map[string]map[int]*secret
+	proven map[string]*model.Request // done and not_run requests
+	last   string
+	ends   map[string]int // outcomes reached, for the coverage of the run
+}
+
+func newHistory(seed uint64) *history {
+	limits := ledger.DefaultLimits()
+	limits.MaxRequests, limits.MaxQueuedPerPool = 40, 15
+	limits.AnswerRetention, limits.KeyRetention = 20*time.Second, 60*time.Second
+	return &history{
+		fixture: newFixture(limits), rng: rand.New(rand.NewPCG(seed, 1)), copy: ledger.New(limits),
+		truth: map[string]map[int]*secret{}, proven: map[string]*model.Request{}, ends: map[string]int{},
+	}
+}
+
+func pick[T any](h *history, values ...T) T { return values[h.rng.IntN(len(values))] }
+
+func (h *history) key() string { return fmt.Sprintf("k%d", h.rng.IntN(60)) }
+
+func (h *history) both(cmd ledger.Command) ledger.Result {
+	c := h.ctx()
+	res, events := h.state.Apply(c, &cmd)
+	other, otherEvents := h.copy.Apply(c, &cmd)
+	Expect(otherEvents).To(Equal(events), h.last)
+	Expect(other.Request).To(Equal(res.Request), h.last)
+	return res
+}
+
+func (h *history) step() {
+	key := h.key()
+	h.last = key
+	switch h.rng.IntN(20) {
+	case 0, 1, 2, 3:
+		c := ledger.Claim{Key: key, Kind: pick(h, "order", "draw", "proof", "archive", "render", "huge"), Team: pick(h, "shop", "small"), Payload: []byte("p")}
+		if h.rng.IntN(4) > 0 {
+			c.Deadline = h.now.Add(time.Duration(h.rng.IntN(30)-1) * time.Second)
+		}
+		h.both(ledger.Command{Claim: &c})
+	case 4, 5, 6, 7:
+		h.dispatchSome()
+	case 8, 9, 10:
+		h.secretRun()
+	case 11, 12, 13:
+		h.reportSome()
+	case 14:
+		h.both(ledger.Command{Cancel: &ledger.Cancel{Key: key, Actor: "caller"}})
+	case 15:
+		h.both(ledger.Command{Park: &ledger.Park{Key: key, Reason: pick(h, "", "large")}})
+	case 16:
+		rt := ledger.Retry{Key: key, Attempt: 1 + h.rng.IntN(4), Refused: h.rng.IntN(4) == 0, NotBefore: h.now}
+		if ended := h.state.Ended(); len(ended) > 0 && h.rng.IntN(4) > 0 {
+			r := pick(h, ended...)
+			rt.Key, rt.Attempt = r.Key, r.Attempts[len(r.Attempts)-1].Number
+		}
+		h.both(ledger.Command{Retry: &rt})
+	case 17:
+		h.advance(time.Duration(h.rng.IntN(3000)) * time.Millisecond)
+		h.both(ledger.Command{Expire: &ledger.Expire{}})
+	case 18:
+		h.changeHost()
+	case 19:
+		data, err := h.state.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		h.copy = restored(data)
+	}
+}
+
+func restored(data []byte) *ledger.State {
+	s := newHistory(0).copy
+	Expect(s.Restore(data)).To(Succeed())
+	return s
+}
+
+func (h *history) dispatchSome() {
+	items := make([]ledger.DispatchItem, 1+h.rng.IntN(4))
+	for i := range items {
+		items[i] = ledger.DispatchItem{
+			Key: h.key(), Attempt: 1 + h.rng.IntN(3), Host: pick(h, "h1", "h2", "s1"), CPUMillis: h.rng.IntN(3) * 500,
+			Owner: pick(h, "e1", "e2"), OwnerIncarnation: "p1", LentBy: pick(h, "", "", "spare"),
+		}
+		if queued := h.state.Queued("plot", 1000); len(queued) > 0 && h.rng.IntN(4) > 0 {
+			items[i].Key = pick(h, queued...).Key
+		}
+		if r, ok := h.state.Get(items[i].Key); ok && h.rng.IntN(8) > 0 {
+			items[i].Attempt = 1
+			if n := len(r.Attempts); n > 0 {
+				items[i].Attempt = r.Attempts[n-1].Number + 1
+			}
+		}
+	}
+	for _, d := range h.both(ledger.Command{Dispatch: &ledger.Dispatch{Items: items}}).Dispatched {
+		if h.truth[d.Key] == nil {
+			h.truth[d.Key] = map[int]*secret{}
+		}
+		h.truth[d.Key][d.Attempt] = &secret{host: d.Host, incarnation: h.hosts[d.Host].Info.Incarnation}
+	}
+}
+
+// attempt returns a random attempt of the model.
+func (h *history) attempt() (string, int, *secret) {
+	var tried []*model.Request
+	for _, r := range h.state.Recent(1000) {
+		if len(r.Attempts) > 0 {
+			tried = append(tried, r)
+		}
+	}
+	if len(tried) == 0 {
+		return "", 0, nil
+	}
+	r := pick(h, tried...)
+	n := pick(h, r.Attempts...).Number
+	return r.Key, n, h.truth[r.Key][n]
+}
+
+func (h *history) secretRun() {
+	_, _, s := h.attempt()
+	if s != nil && !s.notBegun && h.hosts[s.host].Info.Incarnation == s.incarnation {
+		s.ran = true
+	}
+}
+
+// reportSome brings a true report: a result only of what ran, not_begun only of
+// what did not and then never will. Unknown is always allowed.
+func (h *history) reportSome() {
+	key, n, s := h.attempt()
+	if s == nil {
+		key, n = h.key(), 9
+		h.both(ledger.Command{Report: &ledger.Report{Reports: []model.AttemptReport{{Key: key, Attempt: n, State: model.AttemptSucceeded}}}})
+		return
+	}
+	state := pick(h, model.AttemptSucceeded, model.AttemptFailed)
+	switch {
+	case h.rng.IntN(4) == 0:
+		state = model.AttemptUnknown
+	case !s.ran:
+		state, s.notBegun = model.AttemptNotBegun, true
+	}
+	rep := model.AttemptReport{Key: key, Attempt: n, State: state, Answer: []byte("answer")}
+	h.both(ledger.Command{Report: &ledger.Report{Reports: []model.AttemptReport{rep}}})
+}
+
+func (h *history) changeHost() {
+	name := pick(h, "h1", "h2", "s1")
+	host := h.hosts[name]
+	old := host.Info.Incarnation
+	switch h.rng.IntN(7) {
+	case 0:
+		host.State = pick(h, model.HostReady, model.HostReady, model.HostDraining)
+	case 1:
+		host.Info.Leaving = !host.Info.Leaving
+	case 2:
+		host.Info.Incarnation = fmt.Sprintf("i%d", h.index)
+		fallthrough
+	case 3, 4, 5:
+		host.State, host.Info.Leaving = model.HostReady, false
+	case 6:
+		host.State = model.HostLost
+	}
+	h.hosts[name] = host
+	if host.State == model.HostLost || host.Info.Incarnation != old {
+		c := h.ctx()
+		events := h.state.HostLost(c, name, old, "lost")
+		Expect(h.copy.HostLost(c, name, old, "lost")).To(Equal(events))
+	}
+}
+
+// check compares the ledger with the truth and with counts made by scanning.
+func (h *history) check() {
+	type use struct{ slots, cpu, memory, accelerators int }
+	queued, running, teams, hosts := 0, 0, map[string]int{}, map[string]use{}
+	ended := 0
+	for _, r := range h.state.Recent(1000) {
+		begun, assigned := 0, false
+		for _, a := range r.Attempts {
+			if a.State != model.AttemptNotBegun {
+				begun++
+			}
+			assigned = assigned || a.State == model.AttemptAssigned
+			open := a.State == model.AttemptAssigned || a.State == model.AttemptUnknown
+			if open && a.TargetIncarnation == h.hosts[a.Host].Info.Incarnation {
+				u := hosts[a.Host]
+				hosts[a.Host] = use{u.slots + 1, u.cpu + a.CPUMillis, u.memory + a.MemoryMB, u.accelerators + r.Accelerators}
+			}
+		}
+		ran := 0
+		for _, s := range h.truth[r.Key] {
+			if s.ran {
+				ran++
+			}
+		}
+		h.checkRequest(r, begun, ran)
+		switch r.State {
+		case model.RequestQueued:
+			queued++
+		case model.RequestDispatched:
+			running++
+			teams[r.Team]++
+			if !assigned {
+				ended++
+			}
+		}
+	}
+	Expect(h.state.QueuedCount("plot")).To(Equal(queued))
+	Expect(h.state.Queued("plot", 1000)).To(HaveLen(queued))
+	Expect(h.state.RunningCount("plot")).To(Equal(running))
+	Expect(h.state.Ended()).To(HaveLen(ended))
+	Expect(h.state.TeamRunning("small")).To(Equal(teams["small"]))
+	Expect(teams["small"]).To(BeNumerically("<=", 1))
+	for name, host := range h.hosts {
+		u := hosts[name]
+		cpu, memory, accelerators := h.state.Reserved(name)
+		Expect(use{h.state.Running(name), cpu, memory, accelerators}).To(Equal(u), name)
+		Expect(u.slots).To(BeNumerically("<=", host.Info.Slots))
+		Expect(u.cpu).To(BeNumerically("<=", host.Info.CPUMillis))
+		Expect(u.memory).To(BeNumerically("<=", host.Info.MemoryMB))
+		Expect(u.accelerators).To(BeNumerically("<=", host.Info.Accelerators))
+	}
+}
+
+func (h *history) checkRequest(r *model.Request, begun, ran int) {
+	if !r.Idempotent {
+		Expect(begun).To(BeNumerically("<=", 1), "attempts of %s that may have begun", r.Key)
+		Expect(ran).To(BeNumerically("<=", 1), "runs of %s", r.Key)
+	}
+	if r.Outcome == model.OutcomeNotRun {
+		Expect(ran).To(BeZero(), "%s finished as not_run but ran", r.Key)
+	}
+	if r.Outcome == model.OutcomeDone {
+		Expect(ran).To(BeNumerically(">", 0), "%s finished as done but never ran", r.Key)
+	}
+	old := h.proven[r.Key]
+	if old != nil && old.Claimed == r.Claimed {
+		Expect([]any{r.State, r.Outcome, r.Succeeded, r.Finished}).To(
+			Equal([]any{old.State, old.Outcome, old.Succeeded, old.Finished}), "proven outcome of %s changed", r.Key)
+		if r.Answer != nil {
+			Expect(r.Answer).To(Equal(old.Answer))
+		}
+	} else if r.Outcome == model.OutcomeDone || r.Outcome == model.OutcomeNotRun {
+		h.proven[r.Key] = r
+		h.ends[fmt.Sprintf("%s %t", r.Outcome, r.Succeeded)]++
+	}
+}
+
+// forget drops the truth of keys whose retention has passed.
+func (h *history) forget() {
+	for key := range h.truth {
+		if _, ok := h.state.Get(key); !ok {
+			delete(h.truth, key)
+			delete(h.proven, key)
+		}
+	}
+}
+
+var _ = Describe("random histories", func() {
+	It("keeps the invariants of the ledger on every step", func() {
+		// Guards against any order of commands, faults and late reports that
+		// runs work twice, reports not_run for work that ran, or overbooks.
+		ends := map[string]int{}
+		for seed := range uint64(30) {
+			h := newHistory(seed)
+			for range 1000 {
+				h.step()
+				h.forget()
+				h.check()
+			}
+			one, err := h.state.Snapshot()
+			Expect(err).NotTo(HaveOccurred())
+			two, err := h.copy.Snapshot()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(two).To(Equal(one), "seed %d: a restored replica differs", seed)
+			Expect(restored(one).OpenAttempts()).To(Equal(h.state.OpenAttempts()))
+			for k, n := range h.ends {
+				ends[k] += n
+			}
+		}
+		AddReportEntry("outcomes reached", ends)
+		for _, end := range []string{"done true", "done false", "not_run false"} {
+			Expect(ends[end]).To(BeNumerically(">", 50), "the histories must reach the outcome %q", end)
+		}
+	})
+})
