Add the region and inventory state machines

Cause: records, floors and hosts have shared types but no behaviour. Change: model.ParseCatalogue and ValidateRecord; package floors, which offers floor increases first and lowers a floor only when no data centre may still enforce less than its target; package region with atomic applies, answers to resends and events; package inventory with all host commands and the floor check on apply. Additive fields: Records.Homes, Host.ReturnTo, Host.Ordered, WaveProgress.Lost, WaveProgress.FailuresSeen. Ruled out: writing the default homes into the stored document, since records stay as the operator sent them; lowering floors per acknowledgement of one data centre, since other rises may still be outstanding.

--- /dev/null
+++ b/internal/inventory/state.go
@@ -0,0 +1,202 @@
+package inventory
+
+import (
+	"fmt"
+	"slices"
+
+	"agatehaven.dev/agatehaven/internal/event"
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/hlc"
+	"agatehaven.dev/agatehaven/internal/model"
+)
+
+// LossWindowMS is how long after its step a host's loss is attributed to the
+// wave, in milliseconds.
+const LossWindowMS = 60_000
+
+// Context is what a command sees of the rest of the data centre's state.
+type Context struct {
+	DataCentre string
+	Group      string
+	Index      uint64
+	Time       hlc.Time
+	// Catalogue holds the records in force. It is nil before the first
+	// adoption; planned removals are refused then, since no floor is known.
+	Catalogue *model.Catalogue
+	// Idle reports whether no attempt holds a slot on the host.
+	Idle func(host string) bool
+}
+
+// Result is the result of a command. Host is a copy of the host after the
+// command, if it names one that exists. Err is a type of package fault; the
+// state is unchanged then.
+type Result struct {
+	Host *model.Host
+	Lost []LostHost
+	Err  error
+}
+
+// LostHost tells that the tasks of one incarnation of a host are unreachable
+// or have ended.
+type LostHost struct {
+	Name        string
+	Incarnation string
+	Reason      string
+}
+
+// Kinds of the inventory's events.
+const (
+	HostRegistered  event.Kind = "host_registered"
+	HostRestarted   event.Kind = "host_restarted"
+	HostLeaving     event.Kind = "host_leaving"
+	HostLost        event.Kind = "host_lost"
+	HostReturned    event.Kind = "host_returned"
+	HostVerifying   event.Kind = "host_verifying"
+	HostDrained     event.Kind = "host_drained"
+	HostDraining    event.Kind = "host_draining"
+	HostMaintained  event.Kind = "host_maintained"
+	HostMoved       event.Kind = "host_moved"
+	HostMoveDropped event.Kind = "host_move_dropped"
+	HostResumed     event.Kind = "host_resumed"
+	HostSetAside    event.Kind = "host_set_aside"
+	StepFinished    event.Kind = "step_finished"
+	StepFailed      event.Kind = "step_failed"
+	StepDropped     event.Kind = "step_dropped"
+	WavePaused      event.Kind = "wave_paused"
+	WaveResumed     event.Kind = "wave_resumed"
+	WaveFinished    event.Kind = "wave_finished"
+)
+
+// State is the inventory of one data centre. It is not safe for concurrent
+// use; the composition guards it.
+type State struct {
+	hosts map[string]*model.Host
+	waves map[string]*model.WaveProgress
+}
+
+// New returns an empty inventory.
+func New() *State {
+	return &State{hosts: make(map[string]*model.Host), waves: make(map[string]*model.WaveProgress)}
+}
+
+// change is one command under way.
+type change struct {
+	*State
+	Context
+	events []event.Event
+	lost   []LostHost
+}
+
+func (c *change) emit(kind event.Kind, h *model.Host, actor, reason string) {
+	ev := event.Event{
+		ID: event.ID{Group: c.Group, Index: c.Index, Seq: len(c.events)}, Time: c.Time, Kind: kind,
+		DataCentre: c.DataCentre, Actor: actor, Reason: reason,
+	}
+	if h != nil {
+		ev.Host, ev.Pool, ev.Wave = h.Info.Name, h.Pool, h.Wave
+	}
+	c.events = append(c.events, ev)
+}
+
+func (c *change) emitWave(kind event.Kind, wave, reason string) {
+	c.emit(kind, nil, "", reason)
+	c.events[len(c.events)-1].Wave = wave
+}
+
+// enter changes the state of a host.
+func (c *change) enter(h *model.Host, state model.HostState, reason string) {
+	h.State, h.Reason, h.Since = state, reason, c.Time
+}
+
+func (c *change) loseTasks(h *model.Host, reason string) {
+	c.lost = append(c.lost, LostHost{Name: h.Info.Name, Incarnation: h.Info.Incarnation, Reason: reason})
+}
+
+// host returns a known host or *fault.NotFound.
+func (c *change) host(name string) (*model.Host, error) {
+	if h := c.hosts[name]; h != nil {
+		return h, nil
+	}
+	return nil, &fault.NotFound{Kind: "host", Name: name}
+}
+
+// floor returns the floor in force of a pool in this data centre. A pool
+// without a record has no floor, unless a newer schema keeps one in force.
+func (c *change) floor(pool string) int { return c.Catalogue.Floors[pool][c.DataCentre] }
+
+// checkRemoval is the only check of planned removals: the pool's available
+// hosts less one must not fall below the floor in force.
+func (c *change) checkRemoval(what string, h *model.Host) error {
+	if c.Catalogue == nil {
+		return refused(what, "no records have been adopted, so no floor is known")
+	}
+	available, floor := c.Available(h.Pool), c.floor(h.Pool)
+	if available-1 >= floor {
+		return nil
+	}
+	return refused(what, fmt.Sprintf("pool %q has %d available hosts and its floor is %d", h.Pool, available, floor))
+}
+
+// progress returns the progress of a wave and creates it at its first use.
+func (c *change) progress(wave string) *model.WaveProgress {
+	p := c.waves[wave]
+	if p == nil {
+		p = &model.WaveProgress{Wave: wave, DataCentre: c.DataCentre, Started: c.Time}
+		c.waves[wave] = p
+	}
+	return p
+}
+
+// endStep closes the wave step of a host and returns the wave's progress.
+func (c *change) endStep(h *model.Host) *model.WaveProgress {
+	p := c.progress(h.Wave)
+	p.Current = slices.DeleteFunc(p.Current, func(name string) bool { return name == h.Info.Name })
+	if p.Steps == nil {
+		p.Steps = make(map[string]hlc.Time)
+	}
+	p.Steps[h.Info.Name] = c.Time
+	h.Wave, h.OrderID, h.Ordered = "", "", hlc.Time{}
+	return p
+}
+
+// attributeLoss counts the loss of a host towards the waves whose step it is
+// in or left within the loss window. A host counts once per wave.
+func (c *change) attributeLoss(h *model.Host) {
+	for name, p := range c.waves {
+		ended, ok := p.Steps[h.Info.Name]
+		recent := ok && c.Time.WallMillis-ended.WallMillis <= LossWindowMS
+		if (h.Wave == name || recent) && !slices.Contains(p.Lost, h.Info.Name) &&
+			!slices.Contains(p.Failed, h.Info.Name) {
+			p.Lost = append(p.Lost, h.Info.Name)
+		}
+	}
+}
+
+// forgetWaves drops the progress of waves whose record is gone and whose
+// steps have ended.
+func (c *change) forgetWaves() {
+	if c.Catalogue == nil {
+		return
+	}
+	for name, p := range c.waves {
+		if c.Catalogue.Waves[name] == nil && len(p.Current) == 0 && !skipped(c.Catalogue, name) {
+			delete(c.waves, name)
+		}
+	}
+}
+
+// skipped reports whether a wave's record exists in a newer schema.
+func skipped(c *model.Catalogue, wave string) bool {
+	return slices.ContainsFunc(c.Skipped, func(r model.Record) bool { return r.Kind == model.KindWave && r.Name == wave })
+}
+
+func (c *change) idle(host string) bool { return c.Idle != nil && c.Idle(host) }
+
+// operatorDrain reports whether an operator's drain holds for the host.
+func operatorDrain(h *model.Host) bool { return h.ReturnTo == model.HostDraining }
+
+func refused(what, reason string) error { return &fault.Precondition{What: what, Reason: reason} }
+
+func refusedState(what string, h *model.Host) error {
+	return refused(what, fmt.Sprintf("host %q is in state %s (%s)", h.Info.Name, h.State, h.Reason))
+}
--- a/internal/model/host.go
+++ b/internal/model/host.go
@@ -68,4 +68,11 @@
 	OrderID string `cbor:"7,keyasint,omitempty" json:"order_id,omitempty"`
 	// MoveTo is the pool that a draining host moves to, or empty.
 	MoveTo string `cbor:"8,keyasint,omitempty" json:"move_to,omitempty"`
+	// ReturnTo is the state that the host goes back to after a loss, or empty.
+	// An operator's drain sets HostDraining and the loss of a host that is set
+	// aside sets HostSetAside, so that both outlast a loss or a restart.
+	ReturnTo HostState `cbor:"9,keyasint,omitempty" json:"return_to,omitempty"`
+	// Ordered is when the reboot of the current step was ordered. Unlike Since
+	// it does not move when the host is lost and returns within the step.
+	Ordered hlc.Time `cbor:"10,keyasint" json:"ordered"`
 }
--- a/internal/model/records.go
+++ b/internal/model/records.go
@@ -42,6 +42,9 @@
 	// FloorRevision rises with every change of Floors, also when the records
 	// stay the same.
 	FloorRevision uint64 `cbor:"4,keyasint" json:"floor_revision"`
+	// Homes are the homes of each pool as fixed when the pool was created. They
+	// are kept beside the documents because a pool record may leave them out.
+	Homes map[string][]string `cbor:"5,keyasint,omitempty" json:"homes,omitempty"`
 }
 
 // Newer reports whether r is newer than o.
--- a/internal/model/wave.go
+++ b/internal/model/wave.go
@@ -6,7 +6,8 @@
 type WaveProgress struct {
 	Wave       string `cbor:"1,keyasint" json:"wave"`
 	DataCentre string `cbor:"2,keyasint" json:"data_centre"`
-	// Done, Failed and Skipped list hosts by name, in the order of their end.
+	// Done and Failed list hosts by name, in the order of their end; Current
+	// lists the hosts whose step is open.
 	Done    []string `cbor:"3,keyasint" json:"done"`
 	Failed  []string `cbor:"4,keyasint" json:"failed"`
 	Current []string `cbor:"5,keyasint" json:"current"`
@@ -20,4 +21,10 @@
 	// Steps holds when each finished host's step ended, for the attribution of
 	// later losses to the wave.
 	Steps map[string]hlc.Time `cbor:"11,keyasint" json:"steps,omitempty"`
+	// Lost lists the hosts that were lost during their step or shortly after
+	// it. A later return does not remove them.
+	Lost []string `cbor:"12,keyasint,omitempty" json:"lost,omitempty"`
+	// FailuresSeen is the number of failures and losses at the last
+	// resumption; only later ones count towards the next pause.
+	FailuresSeen int `cbor:"13,keyasint,omitempty" json:"failures_seen,omitempty"`
 }
--- /dev/null
+++ b/internal/region/snapshot.go
@@ -0,0 +1,51 @@
+package region
+
+import (
+	"agatehaven.dev/agatehaven/internal/codec"
+	"agatehaven.dev/agatehaven/internal/event"
+	"agatehaven.dev/agatehaven/internal/floors"
+	"agatehaven.dev/agatehaven/internal/model"
+)
+
+// snapshot is the stored form of a machine. Items, homes and floors are in
+// Records; Floors adds what the data centres have acknowledged.
+type snapshot struct {
+	Records *model.Records         `cbor:"1,keyasint"`
+	Floors  *floors.Table          `cbor:"2,keyasint"`
+	Answers []answer               `cbor:"3,keyasint"`
+	Retired map[string]retiredPool `cbor:"4,keyasint"`
+	Events  []event.Event          `cbor:"5,keyasint"`
+}
+
+// Snapshot implements replica.StateMachine.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return codec.Marshal(snapshot{m.records, m.floors, m.answers.list, m.retired, m.events})
+}
+
+// Restore implements replica.StateMachine. On an error the machine is left as
+// it was.
+func (m *Machine) Restore(data []byte) error {
+	s := snapshot{Records: &model.Records{}, Floors: floors.New(), Retired: make(map[string]retiredPool)}
+	if err := codec.Unmarshal(data, &s); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.items = make(map[recordKey]model.Record, len(s.Records.Items))
+	for _, rec := range s.Records.Items {
+		m.items[recordKey{rec.Kind, rec.Name}] = rec
+	}
+	m.homes = s.Records.Homes
+	if m.homes == nil {
+		m.homes = make(map[string][]string)
+	}
+	m.floors, m.retired, m.events = s.Floors, s.Retired, s.Events
+	m.answers = newAnswers()
+	for _, a := range s.Answers {
+		m.answers.put(a)
+	}
+	m.publish(s.Records.Revision)
+	return nil
+}
