--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,228 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+
+	"agatehaven.dev/agatehaven/internal/clock"
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/hlc"
+	"agatehaven.dev/agatehaven/internal/transport"
+)
+
+// DefaultCallTimeout bounds a call beyond its own wait. After it the
+// connection counts as silent.
+const DefaultCallTimeout = 3 * time.Second
+
+// DialerConfig configures the client side of the peer calls.
+type DialerConfig struct {
+	// Addresses maps host names to "IP:port" of their peer listeners.
+	Addresses map[string]string
+	// TLS enables TLS if not nil.
+	TLS   *tls.Config
+	Clock clock.Clock
+	// HLC observes and issues the timestamps of calls; nil sends none.
+	HLC *hlc.Clock
+	// CallTimeout is DefaultCallTimeout if zero.
+	CallTimeout time.Duration
+	// DialTimeout is transport.DefaultDialTimeout if zero.
+	DialTimeout time.Duration
+}
+
+// NewDialer returns the clients of the configured hosts. They connect at
+// their first call.
+func NewDialer(cfg DialerConfig) Dialer {
+	if cfg.CallTimeout == 0 {
+		cfg.CallTimeout = DefaultCallTimeout
+	}
+	d := &dialer{clients: make(map[string]*client, len(cfg.Addresses))}
+	for host, address := range cfg.Addresses {
+		d.clients[host] = newClient(host, address, cfg)
+	}
+	return d
+}
+
+type dialer struct{ clients map[string]*client }
+
+// Dial implements Dialer.
+func (d *dialer) Dial(host string) (Handler, error) {
+	c, ok := d.clients[host]
+	if !ok {
+		return nil, &fault.NotFound{Kind: "peer", Name: host}
+	}
+	return c, nil
+}
+
+// client calls one host. It implements Handler.
+type client struct {
+	host    string
+	base    string
+	address string
+	limit   time.Duration
+	clock   clock.Clock
+	pool    *transport.Pool
+	options []connect.ClientOption
+}
+
+func newClient(host, address string, cfg DialerConfig) *client {
+	scheme := "http://"
+	if cfg.TLS != nil {
+		scheme = "https://"
+	}
+	c := &client{
+		host: host, base: scheme + address, address: address, limit: cfg.CallTimeout, clock: cfg.Clock,
+		pool: transport.NewPool(transport.Config{
+			Address: address, TLS: cfg.TLS, HTTP2: true, DialTimeout: cfg.DialTimeout, Clock: cfg.Clock,
+		}),
+	}
+	for _, o := range commonOptions() {
+		c.options = append(c.options, o)
+	}
+	if cfg.HLC != nil {
+		c.options = append(c.options, connect.WithInterceptors(timestamps(cfg.HLC)))
+	}
+	return c
+}
+
+// call makes one unary call that the other side may hold for wait.
+func call[Req, Res any](ctx context.Context, c *client, name string, req *Req, wait time.Duration) (*Res, error) {
+	limit := c.limit + max(wait, 0)
+	silent := &fault.SilentConnection{Address: c.address, Limit: limit}
+	callCtx, cancel := clock.WithTimeout(ctx, c.clock, limit, silent)
+	defer cancel()
+	var connected atomic.Bool
+	callCtx = httptrace.WithClientTrace(callCtx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	lease := c.pool.Acquire()
+	defer lease.Release()
+	rpc := connect.NewClient[Req, Res](lease, c.base+servicePath+name, c.options...)
+	resp, err := rpc.CallUnary(callCtx, connect.NewRequest(req))
+	if err == nil {
+		return resp.Msg, nil
+	}
+	return nil, c.failure(ctx, callCtx, lease, connected.Load(), err)
+}
+
+// failure returns the typed error of a failed call and discards the connection
+// if it is silent or broken.
+func (c *client) failure(parent, callCtx context.Context, lease *transport.Lease, connected bool, err error) error {
+	var ce *connect.Error
+	if errors.As(err, &ce) && connect.IsWireError(err) {
+		if typed := decodeFault(ce); typed != nil {
+			return typed
+		}
+		return wireFailure(ce)
+	}
+	var tooLarge *fault.LimitExceeded
+	if errors.As(err, &tooLarge) {
+		return tooLarge
+	}
+	if parent.Err() != nil {
+		return eris.Wrapf(parent.Err(), "call to %s", c.host)
+	}
+	if !connected {
+		return &fault.Unavailable{What: "peer " + c.host, Reason: err.Error()}
+	}
+	lease.Discard()
+	var silent *fault.SilentConnection
+	if errors.As(context.Cause(callCtx), &silent) {
+		return silent
+	}
+	var corrupt *fault.Corrupt
+	if errors.As(err, &corrupt) {
+		return corrupt
+	}
+	if connect.CodeOf(err) == connect.CodeResourceExhausted {
+		return &fault.Corrupt{What: "response of " + c.host, Offset: MaxMessageBytes, Reason: "it exceeds the message limit"}
+	}
+	return &ConnectionLost{Host: c.host, Reason: err.Error()}
+}
+
+// wireFailure converts an error that the other side's HTTP or connect layer
+// produced before the handler ran, or that has no type of this project.
+func wireFailure(ce *connect.Error) error {
+	switch ce.Code() {
+	case connect.CodeResourceExhausted:
+		return &fault.LimitExceeded{What: "peer message", Limit: MaxMessageBytes}
+	case connect.CodeUnimplemented:
+		return &fault.NotFound{Kind: "procedure", Name: ce.Message()}
+	}
+	return &fault.Remote{RemoteCode: fault.CodeInternal, Text: ce.Error()}
+}
+
+func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+var _ http.RoundTripper = (*transport.Lease)(nil)
+
+func (c *client) Step(ctx context.Context, r *StepRequest) (*StepResponse, error) {
+	return call[StepRequest, StepResponse](ctx, c, "Step", r, 0)
+}
+
+func (c *client) Submit(ctx context.Context, r *SubmitRequest) (*RequestResponse, error) {
+	return call[SubmitRequest, RequestResponse](ctx, c, "Submit", r, millis(r.WaitMS))
+}
+
+func (c *client) Await(ctx context.Context, r *AwaitRequest) (*RequestResponse, error) {
+	return call[AwaitRequest, RequestResponse](ctx, c, "Await", r, millis(r.WaitMS))
+}
+
+func (c *client) CancelRequest(ctx context.Context, r *CancelRequestRequest) (*RequestResponse, error) {
+	return call[CancelRequestRequest, RequestResponse](ctx, c, "CancelRequest", r, 0)
+}
+
+func (c *client) PullAssignments(ctx context.Context, r *PullAssignmentsRequest) (*PullAssignmentsResponse, error) {
+	return call[PullAssignmentsRequest, PullAssignmentsResponse](ctx, c, "PullAssignments", r, millis(r.WaitMS))
+}
+
+func (c *client) ReportAttempts(ctx context.Context, r *ReportAttemptsRequest) (*ReportAttemptsResponse, error) {
+	return call[ReportAttemptsRequest, ReportAttemptsResponse](ctx, c, "ReportAttempts", r, 0)
+}
+
+func (c *client) Announce(ctx context.Context, r *AnnounceRequest) (*AnnounceResponse, error) {
+	return call[AnnounceRequest, AnnounceResponse](ctx, c, "Announce", r, 0)
+}
+
+func (c *client) PullRecords(ctx context.Context, r *PullRecordsRequest) (*PullRecordsResponse, error) {
+	return call[PullRecordsRequest, PullRecordsResponse](ctx, c, "PullRecords", r, millis(r.WaitMS))
+}
+
+func (c *client) ApplyRecords(ctx context.Context, r *ApplyRecordsRequest) (*ApplyRecordsResponse, error) {
+	return call[ApplyRecordsRequest, ApplyRecordsResponse](ctx, c, "ApplyRecords", r, 0)
+}
+
+func (c *client) AckAdoption(ctx context.Context, r *AckAdoptionRequest) (*AckAdoptionResponse, error) {
+	return call[AckAdoptionRequest, AckAdoptionResponse](ctx, c, "AckAdoption", r, 0)
+}
+
+func (c *client) DataCentre(ctx context.Context, r *DataCentreRequest) (*DataCentreResponse, error) {
+	return call[DataCentreRequest, DataCentreResponse](ctx, c, "DataCentre", r, 0)
+}
+
+func (c *client) HostCommand(ctx context.Context, r *HostCommandRequest) (*HostCommandResponse, error) {
+	return call[HostCommandRequest, HostCommandResponse](ctx, c, "HostCommand", r, 0)
+}
+
+func (c *client) ChangeReplicas(ctx context.Context, r *ChangeReplicasRequest) (*ChangeReplicasResponse, error) {
+	return call[ChangeReplicasRequest, ChangeReplicasResponse](ctx, c, "ChangeReplicas", r, 0)
+}
+
+func (c *client) GroupStatus(ctx context.Context, r *GroupStatusRequest) (*GroupStatusResponse, error) {
+	return call[GroupStatusRequest, GroupStatusResponse](ctx, c, "GroupStatus", r, 0)
+}
+
+func (c *client) Events(ctx context.Context, r *EventsRequest) (*EventsResponse, error) {
+	return call[EventsRequest, EventsResponse](ctx, c, "Events", r, 0)
+}
+
+func (c *client) InForce(ctx context.Context, r *InForceRequest) (*InForceResponse, error) {
+	return call[InForceRequest, InForceResponse](ctx, c, "InForce", r, 0)
+}
--- /dev/null
+++ b/internal/peer/errors.go
@@ -0,0 +1,166 @@
+package peer
+
+import (
+	"errors"
+	"fmt"
+	"unicode/utf8"
+
+	"connectrpc.com/connect"
+
+	"agatehaven.dev/agatehaven/internal/codec"
+	"agatehaven.dev/agatehaven/internal/fault"
+)
+
+// faultHeader carries an encoded wireFault. Error details of the connect
+// protocol are protocol buffer messages, which this project does not use.
+const faultHeader = "Agatehaven-Fault-Bin"
+
+// maxFaultText bounds the texts of an error on the wire, in bytes.
+const maxFaultText = 2048
+
+// CodeConnectionLost is the code of ConnectionLost.
+const CodeConnectionLost fault.Code = "connection_lost"
+
+// ConnectionLost reports that a call was sent, but its connection broke before
+// the response: the effect of the call is unknown.
+type ConnectionLost struct {
+	Host   string
+	Reason string
+}
+
+func (e *ConnectionLost) Error() string {
+	return fmt.Sprintf("connection to %s was lost during a call: %s", e.Host, e.Reason)
+}
+
+// Code implements fault.Coded.
+func (e *ConnectionLost) Code() fault.Code { return CodeConnectionLost }
+
+// wireFault is an error on the wire. A, B and the numbers hold the fields of
+// the error type that Code names.
+type wireFault struct {
+	Code fault.Code `cbor:"1,keyasint"`
+	Text string     `cbor:"2,keyasint"`
+	A    string     `cbor:"3,keyasint,omitempty"`
+	B    string     `cbor:"4,keyasint,omitempty"`
+	C    string     `cbor:"5,keyasint,omitempty"`
+	N    uint64     `cbor:"6,keyasint,omitempty"`
+	M    uint64     `cbor:"7,keyasint,omitempty"`
+}
+
+// encodeFault returns the connect error that carries err.
+func encodeFault(err error) *connect.Error {
+	w := toWire(err)
+	out := connect.NewError(connectCode(w.Code), &fault.Remote{RemoteCode: w.Code, Text: w.Text})
+	if data, encErr := codec.Marshal(w); encErr == nil {
+		out.Meta().Set(faultHeader, connect.EncodeBinaryHeader(data))
+	}
+	return out
+}
+
+func toWire(err error) wireFault {
+	w := wireFault{Code: fault.CodeOf(err), Text: bound(err.Error())}
+	var coded fault.Coded
+	if !errors.As(err, &coded) {
+		return w
+	}
+	switch e := coded.(type) {
+	case *fault.NotLeader:
+		w.A, w.B = e.Group, e.Leader
+	case *fault.ProposalUnknown:
+		w.A = e.Group
+	case *fault.Unavailable:
+		w.A, w.B = e.What, bound(e.Reason)
+	case *fault.LimitExceeded:
+		w.A, w.N = e.What, uint64(e.Limit)
+	case *fault.Invalid:
+		w.A, w.B, w.C = e.Field, bound(e.Reason), bound(e.Allowed)
+	case *fault.NotFound:
+		w.A, w.B = e.Kind, e.Name
+	case *fault.RevisionConflict:
+		w.N, w.M = e.Expected, e.Current
+	case *fault.KeyReused:
+		w.A = e.Key
+	case *fault.Precondition:
+		w.A, w.B = e.What, bound(e.Reason)
+	}
+	return w
+}
+
+// typed rebuilds the error that toWire encoded.
+func (w wireFault) typed() error {
+	switch w.Code {
+	case fault.CodeNotLeader:
+		return &fault.NotLeader{Group: w.A, Leader: w.B}
+	case fault.CodeProposalUnknown:
+		return &fault.ProposalUnknown{Group: w.A}
+	case fault.CodeUnavailable:
+		return &fault.Unavailable{What: w.A, Reason: w.B}
+	case fault.CodeLimitExceeded:
+		return &fault.LimitExceeded{What: w.A, Limit: int64(w.N)}
+	case fault.CodeInvalid:
+		return &fault.Invalid{Field: w.A, Reason: w.B, Allowed: w.C}
+	case fault.CodeNotFound:
+		return &fault.NotFound{Kind: w.A, Name: w.B}
+	case fault.CodeRevisionConflict:
+		return &fault.RevisionConflict{Expected: w.N, Current: w.M}
+	case fault.CodeKeyReused:
+		return &fault.KeyReused{Key: w.A}
+	case fault.CodePrecondition:
+		return &fault.Precondition{What: w.A, Reason: w.B}
+	case fault.CodeShuttingDown:
+		return &fault.ShuttingDown{}
+	}
+	return &fault.Remote{RemoteCode: w.Code, Text: w.Text}
+}
+
+// decodeFault returns the error that a response carries, or nil if it carries
+// none of this protocol.
+func decodeFault(err *connect.Error) error {
+	raw := err.Meta().Get(faultHeader)
+	if raw == "" {
+		return nil
+	}
+	data, decErr := connect.DecodeBinaryHeader(raw)
+	if decErr != nil {
+		return nil
+	}
+	var w wireFault
+	if codec.Unmarshal(data, &w) != nil {
+		return nil
+	}
+	return w.typed()
+}
+
+func connectCode(c fault.Code) connect.Code {
+	switch c {
+	case fault.CodeNotLeader, fault.CodePrecondition, fault.CodeRevisionConflict:
+		return connect.CodeFailedPrecondition
+	case fault.CodeUnavailable, fault.CodeShuttingDown:
+		return connect.CodeUnavailable
+	case fault.CodeLimitExceeded:
+		return connect.CodeResourceExhausted
+	case fault.CodeInvalid:
+		return connect.CodeInvalidArgument
+	case fault.CodeNotFound:
+		return connect.CodeNotFound
+	case fault.CodeKeyReused:
+		return connect.CodeAlreadyExists
+	case fault.CodeCorrupt:
+		return connect.CodeDataLoss
+	case fault.CodeTimeout, fault.CodeProposalUnknown, fault.CodeSilentConnection:
+		return connect.CodeUnknown
+	}
+	return connect.CodeInternal
+}
+
+// bound cuts a text to maxFaultText bytes at a character boundary.
+func bound(s string) string {
+	if len(s) <= maxFaultText {
+		return s
+	}
+	cut := maxFaultText
+	for cut > 0 && !utf8.RuneStart(s[cut]) {
+		cut--
+	}
+	return s[:cut]
+}
--- /dev/null
+++ b/internal/peer/leader.go
@@ -0,0 +1,165 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"agatehaven.dev/agatehaven/internal/clock"
+	"agatehaven.dev/agatehaven/internal/fault"
+)
+
+const (
+	// DefaultLeaderAttempts bounds the calls of one Do. With three hosts it
+	// covers about two election timeouts.
+	DefaultLeaderAttempts = 24
+	// leaderPause separates rounds over all hosts. It is a fraction of the
+	// election timeout of 1 s, so that a new leader is found soon.
+	leaderPause = 200 * time.Millisecond
+)
+
+// LeaderConfig configures a LeaderClient.
+type LeaderConfig struct {
+	Dialer Dialer
+	// Hosts are the hosts of the group's replicas, in the order to try.
+	Hosts []string
+	Clock clock.Clock
+	// Attempts is DefaultLeaderAttempts if zero.
+	Attempts int
+}
+
+// LeaderClient calls the leader of one group. It remembers the leader between
+// calls and is safe for concurrent use.
+type LeaderClient struct {
+	cfg LeaderConfig
+
+	mu     sync.Mutex
+	leader string
+}
+
+// NewLeaderClient returns a client for the group on the given hosts.
+func NewLeaderClient(cfg LeaderConfig) *LeaderClient {
+	if cfg.Attempts == 0 {
+		cfg.Attempts = DefaultLeaderAttempts
+	}
+	return &LeaderClient{cfg: cfg}
+}
+
+// Do runs call against the group's leader. It follows the hints of
+// *fault.NotLeader, tries the other hosts in turn, and repeats a call only
+// after an error that proves that it had no effect.
+func (c *LeaderClient) Do(ctx context.Context, call func(Handler) error) error {
+	return c.do(ctx, call, false)
+}
+
+// DoIdempotent is Do for a call that may take effect more than once without
+// harm: it is also repeated when its effect is unknown.
+func (c *LeaderClient) DoIdempotent(ctx context.Context, call func(Handler) error) error {
+	return c.do(ctx, call, true)
+}
+
+func (c *LeaderClient) do(ctx context.Context, call func(Handler) error, idempotent bool) error {
+	host, turn, sinceRest := c.remembered(), 0, 0
+	var last error = &fault.Unavailable{What: "group", Reason: "it has no hosts"}
+	for range c.cfg.Attempts {
+		if host == "" {
+			if len(c.cfg.Hosts) == 0 {
+				return last
+			}
+			host = c.cfg.Hosts[turn%len(c.cfg.Hosts)]
+			turn++
+		}
+		err := c.callHost(host, call)
+		if err == nil || answered(err) {
+			c.remember(host)
+			return err
+		}
+		c.forget(host)
+		if !retryable(err, idempotent) {
+			return err
+		}
+		last = err
+		next := ""
+		var nl *fault.NotLeader
+		if errors.As(err, &nl) && nl.Leader != host {
+			next = nl.Leader
+		}
+		host = next
+		if sinceRest++; sinceRest > len(c.cfg.Hosts) {
+			sinceRest = 0
+			if err := c.rest(ctx); err != nil {
+				return eris.Wrap(err, last.Error())
+			}
+		}
+	}
+	return last
+}
+
+func (c *LeaderClient) callHost(host string, call func(Handler) error) error {
+	h, err := c.cfg.Dialer.Dial(host)
+	if err != nil {
+		return &fault.Unavailable{What: "peer " + host, Reason: err.Error()}
+	}
+	return call(h)
+}
+
+func (c *LeaderClient) rest(ctx context.Context) error {
+	select {
+	case <-c.cfg.Clock.After(leaderPause):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *LeaderClient) remembered() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader
+}
+
+func (c *LeaderClient) remember(host string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader = host
+}
+
+func (c *LeaderClient) forget(host string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader == host {
+		c.leader = ""
+	}
+}
+
+// noEffect reports whether err proves that the call did nothing and that
+// another host may serve it.
+func noEffect(err error) bool {
+	switch fault.CodeOf(err) {
+	case fault.CodeNotLeader, fault.CodeUnavailable, fault.CodeShuttingDown:
+		return true
+	}
+	return false
+}
+
+// effectUnknown reports whether the call may or may not have taken effect.
+func effectUnknown(err error) bool {
+	switch fault.CodeOf(err) {
+	case fault.CodeSilentConnection, fault.CodeTimeout, fault.CodeProposalUnknown, CodeConnectionLost:
+		return true
+	}
+	return false
+}
+
+func retryable(err error, idempotent bool) bool {
+	return noEffect(err) || idempotent && effectUnknown(err)
+}
+
+// answered reports whether err is the leader's own answer.
+func answered(err error) bool {
+	var coded fault.Coded
+	return errors.As(err, &coded) && !noEffect(err) && !effectUnknown(err)
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,167 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatehaven.dev/agatehaven/internal/clock"
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/hlc"
+	"agatehaven.dev/agatehaven/internal/peer"
+)
+
+func TestPeer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "peer")
+}
+
+// fakeHandler answers the calls that the tests use; the others panic.
+type fakeHandler struct {
+	peer.Handler
+	mu    sync.Mutex
+	calls int
+	fail  error
+	// hold blocks GroupStatus until it is closed.
+	hold chan struct{}
+}
+
+func (f *fakeHandler) GroupStatus(ctx context.Context, _ *peer.GroupStatusRequest) (*peer.GroupStatusResponse, error) {
+	f.mu.Lock()
+	f.calls++
+	fail, hold := f.fail, f.hold
+	f.mu.Unlock()
+	if hold != nil {
+		select {
+		case <-hold:
+		case <-ctx.Done():
+		}
+	}
+	if fail != nil {
+		return nil, fail
+	}
+	return &peer.GroupStatusResponse{Host: "h1"}, nil
+}
+
+func (f *fakeHandler) Step(_ context.Context, r *peer.StepRequest) (*peer.StepResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	return &peer.StepResponse{}, nil
+}
+
+func (f *fakeHandler) PullAssignments(ctx context.Context, _ *peer.PullAssignmentsRequest) (*peer.PullAssignmentsResponse, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func (f *fakeHandler) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
+// serve starts a peer server and returns its address.
+func serve(h peer.Handler, clocks ...*hlc.Clock) string {
+	opts := peer.ServerOptions{}
+	if len(clocks) > 0 {
+		opts.HLC = clocks[0]
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s := peer.NewHTTPServer(peer.NewServer(h, opts), nil)
+	go func() { _ = s.Serve(l) }()
+	DeferCleanup(s.Close)
+	return l.Addr().String()
+}
+
+func dial(cfg peer.DialerConfig, address string) peer.Handler {
+	cfg.Addresses = map[string]string{"h1": address}
+	if cfg.Clock == nil {
+		cfg.Clock = clock.System{}
+	}
+	h, err := peer.NewDialer(cfg).Dial("h1")
+	Expect(err).NotTo(HaveOccurred())
+	return h
+}
+
+var _ = Describe("Calls", func() {
+	ctx := context.Background()
+
+	It("carries messages and refuses a request above the limit before it is sent", func() {
+		// Guards against an oversized message that breaks the receiver.
+		h := &fakeHandler{}
+		c := dial(peer.DialerConfig{}, serve(h))
+		_, err := c.Step(ctx, &peer.StepRequest{Group: "g", Messages: make([]byte, 1<<20)})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = c.Step(ctx, &peer.StepRequest{Group: "g", Messages: make([]byte, peer.MaxMessageBytes+1)})
+		Expect(err).To(BeAssignableToTypeOf(&fault.LimitExceeded{}))
+		Expect(h.count()).To(Equal(1))
+	})
+
+	DescribeTable("rebuilds typed errors",
+		// Guards against a caller that cannot tell a refusal from an unknown
+		// effect.
+		func(sent, want error) {
+			c := dial(peer.DialerConfig{}, serve(&fakeHandler{fail: sent}))
+			_, err := c.GroupStatus(ctx, &peer.GroupStatusRequest{})
+			Expect(err).To(Equal(want))
+		},
+		func(errs ...error) []TableEntry {
+			var out []TableEntry
+			for _, e := range errs {
+				out = append(out, Entry(nil, e, e))
+			}
+			return append(out, Entry(nil, &fault.Corrupt{What: "x"},
+				&fault.Remote{RemoteCode: fault.CodeCorrupt, Text: (&fault.Corrupt{What: "x"}).Error()}))
+		}(
+			&fault.NotLeader{Group: "g", Leader: "h2"}, &fault.RevisionConflict{Expected: 1, Current: 2},
+			&fault.KeyReused{Key: "k"}, &fault.LimitExceeded{What: "queue", Limit: 10},
+			&fault.Precondition{What: "drain", Reason: "floor"}, &fault.NotFound{Kind: "host", Name: "é\n"},
+			&fault.Invalid{Field: "f", Reason: "r", Allowed: "a"}, &fault.ProposalUnknown{Group: "g"},
+			&fault.Unavailable{What: "w", Reason: "r"}, &fault.ShuttingDown{},
+		),
+	)
+
+	It("observes timestamps both ways, also on errors", func() {
+		// Guards against a time line that shows an effect before its cause.
+		fast := hlc.NewClock(clock.NewManual(time.UnixMilli(9_000_000)))
+		slow := hlc.NewClock(clock.NewManual(time.UnixMilli(1_000)))
+		c := dial(peer.DialerConfig{HLC: slow}, serve(&fakeHandler{fail: &fault.ShuttingDown{}}, fast))
+		_, err := c.GroupStatus(ctx, &peer.GroupStatusRequest{})
+		Expect(err).To(HaveOccurred())
+		Expect(slow.Now().WallMillis).To(Equal(int64(9_000_000)))
+
+		other := hlc.NewClock(clock.NewManual(time.UnixMilli(1_000)))
+		c = dial(peer.DialerConfig{HLC: fast}, serve(&fakeHandler{}, other))
+		_, err = c.GroupStatus(ctx, &peer.GroupStatusRequest{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(other.Now().WallMillis).To(Equal(int64(9_000_000)))
+	})
+
+	It("reports an unreachable host as unavailable and an unknown one as not found", func() {
+		// Guards against an unknown effect reported for a call never sent.
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(l.Close()).To(Succeed())
+		_, err = dial(peer.DialerConfig{}, l.Addr().String()).GroupStatus(ctx, &peer.GroupStatusRequest{})
+		Expect(err).To(BeAssignableToTypeOf(&fault.Unavailable{}))
+		_, err = peer.NewDialer(peer.DialerConfig{}).Dial("h9")
+		Expect(err).To(BeAssignableToTypeOf(&fault.NotFound{}))
+	})
+
+	It("reports the caller's own cancellation as such", func() {
+		// Guards against a cancelled long poll that costs a good connection.
+		c := dial(peer.DialerConfig{}, serve(&fakeHandler{}))
+		cctx, cancel := context.WithCancel(ctx)
+		cancel()
+		_, err := c.PullAssignments(cctx, &peer.PullAssignmentsRequest{WaitMS: 1000})
+		Expect(errors.Is(err, context.Canceled)).To(BeTrue())
+	})
+})
--- /dev/null
+++ b/internal/target/http.go
@@ -0,0 +1,367 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/semaphore"
+
+	"agatehaven.dev/agatehaven/internal/clock"
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/transport"
+)
+
+const (
+	// DefaultStartTimeout bounds a start, stop or revoke.
+	DefaultStartTimeout = 3 * time.Second
+	// DefaultPollMargin bounds a poll beyond its wait: with waits of 1 s a
+	// silent connection is found within 3 s.
+	DefaultPollMargin = 2 * time.Second
+	// DefaultMaxConns is the share of an entry host in a target's 64
+	// connections with 7 entry hosts.
+	DefaultMaxConns = 9
+	// maxResponseBytes holds an answer in base64 and the other fields.
+	maxResponseBytes = MaxAnswerBytes/3*4 + 64<<10
+	maxReasonBytes   = 1 << 10
+	// maxPools bounds the connection pools; unused ones are closed above it.
+	maxPools = 4096
+)
+
+// HTTPConfig configures the HTTP adapters.
+type HTTPConfig struct {
+	Clock clock.Clock
+	// MaxConns bounds the connections to one target; DefaultMaxConns if zero.
+	MaxConns int
+	// StartTimeout is DefaultStartTimeout if zero.
+	StartTimeout time.Duration
+	// PollMargin is DefaultPollMargin if zero.
+	PollMargin time.Duration
+	// DialTimeout is transport.DefaultDialTimeout if zero.
+	DialTimeout time.Duration
+}
+
+func (c HTTPConfig) withDefaults() HTTPConfig {
+	if c.MaxConns <= 0 {
+		c.MaxConns = DefaultMaxConns
+	}
+	if c.StartTimeout == 0 {
+		c.StartTimeout = DefaultStartTimeout
+	}
+	if c.PollMargin == 0 {
+		c.PollMargin = DefaultPollMargin
+	}
+	return c
+}
+
+// NewHTTPClient returns the client of the targets' HTTP protocol.
+func NewHTTPClient(cfg HTTPConfig) Client { return newHTTPClient(cfg) }
+
+func newHTTPClient(cfg HTTPConfig) *httpClient {
+	return &httpClient{cfg: cfg.withDefaults(), peers: map[string]*endpoint{}}
+}
+
+type httpClient struct {
+	cfg HTTPConfig
+
+	mu    sync.Mutex
+	peers map[string]*endpoint
+}
+
+// endpoint is one target's address: its connections and the gate that bounds
+// the calls in flight, so that the time limit of a call starts only when a
+// connection is free for it.
+type endpoint struct {
+	address string
+	pool    *transport.Pool
+	gate    *semaphore.Weighted
+	users   int // guarded by httpClient.mu
+}
+
+func (c *httpClient) enter(address string) *endpoint {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, ok := c.peers[address]
+	if !ok {
+		if len(c.peers) >= maxPools {
+			c.dropUnused()
+		}
+		e = &endpoint{
+			address: address,
+			gate:    semaphore.NewWeighted(int64(c.cfg.MaxConns)),
+			pool: transport.NewPool(transport.Config{
+				Address: address, MaxConns: c.cfg.MaxConns, DialTimeout: c.cfg.DialTimeout, Clock: c.cfg.Clock,
+			}),
+		}
+		c.peers[address] = e
+	}
+	e.users++
+	return e
+}
+
+func (c *httpClient) leave(e *endpoint) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e.users--
+}
+
+func (c *httpClient) dropUnused() {
+	for address, e := range c.peers {
+		if e.users == 0 {
+			e.pool.Close()
+			delete(c.peers, address)
+		}
+	}
+}
+
+// shorten divides the wait of a poll when more calls than connections compete,
+// so that a start is not kept behind long polls.
+func (c *httpClient) shorten(e *endpoint, wait time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rounds := (e.users + c.cfg.MaxConns - 1) / c.cfg.MaxConns
+	return wait / time.Duration(max(rounds, 1))
+}
+
+// Start implements Client.
+func (c *httpClient) Start(ctx context.Context, address string, t Task) error {
+	body, err := json.Marshal(t)
+	if err != nil {
+		return &NotSentError{Address: address, Reason: err.Error()}
+	}
+	resp, err := c.post(ctx, address, "/v1/tasks", body)
+	if err != nil {
+		return err
+	}
+	switch resp.status {
+	case http.StatusAccepted:
+		return nil
+	case http.StatusConflict:
+		return &RefusedError{Address: address, Reason: resp.reason()}
+	}
+	return &StatusError{Address: address, Status: resp.status, Text: resp.reason()}
+}
+
+// Poll implements Client.
+func (c *httpClient) Poll(ctx context.Context, address, key string, attempt int, wait time.Duration) (TaskStatus, error) {
+	e := c.enter(address)
+	defer c.leave(e)
+	wait = c.shorten(e, wait)
+	path := taskPath(key, attempt) + "?wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
+	resp, err := c.exchange(ctx, e, http.MethodGet, path, nil, wait+c.cfg.PollMargin)
+	if err != nil {
+		return TaskStatus{}, err
+	}
+	return checkStatus(address, key, attempt, resp)
+}
+
+// Stop implements Client.
+func (c *httpClient) Stop(ctx context.Context, address, key string, attempt int) error {
+	resp, err := c.post(ctx, address, taskPath(key, attempt)+"/stop", nil)
+	if err != nil {
+		return err
+	}
+	if resp.status/100 != 2 && resp.status != http.StatusNotFound {
+		return &StatusError{Address: address, Status: resp.status, Text: resp.reason()}
+	}
+	return nil
+}
+
+// Revoke implements Client.
+func (c *httpClient) Revoke(ctx context.Context, address, key string, attempt int) (TaskStatus, error) {
+	resp, err := c.post(ctx, address, taskPath(key, attempt)+"/revoke", nil)
+	if err != nil {
+		return TaskStatus{}, err
+	}
+	return checkStatus(address, key, attempt, resp)
+}
+
+func (c *httpClient) post(ctx context.Context, address, path string, body []byte) (*response, error) {
+	e := c.enter(address)
+	defer c.leave(e)
+	return c.exchange(ctx, e, http.MethodPost, path, body, c.cfg.StartTimeout)
+}
+
+func taskPath(key string, attempt int) string {
+	return "/v1/tasks/" + url.PathEscape(key) + "/" + strconv.Itoa(attempt)
+}
+
+// response is a complete response.
+type response struct {
+	status int
+	body   []byte
+	lease  *transport.Lease
+}
+
+func (r *response) reason() string {
+	var m ReasonMessage
+	if json.Unmarshal(r.body, &m) == nil && m.Reason != "" {
+		return m.Reason
+	}
+	return string(r.body[:min(len(r.body), maxReasonBytes)])
+}
+
+// exchange sends one request once and reads the whole response. The limit
+// starts when a connection is free for the call.
+func (c *httpClient) exchange(ctx context.Context, e *endpoint, method, path string, body []byte, limit time.Duration) (*response, error) {
+	if err := e.gate.Acquire(ctx, 1); err != nil {
+		return nil, &NotSentError{Address: e.address, Reason: err.Error()}
+	}
+	defer e.gate.Release(1)
+	silent := &fault.SilentConnection{Address: e.address, Limit: limit}
+	callCtx, cancel := clock.WithTimeout(ctx, c.cfg.Clock, limit, silent)
+	defer cancel()
+
+	var sent sentProof
+	callCtx = httptrace.WithClientTrace(callCtx, &httptrace.ClientTrace{GotConn: sent.gotConn})
+	req, err := newRequest(callCtx, method, "http://"+e.address+path, body)
+	if err != nil {
+		return nil, &NotSentError{Address: e.address, Reason: err.Error()}
+	}
+	lease := e.pool.Acquire()
+	defer lease.Release()
+	resp, err := roundTrip(lease, req)
+	if err == nil {
+		resp.lease = lease
+		return resp, nil
+	}
+	if sent.nothingSent() {
+		return nil, &NotSentError{Address: e.address, Reason: err.Error()}
+	}
+	lease.Discard()
+	if errors.As(context.Cause(callCtx), &silent) {
+		return nil, silent
+	}
+	if ctx.Err() != nil {
+		return nil, eris.Wrapf(ctx.Err(), "call to target %s", e.address)
+	}
+	return nil, &ConnectionLostError{Address: e.address, Reason: err.Error()}
+}
+
+// newRequest returns a request that net/http cannot send twice: its body has
+// no GetBody, and it carries no Idempotency-Key header.
+func newRequest(ctx context.Context, method, address string, body []byte) (*http.Request, error) {
+	var reader io.Reader
+	if method != http.MethodGet {
+		reader = io.NopCloser(bytes.NewReader(body))
+	}
+	req, err := http.NewRequestWithContext(ctx, method, address, reader)
+	if err != nil {
+		return nil, err
+	}
+	if reader != nil {
+		req.ContentLength = int64(len(body))
+		req.Header.Set("Content-Type", "application/json")
+	}
+	return req, nil
+}
+
+// roundTrip uses no http.Client, so that no redirect is followed.
+func roundTrip(lease *transport.Lease, req *http.Request) (*response, error) {
+	resp, err := lease.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(data) > maxResponseBytes {
+		return nil, &fault.LimitExceeded{What: "response of target", Limit: maxResponseBytes}
+	}
+	return &response{status: resp.StatusCode, body: data}, nil
+}
+
+// sentProof tells whether any byte of a request was written.
+type sentProof struct {
+	mu     sync.Mutex
+	conn   *transport.Conn
+	before int64
+	others bool
+}
+
+func (s *sentProof) gotConn(info httptrace.GotConnInfo) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, ok := info.Conn.(*transport.Conn)
+	if !ok || s.conn != nil {
+		s.others = true
+		return
+	}
+	s.conn, s.before = c, c.Writes()
+}
+
+// nothingSent reports whether it is certain that no byte was written. It seals
+// the connection, so that a write still under way in another goroutine of
+// net/http cannot follow.
+func (s *sentProof) nothingSent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.others {
+		return false
+	}
+	return s.conn == nil || s.conn.Seal() == s.before
+}
+
+// checkStatus returns the state in a response after all checks. A response
+// that fails one is *fault.Corrupt, its connection is discarded, and nothing
+// of it is passed on.
+func checkStatus(address, key string, attempt int, resp *response) (TaskStatus, error) {
+	if resp.status != http.StatusOK {
+		return TaskStatus{}, &StatusError{Address: address, Status: resp.status, Text: resp.reason()}
+	}
+	var m StatusMessage
+	err := json.Unmarshal(resp.body, &m)
+	problem := ""
+	if err != nil {
+		problem = err.Error()
+	} else {
+		problem = mismatch(&m, key, attempt)
+	}
+	if problem != "" {
+		resp.lease.Discard()
+		return TaskStatus{}, &fault.Corrupt{What: "answer of target " + address, Reason: problem}
+	}
+	return TaskStatus{
+		Key: m.Request, Attempt: m.Attempt, State: m.State, Progress: m.Progress,
+		Answer: m.Answer, Reason: m.Reason, RunMS: m.RunMS,
+	}, nil
+}
+
+// mismatch returns why a status message must not be used, or "".
+func mismatch(m *StatusMessage, key string, attempt int) string {
+	if m.Request != key || m.Attempt != attempt {
+		return fmt.Sprintf("it belongs to request %q attempt %d", m.Request, m.Attempt)
+	}
+	switch m.State {
+	case TaskRunning, TaskAbsent, TaskRevoked:
+		return ""
+	case TaskSucceeded, TaskFailed:
+	default:
+		return fmt.Sprintf("unknown state %q", m.State)
+	}
+	if len(m.Answer) > MaxAnswerBytes {
+		return fmt.Sprintf("answer of %d bytes exceeds %d", len(m.Answer), MaxAnswerBytes)
+	}
+	if len(m.Answer) != m.AnswerLength {
+		return fmt.Sprintf("answer has %d bytes of %d", len(m.Answer), m.AnswerLength)
+	}
+	sum := sha256.Sum256(m.Answer)
+	if hex.EncodeToString(sum[:]) != m.AnswerSHA256 {
+		return "SHA-256 of the answer differs"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/testsupport/standin/fleet.go
@@ -0,0 +1,297 @@
+// Package standin plays targets and the platform for tests: one process with
+// several targets on loopback, fault switches and a log of all runs. It is
+// not a cluster simulator.
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"agatehaven.dev/agatehaven/internal/clock"
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/model"
+	"agatehaven.dev/agatehaven/internal/target"
+)
+
+const (
+	defaultAnnounceEvery = time.Second
+	announceTimeout      = 2 * time.Second
+	defaultRunTime       = 100 * time.Millisecond
+	defaultRebootTime    = 500 * time.Millisecond
+	defaultSlots         = 8
+	defaultConnections   = 64
+	defaultCPUMillis     = 32_000
+	defaultMemoryMB      = 64_000
+)
+
+// Config describes the fleet that the stand-in plays.
+type Config struct {
+	// Control is the address of the platform, the fault switches and the run
+	// log; "127.0.0.1:0" if empty.
+	Control string
+	// IP is the address of the targets' listeners; "127.0.0.1" if empty.
+	IP string
+	// BasePort is the port of the first target; the others follow. 0 lets the
+	// system choose all ports.
+	BasePort   int
+	Targets    int
+	DataCentre string
+	// Racks and Pools are given to the targets in turn; each pool spreads
+	// over all racks.
+	Racks []string
+	Pools []string
+	// EntryHosts are the addresses of the daemons' target listeners. Without
+	// any, nothing is announced.
+	EntryHosts []string
+	// NoRevoke leaves out the capability to revoke.
+	NoRevoke bool
+	// Slots per target; 0 is 8.
+	Slots int
+	// RunTime is the run time of tasks whose payload names none.
+	RunTime time.Duration
+	// RebootTime is how long a rebooted target is away.
+	RebootTime time.Duration
+	// AnnounceEvery is one second if zero.
+	AnnounceEvery time.Duration
+	// UsageLag is the age of reported usage.
+	UsageLag time.Duration
+	Clock    clock.Clock
+}
+
+// Fleet is a running stand-in.
+type Fleet struct {
+	cfg     Config
+	log     *runLog
+	targets []*Target
+	control string
+	servers []*http.Server
+	client  *http.Client
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu     sync.Mutex
+	orders map[string]bool
+	closed bool
+}
+
+// TargetStats are counters of one target.
+type TargetStats struct {
+	Address         string `json:"address"`
+	Incarnation     string `json:"incarnation"`
+	SlotRefusals    int    `json:"slot_refusals"`
+	PeakConnections int    `json:"peak_connections"`
+	Connections     int    `json:"connections"` // accepted since the last start
+}
+
+// Start starts the fleet. The caller must call Close.
+func Start(cfg Config) (*Fleet, error) {
+	cfg = cfg.withDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &Fleet{
+		cfg: cfg, log: newRunLog(), ctx: ctx, cancel: cancel, orders: map[string]bool{},
+		client: &http.Client{Timeout: announceTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 2}},
+	}
+	for i := range cfg.Targets {
+		t := f.newTarget(i)
+		if err := t.listen(t.info.Address); err != nil {
+			f.Close()
+			return nil, &fault.Unavailable{What: "listener " + t.info.Address, Reason: err.Error()}
+		}
+		f.targets = append(f.targets, t)
+	}
+	l, err := net.Listen("tcp", cfg.Control)
+	if err != nil {
+		f.Close()
+		return nil, &fault.Unavailable{What: "listener " + cfg.Control, Reason: err.Error()}
+	}
+	f.control = l.Addr().String()
+	server := &http.Server{Handler: f.controlHandler(), ReadHeaderTimeout: serverHeaderTimeout}
+	f.servers = append(f.servers, server)
+	f.spawn(func(context.Context) { _ = server.Serve(l) })
+	if len(cfg.EntryHosts) > 0 {
+		for i, t := range f.targets {
+			f.spawn(func(ctx context.Context) { f.announce(ctx, t, i) })
+		}
+	}
+	return f, nil
+}
+
+func (c Config) withDefaults() Config {
+	set := func(d *time.Duration, v time.Duration) {
+		if *d == 0 {
+			*d = v
+		}
+	}
+	set(&c.RunTime, defaultRunTime)
+	set(&c.RebootTime, defaultRebootTime)
+	set(&c.AnnounceEvery, defaultAnnounceEvery)
+	if c.IP == "" {
+		c.IP = "127.0.0.1"
+	}
+	if c.Control == "" {
+		c.Control = c.IP + ":0"
+	}
+	if c.Slots == 0 {
+		c.Slots = defaultSlots
+	}
+	if c.Clock == nil {
+		c.Clock = clock.System{}
+	}
+	if len(c.Racks) == 0 {
+		c.Racks = []string{"r1"}
+	}
+	if len(c.Pools) == 0 {
+		c.Pools = []string{"default"}
+	}
+	return c
+}
+
+func (f *Fleet) newTarget(i int) *Target {
+	port := 0
+	if f.cfg.BasePort > 0 {
+		port = f.cfg.BasePort + i
+	}
+	pools := len(f.cfg.Pools)
+	info := model.HostInfo{
+		Name:       fmt.Sprintf("%s-t%02d", f.cfg.DataCentre, i+1),
+		DataCentre: f.cfg.DataCentre, Rack: f.cfg.Racks[i/pools%len(f.cfg.Racks)],
+		Address:   net.JoinHostPort(f.cfg.IP, strconv.Itoa(port)),
+		CPUMillis: defaultCPUMillis, MemoryMB: defaultMemoryMB,
+		Slots: f.cfg.Slots, Connections: defaultConnections, Pool: f.cfg.Pools[i%pools],
+		Capabilities: []model.Capability{model.CapabilityCheckpoint},
+	}
+	if !f.cfg.NoRevoke {
+		info.Capabilities = append(info.Capabilities, model.CapabilityRevoke)
+	}
+	return &Target{fleet: f, info: info, tasks: map[ref]*task{}, revoked: map[ref]bool{}}
+}
+
+// Targets returns the targets in their order.
+func (f *Fleet) Targets() []*Target { return f.targets }
+
+// Control returns the address of the platform, the fault switches and the run
+// log.
+func (f *Fleet) Control() string { return f.control }
+
+// Runs returns the run log.
+func (f *Fleet) Runs() []Run { return f.log.all() }
+
+// RunCount returns how many runs of a request have begun.
+func (f *Fleet) RunCount(request string) int {
+	f.log.mu.Lock()
+	defer f.log.mu.Unlock()
+	return f.log.count[request]
+}
+
+// Reboot reboots a target once per order id.
+func (f *Fleet) Reboot(host, orderID string) error {
+	t := f.target(host)
+	if t == nil {
+		return &fault.NotFound{Kind: "host", Name: host}
+	}
+	f.mu.Lock()
+	known := f.orders[orderID]
+	f.orders[orderID] = true
+	f.mu.Unlock()
+	if !known {
+		t.Reboot(f.cfg.RebootTime)
+	}
+	return nil
+}
+
+// Close stops all targets and waits for their goroutines.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	f.closed = true
+	f.mu.Unlock()
+	f.cancel()
+	for _, s := range f.servers {
+		_ = s.Close()
+	}
+	for _, t := range f.targets {
+		t.mu.Lock()
+		server := t.server
+		t.mu.Unlock()
+		if server != nil {
+			_ = server.Close()
+		}
+	}
+	f.client.CloseIdleConnections()
+	f.wg.Wait()
+}
+
+func (f *Fleet) target(name string) *Target {
+	for _, t := range f.targets {
+		if t.info.Name == name {
+			return t
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) spawn(run func(ctx context.Context)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return
+	}
+	f.wg.Add(1)
+	go func() {
+		defer f.wg.Done()
+		run(f.ctx)
+	}()
+}
+
+// wait returns false if ctx or the fleet ends first.
+func (f *Fleet) wait(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-f.cfg.Clock.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	case <-f.ctx.Done():
+		return false
+	}
+}
+
+// announce sends the target's announcements, and goes to the next entry host
+// when one fails. first spreads the targets over the entry hosts.
+func (f *Fleet) announce(ctx context.Context, t *Target, first int) {
+	at := first
+	for {
+		if a, ok := t.announcement(); ok && !f.send(ctx, f.cfg.EntryHosts[at%len(f.cfg.EntryHosts)], a) {
+			at++
+		}
+		if !f.wait(ctx, f.cfg.AnnounceEvery) {
+			return
+		}
+	}
+}
+
+func (f *Fleet) send(ctx context.Context, entryHost string, a target.Announcement) bool {
+	body, err := json.Marshal(a)
+	if err != nil {
+		return false
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entryHost+"/v1/announce", bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		f.client.CloseIdleConnections()
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var reply target.AnnounceReply
+	return resp.StatusCode == http.StatusOK && json.NewDecoder(resp.Body).Decode(&reply) == nil
+}
--- /dev/null
+++ b/internal/testsupport/standin/target.go
@@ -0,0 +1,254 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"agatehaven.dev/agatehaven/internal/model"
+	"agatehaven.dev/agatehaven/internal/target"
+)
+
+// relistenPause separates the attempts of a rebooted target to take its
+// address again.
+const relistenPause = 50 * time.Millisecond
+
+// connKey finds the connection of a request in its context.
+type connKey struct{}
+
+// ref names one attempt.
+type ref struct {
+	key     string
+	attempt int
+}
+
+// Target plays one target.
+type Target struct {
+	fleet *Fleet
+	info  model.HostInfo
+
+	mu           sync.Mutex
+	incarnation  string
+	tasks        map[ref]*task
+	revoked      map[ref]bool
+	faults       Faults
+	leaving      bool
+	leavingSince time.Time
+	down         bool
+	listener     *silentListener
+	server       *http.Server
+	slotRefusals int
+}
+
+// Info returns what the target announces now.
+func (t *Target) Info() model.HostInfo {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	info := t.info
+	info.Incarnation, info.Leaving = t.incarnation, t.leaving
+	return info
+}
+
+// SetFaults replaces the target's fault switches.
+func (t *Target) SetFaults(f Faults) {
+	t.mu.Lock()
+	t.faults = f
+	l := t.listener
+	t.mu.Unlock()
+	if f.SilenceConnections && l != nil {
+		l.silence()
+	}
+}
+
+// Drain makes the target announce that it is leaving. It still accepts
+// starts, and the run log tells how long it had been leaving.
+func (t *Target) Drain(leaving bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leaving, t.leavingSince = leaving, t.fleet.cfg.Clock.Now()
+}
+
+// Reboot stops the target, forgets its tasks and returns after the given time
+// with a new incarnation.
+func (t *Target) Reboot(after time.Duration) {
+	t.mu.Lock()
+	if t.down {
+		t.mu.Unlock()
+		return
+	}
+	t.down = true
+	server, tasks := t.server, t.tasks
+	t.tasks = map[ref]*task{}
+	t.revoked = map[ref]bool{}
+	t.mu.Unlock()
+	_ = server.Close()
+	for _, k := range tasks {
+		k.finish(target.TaskFailed, "rebooted", nil)
+	}
+	t.fleet.spawn(func(ctx context.Context) {
+		if !t.fleet.wait(ctx, after) {
+			return
+		}
+		address := t.Info().Address
+		for t.listen(address) != nil {
+			if !t.fleet.wait(ctx, relistenPause) {
+				return
+			}
+		}
+	})
+}
+
+// listen takes the address and serves under a new incarnation.
+func (t *Target) listen(address string) error {
+	raw, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	l := newSilentListener(raw)
+	server := &http.Server{
+		Handler:           t.handler(),
+		ReadHeaderTimeout: serverHeaderTimeout,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
+	}
+	t.mu.Lock()
+	t.info.Address = raw.Addr().String()
+	t.listener, t.server = l, server
+	t.incarnation = uuid.NewString()
+	t.down, t.leaving = false, false
+	t.mu.Unlock()
+	t.fleet.spawn(func(context.Context) { _ = server.Serve(l) })
+	return nil
+}
+
+func (t *Target) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/tasks", t.serveStart)
+	mux.HandleFunc("GET /v1/tasks/{request}/{attempt}", t.serveState)
+	mux.HandleFunc("POST /v1/tasks/{request}/{attempt}/stop", t.serveStop)
+	mux.HandleFunc("POST /v1/tasks/{request}/{attempt}/checkpoint", t.serveState)
+	mux.HandleFunc("POST /v1/tasks/{request}/{attempt}/revoke", t.serveRevoke)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d := t.currentFaults().DelayMS; d > 0 && !t.fleet.wait(r.Context(), time.Duration(d)*time.Millisecond) {
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (t *Target) currentFaults() Faults {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.faults
+}
+
+// announcement returns the target's announcement, or false while it is down.
+func (t *Target) announcement() (target.Announcement, bool) {
+	info := t.Info()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.down || t.faults.Mute {
+		return target.Announcement{}, false
+	}
+	a := target.Announcement{HostInfo: info}
+	for r, k := range t.tasks {
+		if k.ended() {
+			continue
+		}
+		a.Running = append(a.Running, target.RunningTask{Request: r.key, Attempt: r.attempt})
+		ran := t.fleet.cfg.Clock.Now().Sub(k.began) - t.fleet.cfg.UsageLag
+		if ran >= 0 {
+			a.Usage = append(a.Usage, model.Usage{
+				Request: r.key, Attempt: r.attempt, CPUMillis: k.task.CPUMillis,
+				MemoryMB: k.task.MemoryMB, RunMS: ran.Milliseconds(),
+			})
+		}
+	}
+	return a, true
+}
+
+// begin starts a task or returns why it is refused. A repeated start of the
+// same attempt runs again, so that the run log shows it.
+func (t *Target) begin(r ref, body target.Task) (refusal string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	running := 0
+	for _, k := range t.tasks {
+		if !k.ended() {
+			running++
+		}
+	}
+	switch {
+	case t.faults.RefuseStarts:
+		return "starts are refused"
+	case t.revoked[r]:
+		return "the attempt was revoked"
+	case t.info.Slots > 0 && running >= t.info.Slots:
+		t.slotRefusals++
+		return "no free slot"
+	}
+	run := Run{
+		Target: t.info.Name, Incarnation: t.incarnation, Request: r.key, Attempt: r.attempt,
+		Kind: body.Kind, BeganMS: t.fleet.cfg.Clock.Now().UnixMilli(),
+	}
+	if t.leaving {
+		run.Leaving = true
+		run.LeavingForMS = t.fleet.cfg.Clock.Now().Sub(t.leavingSince).Milliseconds()
+	}
+	k := newTask(body, t.fleet.cfg.Clock.Now(), t.fleet.log.add(run))
+	k.failing = t.faults.FailTasks
+	t.tasks[r] = k
+	t.fleet.spawn(func(ctx context.Context) { k.run(ctx, t.fleet) })
+	return ""
+}
+
+func (t *Target) revoke(r ref) target.TaskState {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, known := t.tasks[r]; known {
+		return target.TaskRunning
+	}
+	t.revoked[r] = true
+	return target.TaskRevoked
+}
+
+func (t *Target) find(r ref) *task {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.tasks[r]
+}
+
+func (t *Target) canRevoke() bool {
+	for _, c := range t.info.Capabilities {
+		if c == model.CapabilityRevoke {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Target) stats() TargetStats {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := TargetStats{Address: t.info.Address, Incarnation: t.incarnation, SlotRefusals: t.slotRefusals}
+	if t.listener != nil {
+		s.PeakConnections, s.Connections = t.listener.counts()
+	}
+	return s
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		status, data = http.StatusInternalServerError, nil
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
--- /dev/null
+++ b/internal/transport/pool.go
@@ -0,0 +1,223 @@
+// Package transport keeps the HTTP connections to one address in generations,
+// so that a connection that went silent is never reused: once a call on it
+// gets no response in time, its generation is discarded and the next call
+// dials anew.
+package transport
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"agatehaven.dev/agatehaven/internal/clock"
+	"agatehaven.dev/agatehaven/internal/fault"
+)
+
+const (
+	// DefaultDialTimeout bounds the time to connect. Data centres are at most
+	// a few milliseconds apart, so one second is an unreachable host.
+	DefaultDialTimeout = time.Second
+	// DefaultIdleTimeout closes unused connections. It is shorter than the
+	// idle timeout of the servers, so that a request rarely meets a
+	// connection that the server is just closing.
+	DefaultIdleTimeout = 30 * time.Second
+	// The HTTP/2 health check closes a connection without a response after
+	// pingInterval+pingTimeout, which meets the bound of 3 s of the design.
+	pingInterval = time.Second
+	pingTimeout  = 2 * time.Second
+)
+
+// Config describes the connections to one address.
+type Config struct {
+	// Address is "IP:port".
+	Address string
+	// TLS enables TLS if not nil.
+	TLS *tls.Config
+	// HTTP2 selects HTTP/2 only (with prior knowledge if TLS is nil);
+	// otherwise HTTP/1.1 is used.
+	HTTP2 bool
+	// MaxConns bounds the open connections over all generations; 0 is no bound.
+	MaxConns int
+	// DialTimeout is DefaultDialTimeout if zero.
+	DialTimeout time.Duration
+	Clock       clock.Clock
+}
+
+// Pool holds the current generation of connections to one address. It is safe
+// for concurrent use.
+type Pool struct {
+	cfg    Config
+	tokens chan struct{}
+
+	mu      sync.Mutex
+	current *generation
+	count   int
+}
+
+// generation is one http.Transport with the connections that it dialled.
+type generation struct {
+	transport *http.Transport
+	inFlight  int
+	discarded bool
+	conns     map[*Conn]struct{}
+}
+
+// NewPool returns a pool without connections.
+func NewPool(cfg Config) *Pool {
+	if cfg.DialTimeout == 0 {
+		cfg.DialTimeout = DefaultDialTimeout
+	}
+	p := &Pool{cfg: cfg}
+	if cfg.MaxConns > 0 {
+		p.tokens = make(chan struct{}, cfg.MaxConns)
+	}
+	return p
+}
+
+// Lease is the use of one generation for one call. It must be released after
+// the response has been read.
+type Lease struct {
+	pool *Pool
+	gen  *generation
+}
+
+// Acquire returns a lease of the current generation.
+func (p *Pool) Acquire() *Lease {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.current == nil {
+		p.current = p.newGeneration()
+	}
+	p.current.inFlight++
+	return &Lease{pool: p, gen: p.current}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (l *Lease) RoundTrip(req *http.Request) (*http.Response, error) {
+	return l.gen.transport.RoundTrip(req)
+}
+
+// Do implements connect.HTTPClient. It follows no redirects.
+func (l *Lease) Do(req *http.Request) (*http.Response, error) { return l.RoundTrip(req) }
+
+// Discard makes later calls dial anew. Calls in flight on the generation
+// continue until their own deadlines, since a slow response does not prove
+// that the others' connections are silent; its connections are closed after
+// the last of them.
+func (l *Lease) Discard() {
+	l.pool.mu.Lock()
+	l.gen.discarded = true
+	if l.pool.current == l.gen {
+		l.pool.current = nil
+	}
+	l.pool.mu.Unlock()
+	l.gen.transport.CloseIdleConnections()
+}
+
+// Release ends the lease.
+func (l *Lease) Release() {
+	p := l.pool
+	p.mu.Lock()
+	l.gen.inFlight--
+	var open []*Conn
+	if l.gen.discarded && l.gen.inFlight == 0 {
+		for c := range l.gen.conns {
+			open = append(open, c)
+		}
+	}
+	p.mu.Unlock()
+	if len(open) > 0 {
+		l.gen.transport.CloseIdleConnections()
+	}
+	for _, c := range open {
+		_ = c.Close()
+	}
+}
+
+// Idle reports whether no call is in flight on the current generation.
+func (p *Pool) Idle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.current == nil || p.current.inFlight == 0
+}
+
+// Generations returns the number of generations created so far.
+func (p *Pool) Generations() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.count
+}
+
+// Close discards the current generation and closes its idle connections.
+func (p *Pool) Close() {
+	l := p.Acquire()
+	l.Discard()
+	l.Release()
+}
+
+func (p *Pool) newGeneration() *generation {
+	p.count++
+	g := &generation{conns: map[*Conn]struct{}{}}
+	protocols := new(http.Protocols)
+	switch {
+	case p.cfg.HTTP2 && p.cfg.TLS != nil:
+		protocols.SetHTTP2(true)
+	case p.cfg.HTTP2:
+		protocols.SetUnencryptedHTTP2(true)
+	default:
+		protocols.SetHTTP1(true)
+	}
+	g.transport = &http.Transport{
+		DialContext:         func(ctx context.Context, _, _ string) (net.Conn, error) { return p.dial(ctx, g) },
+		TLSClientConfig:     p.cfg.TLS.Clone(),
+		TLSHandshakeTimeout: p.cfg.DialTimeout,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: max(p.cfg.MaxConns, http.DefaultMaxIdleConnsPerHost),
+		MaxConnsPerHost:     p.cfg.MaxConns,
+		IdleConnTimeout:     DefaultIdleTimeout,
+		Protocols:           protocols,
+		HTTP2:               &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
+	}
+	return g
+}
+
+// dial connects to the address. With a bound it first waits for a connection
+// of an earlier generation to close, so that the bound holds over all
+// generations.
+func (p *Pool) dial(ctx context.Context, g *generation) (net.Conn, error) {
+	late := &fault.Timeout{What: "connecting to " + p.cfg.Address, After: p.cfg.DialTimeout}
+	ctx, cancel := clock.WithTimeout(ctx, p.cfg.Clock, p.cfg.DialTimeout, late)
+	defer cancel()
+	if p.tokens != nil {
+		select {
+		case p.tokens <- struct{}{}:
+		case <-ctx.Done():
+			return nil, context.Cause(ctx)
+		}
+	}
+	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", p.cfg.Address)
+	if err != nil {
+		p.returnToken()
+		return nil, err
+	}
+	c := &Conn{Conn: raw}
+	c.onClose = func() {
+		p.mu.Lock()
+		delete(g.conns, c)
+		p.mu.Unlock()
+		p.returnToken()
+	}
+	p.mu.Lock()
+	g.conns[c] = struct{}{}
+	p.mu.Unlock()
+	return c, nil
+}
+
+func (p *Pool) returnToken() {
+	if p.tokens != nil {
+		<-p.tokens
+	}
+}
