Add settings, log, event store, operator API and tool

Cause: operators need settings with clear errors, a log, a time line and a tool that talks to any entry host. Change: packages settings, logging, metrics, httpapi, operator/command, operator/query and ctl, the event store with causal merge and explanations, and the program agatehavenctl.

--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,260 @@
+// Package ctl holds the commands of the operators' command-line tool. They
+// talk to the operator listener of any entry host.
+package ctl
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/google/uuid"
+
+	"agatehaven.dev/agatehaven/internal/clock"
+	"agatehaven.dev/agatehaven/internal/settings"
+)
+
+// ServersVariable is the environment variable with the default entry hosts.
+const ServersVariable = "AGATEHAVEN_SERVERS"
+
+// Defaults of the top-level flags.
+const (
+	defaultTimeout = 30 * time.Second // twice the bound for a configuration to be in force
+	defaultTry     = 5 * time.Second
+)
+
+// Env is what the tool takes from its process.
+type Env struct {
+	Stdin  io.Reader
+	Stdout io.Writer
+	Stderr io.Writer
+	Getenv func(string) string
+	Clock  clock.Clock
+	// NewID makes request ids; nil means random UUIDs.
+	NewID func() string
+}
+
+// app is one invocation of the tool.
+type app struct {
+	env      Env
+	servers  []string
+	output   string
+	operator string
+	timeout  time.Duration
+	try      time.Duration
+	tls      settings.TLSFiles
+	useTLS   bool
+	client   *client
+}
+
+// Run executes the command in args and returns the exit code.
+func Run(ctx context.Context, args []string, env Env) int {
+	if env.NewID == nil {
+		env.NewID = uuid.NewString
+	}
+	a := &app{env: env}
+	flags := flag.NewFlagSet("agatehavenctl", flag.ContinueOnError)
+	flags.SetOutput(env.Stderr)
+	a.setFlags(flags)
+	commander := subcommands.NewCommander(flags, "agatehavenctl")
+	commander.Output, commander.Error = env.Stdout, env.Stderr
+	commander.Explain = a.explainTool(commander.Explain, flags)
+	commander.Register(commander.HelpCommand(), "the tool")
+	commander.Register(commander.FlagsCommand(), "the tool")
+	a.register(commander)
+	if err := flags.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return exitOK
+		}
+		return exitUsage
+	}
+	if a.output != "table" && a.output != "json" {
+		return a.finish(&UsageError{Reason: fmt.Sprintf("unknown output format %q", a.output), Next: "use -o table or -o json"})
+	}
+	return int(commander.Execute(ctx))
+}
+
+func (a *app) setFlags(f *flag.FlagSet) {
+	f.Func("server", "operator address of an entry host, `IP:port`; repeat it or separate several with commas; "+
+		"the next one is tried when one does not answer (default from "+ServersVariable+")", func(s string) error {
+		a.servers = append(a.servers, splitServers(s)...)
+		return nil
+	})
+	f.StringVar(&a.output, "o", "table", "output `format`: table or json")
+	f.StringVar(&a.operator, "operator", a.env.Getenv("USER"), "your `name` in the timeline; a client certificate overrides it")
+	f.DurationVar(&a.timeout, "timeout", defaultTimeout, "bound for the whole command, with resending and waiting")
+	f.DurationVar(&a.try, "try-timeout", defaultTry, "bound for one attempt at one entry host")
+	f.BoolVar(&a.useTLS, "tls", false, "use TLS; implied by the other TLS flags")
+	f.StringVar(&a.tls.CA, "tls-ca", "", "PEM `file` of the authorities that sign the entry hosts' certificates")
+	f.StringVar(&a.tls.Certificate, "tls-cert", "", "PEM `file` of your client certificate")
+	f.StringVar(&a.tls.Key, "tls-key", "", "PEM `file` of your private key")
+}
+
+func splitServers(s string) []string {
+	var out []string
+	for _, part := range strings.Split(s, ",") {
+		if part = strings.TrimSpace(part); part != "" {
+			out = append(out, part)
+		}
+	}
+	return out
+}
+
+func (a *app) explainTool(list func(io.Writer), flags *flag.FlagSet) func(io.Writer) {
+	return func(w io.Writer) {
+		list(w)
+		flags.SetOutput(w)
+		_, _ = fmt.Fprint(w, "\nFlags of the tool, before the command:\n")
+		flags.PrintDefaults()
+		_, _ = fmt.Fprint(w, exitCodeHelp)
+	}
+}
+
+func (a *app) register(c *subcommands.Commander) {
+	for _, command := range []*subcommand{
+		applyCommand(a), getCommand(a), listCommand(a), jobsCommand(a),
+	} {
+		c.Register(command, "records")
+	}
+	for _, command := range []*subcommand{
+		poolsCommand(a), hostsCommand(a), drainCommand(a), moveCommand(a), resumeCommand(a),
+	} {
+		c.Register(command, "hosts")
+	}
+	c.Register(wavesGroup(a), "hosts")
+	c.Register(requestsCommand(a), "requests")
+	c.Register(cancelCommand(a), "requests")
+	c.Register(replicasGroup(a), "the region")
+	for _, command := range []*subcommand{statusCommand(a), timelineCommand(a), explainCommand(a)} {
+		c.Register(command, "the region")
+	}
+}
+
+// api returns the client, made at first use because it needs parsed flags.
+func (a *app) api() (*client, error) {
+	if a.client != nil {
+		return a.client, nil
+	}
+	servers := a.servers
+	if len(servers) == 0 {
+		servers = splitServers(a.env.Getenv(ServersVariable))
+	}
+	if len(servers) == 0 {
+		return nil, &UsageError{
+			Reason: "no entry host given",
+			Next:   "add -server IP:port before the command, or set " + ServersVariable,
+		}
+	}
+	c, err := newClient(a, servers)
+	a.client = c
+	return c, err
+}
+
+// subcommand is one command of the tool.
+type subcommand struct {
+	app      *app
+	name     string
+	synopsis string
+	// args names the arguments after the flags; least of them are required.
+	args  []string
+	least int
+	help  string
+	flags func(*flag.FlagSet)
+	run   func(ctx context.Context, args []string) error
+	// parent is the group's name with a trailing space, or empty.
+	parent string
+}
+
+// Name implements subcommands.Command.
+func (c *subcommand) Name() string { return c.name }
+
+// Synopsis implements subcommands.Command.
+func (c *subcommand) Synopsis() string { return c.synopsis }
+
+// Usage implements subcommands.Command.
+func (c *subcommand) Usage() string {
+	line := "agatehavenctl [tool flags] " + c.parent + c.name + " [flags]"
+	for i, arg := range c.args {
+		if i < c.least {
+			line += " " + arg
+		} else {
+			line += " [" + arg + "]"
+		}
+	}
+	return line + "\n\n" + strings.TrimSpace(c.help) + "\n\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *subcommand) SetFlags(f *flag.FlagSet) {
+	f.SetOutput(c.app.env.Stderr)
+	if c.flags != nil {
+		c.flags(f)
+	}
+}
+
+// Execute implements subcommands.Command.
+func (c *subcommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := c.checkArgs(f.Args()); err != nil {
+		return subcommands.ExitStatus(c.app.finish(err))
+	}
+	return subcommands.ExitStatus(c.app.finish(c.run(ctx, f.Args())))
+}
+
+func (c *subcommand) checkArgs(args []string) error {
+	next := fmt.Sprintf("see agatehavenctl help %s%s", c.parent, c.name)
+	if len(args) < c.least {
+		return &UsageError{Reason: fmt.Sprintf("%s%s needs %s", c.parent, c.name, strings.Join(c.args[:c.least], " ")), Next: next}
+	}
+	if len(args) > len(c.args) {
+		extra := args[len(c.args)]
+		if strings.HasPrefix(extra, "-") {
+			return &UsageError{Reason: fmt.Sprintf("flag %s follows an argument", extra), Next: "put flags before the arguments"}
+		}
+		return &UsageError{Reason: fmt.Sprintf("unexpected argument %q", extra), Next: next}
+	}
+	return nil
+}
+
+// group is a subcommand with subcommands of its own.
+type group struct {
+	app      *app
+	name     string
+	synopsis string
+	children []*subcommand
+}
+
+// Name implements subcommands.Command.
+func (g *group) Name() string { return g.name }
+
+// Synopsis implements subcommands.Command.
+func (g *group) Synopsis() string { return g.synopsis }
+
+// Usage implements subcommands.Command.
+func (g *group) Usage() string {
+	var b strings.Builder
+	_, _ = fmt.Fprintf(&b, "agatehavenctl [tool flags] %s <command>\n\n%s.\n\n", g.name, g.synopsis)
+	for _, c := range g.children {
+		_, _ = fmt.Fprintf(&b, "\t%-10s %s\n", c.name, c.synopsis)
+	}
+	_, _ = fmt.Fprintf(&b, "\nagatehavenctl %s help <command> tells more.\n", g.name)
+	return b.String()
+}
+
+// SetFlags implements subcommands.Command.
+func (g *group) SetFlags(f *flag.FlagSet) { f.SetOutput(g.app.env.Stderr) }
+
+// Execute implements subcommands.Command.
+func (g *group) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	nested := subcommands.NewCommander(f, "agatehavenctl "+g.name)
+	nested.Output, nested.Error = g.app.env.Stdout, g.app.env.Stderr
+	nested.Register(nested.HelpCommand(), "")
+	for _, c := range g.children {
+		c.parent = g.name + " "
+		nested.Register(c, "")
+	}
+	return nested.Execute(ctx)
+}
--- /dev/null
+++ b/internal/ctl/records.go
@@ -0,0 +1,157 @@
+package ctl
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/rotisserie/eris"
+
+	"agatehaven.dev/agatehaven/internal/model"
+)
+
+// recordFile is a file of records in TOML or JSON.
+type recordFile struct {
+	Records []fileRecord `toml:"records" json:"records"`
+}
+
+type fileRecord struct {
+	Schema  int            `toml:"schema" json:"schema"`
+	Kind    string         `toml:"kind" json:"kind"`
+	Name    string         `toml:"name" json:"name"`
+	Spec    map[string]any `toml:"spec" json:"spec"`
+	Deleted bool           `toml:"deleted" json:"deleted"`
+}
+
+// stringList is a flag that may be repeated.
+type stringList []string
+
+// String implements flag.Value.
+func (l *stringList) String() string { return strings.Join(*l, ",") }
+
+// Set implements flag.Value.
+func (l *stringList) Set(s string) error {
+	*l = append(*l, s)
+	return nil
+}
+
+var _ flag.Value = (*stringList)(nil)
+
+// readRecords reads records from files; "-" is standard input. It returns the
+// records and warnings about fields that this build does not know.
+func (a *app) readRecords(paths []string) ([]model.Record, []string, error) {
+	var out []model.Record
+	var warnings []string
+	seen := make(map[string]string)
+	for _, path := range paths {
+		records, err := a.readRecordFile(path)
+		if err != nil {
+			return nil, nil, err
+		}
+		for _, r := range records {
+			name := string(r.Kind) + " " + r.Name
+			if first, ok := seen[name]; ok {
+				return nil, nil, &UsageError{
+					Reason: fmt.Sprintf("%s is in %s and again in %s", name, first, path), Next: "keep one of them",
+				}
+			}
+			seen[name] = path
+			if warning := unknownFields(&r); warning != "" {
+				warnings = append(warnings, fmt.Sprintf("%s: %s: %s", path, name, warning))
+			}
+			out = append(out, r)
+		}
+	}
+	if len(out) == 0 {
+		return nil, nil, &UsageError{Reason: "no records given", Next: "add [[records]] entries; see examples/records.toml"}
+	}
+	return out, warnings, nil
+}
+
+func (a *app) readRecordFile(path string) ([]model.Record, error) {
+	var data []byte
+	var err error
+	if path == "-" {
+		data, err = io.ReadAll(a.env.Stdin)
+	} else {
+		data, err = os.ReadFile(path)
+	}
+	if err != nil {
+		return nil, &UsageError{Reason: err.Error(), Next: "check the path given with -f"}
+	}
+	var file recordFile
+	if err := decodeRecordFile(data, &file); err != nil {
+		return nil, &UsageError{Reason: path + ": " + err.Error(), Next: "correct the file; see examples/records.toml"}
+	}
+	out := make([]model.Record, 0, len(file.Records))
+	for i, r := range file.Records {
+		if r.Schema < 1 || r.Kind == "" || r.Name == "" {
+			return nil, &UsageError{
+				Reason: fmt.Sprintf("%s: record %d (%s %s) needs schema, kind and name", path, i+1, r.Kind, r.Name),
+				Next:   "correct the file; see examples/records.toml",
+			}
+		}
+		spec, err := json.Marshal(r.Spec)
+		if err != nil {
+			return nil, eris.Wrap(err, "encode record")
+		}
+		if r.Deleted || r.Spec == nil {
+			spec = []byte("{}")
+		}
+		out = append(out, model.Record{Schema: r.Schema, Kind: model.RecordKind(r.Kind), Name: r.Name, Spec: spec, Deleted: r.Deleted})
+	}
+	return out, nil
+}
+
+// decodeRecordFile takes valid JSON as JSON and everything else as TOML.
+func decodeRecordFile(data []byte, file *recordFile) error {
+	if json.Valid(data) {
+		decoder := json.NewDecoder(bytes.NewReader(data))
+		decoder.DisallowUnknownFields()
+		// Numbers keep their text, so that a large integer is not rounded.
+		decoder.UseNumber()
+		return eris.Wrap(decoder.Decode(file), "JSON")
+	}
+	err := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields().Decode(file)
+	if strict, ok := err.(*toml.StrictMissingError); ok { //nolint:errorlint // the decoder returns it unwrapped
+		return eris.Wrap(&UsageError{Reason: strict.String()}, "unknown fields")
+	}
+	if decode, ok := err.(*toml.DecodeError); ok { //nolint:errorlint // the decoder returns it unwrapped
+		row, column := decode.Position()
+		return eris.Wrapf(err, "line %d, column %d", row, column)
+	}
+	return eris.Wrap(err, "TOML")
+}
+
+// unknownFields compares a spec with the types of this build. Unknown fields
+// are kept, because a newer daemon may understand them, but they are often
+// misspelt.
+func unknownFields(r *model.Record) string {
+	var spec any
+	switch r.Kind {
+	case model.KindPool:
+		spec = &model.Pool{}
+	case model.KindJobKind:
+		spec = &model.JobKind{}
+	case model.KindWave:
+		spec = &model.Wave{}
+	case model.KindQuota:
+		spec = &model.Quota{}
+	default:
+		return "this version of the tool does not know the kind"
+	}
+	if r.Deleted || r.Schema > model.SchemaMax {
+		return ""
+	}
+	decoder := json.NewDecoder(bytes.NewReader(r.Spec))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(spec); err != nil {
+		return strings.TrimPrefix(err.Error(), "json: ") + " in spec; it is sent as it is"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/operator/query/compose.go
@@ -0,0 +1,305 @@
+package query
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"sort"
+
+	"agatehaven.dev/agatehaven/internal/event"
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/model"
+)
+
+// explainEvents bounds the events behind one explanation.
+const explainEvents = 1000
+
+// status never fails because of the region group: a partitioned operator
+// needs it most.
+func status(ctx context.Context, b Backend) (*Status, error) {
+	inForce, err := b.InForce(ctx)
+	if err != nil {
+		return nil, err
+	}
+	groups, err := b.GroupStatuses(ctx)
+	if err != nil {
+		return nil, err
+	}
+	out := &Status{
+		Processes:   inForce.Processes,
+		Replicas:    groups.Processes,
+		Unreachable: union(inForce.Unreachable, groups.Unreachable),
+	}
+	if records, err := b.Records(ctx); err != nil {
+		out.RecordsError = err.Error()
+	} else {
+		out.Revision = records.Revision
+	}
+	sort.Slice(out.Processes, func(i, j int) bool { return out.Processes[i].Host < out.Processes[j].Host })
+	sort.Slice(out.Replicas, func(i, j int) bool { return out.Replicas[i].Host < out.Replicas[j].Host })
+	return out, nil
+}
+
+func union(lists ...[]string) []string {
+	out := slices.Concat(lists...)
+	sort.Strings(out)
+	return slices.Compact(out)
+}
+
+// pools joins the records with the state of the data centres. A pool without
+// a host in a data centre is listed there if it has a floor there.
+func pools(ctx context.Context, b Backend) (*Pools, error) {
+	records, err := b.Records(ctx)
+	if err != nil {
+		return nil, err
+	}
+	centres, err := b.DataCentres(ctx, 0)
+	if err != nil {
+		return nil, err
+	}
+	out := &Pools{Revision: records.Revision, Unreachable: centres.Unreachable}
+	specs := decodeSpecs[model.Pool](records, model.KindPool)
+	for i := range centres.DataCentres {
+		dc := &centres.DataCentres[i]
+		rows := make(map[string]*PoolRow)
+		row := func(pool string) *PoolRow {
+			if rows[pool] == nil {
+				rows[pool] = &PoolRow{
+					Pool: pool, DataCentre: dc.DataCentre, Floor: records.Floors[pool][dc.DataCentre],
+					ByState: map[model.HostState]int{}, Queued: dc.Queued[pool], Running: dc.Running[pool],
+					Spare: specs[pool].Spare,
+				}
+			}
+			return rows[pool]
+		}
+		for j := range dc.Hosts {
+			addHost(row(dc.Hosts[j].Pool), &dc.Hosts[j])
+		}
+		for pool := range specs {
+			if records.Floors[pool][dc.DataCentre] > 0 || dc.Queued[pool] > 0 {
+				row(pool)
+			}
+		}
+		for _, r := range rows {
+			out.Pools = append(out.Pools, *r)
+		}
+	}
+	sort.Slice(out.Pools, func(i, j int) bool {
+		a, b := &out.Pools[i], &out.Pools[j]
+		return a.Pool < b.Pool || (a.Pool == b.Pool && a.DataCentre < b.DataCentre)
+	})
+	return out, nil
+}
+
+func addHost(row *PoolRow, h *model.Host) {
+	row.Hosts++
+	row.ByState[h.State]++
+	if h.State == model.HostReady {
+		row.Available++
+	}
+}
+
+// decodeSpecs decodes the records of one kind by name. Records with a schema
+// or a content that this build does not understand are left out.
+func decodeSpecs[T any](records *model.Records, kind model.RecordKind) map[string]T {
+	out := make(map[string]T)
+	for i := range records.Items {
+		item := &records.Items[i]
+		if item.Kind != kind || item.Deleted || item.Schema < model.SchemaMin || item.Schema > model.SchemaMax {
+			continue
+		}
+		var spec T
+		if json.Unmarshal(item.Spec, &spec) == nil {
+			out[item.Name] = spec
+		}
+	}
+	return out
+}
+
+// hostFilter selects hosts; empty fields match all.
+type hostFilter struct{ name, pool, dataCentre, state string }
+
+func (f *hostFilter) matches(h *model.Host) bool {
+	return (f.name == "" || f.name == h.Info.Name) && (f.pool == "" || f.pool == h.Pool) &&
+		(f.dataCentre == "" || f.dataCentre == h.Info.DataCentre) && (f.state == "" || f.state == string(h.State))
+}
+
+func hosts(ctx context.Context, b Backend, f *hostFilter) (*Hosts, error) {
+	centres, err := b.DataCentres(ctx, 0)
+	if err != nil {
+		return nil, err
+	}
+	out := &Hosts{Unreachable: centres.Unreachable}
+	for i := range centres.DataCentres {
+		for _, h := range centres.DataCentres[i].Hosts {
+			if f.matches(&h) {
+				out.Hosts = append(out.Hosts, h)
+			}
+		}
+	}
+	sort.Slice(out.Hosts, func(i, j int) bool {
+		a, b := &out.Hosts[i].Info, &out.Hosts[j].Info
+		return a.DataCentre < b.DataCentre || (a.DataCentre == b.DataCentre && a.Name < b.Name)
+	})
+	return out, nil
+}
+
+func waves(ctx context.Context, b Backend) (*Waves, error) {
+	records, err := b.Records(ctx)
+	if err != nil {
+		return nil, err
+	}
+	centres, err := b.DataCentres(ctx, 0)
+	if err != nil {
+		return nil, err
+	}
+	out := &Waves{Revision: records.Revision, Unreachable: centres.Unreachable}
+	for name, spec := range decodeSpecs[model.Wave](records, model.KindWave) {
+		row := WaveRow{Name: name, Spec: spec, Hosts: map[string]int{}}
+		for i := range centres.DataCentres {
+			dc := &centres.DataCentres[i]
+			for j := range dc.Hosts {
+				if dc.Hosts[j].Pool == spec.Pool {
+					row.Hosts[dc.DataCentre]++
+				}
+			}
+			for _, p := range dc.Waves {
+				if p.Wave == name {
+					row.Progress = append(row.Progress, p)
+				}
+			}
+		}
+		out.Waves = append(out.Waves, row)
+	}
+	sort.Slice(out.Waves, func(i, j int) bool { return out.Waves[i].Name < out.Waves[j].Name })
+	return out, nil
+}
+
+// requestFilter selects requests; empty fields match all.
+type requestFilter struct {
+	pool, kind, team, state string
+	limit                   int
+}
+
+func (f *requestFilter) matches(r *model.Request) bool {
+	return (f.pool == "" || f.pool == r.Pool) && (f.kind == "" || f.kind == r.Kind) &&
+		(f.team == "" || f.team == r.Team) && (f.state == "" || f.state == string(r.State))
+}
+
+func requests(ctx context.Context, b Backend, f *requestFilter) (*Requests, error) {
+	centres, err := b.DataCentres(ctx, f.limit)
+	if err != nil {
+		return nil, err
+	}
+	out := &Requests{Unreachable: centres.Unreachable}
+	for i := range centres.DataCentres {
+		for _, r := range centres.DataCentres[i].Requests {
+			if f.matches(&r) {
+				out.Requests = append(out.Requests, withoutContent(r))
+			}
+		}
+	}
+	sort.SliceStable(out.Requests, func(i, j int) bool {
+		return out.Requests[j].Claimed.Before(out.Requests[i].Claimed)
+	})
+	out.Requests = out.Requests[:min(len(out.Requests), f.limit)]
+	return out, nil
+}
+
+// withoutContent removes what belongs to the caller.
+func withoutContent(r model.Request) model.Request {
+	r.Payload, r.Answer = nil, nil
+	return r
+}
+
+func request(ctx context.Context, b Backend, key string) (*model.Request, error) {
+	r, err := b.Request(ctx, key)
+	if err != nil {
+		return nil, err
+	}
+	out := withoutContent(*r)
+	return &out, nil
+}
+
+func explain(ctx context.Context, b Backend, kind, name string) (*Explanation, error) {
+	switch kind {
+	case "host":
+		return explainHost(ctx, b, name)
+	case "wave":
+		return explainWave(ctx, b, name)
+	case "request":
+		return explainRequest(ctx, b, name)
+	}
+	return nil, &fault.Invalid{Field: "kind", Reason: "is unknown", Allowed: "host, wave, request"}
+}
+
+func explainHost(ctx context.Context, b Backend, name string) (*Explanation, error) {
+	found, err := hosts(ctx, b, &hostFilter{name: name})
+	if err != nil {
+		return nil, err
+	}
+	events, err := b.Events(ctx, event.Filter{Host: name, Limit: explainEvents})
+	if err != nil {
+		return nil, err
+	}
+	var state *model.Host
+	if len(found.Hosts) > 0 {
+		state = &found.Hosts[0]
+	}
+	if state == nil && len(events.Events) == 0 && len(found.Unreachable) == 0 {
+		return nil, &fault.NotFound{Kind: "host", Name: name}
+	}
+	return &Explanation{
+		Sentences:   event.ExplainHost(name, state, events.Events),
+		Unreachable: union(found.Unreachable, events.Unreachable),
+	}, nil
+}
+
+func explainWave(ctx context.Context, b Backend, name string) (*Explanation, error) {
+	all, err := waves(ctx, b)
+	if err != nil {
+		return nil, err
+	}
+	events, err := b.Events(ctx, event.Filter{Wave: name, Limit: explainEvents})
+	if err != nil {
+		return nil, err
+	}
+	var state *event.WaveState
+	for i := range all.Waves {
+		if w := &all.Waves[i]; w.Name == name {
+			state = &event.WaveState{Spec: w.Spec, Progress: w.Progress, Hosts: w.Hosts}
+		}
+	}
+	if state == nil && len(events.Events) == 0 {
+		return nil, &fault.NotFound{Kind: "wave", Name: name}
+	}
+	return &Explanation{
+		Sentences:   event.ExplainWave(name, state, events.Events),
+		Unreachable: union(all.Unreachable, events.Unreachable),
+	}, nil
+}
+
+// explainRequest explains from events alone if the home ledger no longer
+// keeps the request or cannot be reached.
+func explainRequest(ctx context.Context, b Backend, key string) (*Explanation, error) {
+	state, stateErr := b.Request(ctx, key)
+	var missing *fault.NotFound
+	if stateErr != nil && !errors.As(stateErr, &missing) && fault.CodeOf(stateErr) != fault.CodeUnavailable {
+		return nil, stateErr
+	}
+	events, err := b.Events(ctx, event.Filter{Request: key, Limit: explainEvents})
+	if err != nil {
+		return nil, err
+	}
+	if stateErr != nil {
+		state = nil
+		if len(events.Events) == 0 {
+			return nil, stateErr
+		}
+	}
+	return &Explanation{
+		Sentences:   event.ExplainRequest(key, state, events.Events),
+		Unreachable: events.Unreachable,
+	}, nil
+}
--- /dev/null
+++ b/internal/operator/query/http.go
@@ -0,0 +1,146 @@
+package query
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-kit/kit/endpoint"
+	kithttp "github.com/go-kit/kit/transport/http"
+
+	"agatehaven.dev/agatehaven/internal/event"
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/hlc"
+	"agatehaven.dev/agatehaven/internal/httpapi"
+)
+
+// Bounds of lists, in items.
+const (
+	defaultLimit = 100
+	maxLimit     = 10_000
+)
+
+// Register adds the routes of the queries to mux.
+func Register(mux *http.ServeMux, b Backend) {
+	handle(mux, "GET /v1/records", none, func(ctx context.Context, _ any) (any, error) { return b.Records(ctx) })
+	handle(mux, "GET /v1/pools", none, func(ctx context.Context, _ any) (any, error) { return pools(ctx, b) })
+	handle(mux, "GET /v1/waves", none, func(ctx context.Context, _ any) (any, error) { return waves(ctx, b) })
+	handle(mux, "GET /v1/replicas", none, func(ctx context.Context, _ any) (any, error) { return b.GroupStatuses(ctx) })
+	handle(mux, "GET /v1/status", none, func(ctx context.Context, _ any) (any, error) { return status(ctx, b) })
+	handle(mux, "GET /v1/hosts", decodeHosts, func(ctx context.Context, r any) (any, error) {
+		return hosts(ctx, b, r.(*hostFilter))
+	})
+	handle(mux, "GET /v1/requests", decodeRequests, func(ctx context.Context, r any) (any, error) {
+		return requests(ctx, b, r.(*requestFilter))
+	})
+	handle(mux, "GET /v1/requests/{key}", decodeKey, func(ctx context.Context, r any) (any, error) {
+		return request(ctx, b, r.(string))
+	})
+	handle(mux, "GET /v1/events", decodeEvents, func(ctx context.Context, r any) (any, error) {
+		return b.Events(ctx, *r.(*event.Filter))
+	})
+	handle(mux, "GET /v1/explain", decodeExplain, func(ctx context.Context, r any) (any, error) {
+		q := r.(*explainQuery)
+		return explain(ctx, b, q.kind, q.name)
+	})
+}
+
+func handle(mux *http.ServeMux, pattern string, decode kithttp.DecodeRequestFunc, e endpoint.Endpoint) {
+	mux.Handle(pattern, kithttp.NewServer(e, decode, kithttp.EncodeJSONResponse,
+		kithttp.ServerErrorEncoder(httpapi.EncodeError)))
+}
+
+type explainQuery struct{ kind, name string }
+
+// known refuses parameters that a query does not have, since a misspelt
+// filter would return everything.
+func known(r *http.Request, names ...string) error {
+	for name := range r.URL.Query() {
+		found := false
+		for _, n := range names {
+			found = found || n == name
+		}
+		if !found {
+			return &fault.Invalid{Field: name, Reason: "unknown parameter"}
+		}
+	}
+	return nil
+}
+
+func none(_ context.Context, r *http.Request) (any, error) { return nil, known(r) }
+
+func decodeKey(_ context.Context, r *http.Request) (any, error) { return r.PathValue("key"), known(r) }
+
+func decodeHosts(_ context.Context, r *http.Request) (any, error) {
+	q := r.URL.Query()
+	f := &hostFilter{name: q.Get("name"), pool: q.Get("pool"), dataCentre: q.Get("data_centre"), state: q.Get("state")}
+	return f, known(r, "name", "pool", "data_centre", "state")
+}
+
+func decodeRequests(_ context.Context, r *http.Request) (any, error) {
+	q := r.URL.Query()
+	limit, err := limitOf(r)
+	if err != nil {
+		return nil, err
+	}
+	f := &requestFilter{pool: q.Get("pool"), kind: q.Get("kind"), team: q.Get("team"), state: q.Get("state"), limit: limit}
+	return f, known(r, "pool", "kind", "team", "state", "limit")
+}
+
+func decodeExplain(_ context.Context, r *http.Request) (any, error) {
+	q := &explainQuery{kind: r.URL.Query().Get("kind"), name: r.URL.Query().Get("name")}
+	if q.name == "" {
+		return nil, &fault.Invalid{Field: "name", Reason: "is missing", Allowed: "the name of a host, wave or request"}
+	}
+	return q, known(r, "kind", "name")
+}
+
+// decodeEvents reads after and until as "<wall ms>.<logical>", the form of
+// hlc.Time, or as RFC 3339.
+func decodeEvents(_ context.Context, r *http.Request) (any, error) {
+	q := r.URL.Query()
+	limit, err := limitOf(r)
+	if err != nil {
+		return nil, err
+	}
+	f := &event.Filter{Host: q.Get("host"), Pool: q.Get("pool"), Request: q.Get("request"), Wave: q.Get("wave"), Limit: limit}
+	if f.After, err = timeOf(q.Get("after"), "after"); err != nil {
+		return nil, err
+	}
+	if f.Until, err = timeOf(q.Get("until"), "until"); err != nil {
+		return nil, err
+	}
+	return f, known(r, "host", "pool", "request", "wave", "after", "until", "limit")
+}
+
+func limitOf(r *http.Request) (int, error) {
+	text := r.URL.Query().Get("limit")
+	if text == "" {
+		return defaultLimit, nil
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 1 || n > maxLimit {
+		return 0, &fault.Invalid{Field: "limit", Reason: strconv.Quote(text) + " is out of range", Allowed: "1 to 10000"}
+	}
+	return n, nil
+}
+
+func timeOf(text, field string) (hlc.Time, error) {
+	if text == "" {
+		return hlc.Time{}, nil
+	}
+	if t, err := time.Parse(time.RFC3339, text); err == nil {
+		return hlc.Time{WallMillis: t.UnixMilli()}, nil
+	}
+	wall, logical, _ := strings.Cut(text, ".")
+	if ms, err := strconv.ParseInt(wall, 10, 64); err == nil {
+		if n, err := strconv.ParseUint(logical, 10, 32); err == nil {
+			return hlc.Time{WallMillis: ms, Logical: uint32(n)}, nil
+		}
+	}
+	return hlc.Time{}, &fault.Invalid{
+		Field: field, Reason: strconv.Quote(text) + " is not a time", Allowed: "RFC 3339, or milliseconds.counter",
+	}
+}
