--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -100,6 +100,8 @@
 	entries  map[string]string // open request key -> entry host that took it
 	policies *policies
 	acked    ackMark
+	// turn spreads requests over owners; only the placement loop uses it.
+	turn int
 }
 
 // New returns a controller. Run starts it.
--- /dev/null
+++ b/internal/control/placement.go
@@ -0,0 +1,172 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"agatehaven.dev/agatehaven/internal/datacentre"
+	"agatehaven.dev/agatehaven/internal/ledger"
+	"agatehaven.dev/agatehaven/internal/model"
+	"agatehaven.dev/agatehaven/internal/placement"
+)
+
+const (
+	// maxQueuedPerClass bounds the queued requests of one pool and priority
+	// that one plan looks at, so that a long queue does not slow the plan.
+	maxQueuedPerClass = 512
+	// maxDispatchItems bounds the decisions of one log entry.
+	maxDispatchItems = 256
+)
+
+var planPriorities = [...]model.Priority{model.Urgent, model.Normal, model.Patient}
+
+// place plans and commits dispatch decisions until no queued request fits.
+func (c *Controller) place(ctx context.Context) {
+	for ctx.Err() == nil {
+		in := c.placementInput()
+		if len(in.Queued) == 0 {
+			return
+		}
+		plan := c.policies.placement.Plan(in)
+		for _, p := range plan.Parked {
+			_, _ = c.proposeRequest(ctx, ledger.Command{Park: &ledger.Park{Key: p.Key, Reason: p.Reason}})
+		}
+		if c.dispatch(ctx, plan.Decisions) == 0 {
+			return
+		}
+	}
+}
+
+// dispatch commits decisions and returns how many were accepted.
+func (c *Controller) dispatch(ctx context.Context, decisions []placement.Decision) int {
+	accepted := 0
+	for len(decisions) > 0 {
+		n := min(len(decisions), maxDispatchItems)
+		items := c.dispatchItems(decisions[:n])
+		decisions = decisions[n:]
+		if len(items) == 0 {
+			continue
+		}
+		result, err := c.proposeRequest(ctx, ledger.Command{Dispatch: &ledger.Dispatch{Items: items}})
+		if err != nil {
+			return accepted
+		}
+		accepted += len(result.Dispatched)
+	}
+	return accepted
+}
+
+func (c *Controller) dispatchItems(decisions []placement.Decision) []ledger.DispatchItem {
+	items := make([]ledger.DispatchItem, 0, len(decisions))
+	for _, d := range decisions {
+		r, ok := c.cfg.Machine.Request(d.Key)
+		if !ok {
+			continue
+		}
+		c.turn++
+		host, incarnation, ok := c.ownerFor(d.Key, c.turn)
+		if !ok {
+			return nil // no entry host can execute attempts now
+		}
+		cpu, memory := c.policies.size(r)
+		items = append(items, ledger.DispatchItem{
+			Key: d.Key, Attempt: ledger.NextAttempt(r), Host: d.Host, LentBy: d.LentBy,
+			Owner: host, OwnerIncarnation: incarnation, Reason: d.Reason,
+			CPUMillis: cpu, MemoryMB: memory,
+		})
+	}
+	return items
+}
+
+// placementInput copies what the policy needs from the state.
+func (c *Controller) placementInput() placement.Input {
+	now := c.cfg.Clock.Now()
+	in := placement.Input{
+		Pools:       make(map[string]placement.Pool),
+		TeamRunning: make(map[string]int),
+		TeamLimit:   make(map[string]int),
+	}
+	c.cfg.Machine.View(func(v datacentre.View) {
+		for name := range v.Catalogue.Pools {
+			c.addQueued(&in, v, name, now)
+		}
+		if len(in.Queued) == 0 {
+			return
+		}
+		for _, h := range v.Hosts.Hosts() {
+			in.Hosts = append(in.Hosts, placementHost(&h, v))
+		}
+		for name, pool := range v.Catalogue.Pools {
+			in.Pools[name] = placement.Pool{
+				Spare:        pool.Spare,
+				ServesUrgent: servesUrgent(v.Catalogue, name),
+				Running:      v.Requests.RunningByPriority(name),
+			}
+		}
+		for team, quota := range v.Catalogue.Quotas {
+			if quota.MaxRunning > 0 {
+				in.TeamLimit[team] = quota.MaxRunning
+				in.TeamRunning[team] = v.Requests.TeamRunning(team)
+			}
+		}
+	})
+	c.skipSilent(in.Hosts)
+	return in
+}
+
+func (c *Controller) addQueued(in *placement.Input, v datacentre.View, pool string, now time.Time) {
+	for _, class := range planPriorities {
+		for _, r := range v.Requests.QueuedClass(pool, class, maxQueuedPerClass) {
+			if r.NotBefore.WallMillis > now.UnixMilli() {
+				continue
+			}
+			cpu, memory := c.policies.size(r)
+			q := placement.Request{
+				Key: r.Key, Pool: r.Pool, Team: r.Team, Priority: r.Priority,
+				Waiting:   time.Duration(now.UnixMilli()-r.Claimed.WallMillis) * time.Millisecond,
+				Run:       c.policies.runTime(r.Kind, v.Catalogue),
+				CPUMillis: cpu, MemoryMB: memory, Accelerators: r.Accelerators,
+			}
+			if !r.Deadline.IsZero() {
+				q.Slack = time.Duration(r.Deadline.WallMillis-now.UnixMilli()) * time.Millisecond
+			}
+			for i := range r.Attempts {
+				q.Avoid = append(q.Avoid, r.Attempts[i].Host)
+			}
+			in.Queued = append(in.Queued, q)
+		}
+	}
+}
+
+func placementHost(h *model.Host, v datacentre.View) placement.Host {
+	cpu, memory, accelerators := v.Requests.Reserved(h.Info.Name)
+	return placement.Host{
+		Name: h.Info.Name, Pool: h.Pool, Rack: h.Info.Rack,
+		Available: h.State == model.HostReady && !h.Info.Leaving,
+		Slots:     h.Info.Slots, CPUMillis: h.Info.CPUMillis, MemoryMB: h.Info.MemoryMB,
+		Accelerators:  h.Info.Accelerators,
+		UsedSlots:     v.Requests.Running(h.Info.Name),
+		UsedCPUMillis: cpu, UsedMemoryMB: memory, UsedAccelerators: accelerators,
+	}
+}
+
+// skipSilent takes hosts out of the plan that have missed two announcements.
+// Their lease still runs, but a start sent to them would likely be lost.
+func (c *Controller) skipSilent(hosts []placement.Host) {
+	now := c.cfg.Clock.Now()
+	for i := range hosts {
+		k := c.contactOf(hosts[i].Name)
+		if !k.announced || now.Sub(k.at) > c.cfg.Timing.HostLease/2 {
+			hosts[i].Available = false
+		}
+	}
+}
+
+func servesUrgent(catalogue *model.Catalogue, pool string) bool {
+	for _, kind := range catalogue.JobKinds {
+		if kind.Pool == pool && kind.Priority == model.Urgent {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/ledger/queries.go
+++ b/internal/ledger/queries.go
@@ -74,6 +74,20 @@
 // RunningCount returns the number of dispatched requests of a pool.
 func (s *State) RunningCount(pool string) int { return s.running.pool[pool] }
 
+// RunningByPriority returns the numbers of dispatched requests of a pool.
+func (s *State) RunningByPriority(pool string) map[model.Priority]int {
+	out := make(map[model.Priority]int, len(priorities))
+	for _, p := range priorities {
+		if n := s.running.class[class{pool, p}]; n > 0 {
+			out[p] = n
+		}
+	}
+	return out
+}
+
+// NextAttempt returns the number that the next attempt of a request must have.
+func NextAttempt(r *model.Request) int { return nextAttempt(r) }
+
 // TeamRunning returns the number of dispatched requests of a team.
 func (s *State) TeamRunning(team string) int { return s.running.team[team] }
 
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -82,16 +82,23 @@
 	number int
 }
 
-type counts struct{ pool, team map[string]int }
+// counts holds numbers of requests by pool, by team and by class.
+type counts struct {
+	pool, team map[string]int
+	class      map[class]int
+}
 
-func newCounts() counts { return counts{pool: map[string]int{}, team: map[string]int{}} }
+func newCounts() counts {
+	return counts{pool: map[string]int{}, team: map[string]int{}, class: map[class]int{}}
+}
 
 func (c counts) add(r *model.Request, n int) {
 	addCount(c.pool, r.Pool, n)
 	addCount(c.team, r.Team, n)
+	addCount(c.class, class{r.Pool, r.Priority}, n)
 }
 
-func addCount(m map[string]int, key string, n int) {
+func addCount[K comparable](m map[K]int, key K, n int) {
 	m[key] += n
 	if m[key] == 0 {
 		delete(m, key)
