Add the replicated log engine

Cause: the region and data centre groups need a replicated log. The first election of a group needs every initial voter, so an initial member without state that meets a formed group knows that its disk was lost; it then takes a random incarnation. A witness passes the entries that a candidate lacks to it, since it never campaigns itself. Ruled out: leases for reads, which depend on clock drift; read index costs one heartbeat round and is shared by all reads that wait. A bootstrap setting alone, which lets a host vote as its former self if the setting stays in place when its disk is replaced.

--- /dev/null
+++ b/internal/raft/election.go
@@ -0,0 +1,177 @@
+package raft
+
+// promotable reports whether this node may become leader.
+func (n *Node) promotable() bool {
+	m, ok := n.log.config().Find(n.id)
+	return ok && !m.Learner && !m.Witness && !n.lostDisk && n.installing == nil
+}
+
+// campaign starts an election: a pre-vote, or at once a vote if a leader
+// transfers its leadership to this node.
+func (n *Node) campaign(transfer bool) {
+	n.resetElection()
+	if !n.promotable() {
+		n.leader = ""
+		return
+	}
+	if transfer {
+		n.startElection(MsgVote, true)
+		return
+	}
+	n.startElection(MsgPreVote, false)
+}
+
+func (n *Node) startElection(kind MessageType, force bool) {
+	term := n.hard.Term + 1
+	n.leader = ""
+	if kind == MsgPreVote {
+		n.role = PreCandidate
+	} else {
+		n.becomeFollower(term, "")
+		n.role = Candidate
+		n.hard.Vote = n.id
+	}
+	n.votes = map[string]bool{n.id: true}
+	if n.countVotes() {
+		return
+	}
+	for _, id := range n.log.config().Voters() {
+		if id != n.id {
+			n.send(Message{
+				Type: kind, To: id, Term: term, Index: n.log.last(), LogTerm: n.log.lastTerm(),
+				Commit: n.log.committed, Force: force,
+			})
+		}
+	}
+}
+
+// countVotes moves the election on once its votes decide it, and reports
+// whether they did. The first election of a group needs every initial voter,
+// see provesLostDisk.
+func (n *Node) countVotes() bool {
+	voters := n.log.config().Voters()
+	needed := len(voters)/2 + 1
+	if n.log.last() == 0 {
+		needed = len(voters)
+	}
+	granted, refused := 0, 0
+	for _, id := range voters {
+		if vote, ok := n.votes[id]; ok && vote {
+			granted++
+		} else if ok {
+			refused++
+		}
+	}
+	switch {
+	case granted >= needed && n.role == PreCandidate:
+		n.startElection(MsgVote, false)
+	case granted >= needed:
+		n.becomeLeader()
+	case refused > len(voters)-needed:
+		n.becomeFollower(n.hard.Term, "")
+	default:
+		return false
+	}
+	return true
+}
+
+func (n *Node) handleVoteRequest(m *Message) {
+	free := n.hard.Vote == "" && n.leader == ""
+	free = free || n.hard.Vote == m.From || (m.Type == MsgPreVote && m.Term > n.hard.Term)
+	current := n.log.atLeastUpToDate(m.Index, m.LogTerm)
+	response := Message{Type: m.Type + 1, To: m.From, Index: n.log.last()}
+	if free && current && len(n.log.config().Members) > 0 {
+		if m.Type == MsgVote {
+			n.hard.Vote = m.From
+			n.electionElapsed = 0
+		}
+		response.Term = m.Term
+		n.send(response)
+		return
+	}
+	response.Reject = true
+	n.send(response)
+	if self, _ := n.log.config().Find(n.id); self.Witness && n.leader == "" {
+		n.sendHandover(m)
+	}
+}
+
+func (n *Node) handleVoteResponse(m *Message) {
+	expected := PreCandidate
+	if m.Type == MsgVoteResponse {
+		expected = Candidate
+	}
+	if n.role != expected {
+		return
+	}
+	if !m.Reject && m.Type == MsgPreVoteResponse && m.Term != n.hard.Term+1 {
+		return // an answer to an earlier pre-vote
+	}
+	if _, ok := n.votes[m.From]; !ok {
+		n.votes[m.From] = !m.Reject
+		n.countVotes()
+	}
+}
+
+func (n *Node) becomeLeader() {
+	n.role, n.leader = Leader, n.id
+	n.votes = nil
+	n.heartbeatElapsed = 0
+	n.progress = map[string]*progress{}
+	n.reads = readQueue{}
+	n.trackMembers()
+	n.appendAsLeader(Entry{Type: EntryNoop})
+}
+
+// trackMembers makes the set of progresses equal to the configuration.
+func (n *Node) trackMembers() {
+	config := n.log.config()
+	for _, m := range config.Members {
+		if m.ID != n.id && n.progress[m.ID] == nil {
+			n.progress[m.ID] = &progress{next: n.log.last() + 1, activeAt: n.now}
+		}
+	}
+	for id := range n.progress {
+		if _, ok := config.Find(id); !ok {
+			delete(n.progress, id)
+		}
+	}
+}
+
+// sendHandover sends the entries that a candidate lacks. A witness may hold
+// committed entries that no electable member holds; since it never campaigns,
+// no leader could be elected unless it passes them on.
+func (n *Node) sendHandover(m *Message) {
+	if n.log.atLeastUpToDate(m.Index, m.LogTerm) {
+		return
+	}
+	from := m.Index
+	if !n.log.matches(from, m.LogTerm) {
+		from = m.Commit // committed entries match in all logs
+	}
+	term, ok := n.log.term(from)
+	if !ok {
+		return
+	}
+	n.send(Message{
+		Type: MsgHandover, To: m.From, Index: from, LogTerm: term,
+		Entries:   n.log.slice(from+1, n.opts.MaxBatchBytes),
+		HintIndex: n.log.last(), HintTerm: n.log.lastTerm(),
+	})
+}
+
+// handleHandover copies entries of a witness whose log is strictly more up to
+// date. Entries replaced by it were never committed: the witness holds an
+// entry of a later term, whose leader had every entry committed before.
+func (n *Node) handleHandover(m *Message) {
+	leaderless := n.role != Leader && n.leader == ""
+	if !leaderless || !n.log.moreUpToDate(m.HintIndex, m.HintTerm) {
+		return
+	}
+	if m.Index < n.log.committed || !n.log.matches(m.Index, m.LogTerm) {
+		return
+	}
+	if n.merge(m.Entries) {
+		n.becomeFollower(n.hard.Term, "")
+	}
+}
--- /dev/null
+++ b/internal/raft/membership.go
@@ -0,0 +1,139 @@
+package raft
+
+import (
+	"fmt"
+
+	"agatehaven.dev/agatehaven/internal/fault"
+)
+
+// changeWhat names membership changes in errors.
+const changeWhat = "membership change"
+
+// ProposeAdd adds m as a learner. The leader makes it a voter once it has
+// caught up. Errors: *fault.NotLeader, *fault.Invalid, *fault.Precondition
+// with the reason; none has an effect.
+func (n *Node) ProposeAdd(m Member) (index, term uint64, err error) {
+	if HostOf(m.ID) == "" || HostOf(m.ID) != m.Host {
+		return 0, 0, &fault.Invalid{Field: "member id", Reason: "wrong form", Allowed: "<host>#<incarnation>"}
+	}
+	if err := n.checkChange(""); err != nil {
+		return 0, 0, err
+	}
+	config := n.log.config()
+	if _, ok := config.Find(m.ID); ok {
+		return 0, 0, &fault.Precondition{What: changeWhat, Reason: fmt.Sprintf("replica %q is a member already", m.ID)}
+	}
+	m.Learner = true
+	return n.proposeConfig(config.with(m))
+}
+
+// ProposeRemove removes a member. Errors: *fault.NotLeader, *fault.NotFound,
+// *fault.Precondition with the reason; none has an effect.
+func (n *Node) ProposeRemove(id string) (index, term uint64, err error) {
+	if err := n.checkChange(id); err != nil {
+		return 0, 0, err
+	}
+	config := n.log.config()
+	if _, ok := config.Find(id); !ok {
+		return 0, 0, &fault.NotFound{Kind: "replica", Name: id}
+	}
+	next := config.without(id)
+	if !electable(next) {
+		return 0, 0, &fault.Precondition{What: changeWhat, Reason: "no voter that can lead would remain"}
+	}
+	if !n.quorumActive(next) {
+		return 0, 0, &fault.Precondition{
+			What:   changeWhat,
+			Reason: fmt.Sprintf("without replica %q the leader would not reach a quorum of the remaining voters", id),
+		}
+	}
+	return n.proposeConfig(next)
+}
+
+// electable reports whether a voter that is not a witness exists.
+func electable(c Configuration) bool {
+	for _, m := range c.Members {
+		if !m.Learner && !m.Witness {
+			return true
+		}
+	}
+	return false
+}
+
+// checkChange returns why no membership change may start now. Removing the
+// learner that has not caught up is allowed: it abandons the open change.
+func (n *Node) checkChange(removing string) error {
+	if n.role != Leader || n.transferee != "" {
+		return n.notLeader()
+	}
+	if !n.committedInTerm() {
+		return &fault.Precondition{What: changeWhat, Reason: "the leader has not committed an entry of its term yet"}
+	}
+	if index := n.log.configIndex(); index > n.log.committed {
+		return &fault.Precondition{
+			What: changeWhat, Reason: fmt.Sprintf("the change at index %d is not committed yet", index),
+		}
+	}
+	if id, ok := n.log.config().learner(); ok && id != removing {
+		return &fault.Precondition{What: changeWhat, Reason: fmt.Sprintf("replica %q has not caught up yet", id)}
+	}
+	return nil
+}
+
+func (n *Node) proposeConfig(c Configuration) (index, term uint64, err error) {
+	data, err := c.Encode()
+	if err != nil {
+		return 0, 0, err
+	}
+	return n.appendAsLeader(Entry{Type: EntryConfig, Data: data}), n.hard.Term, nil
+}
+
+// promoteLearner makes the learner a voter once it holds every committed
+// entry, so that it cannot slow down or block the quorum that it joins.
+func (n *Node) promoteLearner() {
+	id, ok := n.log.config().learner()
+	if !ok || n.checkChange(id) != nil {
+		return
+	}
+	if p := n.progress[id]; p == nil || p.state != stateReplicate || p.match < n.log.committed {
+		return
+	}
+	if _, _, err := n.proposeConfig(n.log.config().promoted(id)); err != nil {
+		n.invalidEntry = err
+	}
+}
+
+// TransferLeadership starts to hand leadership to the reachable voter with
+// the longest log and returns its id. Until it is done, or one election
+// timeout has passed, proposals return *fault.NotLeader. Errors:
+// *fault.NotLeader, *fault.Precondition if no voter can take over.
+func (n *Node) TransferLeadership() (string, error) {
+	if n.role != Leader {
+		return "", n.notLeader()
+	}
+	if n.transferee != "" {
+		return n.transferee, nil
+	}
+	best := ""
+	for _, m := range n.log.config().Members {
+		if m.Learner || m.Witness || m.ID == n.id || !n.active(m.ID) {
+			continue
+		}
+		if best == "" || n.progress[m.ID].match > n.progress[best].match {
+			best = m.ID
+		}
+	}
+	if best == "" {
+		return "", &fault.Precondition{What: "leadership transfer", Reason: "no other voter that can lead is reachable"}
+	}
+	n.transferee, n.transferElapsed = best, 0
+	n.finishTransfer()
+	return best, nil
+}
+
+// finishTransfer lets the transferee campaign once it holds the whole log.
+func (n *Node) finishTransfer() {
+	if p := n.progress[n.transferee]; p != nil && p.match == n.log.last() {
+		n.send(Message{Type: MsgTimeoutNow, To: n.transferee})
+	}
+}
--- /dev/null
+++ b/internal/raft/ready.go
@@ -0,0 +1,85 @@
+package raft
+
+// Ready is the work that the caller must carry out before it calls Advance,
+// in this order: store Snapshot, store HardState and Entries (and sync them
+// if MustSync is set), send Messages, restore Snapshot and apply Committed.
+//
+// Messages of type MsgAppend and MsgHeartbeat may be sent before the sync
+// unless the term or vote changed: a leader counts its own copy of an entry
+// only after Advance.
+type Ready struct {
+	// HardState is nil if it has not changed.
+	HardState *HardState
+	MustSync  bool
+	Entries   []Entry
+	// Snapshot replaces the whole log and state.
+	Snapshot  *Snapshot
+	Messages  []Message
+	Committed []Entry
+	Reads     []ReadState
+}
+
+// SendFirst reports whether appends and heartbeats may be sent before the sync.
+func (r *Ready) SendFirst() bool { return r.HardState == nil && r.Snapshot == nil }
+
+// Ready returns the outstanding work, and false if there is none. Between
+// Ready and Advance the caller must not call other methods.
+func (n *Node) Ready() (Ready, bool) {
+	if n.invalidEntry != nil {
+		return Ready{}, false
+	}
+	if n.role == Leader {
+		n.broadcastAppend()
+		n.flushReads()
+	}
+	rd := Ready{
+		Entries:   n.log.between(n.log.stable, n.log.last()),
+		Snapshot:  n.installing,
+		Messages:  n.messages,
+		Committed: n.log.between(n.log.released, n.log.committed),
+		Reads:     n.reads.ready,
+	}
+	n.messages, n.reads.ready = nil, nil
+	termChanged := n.hard.Term != n.saved.Term || n.hard.Vote != n.saved.Vote
+	if termChanged {
+		hard := n.hard
+		hard.Commit = n.log.committed
+		rd.HardState = &hard
+	}
+	rd.MustSync = termChanged || len(rd.Entries) > 0 || rd.Snapshot != nil
+	work := rd.MustSync || len(rd.Messages) > 0 || len(rd.Committed) > 0 || len(rd.Reads) > 0
+	return rd, work
+}
+
+// Err returns why the node cannot continue, such as an entry that holds an
+// undecodable configuration; nil while it works.
+func (n *Node) Err() error { return n.invalidEntry }
+
+// Commit returns the highest index known to be committed.
+func (n *Node) Commit() uint64 { return n.log.committed }
+
+// Advance tells the node that the work in rd is done.
+func (n *Node) Advance(rd Ready) {
+	if rd.HardState != nil {
+		n.saved = *rd.HardState
+	}
+	if rd.Snapshot != nil {
+		n.installing = nil
+	}
+	if len(rd.Entries) > 0 {
+		n.log.stable = rd.Entries[len(rd.Entries)-1].Index
+	}
+	if len(rd.Committed) > 0 {
+		n.log.released = rd.Committed[len(rd.Committed)-1].Index
+	}
+	if n.role == Leader {
+		n.advanceCommit()
+	}
+	if n.role == Leader {
+		n.promoteLearner()
+	}
+}
+
+// ConfigAt returns the configuration that holds at index, which must not be
+// older than the latest snapshot.
+func (n *Node) ConfigAt(index uint64) Configuration { return n.log.configAt(index) }
--- /dev/null
+++ b/internal/raft/snapshot.go
@@ -0,0 +1,78 @@
+package raft
+
+// incomingSnapshot collects the chunks of a snapshot.
+type incomingSnapshot struct {
+	index, term uint64
+	data        []byte
+}
+
+// sendChunk sends the next chunk of the snapshot. The caller of Ready fills
+// in its bytes.
+func (n *Node) sendChunk(to string, p *progress) {
+	if p.snapshot.Index < n.previous.Index {
+		p.becomeSnapshot(n.snapshot) // storage no longer holds the old one
+	}
+	meta := p.snapshot
+	n.send(Message{Type: MsgSnapshot, To: to, Snapshot: &meta, Offset: p.offset})
+}
+
+func (n *Node) handleSnapshot(m *Message) {
+	s := *m.Snapshot
+	switch {
+	case s.Index <= n.log.committed:
+		n.send(Message{Type: MsgAppendResponse, To: m.From, Index: n.log.committed})
+		return
+	case n.log.matches(s.Index, s.Term):
+		n.log.commitTo(s.Index)
+		n.send(Message{Type: MsgAppendResponse, To: m.From, Index: s.Index})
+		return
+	}
+	in := &n.incoming
+	if in.index != s.Index || in.term != s.Term {
+		*in = incomingSnapshot{index: s.Index, term: s.Term}
+	}
+	if m.Offset == uint64(len(in.data)) {
+		in.data = append(in.data, m.Chunk...)
+	}
+	if uint64(len(in.data)) < s.Size {
+		n.send(Message{
+			Type: MsgSnapshotResponse, To: m.From, Index: s.Index, LogTerm: s.Term, Offset: uint64(len(in.data)),
+		})
+		return
+	}
+	n.installing = &Snapshot{Meta: s, Data: in.data}
+	n.incoming = incomingSnapshot{}
+	n.log.reset(s)
+	n.previous, n.snapshot = s, s
+	n.send(Message{Type: MsgAppendResponse, To: m.From, Index: s.Index})
+}
+
+func (n *Node) handleSnapshotResponse(m *Message) {
+	p := n.progress[m.From]
+	if n.role != Leader || p == nil || p.state != stateSnapshot {
+		return
+	}
+	if m.Index != p.snapshot.Index || m.LogTerm != p.snapshot.Term || m.Offset > p.snapshot.Size {
+		return
+	}
+	if m.Offset > p.offset {
+		p.offset, p.stalled = m.Offset, false
+		n.sendChunk(m.From, p)
+		return
+	}
+	// The member lost its chunks. The next heartbeat response resends.
+	p.offset = m.Offset
+}
+
+// Compact tells the node that the snapshot is durable, and forgets all
+// entries up to it except the last retain ones, which serve members that are
+// slightly behind.
+func (n *Node) Compact(s SnapshotMeta, retain uint64) {
+	if s.Index <= n.snapshot.Index {
+		return
+	}
+	n.previous, n.snapshot = n.snapshot, s
+	if s.Index > retain {
+		n.log.compact(s.Index - retain)
+	}
+}
--- /dev/null
+++ b/internal/replica/apply.go
@@ -0,0 +1,210 @@
+package replica
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/hlc"
+	"agatehaven.dev/agatehaven/internal/raft"
+)
+
+// applyTask is either a snapshot to restore or committed entries to apply.
+type applyTask struct {
+	snapshot *raft.Snapshot
+	entries  []raft.Entry
+}
+
+// applier is the goroutine that owns the state machine.
+type applier struct {
+	r      *Replica
+	config raft.Configuration
+	// index and term name the last applied entry; time is the latest
+	// timestamp of an applied entry.
+	index, term uint64
+	time        hlc.Time
+	// entries and bytes count what was applied since the last snapshot.
+	entries, bytes uint64
+}
+
+func (a *applier) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case t := <-a.r.tasks.Items():
+			if err := a.apply(t); err != nil {
+				return err
+			}
+			a.r.results.reach(a.index, &a.r.applied)
+			a.r.notify()
+			select {
+			case a.r.taskDone <- struct{}{}:
+			default:
+			}
+			if err := a.takeSnapshot(ctx); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (a *applier) apply(t applyTask) error {
+	if t.snapshot != nil {
+		return a.restore(t.snapshot)
+	}
+	for _, e := range t.entries {
+		if err := a.applyEntry(e); err != nil {
+			return err
+		}
+	}
+	a.r.metrics.appliedEntries.Add(len(t.entries))
+	return nil
+}
+
+// applyEntry applies one entry. The result goes to the proposer only if the
+// entry is the one that it proposed, not one that replaced it.
+func (a *applier) applyEntry(e raft.Entry) error {
+	var value any
+	switch e.Type {
+	case raft.EntryNormal:
+		t, data, err := openEnvelope(e.Data)
+		if err != nil {
+			return err
+		}
+		a.time = t
+		value = a.r.cfg.Machine.Apply(Entry{Index: e.Index, Term: e.Term, Time: t, Data: data})
+	case raft.EntryConfig:
+		config, err := raft.DecodeConfiguration(e.Data)
+		if err != nil {
+			return err
+		}
+		a.config = config
+	}
+	a.index, a.term = e.Index, e.Term
+	a.entries++
+	a.bytes += uint64(len(e.Data))
+	w, ok := a.r.results.remove(e.Index)
+	switch {
+	case !ok:
+	case w.term == e.Term:
+		a.r.finish(w.proposal, outcome{value: value})
+	default:
+		a.r.finish(w.proposal, outcome{err: &fault.ProposalUnknown{Group: a.r.cfg.Group}})
+	}
+	return nil
+}
+
+func (a *applier) restore(s *raft.Snapshot) error {
+	t, data, err := openEnvelope(s.Data)
+	if err != nil {
+		return err
+	}
+	if err := a.r.cfg.Machine.Restore(data); err != nil {
+		return err
+	}
+	a.r.cfg.HLC.Observe(t)
+	a.time, a.config, a.index, a.term = t, s.Meta.Config, s.Meta.Index, s.Meta.Term
+	a.entries, a.bytes = 0, 0
+	a.r.applied.Store(a.index)
+	return nil
+}
+
+// takeSnapshot stores a snapshot once enough was applied since the last one.
+func (a *applier) takeSnapshot(ctx context.Context) error {
+	if a.entries < a.r.cfg.SnapshotEntries && a.bytes < a.r.cfg.SnapshotBytes {
+		return nil
+	}
+	a.entries, a.bytes = 0, 0
+	data, err := a.r.cfg.Machine.Snapshot()
+	if err != nil {
+		// The log stays complete, so the next attempt can still succeed.
+		a.r.cfg.Logger.Error().Err(err).Str("group", a.r.cfg.Group).Msg("snapshot failed")
+		return nil
+	}
+	s := raft.Snapshot{Data: sealEnvelope(a.time, data)}
+	s.Meta = raft.SnapshotMeta{Index: a.index, Term: a.term, Config: a.config, Size: uint64(len(s.Data))}
+	if err := a.r.log.SaveSnapshot(s); err != nil {
+		return err
+	}
+	a.r.metrics.snapshotBytes.Set(float64(len(s.Data)))
+	if err := a.r.compactions.Put(ctx, s.Meta); err != nil {
+		return nil // the replica stops
+	}
+	return nil
+}
+
+// waiter waits for the entry that was proposed in a term.
+type waiter struct {
+	term     uint64
+	proposal *proposal
+}
+
+// appliedWaiter waits until the state machine has reached an index.
+type appliedWaiter struct {
+	index uint64
+	done  chan outcome
+}
+
+// results connects the entries of the log with the callers that wait for them.
+type results struct {
+	mu      sync.Mutex
+	waiters map[uint64]waiter
+	reads   []appliedWaiter
+}
+
+func (s *results) add(index uint64, w waiter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiters[index] = w
+}
+
+func (s *results) remove(index uint64) (waiter, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w, ok := s.waiters[index]
+	delete(s.waiters, index)
+	return w, ok
+}
+
+// take removes and returns the waiters after index.
+func (s *results) take(index uint64) []waiter {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var taken []waiter
+	for i, w := range s.waiters {
+		if i > index {
+			taken = append(taken, w)
+			delete(s.waiters, i)
+		}
+	}
+	return taken
+}
+
+// awaitApplied answers done once the applied index has reached index.
+func (s *results) awaitApplied(index uint64, done chan outcome, applied *atomic.Uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if applied.Load() >= index {
+		done <- outcome{}
+		return
+	}
+	s.reads = append(s.reads, appliedWaiter{index: index, done: done})
+}
+
+// reach publishes the applied index and answers the reads that waited for it.
+func (s *results) reach(index uint64, applied *atomic.Uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	applied.Store(index)
+	kept := s.reads[:0]
+	for _, w := range s.reads {
+		if w.index <= index {
+			w.done <- outcome{}
+		} else {
+			kept = append(kept, w)
+		}
+	}
+	s.reads = kept
+}
--- /dev/null
+++ b/internal/replica/core.go
@@ -0,0 +1,327 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/raft"
+	"agatehaven.dev/agatehaven/internal/wal"
+)
+
+// core is the goroutine that owns the raft node and writes the log.
+type core struct {
+	r        *Replica
+	node     *raft.Node
+	options  raft.Options
+	identity wal.Identity
+
+	nextRead uint64
+	reads    map[uint64]chan outcome
+	// transfers waits for the end of a leadership transfer.
+	transfers []chan outcome
+	// backlog holds tasks for which the applier had no room. It is bounded by
+	// the log, which holds the same entries.
+	backlog []applyTask
+
+	// published is what Status shows.
+	published raft.Status
+	wasLeader bool
+	leaderOf  uint64 // term in which this node led last
+}
+
+func (c *core) run(ctx context.Context) error {
+	defer c.endRequests(&fault.ShuttingDown{})
+	r := c.r
+	tick := r.cfg.Clock.After(r.cfg.TickInterval)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick:
+			c.node.Tick()
+			tick = r.cfg.Clock.After(r.cfg.TickInterval)
+		case messages := <-r.inbox.Items():
+			c.step(messages)
+		case p := <-r.proposals.Items():
+			c.propose(p)
+		case q := <-r.requests.Items():
+			q(c)
+		case s := <-r.compactions.Items():
+			if err := c.compact(s); err != nil {
+				return err
+			}
+		case <-r.taskDone:
+		}
+		c.drain()
+		if err := c.flush(); err != nil {
+			return err
+		}
+	}
+}
+
+// drain takes what else is waiting, so that it shares one log write.
+func (c *core) drain() {
+	for _, messages := range c.r.inbox.Drain(drainLimit) {
+		c.step(messages)
+	}
+	for _, p := range c.r.proposals.Drain(drainLimit) {
+		c.propose(p)
+	}
+	for _, q := range c.r.requests.Drain(drainLimit) {
+		q(c)
+	}
+}
+
+func (c *core) step(messages []raft.Message) {
+	for _, m := range messages {
+		c.node.Step(m)
+	}
+}
+
+func (c *core) propose(p *proposal) {
+	index, term, err := c.node.Propose(sealEnvelope(c.r.cfg.HLC.Now(), p.data))
+	if err != nil {
+		c.r.finish(p, outcome{err: err})
+		return
+	}
+	c.r.metrics.proposals.Inc()
+	c.r.results.add(index, waiter{term: term, proposal: p})
+}
+
+func (c *core) read(done chan outcome) {
+	c.nextRead++
+	if err := c.node.ReadIndex(c.nextRead); err != nil {
+		done <- outcome{err: err}
+		return
+	}
+	c.reads[c.nextRead] = done
+}
+
+func (c *core) transfer(done chan outcome) {
+	if _, err := c.node.TransferLeadership(); err != nil {
+		done <- outcome{err: err}
+		return
+	}
+	c.transfers = append(c.transfers, done)
+}
+
+// compact forgets entries that a durable snapshot covers.
+func (c *core) compact(s raft.SnapshotMeta) error {
+	c.node.Compact(s, c.r.cfg.SnapshotEntries/2)
+	return c.r.log.Release(s.Index)
+}
+
+// flush carries out all work of the node.
+func (c *core) flush() error {
+	for {
+		rd, ok := c.node.Ready()
+		if err := c.node.Err(); err != nil {
+			return err
+		}
+		if !ok {
+			break
+		}
+		if err := c.carryOut(&rd); err != nil {
+			return err
+		}
+		c.node.Advance(rd)
+	}
+	if c.node.Status().LostDisk {
+		if err := c.reincarnate(); err != nil {
+			return err
+		}
+	}
+	c.handBacklog()
+	c.publish()
+	return nil
+}
+
+func (c *core) carryOut(rd *raft.Ready) error {
+	later := rd.Messages
+	if rd.SendFirst() {
+		var first []raft.Message
+		first, later = splitForSync(rd.Messages)
+		c.send(first)
+	}
+	if rd.Snapshot != nil {
+		if err := c.r.log.InstallSnapshot(*rd.Snapshot); err != nil {
+			return err
+		}
+		c.r.metrics.installed.Inc()
+		c.backlog = append(c.backlog, applyTask{snapshot: rd.Snapshot})
+	}
+	if rd.MustSync {
+		started := c.r.cfg.Clock.Now()
+		if err := c.r.log.Save(rd.HardState, rd.Entries); err != nil {
+			return err
+		}
+		c.r.metrics.syncSeconds.Update(c.r.cfg.Clock.Now().Sub(started).Seconds())
+	}
+	c.r.observe(rd.Entries)
+	c.send(later)
+	if len(rd.Committed) > 0 {
+		c.backlog = append(c.backlog, applyTask{entries: rd.Committed})
+		c.handBacklog()
+	}
+	for _, s := range rd.Reads {
+		if done, ok := c.reads[s.ID]; ok {
+			delete(c.reads, s.ID)
+			c.r.results.awaitApplied(s.Index, done, &c.r.applied)
+		}
+	}
+	return nil
+}
+
+// splitForSync separates the messages that may be sent before the sync. A
+// follower's own acknowledgements and votes must wait for it.
+func splitForSync(messages []raft.Message) (first, later []raft.Message) {
+	for _, m := range messages {
+		if m.Type == raft.MsgAppend || m.Type == raft.MsgHeartbeat {
+			first = append(first, m)
+		} else {
+			later = append(later, m)
+		}
+	}
+	return first, later
+}
+
+func (c *core) send(messages []raft.Message) {
+	if len(messages) == 0 {
+		return
+	}
+	if err := c.r.outbox.TryPut(messages); err != nil {
+		c.r.metrics.dropped.Add(len(messages))
+	}
+}
+
+// handBacklog gives the applier as many tasks as it has room for.
+func (c *core) handBacklog() {
+	for len(c.backlog) > 0 && c.r.tasks.TryPut(c.backlog[0]) == nil {
+		c.backlog = c.backlog[1:]
+	}
+}
+
+// reincarnate gives this host a new identity after its disk was lost, so that
+// it never votes as its former self. An operator has to add the new id.
+func (c *core) reincarnate() error {
+	former := c.identity.MemberID()
+	c.identity.Incarnation = c.r.cfg.NewIncarnation()
+	if err := wal.SaveIdentity(c.r.cfg.FS, c.r.cfg.Dir, c.identity); err != nil {
+		return err
+	}
+	c.options.ID = c.identity.MemberID()
+	node, err := raft.New(c.options)
+	if err != nil {
+		return err
+	}
+	c.node = node
+	c.r.cfg.Logger.Warn().Str("group", c.r.cfg.Group).Str("former", former).Str("id", c.options.ID).
+		Msg("disk lost: this replica must be added under its new id")
+	return nil
+}
+
+// publish updates Status and answers requests that a change of leadership ends.
+func (c *core) publish() {
+	s := c.node.Status()
+	leading := s.Role == raft.Leader
+	if c.wasLeader && (!leading || s.Term != c.leaderOf) {
+		c.loseLeadership(&s)
+	}
+	c.endTransfers(&s)
+	c.wasLeader = leading
+	if leading {
+		c.leaderOf = s.Term
+	}
+	old := c.published
+	changed := s.Leader != old.Leader || s.Role != old.Role || s.Term != old.Term || s.ID != old.ID
+	configured := sameMembers(s.Config, old.Config)
+	if !changed && configured && s.Committed == old.Committed {
+		return
+	}
+	c.published = s
+	status := Status{
+		Group: c.r.cfg.Group, ID: s.ID, Role: roleOf(&s), Term: s.Term, Leader: raft.HostOf(s.Leader),
+		Committed: s.Committed, Reason: reasonOf(&s),
+	}
+	c.r.mu.Lock()
+	status.Members = c.r.status.Members
+	if !configured || status.Members == nil {
+		status.Members = membersOf(s.Config)
+	}
+	c.r.status = status
+	c.r.mu.Unlock()
+	if changed {
+		c.r.metrics.leaderChanges.Inc()
+		c.r.cfg.Logger.Info().Str("group", status.Group).Str("id", s.ID).Str("role", string(status.Role)).
+			Uint64("term", s.Term).Str("leader", status.Leader).Msg("role or leader changed")
+		c.r.notify()
+	}
+}
+
+// sameMembers compares by identity: a configuration is never modified.
+func sameMembers(a, b raft.Configuration) bool {
+	return len(a.Members) == len(b.Members) && (len(a.Members) == 0 || &a.Members[0] == &b.Members[0])
+}
+
+func roleOf(s *raft.Status) Role {
+	switch {
+	case s.Role == raft.Leader:
+		return RoleLeader
+	case !s.Config.IsVoter(s.ID):
+		return RoleLearner
+	case s.Role == raft.Follower:
+		return RoleFollower
+	}
+	return RoleCandidate
+}
+
+func reasonOf(s *raft.Status) string {
+	if _, member := s.Config.Find(s.ID); !member {
+		return "replica " + s.ID + " is not a member of the group: an operator must add it"
+	}
+	return ""
+}
+
+// loseLeadership ends reads, which may be stale, and proposals that are not
+// known to be committed. Committed ones get their result from the applier.
+func (c *core) loseLeadership(s *raft.Status) {
+	leader := ""
+	if s.Leader != s.ID {
+		leader = raft.HostOf(s.Leader)
+	}
+	for id, done := range c.reads {
+		delete(c.reads, id)
+		done <- outcome{err: &fault.NotLeader{Group: c.r.cfg.Group, Leader: leader}}
+	}
+	for _, w := range c.r.results.take(s.Committed) {
+		c.r.finish(w.proposal, outcome{err: &fault.ProposalUnknown{Group: c.r.cfg.Group}})
+	}
+}
+
+func (c *core) endTransfers(s *raft.Status) {
+	if s.Transferring || len(c.transfers) == 0 {
+		return
+	}
+	out := outcome{}
+	if s.Role == raft.Leader {
+		timeout := time.Duration(c.r.cfg.ElectionTicks) * c.r.cfg.TickInterval
+		out.err = &fault.Timeout{What: "leadership transfer", After: timeout}
+	}
+	for _, done := range c.transfers {
+		done <- out
+	}
+	c.transfers = nil
+}
+
+// endRequests answers what is waiting when the core ends.
+func (c *core) endRequests(err error) {
+	for id, done := range c.reads {
+		delete(c.reads, id)
+		done <- outcome{err: err}
+	}
+	for _, done := range c.transfers {
+		done <- outcome{err: err}
+	}
+	c.transfers = nil
+}
--- /dev/null
+++ b/internal/replica/envelope.go
@@ -0,0 +1,32 @@
+package replica
+
+import (
+	"encoding/binary"
+
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/hlc"
+)
+
+// envelopeBytes is the size of the timestamp before the data of an entry or
+// of a snapshot.
+const envelopeBytes = 12
+
+// sealEnvelope puts a timestamp before data.
+func sealEnvelope(t hlc.Time, data []byte) []byte {
+	out := make([]byte, envelopeBytes, envelopeBytes+len(data))
+	binary.LittleEndian.PutUint64(out, uint64(t.WallMillis))
+	binary.LittleEndian.PutUint32(out[8:], t.Logical)
+	return append(out, data...)
+}
+
+// openEnvelope returns *fault.Corrupt if data is too short.
+func openEnvelope(data []byte) (hlc.Time, []byte, error) {
+	if len(data) < envelopeBytes {
+		return hlc.Time{}, nil, &fault.Corrupt{What: "log entry", Reason: "no timestamp"}
+	}
+	t := hlc.Time{
+		WallMillis: int64(binary.LittleEndian.Uint64(data)),
+		Logical:    binary.LittleEndian.Uint32(data[8:]),
+	}
+	return t, data[envelopeBytes:], nil
+}
--- /dev/null
+++ b/internal/replica/harness_test.go
@@ -0,0 +1,209 @@
+package replica_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"path"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatehaven.dev/agatehaven/internal/clock"
+	"agatehaven.dev/agatehaven/internal/hlc"
+	"agatehaven.dev/agatehaven/internal/replica"
+	"agatehaven.dev/agatehaven/internal/testsupport/faultfs"
+)
+
+func TestReplica(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "replica")
+}
+
+const (
+	tick    = 100 * time.Millisecond
+	patient = 30 * time.Second
+)
+
+// journal is a state machine that remembers the entries in order.
+type journal struct {
+	mu    sync.Mutex
+	lines []string
+	times []hlc.Time
+}
+
+func (j *journal) Apply(e replica.Entry) any {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.lines = append(j.lines, string(e.Data))
+	j.times = append(j.times, e.Time)
+	return len(j.lines)
+}
+
+func (j *journal) Snapshot() ([]byte, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return json.Marshal(j.lines)
+}
+
+func (j *journal) Restore(data []byte) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return json.Unmarshal(data, &j.lines)
+}
+
+func (j *journal) content() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]string(nil), j.lines...)
+}
+
+// cluster runs replicas on in-memory disks, joined by an in-memory transport.
+type cluster struct {
+	clock   *clock.Manual
+	mu      sync.Mutex
+	running map[string]*replica.Replica
+	cut     map[string]bool // hosts without network
+	disks   map[string]*faultfs.FS
+	states  map[string]*journal
+	config  func(*replica.Config)
+	names   int
+}
+
+type transport struct {
+	c    *cluster
+	from string
+}
+
+func (t transport) Send(host, _ string, messages []byte) {
+	t.c.mu.Lock()
+	target := t.c.running[host]
+	if t.c.cut[host] || t.c.cut[t.from] {
+		target = nil
+	}
+	t.c.mu.Unlock()
+	if target != nil {
+		_ = target.Step(messages) // best effort
+	}
+}
+
+func newCluster(hosts ...string) *cluster {
+	c := &cluster{
+		clock:   clock.NewManual(time.UnixMilli(1_000_000)),
+		running: map[string]*replica.Replica{}, cut: map[string]bool{},
+		disks: map[string]*faultfs.FS{}, states: map[string]*journal{},
+		config: func(*replica.Config) {},
+	}
+	for _, h := range hosts {
+		c.disks[h] = faultfs.New()
+	}
+	DeferCleanup(func() {
+		for _, h := range c.hosts() {
+			c.stop(h)
+		}
+	})
+	return c
+}
+
+func (c *cluster) hosts() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var hosts []string
+	for h := range c.running {
+		hosts = append(hosts, h)
+	}
+	return hosts
+}
+
+func members(hosts ...string) []replica.Member {
+	var out []replica.Member
+	for _, h := range hosts {
+		out = append(out, replica.Member{Host: h})
+	}
+	return out
+}
+
+// start starts the replica of a host; bootstrap is empty for a host that
+// waits to be added.
+func (c *cluster) start(host string, bootstrap ...string) {
+	Expect(c.tryStart(host, bootstrap...)).To(Succeed())
+}
+
+func (c *cluster) tryStart(host string, bootstrap ...string) error {
+	j := &journal{}
+	cfg := replica.Config{
+		Group: "east", Self: replica.Member{Host: host}, Bootstrap: members(bootstrap...), Dir: "/data",
+		TickInterval: tick, Seed: uint64(len(host)) + uint64(host[0]), Clock: c.clock, HLC: hlc.NewClock(c.clock),
+		Transport: transport{c: c, from: host}, Machine: j, FS: c.disks[host],
+		NewIncarnation: func() string { c.names++; return fmt.Sprintf("new%d", c.names) },
+	}
+	c.config(&cfg)
+	r, err := replica.Start(context.Background(), cfg)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running[host], c.states[host] = r, j
+	return nil
+}
+
+func (c *cluster) stop(host string) {
+	c.mu.Lock()
+	r := c.running[host]
+	delete(c.running, host)
+	c.mu.Unlock()
+	if r != nil {
+		Expect(r.Close(context.Background())).To(Succeed())
+	}
+}
+
+func (c *cluster) isolate(host string, isolated bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[host] = isolated
+}
+
+// until advances the clock tick by tick until the condition holds.
+func (c *cluster) until(what string, condition func() bool) {
+	GinkgoHelper()
+	Eventually(func() bool {
+		c.clock.Advance(tick)
+		return condition()
+	}).WithTimeout(patient).WithPolling(time.Millisecond).Should(BeTrue(), what)
+}
+
+// leader waits for a leader that can commit and returns its host.
+func (c *cluster) leader(among ...string) string {
+	GinkgoHelper()
+	found := ""
+	c.until("a leader is elected", func() bool {
+		for _, h := range among {
+			if s := c.running[h].Status(); s.Role == replica.RoleLeader && s.Committed > 0 {
+				found = h
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+func (c *cluster) propose(host, line string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), patient)
+	defer cancel()
+	_, err := c.running[host].Propose(ctx, []byte(line))
+	return err
+}
+
+// holds waits until the hosts have applied exactly these lines.
+func (c *cluster) holds(lines string, hosts ...string) {
+	GinkgoHelper()
+	for _, h := range hosts {
+		c.until(path.Join(h, lines), func() bool { return strings.Join(c.states[h].content(), " ") == lines })
+	}
+}
