--- a/internal/model/request.go
+++ b/internal/model/request.go
@@ -99,6 +99,9 @@
 	At                hlc.Time `cbor:"13,keyasint"`
 	StopLimitMS       int      `cbor:"14,keyasint"`
 	Accelerators      int      `cbor:"15,keyasint"`
+	// OwnerIncarnation is the process that may start the attempt. Another
+	// process refuses it; empty leaves the check to the leader.
+	OwnerIncarnation string `cbor:"16,keyasint,omitempty"`
 }
 
 // AttemptReport is a result that the owner or the resolver brings back.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
@@ -144,7 +143,7 @@
 	if connect.CodeOf(err) == connect.CodeResourceExhausted {
 		return &fault.Corrupt{What: "response of " + c.host, Offset: MaxMessageBytes, Reason: "it exceeds the message limit"}
 	}
-	return &ConnectionLost{Host: c.host, Reason: err.Error()}
+	return &fault.ConnectionLost{Address: c.address, Reason: err.Error()}
 }
 
 // wireFailure converts an error that the other side's HTTP or connect layer
@@ -161,8 +160,6 @@
 
 func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
-var _ http.RoundTripper = (*transport.Lease)(nil)
-
 func (c *client) Step(ctx context.Context, r *StepRequest) (*StepResponse, error) {
 	return call[StepRequest, StepResponse](ctx, c, "Step", r, 0)
 }
--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"unicode/utf8"
 
 	"connectrpc.com/connect"
@@ -18,23 +17,6 @@
 // maxFaultText bounds the texts of an error on the wire, in bytes.
 const maxFaultText = 2048
 
-// CodeConnectionLost is the code of ConnectionLost.
-const CodeConnectionLost fault.Code = "connection_lost"
-
-// ConnectionLost reports that a call was sent, but its connection broke before
-// the response: the effect of the call is unknown.
-type ConnectionLost struct {
-	Host   string
-	Reason string
-}
-
-func (e *ConnectionLost) Error() string {
-	return fmt.Sprintf("connection to %s was lost during a call: %s", e.Host, e.Reason)
-}
-
-// Code implements fault.Coded.
-func (e *ConnectionLost) Code() fault.Code { return CodeConnectionLost }
-
 // wireFault is an error on the wire. A, B and the numbers hold the fields of
 // the error type that Code names.
 type wireFault struct {
@@ -147,7 +129,7 @@
 		return connect.CodeAlreadyExists
 	case fault.CodeCorrupt:
 		return connect.CodeDataLoss
-	case fault.CodeTimeout, fault.CodeProposalUnknown, fault.CodeSilentConnection:
+	case fault.CodeTimeout, fault.CodeProposalUnknown, fault.CodeSilentConnection, fault.CodeConnectionLost:
 		return connect.CodeUnknown
 	}
 	return connect.CodeInternal
--- a/internal/peer/leader.go
+++ b/internal/peer/leader.go
@@ -148,7 +148,7 @@
 // effectUnknown reports whether the call may or may not have taken effect.
 func effectUnknown(err error) bool {
 	switch fault.CodeOf(err) {
-	case fault.CodeSilentConnection, fault.CodeTimeout, fault.CodeProposalUnknown, CodeConnectionLost:
+	case fault.CodeSilentConnection, fault.CodeTimeout, fault.CodeProposalUnknown, fault.CodeConnectionLost:
 		return true
 	}
 	return false
--- a/internal/target/errors.go
+++ b/internal/target/errors.go
@@ -8,10 +8,9 @@
 
 // Codes of the errors in this package.
 const (
-	CodeRefused        fault.Code = "target_refused"
-	CodeNotSent        fault.Code = "target_not_sent"
-	CodeStatus         fault.Code = "target_status"
-	CodeConnectionLost fault.Code = "target_connection_lost"
+	CodeRefused fault.Code = "target_refused"
+	CodeNotSent fault.Code = "target_not_sent"
+	CodeStatus  fault.Code = "target_status"
 )
 
 // RefusedError reports that the target refused an attempt: it has not begun
@@ -49,14 +48,3 @@
 
 // Code implements fault.Coded.
 func (e *StatusError) Code() fault.Code { return CodeStatus }
-
-// ConnectionLostError reports that the connection broke after a request may
-// have been sent and before its response was complete.
-type ConnectionLostError struct{ Address, Reason string }
-
-func (e *ConnectionLostError) Error() string {
-	return fmt.Sprintf("connection to target %s was lost during a call: %s", e.Address, e.Reason)
-}
-
-// Code implements fault.Coded.
-func (e *ConnectionLostError) Code() fault.Code { return CodeConnectionLost }
--- a/internal/target/http.go
+++ b/internal/target/http.go
@@ -247,7 +247,7 @@
 	if ctx.Err() != nil {
 		return nil, eris.Wrapf(ctx.Err(), "call to target %s", e.address)
 	}
-	return nil, &ConnectionLostError{Address: e.address, Reason: err.Error()}
+	return nil, &fault.ConnectionLost{Address: e.address, Reason: err.Error()}
 }
 
 // newRequest returns a request that net/http cannot send twice: its body has
@@ -337,7 +337,7 @@
 	}
 	return TaskStatus{
 		Key: m.Request, Attempt: m.Attempt, State: m.State, Progress: m.Progress,
-		Answer: m.Answer, Reason: m.Reason, RunMS: m.RunMS,
+		Answer: m.Answer, Reason: m.Reason, RunMS: m.RunMS, Incarnation: m.Incarnation,
 	}, nil
 }
 
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -44,6 +44,10 @@
 	Answer   []byte
 	Reason   string
 	RunMS    int64
+	// Incarnation is the target's incarnation that answered, empty if it does
+	// not tell. TaskAbsent and TaskRevoked prove nothing about an attempt that
+	// an earlier incarnation was given.
+	Incarnation string
 }
 
 // Client calls targets. Every method returns *fault.SilentConnection if the
--- a/internal/target/wire.go
+++ b/internal/target/wire.go
@@ -15,6 +15,8 @@
 	Progress int64     `json:"progress,omitempty"`
 	Reason   string    `json:"reason,omitempty"`
 	RunMS    int64     `json:"run_ms,omitempty"`
+	// Incarnation is the target's incarnation, as in its announcements.
+	Incarnation string `json:"incarnation,omitempty"`
 	// Answer is present once the task has finished, with its length in bytes
 	// and its SHA-256 in hexadecimal.
 	Answer       []byte `json:"answer,omitempty"`
--- a/internal/testsupport/standin/serve.go
+++ b/internal/testsupport/standin/serve.go
@@ -75,6 +75,7 @@
 	m := target.StatusMessage{Request: at.key, Attempt: at.attempt, State: target.TaskAbsent}
 	t.mu.Lock()
 	revoked, faults := t.revoked[at], t.faults
+	m.Incarnation = t.incarnation
 	t.mu.Unlock()
 	if k := t.find(at); k != nil {
 		k.describe(&m, t.fleet.cfg.Clock.Now())
