--- /dev/null
+++ b/cmd/agatehavend/main.go
@@ -0,0 +1,110 @@
+// Command agatehavend is the daemon on each entry host.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"agatehaven.dev/agatehaven/internal/clock"
+	"agatehaven.dev/agatehaven/internal/daemon"
+	"agatehaven.dev/agatehaven/internal/logging"
+	"agatehaven.dev/agatehaven/internal/settings"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(&runCommand{}, "")
+	subcommands.Register(&checkCommand{}, "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
+
+// runCommand serves until a signal ends the process.
+type runCommand struct{ path string }
+
+func (*runCommand) Name() string     { return "run" }
+func (*runCommand) Synopsis() string { return "serve as an entry host" }
+func (*runCommand) Usage() string {
+	return "run -settings FILE\n\nSIGTERM stops gracefully; a second SIGTERM stops at once.\n"
+}
+
+func (c *runCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.path, "settings", "agatehavend.toml", "path of the TOML settings")
+}
+
+func (c *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := run(ctx, c.path); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func run(ctx context.Context, path string) error {
+	s, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	var out io.Writer = os.Stderr
+	if s.Log.File != "" {
+		file, err := logging.OpenFile(s.Log.File, int64(s.Log.MaxFileMB)<<20)
+		if err != nil {
+			return err
+		}
+		defer file.Close()
+		out = file
+	}
+	log, err := logging.New(out, s.Log.Level, clock.System{})
+	if err != nil {
+		return err
+	}
+	stop, cut := signals(ctx)
+	d, err := daemon.New(cut, daemon.Config{Settings: s, Log: log, Clock: clock.System{}})
+	if err != nil {
+		return err
+	}
+	return d.Run(stop, cut)
+}
+
+// signals returns a context that ends with the first SIGTERM or SIGINT, and
+// one that ends with the second.
+func signals(ctx context.Context) (stop, cut context.Context) {
+	stop, stopNow := context.WithCancel(ctx)
+	cut, cutNow := context.WithCancel(ctx)
+	received := make(chan os.Signal, 2)
+	signal.Notify(received, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-received
+		stopNow()
+		<-received
+		cutNow()
+	}()
+	return stop, cut
+}
+
+// checkCommand checks settings and exits.
+type checkCommand struct{ path string }
+
+func (*checkCommand) Name() string     { return "check-config" }
+func (*checkCommand) Synopsis() string { return "check the settings and exit" }
+func (*checkCommand) Usage() string    { return "check-config -settings FILE\n" }
+
+func (c *checkCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.path, "settings", "agatehavend.toml", "path of the TOML settings")
+}
+
+func (c *checkCommand) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if _, err := settings.Load(c.path); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	fmt.Println("settings are valid")
+	return subcommands.ExitSuccess
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -92,14 +92,14 @@
 type Controller struct {
 	cfg Config
 
-	mu       sync.Mutex
+	mu        sync.Mutex
 	term      uint64
 	termStart time.Time
-	contacts map[string]*contact
-	owners   map[string]*owner
-	entries  map[string]string // open request key -> entry host that took it
-	policies *policies
-	acked    ackMark
+	contacts  map[string]*contact
+	owners    map[string]*owner
+	entries   map[string]string // open request key -> entry host that took it
+	policies  *policies
+	acked     ackMark
 	// turn spreads requests over owners; only the placement loop uses it.
 	turn int
 }
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,332 @@
+// Package daemon wires the parts of one entry host together, starts them and
+// stops them gracefully.
+package daemon
+
+import (
+	"context"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"agatehaven.dev/agatehaven/internal/clock"
+	"agatehaven.dev/agatehaven/internal/control"
+	"agatehaven.dev/agatehaven/internal/datacentre"
+	"agatehaven.dev/agatehaven/internal/dispatch"
+	"agatehaven.dev/agatehaven/internal/event"
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/hlc"
+	"agatehaven.dev/agatehaven/internal/peer"
+	"agatehaven.dev/agatehaven/internal/region"
+	"agatehaven.dev/agatehaven/internal/replica"
+	"agatehaven.dev/agatehaven/internal/settings"
+	"agatehaven.dev/agatehaven/internal/target"
+)
+
+// Version is the version of this build, reported to peers and operators.
+const Version = "0.1.0"
+
+// handoverTimeout bounds one transfer of leadership during a graceful stop:
+// two election timeouts.
+const handoverTimeout = 2 * time.Second
+
+// Daemon is one entry host.
+type Daemon struct {
+	settings    *settings.Settings
+	log         zerolog.Logger
+	clock       clock.Clock
+	hlc         *hlc.Clock
+	incarnation string
+
+	dialer      peer.Dialer
+	leaders     map[string]*peer.LeaderClient
+	sender      *sender
+	region      *regionNode
+	dataCentres map[string]*dataCentreNode
+	dispatcher  *dispatch.Dispatcher
+	targets     target.Client
+	events      *event.Store
+	eventSeq    atomic.Uint64
+	force       *inForce
+	stopping    atomic.Bool
+}
+
+// regionNode is the replica of the region group on this host.
+type regionNode struct {
+	group   *replica.Replica
+	machine *region.Machine
+}
+
+// dataCentreNode is the replica of one data centre group on this host.
+type dataCentreNode struct {
+	group      *replica.Replica
+	machine    *datacentre.Machine
+	controller *control.Controller
+}
+
+// Config is the environment of a daemon.
+type Config struct {
+	Settings *settings.Settings
+	Log      zerolog.Logger
+	Clock    clock.Clock
+}
+
+// New builds a daemon and starts its replicas. Run serves.
+func New(ctx context.Context, cfg Config) (*Daemon, error) {
+	d := &Daemon{
+		settings:    cfg.Settings,
+		log:         cfg.Log.With().Str("host", cfg.Settings.Host).Logger(),
+		clock:       cfg.Clock,
+		hlc:         hlc.NewClock(cfg.Clock),
+		incarnation: uuid.NewString(),
+		leaders:     make(map[string]*peer.LeaderClient),
+		dataCentres: make(map[string]*dataCentreNode),
+		events:      event.NewStore(cfg.Settings.Limits.Events),
+		force:       newInForce(),
+	}
+	if err := d.buildClients(); err != nil {
+		return nil, err
+	}
+	d.dispatcher = dispatch.New(dispatch.Config{
+		Owner: d.settings.Host, Incarnation: d.incarnation, DataCentre: d.settings.DataCentre,
+		Leader: dispatch.NewPeerLeader(d.leaders[d.settings.DataCentre]), Targets: d.targets,
+		Clock: d.clock, Events: recorder{d},
+	})
+	if err := d.startReplicas(ctx); err != nil {
+		d.closeReplicas(ctx)
+		return nil, err
+	}
+	return d, nil
+}
+
+// buildClients makes the clients to peers and targets.
+func (d *Daemon) buildClients() error {
+	tlsConfig, err := d.settings.TLS.Peer.ClientConfig()
+	if err != nil {
+		return err
+	}
+	addresses := make(map[string]string, len(d.settings.Hosts))
+	for _, h := range d.settings.Hosts {
+		addresses[h.Name] = h.Peer
+	}
+	d.dialer = peer.NewDialer(peer.DialerConfig{Addresses: addresses, TLS: tlsConfig, Clock: d.clock, HLC: d.hlc})
+	for _, g := range d.settings.Groups {
+		d.leaders[g.Name] = peer.NewLeaderClient(peer.LeaderConfig{
+			Dialer: d.dialer, Hosts: d.groupHosts(g), Clock: d.clock,
+		})
+	}
+	d.sender = newSender(d.dialer, d.log)
+	d.targets = target.NewHTTPClient(target.HTTPConfig{Clock: d.clock, MaxConns: d.connectionShare()})
+	return nil
+}
+
+// groupHosts lists the hosts to ask for a group's leader: its initial members
+// first, then the other hosts with disks, which may have been added since.
+func (d *Daemon) groupHosts(g settings.Group) []string {
+	hosts := append(append([]string{}, g.Voters...), g.Witnesses...)
+	seen := make(map[string]bool)
+	for _, h := range hosts {
+		seen[h] = true
+	}
+	for _, h := range d.settings.Hosts {
+		if h.HasDisk && !seen[h.Name] {
+			hosts = append(hosts, h.Name)
+		}
+	}
+	return hosts
+}
+
+// targetConnections is the limit of connections to one target over all entry
+// hosts together.
+const targetConnections = 64
+
+// connectionShare is this entry host's part of a target's connections.
+func (d *Daemon) connectionShare() int {
+	return max(1, targetConnections/len(d.settings.Hosts))
+}
+
+// startReplicas starts the replicas of all groups that this host may hold. A
+// host with a disk also runs learners of groups it is not an initial member
+// of, so that an operator can add it.
+func (d *Daemon) startReplicas(ctx context.Context) error {
+	if d.settings.DataFolder == "" {
+		return nil
+	}
+	for _, g := range d.settings.Groups {
+		members, self := groupMembers(g, d.settings.Host)
+		if self == nil && g.Name != d.settings.DataCentre && g.Name != settings.RegionGroup {
+			continue
+		}
+		if self == nil {
+			self = &replica.Member{Host: d.settings.Host}
+		}
+		if err := d.startReplica(ctx, g.Name, *self, members); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// groupMembers returns the initial members of a group, and the entry of host
+// among them if it has one.
+func groupMembers(g settings.Group, host string) (members []replica.Member, self *replica.Member) {
+	for _, name := range g.Voters {
+		members = append(members, replica.Member{Host: name})
+	}
+	for _, name := range g.Witnesses {
+		members = append(members, replica.Member{Host: name, Witness: true})
+	}
+	for i := range members {
+		if members[i].Host == host {
+			self = &members[i]
+		}
+	}
+	return members, self
+}
+
+func (d *Daemon) startReplica(ctx context.Context, group string, self replica.Member, members []replica.Member) error {
+	cfg := replica.Config{
+		Group: group, Self: self, Dir: filepath.Join(d.settings.DataFolder, group),
+		TickInterval: d.settings.Timing.Tick, ElectionTicks: d.settings.Timing.ElectionTicks,
+		SnapshotEntries: uint64(d.settings.Timing.SnapshotEntries),
+		MaxInflight:     d.settings.Limits.ProposalsInFlight,
+		Seed:            seedOf(d.settings.Host, group),
+		Clock:           d.clock, HLC: d.hlc, Transport: d.sender, Logger: d.log,
+	}
+	if d.settings.Bootstrap {
+		cfg.Bootstrap = members
+	}
+	if group == settings.RegionGroup {
+		machine := region.New(d.settings.DataCentres())
+		cfg.Machine = machine
+		r, err := replica.Start(ctx, cfg)
+		if err != nil {
+			return err
+		}
+		d.region = &regionNode{group: r, machine: machine}
+		return nil
+	}
+	machine := datacentre.New(group, ledgerLimits(&d.settings.Limits), d.events.Add)
+	cfg.Machine = machine
+	r, err := replica.Start(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	d.dataCentres[group] = &dataCentreNode{group: r, machine: machine, controller: d.newController(group, r, machine)}
+	return nil
+}
+
+func (d *Daemon) newController(group string, r *replica.Replica, machine *datacentre.Machine) *control.Controller {
+	timing := control.DefaultTiming()
+	timing.HostLease = d.settings.Timing.Lease
+	return control.New(control.Config{
+		DataCentre: group, Host: d.settings.Host, Group: r, Machine: machine,
+		Records: regionSource{d.leaders[settings.RegionGroup]}, Resolver: d.resolver(),
+		Platform: d.platform(), Clock: d.clock, Log: d.log, Timing: timing, Policy: controlPolicy(&d.settings.Policy),
+	})
+}
+
+// Run serves until stop ends, then stops gracefully. If cut ends, the process
+// stops at once.
+func (d *Daemon) Run(stop, cut context.Context) error {
+	ctx, cancel := context.WithCancel(cut)
+	defer cancel()
+	servers, err := d.listen()
+	if err != nil {
+		return err
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { d.sender.run(ctx) })
+	wg.Go(func() { d.followRecords(ctx) })
+	wg.Go(func() { d.dispatcher.Run(ctx) })
+	for _, n := range d.dataCentres {
+		wg.Go(func() { n.controller.Run(ctx) })
+	}
+	failed := servers.serve()
+	d.log.Info().Str("incarnation", d.incarnation).Str("version", Version).Msg("started")
+	select {
+	case err = <-failed:
+	case <-d.replicaFailed(ctx):
+		err = &fault.Unavailable{What: "replica", Reason: "it stopped; see the log"}
+	case <-stop.Done():
+		d.drain(cut, servers)
+	case <-cut.Done():
+	}
+	cancel()
+	servers.close()
+	wg.Wait()
+	closeCtx, done := context.WithTimeout(context.Background(), handoverTimeout)
+	defer done()
+	d.closeReplicas(closeCtx)
+	d.log.Info().Msg("stopped")
+	return err
+}
+
+// drain stops gracefully: no new requests, leadership handed over, requests
+// in progress finished within the drain bound.
+func (d *Daemon) drain(cut context.Context, servers *servers) {
+	d.stopping.Store(true)
+	d.log.Info().Int("attempts", d.dispatcher.InHand()).Msg("graceful stop started")
+	ctx, cancel := context.WithTimeout(cut, d.settings.Timing.DrainBound)
+	defer cancel()
+	d.handOver(ctx)
+	servers.drainCallers(ctx)
+	for _, a := range d.dispatcher.Drain(ctx) {
+		d.log.Warn().Str("request", a.Key).Int("attempt", a.Attempt).Str("target", a.Host).Msg("attempt interrupted by the stop")
+	}
+	// An election during the drain may have made this host a leader again.
+	d.handOver(ctx)
+}
+
+// handOver transfers the leadership of every group that this host leads.
+func (d *Daemon) handOver(ctx context.Context) {
+	for _, r := range d.replicas() {
+		if r.Status().Role != replica.RoleLeader {
+			continue
+		}
+		transfer, cancel := context.WithTimeout(ctx, handoverTimeout)
+		if err := r.TransferLeadership(transfer); err != nil {
+			d.log.Warn().Str("group", r.Status().Group).Err(err).Msg("leadership not handed over")
+		}
+		cancel()
+	}
+}
+
+func (d *Daemon) replicas() []*replica.Replica {
+	var out []*replica.Replica
+	if d.region != nil {
+		out = append(out, d.region.group)
+	}
+	for _, n := range d.dataCentres {
+		out = append(out, n.group)
+	}
+	return out
+}
+
+// replicaFailed returns a channel that is closed when a replica stops by
+// itself, for example because its log is corrupt.
+func (d *Daemon) replicaFailed(ctx context.Context) <-chan struct{} {
+	failed := make(chan struct{})
+	var once sync.Once
+	for _, r := range d.replicas() {
+		go func() {
+			select {
+			case <-r.Done():
+				once.Do(func() { close(failed) })
+			case <-ctx.Done():
+			}
+		}()
+	}
+	return failed
+}
+
+func (d *Daemon) closeReplicas(ctx context.Context) {
+	for _, r := range d.replicas() {
+		if err := r.Close(ctx); err != nil {
+			d.log.Warn().Err(err).Msg("replica not closed cleanly")
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/glue.go
@@ -0,0 +1,85 @@
+package daemon
+
+import (
+	"context"
+	"hash/fnv"
+
+	"agatehaven.dev/agatehaven/internal/control"
+	"agatehaven.dev/agatehaven/internal/dispatch"
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/ledger"
+	"agatehaven.dev/agatehaven/internal/model"
+	"agatehaven.dev/agatehaven/internal/peer"
+	"agatehaven.dev/agatehaven/internal/settings"
+	"agatehaven.dev/agatehaven/internal/target"
+)
+
+// regionSource reads the region group's records for a controller.
+type regionSource struct{ leader *peer.LeaderClient }
+
+// PullRecords implements control.RecordSource.
+func (s regionSource) PullRecords(ctx context.Context, r *peer.PullRecordsRequest) (out *peer.PullRecordsResponse, err error) {
+	err = s.leader.DoIdempotent(ctx, func(h peer.Handler) error {
+		out, err = h.PullRecords(ctx, r)
+		return err
+	})
+	return out, err
+}
+
+// AckAdoption implements control.RecordSource.
+func (s regionSource) AckAdoption(ctx context.Context, r *peer.AckAdoptionRequest) (out *peer.AckAdoptionResponse, err error) {
+	err = s.leader.DoIdempotent(ctx, func(h peer.Handler) error {
+		out, err = h.AckAdoption(ctx, r)
+		return err
+	})
+	return out, err
+}
+
+// resolver adapts dispatch.Resolver to the controller.
+type resolver struct{ inner *dispatch.Resolver }
+
+func (d *Daemon) resolver() control.Resolver { return resolver{dispatch.NewResolver(d.targets)} }
+
+// Resolve implements control.Resolver.
+func (r resolver) Resolve(ctx context.Context, a ledger.OpenAttempt, canRevoke bool) (model.AttemptReport, bool) {
+	report, err := r.inner.Resolve(ctx, dispatch.OpenAttempt{
+		Key: a.Key, Attempt: a.Attempt, Host: a.Host, Address: a.Address,
+		TargetIncarnation: a.TargetIncarnation, CanRevoke: canRevoke,
+	})
+	if err != nil || report == nil {
+		return model.AttemptReport{}, false
+	}
+	return *report, true
+}
+
+// noPlatform refuses reboots where the settings name no platform.
+type noPlatform struct{}
+
+// Reboot implements control.Platform.
+func (noPlatform) Reboot(context.Context, string, string) error {
+	return &fault.Unavailable{What: "platform", Reason: "the settings name no platform address"}
+}
+
+func (d *Daemon) platform() control.Platform {
+	if d.settings.Platform.Address == "" {
+		return noPlatform{}
+	}
+	return target.NewHTTPPlatform(target.PlatformConfig{Address: d.settings.Platform.Address, Clock: d.clock})
+}
+
+func ledgerLimits(l *settings.Limits) ledger.Limits {
+	return ledger.Limits{
+		MaxRequests: l.LedgerRequests, MaxQueuedPerPool: l.QueueRequests,
+		MaxPayloadBytes: l.PayloadBytes, MaxAnswerBytes: l.AnswerBytes,
+		AnswerRetention: l.AnswerRetention, KeyRetention: l.KeyRetention,
+	}
+}
+
+func controlPolicy(_ *settings.Policy) control.Policy { return control.DefaultPolicy() }
+
+// seedOf makes the election timeouts of the replicas of a group differ.
+func seedOf(host, group string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(host + "/" + group)) // never fails
+	return h.Sum64()
+}
--- /dev/null
+++ b/internal/daemon/operators.go
@@ -0,0 +1,239 @@
+package daemon
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"agatehaven.dev/agatehaven/internal/event"
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/model"
+	"agatehaven.dev/agatehaven/internal/operator/command"
+	"agatehaven.dev/agatehaven/internal/operator/query"
+	"agatehaven.dev/agatehaven/internal/peer"
+	"agatehaven.dev/agatehaven/internal/settings"
+)
+
+// Time limits of operators' calls.
+const (
+	commandTimeout = 5 * time.Second
+	queryTimeout   = 3 * time.Second
+)
+
+// operators carries out the operators' commands and queries on the groups and
+// processes of the region.
+type operators struct{ d *Daemon }
+
+var (
+	_ command.Backend = operators{}
+	_ query.Backend   = operators{}
+)
+
+// ApplyRecords implements command.Backend. The request id makes a repetition
+// after an unknown effect harmless.
+func (o operators) ApplyRecords(ctx context.Context, r *peer.ApplyRecordsRequest) (out *peer.ApplyRecordsResponse, err error) {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	err = o.d.leaders[settings.RegionGroup].DoIdempotent(ctx, func(h peer.Handler) error {
+		out, err = h.ApplyRecords(ctx, r)
+		return err
+	})
+	return out, err
+}
+
+// HostCommand implements command.Backend. Without a data centre in the
+// request the host is looked up.
+func (o operators) HostCommand(ctx context.Context, r *peer.HostCommandRequest) (out *peer.HostCommandResponse, err error) {
+	if r.DataCentre == "" {
+		if r.DataCentre, err = o.locate(ctx, r.Host); err != nil {
+			return nil, err
+		}
+	}
+	leader := o.d.leaders[r.DataCentre]
+	if leader == nil {
+		return nil, &fault.NotFound{Kind: "data centre", Name: r.DataCentre}
+	}
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	err = leader.DoIdempotent(ctx, func(h peer.Handler) error {
+		out, err = h.HostCommand(ctx, r)
+		return err
+	})
+	return out, err
+}
+
+func (o operators) locate(ctx context.Context, host string) (string, error) {
+	state, err := o.DataCentres(ctx, 0)
+	if err != nil {
+		return "", err
+	}
+	for i := range state.DataCentres {
+		for j := range state.DataCentres[i].Hosts {
+			if state.DataCentres[i].Hosts[j].Info.Name == host {
+				return state.DataCentres[i].DataCentre, nil
+			}
+		}
+	}
+	if len(state.Unreachable) > 0 {
+		return "", &fault.Unavailable{What: "data centre " + state.Unreachable[0], Reason: "the host may be there"}
+	}
+	return "", &fault.NotFound{Kind: "host", Name: host}
+}
+
+// ChangeReplicas implements command.Backend.
+func (o operators) ChangeReplicas(ctx context.Context, r *peer.ChangeReplicasRequest) (out *peer.ChangeReplicasResponse, err error) {
+	leader := o.d.leaders[r.Group]
+	if leader == nil {
+		return nil, &fault.NotFound{Kind: "group", Name: r.Group}
+	}
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	err = leader.Do(ctx, func(h peer.Handler) error {
+		out, err = h.ChangeReplicas(ctx, r)
+		return err
+	})
+	return out, err
+}
+
+// CancelRequest implements command.Backend.
+func (o operators) CancelRequest(ctx context.Context, r *peer.CancelRequestRequest) (*peer.RequestResponse, error) {
+	return o.d.cancelRequest(ctx, r)
+}
+
+// Records implements query.Backend.
+func (o operators) Records(ctx context.Context) (*model.Records, error) {
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	var out *model.Records
+	err := o.d.leaders[settings.RegionGroup].DoIdempotent(ctx, func(h peer.Handler) error {
+		response, err := h.PullRecords(ctx, &peer.PullRecordsRequest{})
+		if err != nil {
+			return err
+		}
+		out = response.Records
+		return nil
+	})
+	if err == nil && out == nil {
+		out = &model.Records{}
+	}
+	return out, err
+}
+
+// DataCentres implements query.Backend.
+func (o operators) DataCentres(ctx context.Context, requests int) (*query.DataCentres, error) {
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	names := o.d.settings.DataCentres()
+	states, unreachable := gather(names, func(name string) (*peer.DataCentreResponse, error) {
+		var out *peer.DataCentreResponse
+		err := o.d.leaders[name].DoIdempotent(ctx, func(h peer.Handler) error {
+			var err error
+			out, err = h.DataCentre(ctx, &peer.DataCentreRequest{DataCentre: name, Requests: requests})
+			return err
+		})
+		return out, err
+	})
+	if len(states) == 0 {
+		return nil, &fault.Unavailable{What: "data centres", Reason: "none was reached"}
+	}
+	out := &query.DataCentres{Unreachable: unreachable}
+	for _, s := range states {
+		out.DataCentres = append(out.DataCentres, *s)
+	}
+	sort.Slice(out.DataCentres, func(i, j int) bool { return out.DataCentres[i].DataCentre < out.DataCentres[j].DataCentre })
+	return out, nil
+}
+
+// Request implements query.Backend.
+func (o operators) Request(ctx context.Context, key string) (*model.Request, error) {
+	_, request, err := o.d.find(ctx, key)
+	if err != nil {
+		return nil, err
+	}
+	return &request, nil
+}
+
+// GroupStatuses implements query.Backend.
+func (o operators) GroupStatuses(ctx context.Context) (*query.GroupStatuses, error) {
+	states, unreachable := askHosts(ctx, o.d, func(ctx context.Context, h peer.Handler) (*peer.GroupStatusResponse, error) {
+		return h.GroupStatus(ctx, &peer.GroupStatusRequest{})
+	})
+	out := &query.GroupStatuses{Unreachable: unreachable}
+	for _, s := range states {
+		out.Processes = append(out.Processes, *s)
+	}
+	return out, nil
+}
+
+// InForce implements query.Backend.
+func (o operators) InForce(ctx context.Context) (*query.InForce, error) {
+	states, unreachable := askHosts(ctx, o.d, func(ctx context.Context, h peer.Handler) (*peer.InForceResponse, error) {
+		return h.InForce(ctx, &peer.InForceRequest{})
+	})
+	out := &query.InForce{Unreachable: unreachable}
+	for _, s := range states {
+		out.Processes = append(out.Processes, *s)
+	}
+	return out, nil
+}
+
+// Events implements query.Backend.
+func (o operators) Events(ctx context.Context, f event.Filter) (*query.Events, error) {
+	states, unreachable := askHosts(ctx, o.d, func(ctx context.Context, h peer.Handler) (*peer.EventsResponse, error) {
+		return h.Events(ctx, &peer.EventsRequest{
+			After: f.After, Limit: f.Limit, Host: f.Host, Pool: f.Pool, Request: f.Request, Wave: f.Wave,
+		})
+	})
+	lists := make([][]event.Event, 0, len(states))
+	for _, s := range states {
+		lists = append(lists, s.Events)
+	}
+	merged := event.Merge(lists...)
+	var matching []event.Event
+	for i := range merged {
+		if f.Matches(&merged[i]) {
+			matching = append(matching, merged[i])
+		}
+	}
+	return &query.Events{Events: f.Trim(matching), Unreachable: unreachable}, nil
+}
+
+// askHosts calls every entry host of the region.
+func askHosts[T any](ctx context.Context, d *Daemon, call func(context.Context, peer.Handler) (*T, error)) ([]*T, []string) {
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	names := make([]string, 0, len(d.settings.Hosts))
+	for _, h := range d.settings.Hosts {
+		names = append(names, h.Name)
+	}
+	return gather(names, func(name string) (*T, error) {
+		h, err := d.dialer.Dial(name)
+		if err != nil {
+			return nil, err
+		}
+		return call(ctx, h)
+	})
+}
+
+// gather calls ask for all names at once and returns the answers and the
+// names without one.
+func gather[T any](names []string, ask func(name string) (*T, error)) (answers []*T, unreachable []string) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, name := range names {
+		wg.Go(func() {
+			answer, err := ask(name)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				unreachable = append(unreachable, name)
+				return
+			}
+			answers = append(answers, answer)
+		})
+	}
+	wg.Wait()
+	sort.Strings(unreachable)
+	return answers, unreachable
+}
--- /dev/null
+++ b/internal/daemon/servers.go
@@ -0,0 +1,144 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"agatehaven.dev/agatehaven/internal/caller"
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/operator/command"
+	"agatehaven.dev/agatehaven/internal/operator/query"
+	"agatehaven.dev/agatehaven/internal/peer"
+	"agatehaven.dev/agatehaven/internal/target"
+)
+
+// headerTimeout bounds the reading of a request's headers.
+const headerTimeout = 5 * time.Second
+
+// listener is one server with its address.
+type listener struct {
+	name   string
+	server *http.Server
+	socket net.Listener
+	tls    bool
+}
+
+// servers are the listeners of one daemon, one for each audience.
+type servers struct {
+	callers *listener
+	all     []*listener
+}
+
+// listen opens all listeners, so that a clash of addresses is found before
+// anything is served.
+func (d *Daemon) listen() (*servers, error) {
+	peerTLS, err := d.settings.TLS.Peer.ServerConfig()
+	if err != nil {
+		return nil, err
+	}
+	targetTLS, err := d.settings.TLS.Target.ServerConfig()
+	if err != nil {
+		return nil, err
+	}
+	operatorTLS, err := d.settings.TLS.Operator.ServerConfig()
+	if err != nil {
+		return nil, err
+	}
+	addresses := d.settings.Listen
+	callers := &listener{name: "caller", server: caller.NewHTTPServer(caller.NewHandler(d, d.callerOptions()))}
+	plan := []struct {
+		l       *listener
+		address string
+		tls     *tls.Config
+	}{
+		{callers, addresses.Caller, nil},
+		{&listener{name: "target", server: target.NewAnnounceHTTPServer(target.NewAnnounceServer(announcements{d}))}, addresses.Target, targetTLS},
+		{&listener{name: "operator", server: plainServer(d.operatorHandler())}, addresses.Operator, operatorTLS},
+		{&listener{name: "peer", server: peer.NewHTTPServer(peer.NewServer(handler{d}, peer.ServerOptions{HLC: d.hlc}), peerTLS)}, addresses.Peer, peerTLS},
+		{&listener{name: "diagnostics", server: plainServer(d.diagnosticsHandler())}, addresses.Diagnostics, nil},
+	}
+	s := &servers{callers: callers}
+	for _, p := range plan {
+		p.l.socket, err = net.Listen("tcp", p.address)
+		if err != nil {
+			s.close()
+			return nil, &fault.Unavailable{What: p.l.name + " listener", Reason: err.Error()}
+		}
+		if p.tls != nil {
+			p.l.server.TLSConfig, p.l.tls = p.tls, true
+		}
+		s.all = append(s.all, p.l)
+	}
+	return s, nil
+}
+
+func plainServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+}
+
+// serve serves all listeners. The channel receives the first failure.
+func (s *servers) serve() <-chan error {
+	failed := make(chan error, len(s.all))
+	for _, l := range s.all {
+		go func() {
+			var err error
+			if l.tls {
+				err = l.server.ServeTLS(l.socket, "", "")
+			} else {
+				err = l.server.Serve(l.socket)
+			}
+			if !errors.Is(err, http.ErrServerClosed) {
+				failed <- &fault.Unavailable{What: l.name + " listener", Reason: err.Error()}
+			}
+		}()
+	}
+	return failed
+}
+
+// drainCallers closes the callers' listener and waits for requests in
+// progress until ctx ends.
+func (s *servers) drainCallers(ctx context.Context) {
+	_ = s.callers.server.Shutdown(ctx) // an end of ctx is logged by the caller
+}
+
+func (s *servers) close() {
+	for _, l := range s.all {
+		_ = l.server.Close()
+	}
+}
+
+func (d *Daemon) callerOptions() caller.Options {
+	return caller.Options{MaxPayloadBytes: int64(d.settings.Limits.PayloadBytes)}
+}
+
+func (d *Daemon) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	command.Register(mux, operators{d}, int64(d.settings.Limits.MessageBytes))
+	query.Register(mux, operators{d})
+	return mux
+}
+
+// diagnosticsHandler serves metrics, health and readiness.
+func (d *Daemon) diagnosticsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		metrics.WritePrometheus(w, true)
+	})
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := d.Ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	})
+	return mux
+}
--- a/internal/datacentre/commands.go
+++ b/internal/datacentre/commands.go
@@ -47,23 +47,26 @@
 	requests  *ledger.State
 	limits    ledger.Limits
 	changed   chan struct{}
-	watchers  map[string]*watcher
+	// recordsChanged is closed and replaced when records are adopted.
+	recordsChanged chan struct{}
+	watchers       map[string]*watcher
 }
 
 // New returns an empty machine. onEvent receives the events of applied
 // entries; it must not block.
 func New(dataCentre string, limits ledger.Limits, onEvent func(event.Event)) *Machine {
 	return &Machine{
-		dataCentre: dataCentre,
-		group:      dataCentre,
-		onEvent:    onEvent,
-		records:    &model.Records{},
-		catalogue:  emptyCatalogue(),
-		hosts:      inventory.New(),
-		requests:   ledger.New(limits),
-		limits:     limits,
-		changed:    make(chan struct{}),
-		watchers:   make(map[string]*watcher),
+		dataCentre:     dataCentre,
+		group:          dataCentre,
+		onEvent:        onEvent,
+		records:        &model.Records{},
+		catalogue:      emptyCatalogue(),
+		hosts:          inventory.New(),
+		requests:       ledger.New(limits),
+		limits:         limits,
+		changed:        make(chan struct{}),
+		recordsChanged: make(chan struct{}),
+		watchers:       make(map[string]*watcher),
 	}
 }
 
@@ -119,6 +122,7 @@
 		return Result{Err: err}, nil
 	}
 	m.records, m.catalogue = records, catalogue
+	m.notifyRecords()
 	return Result{}, []event.Event{{
 		ID:         event.ID{Group: m.group, Index: e.Index},
 		Time:       e.Time,
@@ -207,5 +211,6 @@
 	defer m.mu.Unlock()
 	m.records, m.catalogue, m.hosts, m.requests = s.Records, catalogue, hosts, requests
 	m.notifyAll()
+	m.notifyRecords()
 	return nil
 }
--- a/internal/datacentre/queries.go
+++ b/internal/datacentre/queries.go
@@ -101,3 +101,16 @@
 		m.notifyRequest(key)
 	}
 }
+
+// RecordsChanged returns a channel that is closed when newer records are
+// adopted.
+func (m *Machine) RecordsChanged() <-chan struct{} {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.recordsChanged
+}
+
+func (m *Machine) notifyRecords() {
+	close(m.recordsChanged)
+	m.recordsChanged = make(chan struct{})
+}
--- a/internal/peer/leader.go
+++ b/internal/peer/leader.go
@@ -163,3 +163,10 @@
 	var coded fault.Coded
 	return errors.As(err, &coded) && !noEffect(err) && !effectUnknown(err)
 }
+
+// HadNoEffect reports whether err proves that the failed call had no effect:
+// the callee refused it or was not reached.
+func HadNoEffect(err error) bool { return noEffect(err) || answered(err) }
+
+// IsAnswer reports whether err is the leader's own answer to the call.
+func IsAnswer(err error) bool { return answered(err) }
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -30,12 +30,16 @@
 	// Entry is the entry host that took the request from the caller. It is
 	// the preferred owner if it is in the home data centre.
 	Entry string `cbor:"7,keyasint"`
+	// DataCentre is the home of the key.
+	DataCentre string `cbor:"8,keyasint"`
 }
 
 // AwaitRequest reads a request and waits for its outcome.
 type AwaitRequest struct {
 	Key    string `cbor:"1,keyasint"`
 	WaitMS int64  `cbor:"2,keyasint"`
+	// DataCentre is the home of the key.
+	DataCentre string `cbor:"3,keyasint"`
 }
 
 // RequestResponse is the answer to Submit, Await and CancelRequest. Payload
@@ -48,6 +52,8 @@
 type CancelRequestRequest struct {
 	Key   string `cbor:"1,keyasint"`
 	Actor string `cbor:"2,keyasint"`
+	// DataCentre is the home of the key.
+	DataCentre string `cbor:"3,keyasint"`
 }
 
 // PullAssignmentsRequest asks for the attempts that the owner has not
