Add the policies of maintenance waves and repair

Cause: the inventory carries out steps and moves, but nothing decides them. Change: package wave (drain, maintain, verify, fail, pause, resume, cancel, end, borrow, checkpoint), package repair (moves from and to the spare pool with hysteresis), package liveness (fresh, steady and trusted announcements), test support with fake hosts around a real inventory, randomized tests. Ruled out: drains in batches, since each batch waits for its slowest host; one level of time for a shortage, since the second loss would then be replaced at once after the first.

--- a/internal/inventory/commands.go
+++ b/internal/inventory/commands.go
@@ -174,8 +174,9 @@
 }
 
 func (c *change) returnHost(h *model.Host, reason string) error {
-	if h.State == model.HostReady {
-		return nil
+	held := h.State == model.HostSetAside || h.State == model.HostDraining && (h.Info.Leaving || operatorDrain(h))
+	if h.State == model.HostReady || held && h.Wave == "" && h.MoveTo == "" {
+		return nil // returned already, as far as other orders allow
 	}
 	if h.State != model.HostVerifying && h.State != model.HostLost {
 		return refusedState("return", h)
@@ -321,7 +322,7 @@
 }
 
 func (c *change) finishStep(h *model.Host) error {
-	if h.Wave == "" && h.State == model.HostReady && c.stepped(h.Info.Name, false) {
+	if h.Wave == "" && c.stepped(h.Info.Name, false) {
 		return nil
 	}
 	if h.State != model.HostVerifying || h.Wave == "" {
@@ -383,7 +384,7 @@
 	case !c.idle(h.Info.Name):
 		return refused(what, "it has running work")
 	case h.MoveTo == "":
-		if h.Reason != drainedReason {
+		if operatorDrain(h) && h.Reason != drainedReason {
 			h.Reason = drainedReason
 			c.emit(HostDrained, h, "", h.Reason)
 		}
--- a/internal/inventory/queries.go
+++ b/internal/inventory/queries.go
@@ -27,14 +27,19 @@
 	return s.where(func(h *model.Host) bool { return h.Pool == pool })
 }
 
+// where sorts pointers, since hosts are large to swap.
 func (s *State) where(match func(*model.Host) bool) []model.Host {
-	out := make([]model.Host, 0, len(s.hosts))
+	found := make([]*model.Host, 0, len(s.hosts))
 	for _, h := range s.hosts {
 		if match(h) {
-			out = append(out, *h)
+			found = append(found, h)
 		}
 	}
-	slices.SortFunc(out, func(a, b model.Host) int { return cmp.Compare(a.Info.Name, b.Info.Name) })
+	slices.SortFunc(found, func(a, b *model.Host) int { return cmp.Compare(a.Info.Name, b.Info.Name) })
+	out := make([]model.Host, len(found))
+	for i, h := range found {
+		out[i] = *h
+	}
 	return out
 }
 
--- /dev/null
+++ b/internal/inventory/random_test.go
@@ -0,0 +1,198 @@
+package inventory_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatehaven.dev/agatehaven/internal/hlc"
+	"agatehaven.dev/agatehaven/internal/inventory"
+	"agatehaven.dev/agatehaven/internal/model"
+)
+
+func randomCommand(rng *rand.Rand) inventory.Command {
+	host := fmt.Sprintf("h%d", rng.IntN(10))
+	switch rng.IntN(16) {
+	case 0:
+		return register(host, fmt.Sprintf("i%d", rng.IntN(3)), []string{"render", "spare", "none"}[rng.IntN(3)])
+	case 1:
+		return inventory.Command{SetLeaving: &inventory.SetLeaving{Host: host, Reason: "shutdown"}}
+	case 2:
+		return lost(host)
+	case 3, 4:
+		return back(host)
+	case 5, 6:
+		return drain(host, "w", "")
+	case 7:
+		return drain(host, "", []string{"", "spare", "render"}[rng.IntN(3)])
+	case 8:
+		return maintain(host, fmt.Sprintf("o%d", rng.IntN(3)))
+	case 9:
+		return finish(host)
+	case 10:
+		return fail(host)
+	case 11:
+		return out(host)
+	case 12:
+		return resume(host)
+	case 13:
+		return aside(host)
+	case 14:
+		return inventory.Command{PauseWave: &inventory.PauseWave{Wave: "w", Reason: "test"}}
+	default:
+		return inventory.Command{ResumeWave: &inventory.ResumeWave{Wave: "w", Resume: rng.IntN(20)}}
+	}
+}
+
+func snapshotOf(s *inventory.State) []byte {
+	data, err := s.Snapshot()
+	Expect(err).NotTo(HaveOccurred())
+	return data
+}
+
+var _ = Describe("State under random commands", func() {
+	It("keeps every invariant at every step", func() {
+		// Guards against a planned removal below the floor, a host in two pools
+		// or in none, a resend that acts twice, a refusal that changes the state
+		// and a snapshot that loses a field.
+		for seed := range uint64(150) {
+			rng := rand.New(rand.NewPCG(seed, 3))
+			f := newFleet(3)
+			f.cat.Waves["w"].Resume = 10
+			f.cat.Waves["w"].MaxConcurrent = 3
+			for i := range 10 {
+				f.do(register(fmt.Sprintf("h%d", i), "i0", []string{"render", "spare"}[i/7]))
+			}
+			for step := range 300 {
+				where := fmt.Sprintf("seed %d step %d", seed, step)
+				f.busy[fmt.Sprintf("h%d", rng.IntN(10))] = rng.IntN(3) == 0
+				if rng.IntN(40) == 0 {
+					f.cat.Floors["render"]["a"] = rng.IntN(6)
+				}
+				cmd := randomCommand(rng)
+				before, hosts := snapshotOf(f.State), f.Hosts()
+				res, _ := f.do(cmd)
+				after := snapshotOf(f.State)
+				if res.Err != nil {
+					Expect(after).To(Equal(before), where)
+					continue
+				}
+				if (cmd.Drain != nil || cmd.SetAside != nil) && !f.sameAvailable(hosts) {
+					for _, pool := range []string{"render", "spare"} {
+						if f.available(hosts, pool) != f.Available(pool) {
+							Expect(f.Available(pool)).To(BeNumerically(">=", f.cat.Floors[pool]["a"]), where)
+						}
+					}
+				}
+				again, _ := f.do(cmd)
+				Expect(again.Err).NotTo(HaveOccurred(), where)
+				Expect(again.Lost).To(BeEmpty(), where)
+				Expect(snapshotOf(f.State)).To(Equal(after), where)
+				f.checkPools(hosts, cmd, where)
+				restored := inventory.New()
+				Expect(restored.Restore(after)).To(Succeed())
+				Expect(snapshotOf(restored)).To(Equal(after), where)
+				Expect(restored.Hosts()).To(Equal(f.Hosts()), where)
+				if step%10 == 0 {
+					f.State = restored
+				}
+			}
+		}
+	})
+
+	It("counts a host that is lost within 60 s of its step towards its wave", func() {
+		// Guards against a reboot that breaks hosts only after they verified and
+		// so never pauses the wave.
+		f := newFleet(0)
+		f.do(register("h1", "i1", "render"))
+		f.do(drain("h1", "w", ""))
+		f.do(maintain("h1", "o"))
+		f.do(register("h1", "i2", "render"))
+		f.do(finish("h1"))
+		f.now += inventory.LossWindowMS - 1000
+		f.do(lost("h1"))
+		p, _ := f.Wave("w")
+		Expect(p.Lost).To(Equal([]string{"h1"}))
+		f.do(register("h1", "i3", "render"))
+		f.do(back("h1"))
+		f.do(lost("h1"))
+		p, _ = f.Wave("w")
+		Expect(p.Lost).To(HaveLen(1), "the second loss is more than 60 s later, and a host counts once")
+	})
+
+	It("keeps a host in its pool when the pool it moves to is gone", func() {
+		// Guards against a host that ends up in a pool without a record.
+		f := newFleet(0)
+		f.do(register("h1", "i1", "render"))
+		f.do(drain("h1", "", "spare"))
+		delete(f.cat.Pools, "spare")
+		res, _ := f.do(out("h1"))
+		Expect(res.Err).NotTo(HaveOccurred())
+		Expect(*res.Host).To(And(HaveField("Pool", "render"), HaveField("State", model.HostReady), HaveField("MoveTo", "")))
+	})
+
+	It("refuses planned removals before records are adopted and lets a host leave a pool without a record", func() {
+		// Guards against a removal under a floor that is not known yet, and
+		// against a host that can never leave the pool of a deleted record.
+		f := newFleet(0)
+		f.do(register("h1", "i1", "gone"))
+		cat := f.cat
+		f.cat = nil
+		res, _ := f.do(drain("h1", "", "spare"))
+		Expect(res.Err).To(HaveOccurred())
+		f.cat = cat
+		res, _ = f.do(drain("h1", "", "spare"))
+		Expect(res.Err).NotTo(HaveOccurred())
+		res, _ = f.do(out("h1"))
+		Expect(res.Host.Pool).To(Equal("spare"))
+	})
+
+	It("does not start a step that raced with a cancellation and finishes the open one", func() {
+		// Guards against a step that was decided before the cancellation and is
+		// committed after it.
+		f := newFleet(0)
+		f.do(register("h1", "i1", "render"))
+		f.do(register("h2", "i1", "render"))
+		f.do(drain("h1", "w", ""))
+		f.cat.Waves["w"].State = model.WaveCancelled
+		res, _ := f.do(drain("h2", "w", ""))
+		Expect(res.Err).To(HaveOccurred())
+		res, _ = f.do(maintain("h1", "o"))
+		Expect(res.Err).NotTo(HaveOccurred())
+		Expect(res.Host.Ordered).To(Equal(hlc.Time{WallMillis: f.now}))
+	})
+})
+
+func (f *fleet) available(hosts []model.Host, pool string) int {
+	n := 0
+	for _, h := range hosts {
+		if h.Pool == pool && h.State == model.HostReady {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fleet) sameAvailable(hosts []model.Host) bool {
+	return f.available(hosts, "render") == f.Available("render") && f.available(hosts, "spare") == f.Available("spare")
+}
+
+// checkPools checks that each host is in one pool and changes it only by the
+// end of its move.
+func (f *fleet) checkPools(before []model.Host, cmd inventory.Command, where string) {
+	all := 0
+	for _, pool := range []string{"render", "spare", "none"} {
+		all += len(f.InPool(pool))
+	}
+	Expect(all).To(Equal(len(f.Hosts())), where)
+	for _, was := range before {
+		now, ok := f.Host(was.Info.Name)
+		Expect(ok).To(BeTrue(), where)
+		if now.Pool != was.Pool {
+			Expect(cmd.CompleteOut).NotTo(BeNil(), where)
+			Expect(was).To(And(HaveField("MoveTo", now.Pool), HaveField("State", model.HostDraining)), where)
+		}
+	}
+}
--- /dev/null
+++ b/internal/repair/repair_test.go
@@ -0,0 +1,202 @@
+package repair_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatehaven.dev/agatehaven/internal/model"
+	"agatehaven.dev/agatehaven/internal/repair"
+	"agatehaven.dev/agatehaven/internal/testsupport/fleet"
+)
+
+func TestRepair(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "repair")
+}
+
+const (
+	pool  = "render"
+	spare = "spare"
+)
+
+// session is a fleet whose pools are repaired once a second.
+type session struct {
+	*fleet.Fleet
+	settings repair.Settings
+	memory   repair.Memory
+	desired  int
+	inWave   bool
+	errors   []error
+}
+
+func newSession(hosts, spares int, settings repair.Settings) *session {
+	cat := &model.Catalogue{
+		Pools:  map[string]*model.Pool{pool: {Name: pool}, spare: {Name: spare, Spare: true}},
+		Floors: map[string]map[string]int{pool: {fleet.DataCentre: hosts - 5}, spare: {fleet.DataCentre: 2}},
+	}
+	return &session{Fleet: fleet.New(cat, pool, hosts, spare, spares), settings: settings, desired: hosts}
+}
+
+func (s *session) decide() []repair.Action {
+	var actions []repair.Action
+	actions, s.memory = repair.Decide(repair.Input{
+		Now: s.Time(), Hosts: s.Views(), Memory: s.memory, Settings: s.settings,
+		Pools: []repair.Pool{
+			{Name: pool, Floor: s.Catalogue.Floors[pool][fleet.DataCentre], Desired: s.desired, InWave: s.inWave},
+			{Name: spare, Floor: 2, Spare: true}},
+	})
+	return actions
+}
+
+func (s *session) step() {
+	s.Tick()
+	for _, a := range s.decide() {
+		if cmd := a.Command(); cmd != nil {
+			if res := s.Do(cmd); res.Err != nil {
+				s.errors = append(s.errors, res.Err)
+			}
+		}
+	}
+}
+
+func (s *session) run(seconds int) {
+	for range seconds {
+		s.step()
+	}
+}
+
+// restored returns the seconds until the pool has its desired hosts, or -1.
+func (s *session) restored(limit int) int {
+	s.run(10) // the losses have to be noticed first
+	for i := range limit {
+		if s.State.Available(pool) >= s.desired {
+			return i + 10
+		}
+		s.step()
+	}
+	return -1
+}
+
+var _ = Describe("Decide", func() {
+	It("replaces a lost host after the sustained time and gives the excess back later", func() {
+		// Guards against a pool that stays short although spare hosts are free,
+		// and against a spare pool that shrinks with every repair.
+		s := newSession(12, 8, repair.Defaults())
+		s.Down(s.Hosts[0], 0)
+		Expect(s.restored(300)).To(BeNumerically("~", 67, 2))
+		Expect(s.Moves).To(Equal(1))
+		s.Down(s.Hosts[0], 1000)
+		s.run(880)
+		Expect(s.State.Available(pool)).To(Equal(13))
+		s.run(60)
+		Expect(s.State.Available(pool)).To(Equal(12))
+		Expect(s.State.Available(spare)).To(Equal(8))
+		Expect(s.Moves).To(Equal(2))
+	})
+
+	It("replaces a second host that is lost right after a repair", func() {
+		// Guards against a repair that counts the first move twice, or waits for
+		// ever because its time starts again.
+		s := newSession(12, 8, repair.Defaults())
+		s.Down(s.Hosts[0], 0)
+		s.run(70)
+		s.Down(s.Hosts[1], 0)
+		Expect(s.restored(300)).To(BeNumerically("~", 67, 2))
+		Expect(s.Moves).To(Equal(2))
+		Expect(s.Violations).To(BeEmpty())
+	})
+
+	It("makes a later loss last as long as the first one", func() {
+		// Guards against the time of one loss that counts for the next one too.
+		s := newSession(12, 8, repair.Defaults())
+		s.Down(s.Hosts[0], 0)
+		s.run(40)
+		s.Down(s.Hosts[1], 0)
+		s.run(35)
+		Expect(s.Moves).To(Equal(1))
+		s.run(40)
+		Expect(s.Moves).To(Equal(2))
+	})
+
+	It("spends at most one move on a host that flaps", func() {
+		// Guards against a move in and out for each loss of the same host.
+		for seed := range uint64(20) {
+			rng := rand.New(rand.NewPCG(seed, 6))
+			s := newSession(12, 8, repair.Defaults())
+			for range 20 {
+				s.Down(s.Hosts[3], 30_000+rng.Int64N(90_000))
+				s.run(120 + rng.IntN(120))
+			}
+			Expect(s.Moves).To(BeNumerically("<=", 1), "seed %d", seed)
+		}
+	})
+
+	It("keeps the spare pool's floor and says so when a rack is lost", func() {
+		// Guards against a spare pool that is emptied by one failure.
+		s := newSession(12, 5, repair.Defaults())
+		for _, h := range s.Hosts[:4] {
+			s.Down(h, 0)
+		}
+		s.run(120)
+		Expect(s.State.Available(spare)).To(Equal(2))
+		Expect(s.Moves).To(Equal(3))
+		s.run(60)
+		Expect(s.Violations).To(BeEmpty())
+		Expect(s.errors).To(BeEmpty())
+		Expect(s.decide()).To(ContainElement(HaveField("Kind", repair.Wait)))
+	})
+
+	It("does nothing on stale announcements and starts its times again", func() {
+		// Guards against an isolated observer that empties the spare pool.
+		s := newSession(12, 8, repair.Defaults())
+		for i, h := range s.Hosts {
+			h.Muted = i%4 != 0
+		}
+		s.run(300)
+		Expect(s.Moves).To(BeZero())
+		for _, h := range s.Hosts {
+			h.Muted = false
+		}
+		s.run(50)
+		Expect(s.Moves).To(BeZero())
+		Expect(s.State.Available(pool)).To(Equal(12))
+	})
+
+	It("does not return borrowed hosts while a wave of the pool runs", func() {
+		// Guards against repair and wave that move the same host back and forth.
+		s := newSession(12, 8, repair.Defaults())
+		s.desired, s.inWave = 11, true
+		s.run(1000)
+		Expect(s.Moves).To(BeZero())
+		s.inWave = false
+		s.run(1000)
+		Expect(s.Moves).To(Equal(1))
+	})
+
+	It("keeps the invariants under random losses", func() {
+		// Guards against moves below a floor, refused commands that repeat, and a
+		// pool that is not restored once its hosts are back.
+		for seed := range uint64(30) {
+			rng := rand.New(rand.NewPCG(seed, 7))
+			s := newSession(20, 8, repair.Defaults())
+			for range 600 {
+				if rng.IntN(60) == 0 {
+					h := s.Hosts[rng.IntN(len(s.Hosts))]
+					h.PatientUntil = s.Now + rng.Int64N(120_000)
+					s.Down(h, 5000+rng.Int64N(200_000))
+				}
+				s.step()
+			}
+			s.run(1400)
+			Expect(s.Violations).To(BeEmpty(), "seed %d", seed)
+			Expect(s.errors).To(BeEmpty(), "seed %d", seed)
+			Expect(s.State.Available(pool)).To(Equal(20), "seed %d", seed)
+			Expect(s.State.Available(spare)).To(Equal(8), "seed %d", seed)
+			Expect(slices.ContainsFunc(s.State.Hosts(), func(h model.Host) bool { return h.MoveTo != "" })).To(BeFalse())
+		}
+	})
+})
--- /dev/null
+++ b/internal/wave/action.go
@@ -0,0 +1,93 @@
+// Package wave is the policy of maintenance waves: it decides which host to
+// drain, maintain, verify or give up next, and when a wave pauses, resumes
+// and ends. It is pure; the inventory checks every decision again on apply.
+package wave
+
+import (
+	"agatehaven.dev/agatehaven/internal/inventory"
+	"agatehaven.dev/agatehaven/internal/model"
+)
+
+// Kind names what an action does.
+type Kind string
+
+// Kinds of actions.
+const (
+	// Drain starts the step of a host.
+	Drain Kind = "drain"
+	// Checkpoint moves the patient work of a draining host: its tasks are
+	// checkpointed, stopped and queued again.
+	Checkpoint Kind = "checkpoint"
+	// Maintain orders the reboot of a drained host.
+	Maintain Kind = "maintain"
+	// Finish ends the step of a host that has verified.
+	Finish Kind = "finish_step"
+	// Fail ends the step of a host that did not return or verify in time.
+	Fail Kind = "fail_step"
+	// Release takes a draining host back into service because the wave is
+	// paused.
+	Release Kind = "release"
+	// Borrow moves a spare host into the pool to raise the concurrency.
+	Borrow Kind = "borrow"
+	// Pause pauses the wave because of correlated failures.
+	Pause Kind = "pause"
+	// Resume ends such a pause after an operator's order.
+	Resume Kind = "resume"
+	// End finishes the wave in this data centre.
+	End Kind = "end"
+	// Wait changes nothing; its reason tells what the wave waits for.
+	Wait Kind = "wait"
+)
+
+// Action is one decision with its reason.
+type Action struct {
+	Kind   Kind
+	Wave   string
+	Host   string
+	Reason string
+	// OrderID is the reboot order of Maintain, the same for every repetition
+	// within a step.
+	OrderID string
+	// Pool is the pool that a borrowed host moves to.
+	Pool string
+	// Resume is the resume count that Resume answers.
+	Resume int
+}
+
+// Actor is the name under which the policy's commands appear in events.
+const Actor = "wave"
+
+// Command returns the inventory command of the action, or nil for Wait and
+// Checkpoint, which change no inventory.
+func (a Action) Command() *inventory.Command {
+	switch a.Kind {
+	case Drain:
+		return &inventory.Command{Drain: &inventory.Drain{Host: a.Host, Wave: a.Wave, Actor: Actor, Reason: a.Reason}}
+	case Borrow:
+		return &inventory.Command{Drain: &inventory.Drain{Host: a.Host, MoveTo: a.Pool, Actor: Actor, Reason: a.Reason}}
+	case Maintain:
+		return &inventory.Command{Maintain: &inventory.Maintain{Host: a.Host, OrderID: a.OrderID}}
+	case Finish:
+		return &inventory.Command{FinishStep: &inventory.FinishStep{Host: a.Host}}
+	case Fail:
+		return &inventory.Command{FailStep: &inventory.FailStep{Host: a.Host, Reason: a.Reason}}
+	case Release:
+		return &inventory.Command{Resume: &inventory.Resume{Host: a.Host, Actor: Actor, Reason: a.Reason}}
+	case Pause:
+		return &inventory.Command{PauseWave: &inventory.PauseWave{Wave: a.Wave, Reason: a.Reason}}
+	case Resume:
+		return &inventory.Command{ResumeWave: &inventory.ResumeWave{Wave: a.Wave, Resume: a.Resume}}
+	case End:
+		return &inventory.Command{FinishWave: &inventory.FinishWave{Wave: a.Wave}}
+	}
+	return nil
+}
+
+// Orphaned returns the record to decide by for a wave whose record was
+// deleted while steps were open: they finish and no new ones start.
+func Orphaned(name, pool string) *model.Wave {
+	return &model.Wave{
+		Name: name, Pool: pool, State: model.WaveCancelled, FailureThreshold: 1 << 30,
+		ReturnLimitMS: model.DefaultReturnLimitMS, VerifyMS: model.DefaultVerifyMS,
+	}
+}
--- /dev/null
+++ b/internal/wave/settings.go
@@ -0,0 +1,71 @@
+package wave
+
+// Settings are the weights and times of the policy. The weights compare
+// unlike costs: only their ratios matter.
+type Settings struct {
+	// Rollout is the cost of one second of roll-out time.
+	Rollout float64
+	// Move is the cost of moving one host between pools or one running task of
+	// patient work between hosts.
+	Move float64
+	// Buffer is the cost of one second without one host that should be ready:
+	// a spare host that is lent, or a host that drains long before its reboot.
+	Buffer float64
+	// LeaseMS is the announcement lease in milliseconds.
+	LeaseMS int64
+	// StepMS is the expected time of a step, from the drain of an idle host to
+	// the end of its verification, in milliseconds.
+	StepMS int64
+}
+
+// Times that both presets use.
+const (
+	defaultLeaseMS = 5000
+	// defaultStepMS is a reboot of four minutes and a minute for the rest; it
+	// only matters until the input gives a measured time.
+	defaultStepMS = 300_000
+)
+
+// MovesFirst suits a fleet whose long conversions suffer when moved: a move
+// costs as much as two hours of roll-out time.
+func MovesFirst() Settings {
+	return Settings{Rollout: 0.5, Move: 3600, Buffer: 1, LeaseMS: defaultLeaseMS, StepMS: defaultStepMS}
+}
+
+// RolloutFirst suits a fleet whose waves have to end before its morning work:
+// a move costs as much as ten seconds of roll-out time.
+func RolloutFirst() Settings {
+	return Settings{Rollout: 1, Move: 10, Buffer: 0.01, LeaseMS: defaultLeaseMS, StepMS: defaultStepMS}
+}
+
+// movesWork reports whether moving the patient work of a draining host costs
+// less than waiting for it. The wait holds one of the concurrent steps, so it
+// delays the wave by its share of them.
+func (s Settings) movesWork(h HostView, concurrent int) bool {
+	if h.PatientTasks == 0 || !h.Checkpointable {
+		return false
+	}
+	wait := s.Rollout * seconds(h.PatientMS) / float64(max(concurrent, 1))
+	return s.Move*float64(h.PatientTasks) < wait
+}
+
+// borrows reports whether one more spare host in the pool pays: it raises the
+// concurrency by one for the hosts that remain, but has to be maintained as
+// well, is moved in and out, and is missing in the spare pool until the end.
+// Without any concurrency the wave could never proceed, so it always pays.
+func (s Settings) borrows(remaining, concurrent int, stepMS int64) bool {
+	if concurrent <= 0 {
+		return remaining > 0
+	}
+	step := seconds(stepMS)
+	now := float64(remaining) / float64(concurrent) * step
+	then := float64(remaining+1) / float64(concurrent+1) * step
+	return s.Rollout*(now-then) > 2*s.Move+s.Buffer*then
+}
+
+// longestFirst reports whether hosts with long waits are drained first. That
+// shortens the end of the wave; the other order lets work end by itself
+// before its host's turn and keeps more hosts ready meanwhile.
+func (s Settings) longestFirst() bool { return s.Rollout > s.Buffer }
+
+func seconds(ms int64) float64 { return float64(ms) / 1000 }
--- /dev/null
+++ b/internal/wave/wave_test.go
@@ -0,0 +1,340 @@
+package wave_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatehaven.dev/agatehaven/internal/inventory"
+	"agatehaven.dev/agatehaven/internal/model"
+	"agatehaven.dev/agatehaven/internal/testsupport/fleet"
+	"agatehaven.dev/agatehaven/internal/wave"
+)
+
+func TestWave(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "wave")
+}
+
+const (
+	pool  = "render"
+	spare = "spare"
+)
+
+// session is a fleet with one wave that is decided once a second.
+type session struct {
+	*fleet.Fleet
+	wave     *model.Wave
+	settings wave.Settings
+	desired  int
+	errors   []error
+	maxRack  int // most hosts of one rack in steps at once
+}
+
+func newSession(hosts, floor, spares int, settings wave.Settings) *session {
+	w := &model.Wave{Name: "w", Pool: pool, State: model.WaveRunning, FailureThreshold: 2, ReturnLimitMS: 600_000, VerifyMS: 10_000}
+	cat := &model.Catalogue{
+		Pools:  map[string]*model.Pool{pool: {Name: pool}, spare: {Name: spare, Spare: true}},
+		Waves:  map[string]*model.Wave{"w": w},
+		Floors: map[string]map[string]int{pool: {fleet.DataCentre: floor}, spare: {fleet.DataCentre: 2}},
+	}
+	return &session{Fleet: fleet.New(cat, pool, hosts, spare, spares), wave: w, settings: settings}
+}
+
+func (s *session) decide() []wave.Action {
+	in := wave.Input{Now: s.Time(), Wave: s.wave, Floor: s.Catalogue.Floors[pool][fleet.DataCentre],
+		Desired: s.desired, SpareFloors: map[string]int{spare: 2}, Settings: s.settings}
+	in.Progress, _ = s.State.Wave("w")
+	for _, v := range s.Views() {
+		h := wave.HostView{View: v}
+		if left := s.Host(v.Host.Info.Name).PatientUntil - s.Now; left > 0 {
+			h.PatientTasks, h.PatientMS, h.Checkpointable = 1, left, true
+		}
+		in.Hosts = append(in.Hosts, h)
+	}
+	return wave.Decide(in)
+}
+
+// step lets a second pass and carries out what the policy decides.
+func (s *session) step() {
+	s.Tick()
+	for _, a := range s.decide() {
+		if a.Kind == wave.Checkpoint {
+			s.Host(a.Host).PatientUntil = 0
+		}
+		if cmd := a.Command(); cmd != nil {
+			if res := s.Do(cmd); res.Err != nil {
+				s.errors = append(s.errors, res.Err)
+			}
+		}
+	}
+	racks := map[string]int{}
+	for _, h := range s.State.Hosts() {
+		if h.MoveTo != "" && h.State == model.HostDraining && s.Host(h.Info.Name).PatientUntil <= s.Now {
+			s.Do(&inventory.Command{CompleteOut: &inventory.CompleteOut{Host: h.Info.Name}})
+		}
+		if h.Wave != "" {
+			racks[h.Info.Rack]++
+			s.maxRack = max(s.maxRack, racks[h.Info.Rack])
+		}
+	}
+}
+
+// run steps until the wave ends or the time is over and returns the seconds.
+func (s *session) run(seconds int) int {
+	for i := range seconds {
+		if p := s.progress(); !p.Finished.IsZero() {
+			return i
+		}
+		s.step()
+	}
+	return seconds
+}
+
+func (s *session) progress() model.WaveProgress {
+	p, _ := s.State.Wave("w")
+	return p
+}
+
+func (s *session) kinds() map[wave.Kind]int {
+	out := map[wave.Kind]int{}
+	for _, a := range s.decide() {
+		out[a.Kind]++
+	}
+	return out
+}
+
+var _ = Describe("Decide", func() {
+	It("maintains every host once within the floor and spreads over racks", func() {
+		// Guards against a wave that misses a host, repeats one, falls below the
+		// floor or takes a rack down while other racks are untouched.
+		for seed := range uint64(20) {
+			s := newSession(20, 15, 0, wave.RolloutFirst())
+			s.Reboot = fleet.Uniform(rand.New(rand.NewPCG(seed, 4)), 60_000, 120_000)
+			s.run(3600)
+			Expect(s.progress().Done).To(HaveLen(20), "seed %d", seed)
+			Expect(s.progress().Finished.IsZero()).To(BeFalse())
+			Expect(s.Violations).To(BeEmpty())
+			Expect(s.errors).To(BeEmpty())
+			Expect(s.maxRack).To(BeNumerically("<=", 2), "seed %d", seed)
+		}
+	})
+
+	It("never takes the last host of a rack while a step in that rack is open", func() {
+		// Guards against the planned loss of a whole rack at the end of a wave.
+		s := newSession(8, 0, 0, wave.RolloutFirst())
+		s.run(3600)
+		Expect(s.progress().Done).To(HaveLen(8))
+		Expect(s.maxRack).To(Equal(3))
+	})
+
+	It("keeps within MaxConcurrent and starts a replacement with the end of each step", func() {
+		// Guards against more open steps than the operator allows and against
+		// steps that wait for the others of a batch.
+		s := newSession(12, 0, 0, wave.RolloutFirst())
+		s.wave.MaxConcurrent = 2
+		i := int64(0)
+		s.Reboot = func(*fleet.Host) (int64, bool, int64) { i++; return 60_000 * (1 + i%3), true, 0 }
+		for !s.progress().Finished.IsZero() || len(s.progress().Done) < 10 {
+			s.step()
+			Expect(len(s.progress().Current)).To(Equal(2), "with %d done", len(s.progress().Done))
+		}
+	})
+
+	It("does nothing on stale announcements", func() {
+		// Guards against an isolated observer that drains or gives up hosts which
+		// it only cannot hear.
+		s := newSession(12, 6, 0, wave.RolloutFirst())
+		for range 60 {
+			s.step()
+		}
+		for _, h := range s.Hosts[:10] {
+			h.Muted = true
+		}
+		for range 7 {
+			s.Tick()
+		}
+		s.Now += 1_000_000 // every return limit has passed
+		Expect(s.kinds()).To(Equal(map[wave.Kind]int{wave.Wait: 1}))
+	})
+
+	It("does not drain while a silent host is still ready in the inventory", func() {
+		// Guards against a removal that uses up the place of a host whose lease
+		// is about to expire.
+		s := newSession(8, 7, 0, wave.RolloutFirst())
+		s.Hosts[0].Muted = true
+		s.Now += 6000
+		for _, h := range s.Hosts[1:] {
+			h.Muted = false
+		}
+		views := s.Views()
+		in := wave.Input{Now: s.Time(), Wave: s.wave, Floor: 7, Settings: s.settings}
+		for i, v := range views {
+			if i > 0 {
+				v.LastAnnounced = s.Time()
+			}
+			in.Hosts = append(in.Hosts, wave.HostView{View: v})
+		}
+		for _, a := range wave.Decide(in) {
+			Expect(a.Kind).NotTo(Equal(wave.Drain))
+		}
+	})
+
+	It("pauses on correlated failures, stops reboots, and goes on after a resumption", func() {
+		// Guards against a broken image that is rolled out to the whole pool.
+		for seed := range uint64(30) {
+			rng := rand.New(rand.NewPCG(seed, 5))
+			s := newSession(20, 15, 0, wave.RolloutFirst())
+			broken := true
+			s.Reboot = func(*fleet.Host) (int64, bool, int64) {
+				switch {
+				case !broken:
+					return 60_000, true, 0
+				case rng.IntN(2) == 0:
+					return 0, false, 0 // never returns
+				}
+				return 60_000, true, 30_000 // fails soon after its step
+			}
+			for !s.progress().Paused {
+				s.step()
+				Expect(s.Now).To(BeNumerically("<", 5_000_000), "seed %d: never paused", seed)
+			}
+			ordered := s.reboots()
+			for range 1200 {
+				s.step()
+			}
+			Expect(s.reboots()).To(Equal(ordered), "seed %d: reboots while paused", seed)
+			Expect(ordered).To(BeNumerically("<=", 10), "seed %d", seed)
+			Expect(s.progress().Done).NotTo(HaveLen(20))
+			broken = false
+			s.wave.Resume++
+			s.step()
+			Expect(s.progress().Paused).To(BeFalse())
+			for _, h := range s.Hosts {
+				if !h.Up {
+					s.Down(h, 1000) // the operator repairs what did not return
+				}
+			}
+			for range 60 {
+				s.step()
+				s.returnVerified()
+			}
+			s.run(3600)
+			p := s.progress()
+			Expect(p.Finished.IsZero()).To(BeFalse(), "seed %d", seed)
+			Expect(len(p.Done)+len(p.Failed)).To(Equal(20), "seed %d", seed)
+			Expect(s.Violations).To(BeEmpty())
+		}
+	})
+
+	It("fails a host that returns and is lost again and again", func() {
+		// Guards against a step that never ends because each return starts its
+		// limit anew.
+		s := newSession(4, 3, 0, wave.RolloutFirst())
+		s.step()
+		for range 900 {
+			s.step()
+			for _, h := range s.State.Hosts() {
+				if h.State == model.HostVerifying && s.Host(h.Info.Name).Up {
+					s.Down(s.Host(h.Info.Name), 20_000)
+				}
+			}
+		}
+		Expect(s.progress().Failed).NotTo(BeEmpty())
+	})
+
+	It("releases drained hosts while its record is paused", func() {
+		// Guards against capacity that stays drained for a paused wave.
+		s := newSession(8, 4, 0, wave.MovesFirst())
+		for _, h := range s.Hosts {
+			h.PatientUntil = s.Now + 3_600_000
+		}
+		s.step()
+		Expect(s.progress().Current).To(HaveLen(4))
+		s.wave.State = model.WavePaused
+		s.step()
+		Expect(s.progress().Current).To(BeEmpty())
+		Expect(s.State.Available(pool)).To(Equal(8))
+	})
+
+	It("finishes the open steps of a cancelled wave and starts none", func() {
+		// Guards against hosts that stay out of service after a cancellation.
+		s := newSession(8, 4, 0, wave.RolloutFirst())
+		s.step()
+		s.wave.State = model.WaveCancelled
+		s.run(3600)
+		Expect(s.progress().Finished.IsZero()).To(BeFalse())
+		Expect(s.progress().Done).To(HaveLen(4))
+		Expect(s.State.Available(pool)).To(Equal(8))
+	})
+
+	It("lets the weights choose between waiting for patient work and moving it", func() {
+		// Guards against weights that have no effect on the decision.
+		for _, c := range []struct {
+			settings wave.Settings
+			want     wave.Kind
+			first    string
+		}{{wave.MovesFirst(), wave.Wait, "h001"}, {wave.RolloutFirst(), wave.Checkpoint, "h000"}} {
+			s := newSession(8, 7, 0, c.settings)
+			for _, h := range s.Hosts {
+				h.PatientUntil = s.Now + 3_600_000
+			}
+			s.Hosts[1].PatientUntil = s.Now + 60_000
+			s.step()
+			Expect(s.progress().Current).To(Equal([]string{c.first}))
+			s.Host(c.first).PatientUntil = s.Now + 3_600_000
+			Expect(s.kinds()).To(HaveKey(c.want))
+		}
+	})
+
+	It("lets the weights choose whether to borrow spare hosts", func() {
+		// Guards against moves that the weights do not pay for, and against a
+		// wave that can never start although spare hosts are free.
+		for _, c := range []struct {
+			settings wave.Settings
+			floor    int
+			moves    int
+		}{{wave.MovesFirst(), 45, 0}, {wave.RolloutFirst(), 45, 6}, {wave.MovesFirst(), 50, 1}} {
+			s := newSession(50, c.floor, 8, c.settings)
+			s.desired = 50
+			for range 60 {
+				s.step()
+			}
+			Expect(s.Moves).To(Equal(c.moves), "floor %d", c.floor)
+			Expect(s.Violations).To(BeEmpty())
+		}
+	})
+
+	It("offers no step to hosts that are out of service for good", func() {
+		// Guards against a wave that waits for ever for a dead host.
+		s := newSession(4, 0, 0, wave.RolloutFirst())
+		s.Down(s.Hosts[0], 0)
+		for range 10 {
+			s.Tick()
+		}
+		s.run(1200)
+		Expect(s.progress().Finished.IsZero()).To(BeFalse())
+		Expect(s.progress().Done).To(HaveLen(3))
+	})
+})
+
+func (s *session) reboots() int {
+	n := 0
+	for _, e := range s.Events {
+		if e.Kind == inventory.HostMaintained {
+			n++
+		}
+	}
+	return n
+}
+
+// returnVerified does what repair does for hosts outside a step.
+func (s *session) returnVerified() {
+	for _, v := range s.Views() {
+		if v.Host.State == model.HostVerifying && v.Host.Wave == "" && v.Steady(s.Time(), fleet.LeaseMS, 10_000) {
+			Expect(s.Do(&inventory.Command{Return: &inventory.Return{Host: v.Host.Info.Name, Reason: "steady"}}).Err).NotTo(HaveOccurred())
+		}
+	}
+}
