--- /dev/null
+++ b/internal/dispatch/execute.go
@@ -0,0 +1,140 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"agatehaven.dev/agatehaven/internal/model"
+	"agatehaven.dev/agatehaven/internal/target"
+)
+
+// execute takes one attempt from its start to its result.
+func (d *Dispatcher) execute(ctx context.Context, e *entry) {
+	a := e.assignment
+	if e.readOnly {
+		d.follow(ctx, e, false)
+		return
+	}
+	if refusal := d.table.claimStart(e); refusal != "" {
+		d.report(ctx, e, notBegun(a, refusal), true)
+		return
+	}
+	err := d.cfg.Targets.Start(ctx, a.Address, target.Task{
+		Key: a.Key, Attempt: a.Attempt, Kind: a.Kind, Payload: a.Payload, CPUMillis: a.CPUMillis,
+		MemoryMB: a.MemoryMB, Accelerators: a.Accelerators, LeaseMS: d.cfg.TaskLease.Milliseconds(),
+	})
+	var refused *target.RefusedError
+	var notSent *target.NotSentError
+	switch {
+	case err == nil:
+		d.recordAttempt(EventStarted, a, "")
+		d.follow(ctx, e, true)
+	case errors.As(err, &refused):
+		d.report(ctx, e, notBegun(a, refused.Error()), true)
+	case errors.As(err, &notSent):
+		d.report(ctx, e, notBegun(a, notSent.Error()), true)
+	case ctx.Err() != nil:
+		return // the process stops; the leader resolves the attempt
+	default:
+		d.recordAttempt(EventStartUnconfirmed, a, err.Error())
+		d.follow(ctx, e, false)
+	}
+}
+
+// follow reads the state of an attempt until its result. begun tells that the
+// target has confirmed the start.
+func (d *Dispatcher) follow(ctx context.Context, e *entry, begun bool) {
+	followCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go d.stopOnRequest(followCtx, e)
+	f := &follower{d: d, e: e, begun: begun, contact: d.cfg.Clock.Now()}
+	for ctx.Err() == nil {
+		if f.step(ctx) {
+			return
+		}
+	}
+}
+
+// follower is the progress of follow.
+type follower struct {
+	d     *Dispatcher
+	e     *entry
+	begun bool
+	// contact is the time of the last usable answer.
+	contact time.Time
+	// unknownAt is when the attempt was reported as unknown.
+	unknownAt time.Time
+}
+
+// step makes one poll and reports whether the attempt has ended.
+func (f *follower) step(ctx context.Context) bool {
+	a := f.e.assignment
+	wait := f.d.cfg.PollWait
+	if !f.begun && f.unknownAt.IsZero() {
+		wait = 0
+	}
+	o, err := observe(ctx, f.d.cfg.Targets, openAttempt(a), f.begun, wait)
+	if ctx.Err() != nil {
+		return true
+	}
+	now := f.d.cfg.Clock.Now()
+	if err == nil {
+		f.contact = now
+	}
+	switch {
+	case err != nil && now.Sub(f.contact) < f.d.cfg.ContactLimit:
+		f.d.wait(ctx, retryPause)
+		return false
+	case err != nil:
+		return f.unknown(ctx, "no usable answer of the target: "+err.Error())
+	case o.running:
+		f.begun = true
+		return false
+	case o.report.State == model.AttemptUnknown:
+		return f.unknown(ctx, o.report.Reason)
+	}
+	f.d.report(ctx, f.e, o.report, true)
+	return true
+}
+
+// unknown reports once that there is no proof, and goes on for a later result
+// until the late limit.
+func (f *follower) unknown(ctx context.Context, reason string) bool {
+	now := f.d.cfg.Clock.Now()
+	if f.unknownAt.IsZero() {
+		f.unknownAt = now
+		f.d.report(ctx, f.e, unknown(f.e.assignment.Key, f.e.assignment.Attempt, reason), false)
+		f.d.table.setLate(f.e)
+	}
+	if now.Sub(f.unknownAt) >= f.d.cfg.LateLimit {
+		f.d.table.end(f.e)
+		return true
+	}
+	f.d.wait(ctx, latePause)
+	return false
+}
+
+// stopOnRequest asks the target to stop the attempt once that is requested,
+// until the target confirms it or the attempt ends.
+func (d *Dispatcher) stopOnRequest(ctx context.Context, e *entry) {
+	select {
+	case <-e.stop:
+	case <-ctx.Done():
+		return
+	}
+	for ctx.Err() == nil {
+		if d.cfg.Targets.Stop(ctx, e.assignment.Address, e.assignment.Key, e.assignment.Attempt) == nil {
+			return
+		}
+		d.wait(ctx, retryPause)
+	}
+}
+
+func notBegun(a model.Assignment, reason string) model.AttemptReport {
+	return model.AttemptReport{Key: a.Key, Attempt: a.Attempt, State: model.AttemptNotBegun, Reason: reason}
+}
+
+func unknown(key string, attempt int, reason string) model.AttemptReport {
+	return model.AttemptReport{Key: key, Attempt: attempt, State: model.AttemptUnknown, Reason: reason}
+}
