--- a/cmd/agatehavend/main.go
+++ b/cmd/agatehavend/main.go
@@ -58,7 +58,7 @@
 		if err != nil {
 			return err
 		}
-		defer file.Close()
+		defer func() { _ = file.Close() }()
 		out = file
 	}
 	log, err := logging.New(out, s.Log.Level, clock.System{})
@@ -101,10 +101,9 @@
 }
 
 func (c *checkCommand) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if _, err := settings.Load(c.path); err != nil {
+	if err := settings.Check(c.path, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
-	fmt.Println("settings are valid")
 	return subcommands.ExitSuccess
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -274,8 +274,9 @@
 	defer cancel()
 	d.handOver(ctx)
 	servers.drainCallers(ctx)
-	for _, a := range d.dispatcher.Drain(ctx) {
-		d.log.Warn().Str("request", a.Key).Int("attempt", a.Attempt).Str("target", a.Host).Msg("attempt interrupted by the stop")
+	for _, c := range d.dispatcher.Drain(ctx) {
+		a := &c.Assignment
+		d.log.Warn().Str("request", a.Key).Int("attempt", a.Attempt).Str("target", a.Host).Str("reason", c.Reason).Msg("attempt left without a result")
 	}
 	// An election during the drain may have made this host a leader again.
 	d.handOver(ctx)
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -237,3 +237,12 @@
 	sort.Strings(unreachable)
 	return answers, unreachable
 }
+
+// RecordsInForce implements query.Backend.
+func (o operators) RecordsInForce(context.Context) (*model.Records, error) {
+	records, _ := o.d.force.get()
+	if records == nil {
+		return nil, o.d.Ready()
+	}
+	return records, nil
+}
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -114,7 +114,7 @@
 }
 
 func (d *Daemon) callerOptions() caller.Options {
-	return caller.Options{MaxPayloadBytes: int64(d.settings.Limits.PayloadBytes)}
+	return caller.Options{MaxPayloadBytes: d.settings.Limits.PayloadBytes}
 }
 
 func (d *Daemon) operatorHandler() http.Handler {
--- /dev/null
+++ b/internal/load/client.go
@@ -0,0 +1,86 @@
+// Package load sends requests to entry hosts as callers do, and measures the
+// answers. It is the tool for experiments against a running region.
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"agatehaven.dev/agatehaven/internal/caller"
+	"agatehaven.dev/agatehaven/internal/fault"
+)
+
+// maxBody bounds a response: an answer of 256 KiB in base64 and its fields.
+const maxBody = 1 << 20
+
+// answerMargin is how long a response may take beyond the wait asked for.
+const answerMargin = 10 * time.Second
+
+// Client calls the callers' listeners of several entry hosts in turn.
+type Client struct {
+	entries []string
+	http    *http.Client
+}
+
+// NewClient returns a client for the given IP:port addresses.
+func NewClient(entries []string) *Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: 256}
+	return &Client{entries: entries, http: &http.Client{Transport: transport}}
+}
+
+// Entry returns the address of the entry host for turn n.
+func (c *Client) Entry(n int) string { return c.entries[n%len(c.entries)] }
+
+// Ticket asks an entry host for a ticket key.
+func (c *Client) Ticket(ctx context.Context, entry string) (string, error) {
+	var ticket caller.Ticket
+	_, err := c.post(ctx, entry, "/v1/tickets", "", nil, answerMargin, &ticket)
+	return ticket.Key, err
+}
+
+// Send submits a request under a key and returns the response and its HTTP
+// status. An error of type *fault.Remote is the entry host's own refusal.
+func (c *Client) Send(ctx context.Context, entry, key string, body caller.Body) (caller.Response, int, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return caller.Response{}, 0, err
+	}
+	var response caller.Response
+	limit := time.Duration(body.WaitMS)*time.Millisecond + answerMargin
+	status, err := c.post(ctx, entry, "/v1/requests", key, data, limit, &response)
+	return response, status, err
+}
+
+func (c *Client) post(ctx context.Context, entry, path, key string, body []byte, limit time.Duration, out any) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, &fault.Invalid{Field: "entry", Reason: err.Error()}
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return 0, &fault.Unavailable{What: "entry host " + entry, Reason: err.Error()}
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxBody))
+	if err != nil {
+		return response.StatusCode, &fault.Unavailable{What: "entry host " + entry, Reason: err.Error()}
+	}
+	if response.StatusCode >= http.StatusBadRequest && !strings.Contains(string(data), `"state"`) {
+		return response.StatusCode, &fault.Remote{RemoteCode: fault.CodeUnavailable, Text: strings.TrimSpace(string(data))}
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return response.StatusCode, &fault.Corrupt{What: "response of " + entry, Reason: err.Error()}
+	}
+	return response.StatusCode, nil
+}
