Run maintenance waves and repair from the leader

Cause: the policies of waves and repair were not connected. Change: the controller builds their input from the committed state and the leader's contacts, commits their actions, and repeats reboot orders under the same id until they take effect.

--- a/internal/control/contacts.go
+++ b/internal/control/contacts.go
@@ -15,7 +15,8 @@
 type contact struct {
 	at          time.Time
 	incarnation string
-	// since is the first announcement of this incarnation.
+	// since is the first announcement of this incarnation, or the first one
+	// after a gap longer than the lease.
 	since time.Time
 	// announced is false while the lease was only granted at the start of a
 	// term: such a contact is no evidence that the host is alive.
@@ -56,7 +57,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.contacts[r.Info.Name]
-	if k == nil || k.incarnation != r.Info.Incarnation || !k.announced {
+	if k == nil || k.incarnation != r.Info.Incarnation || !k.announced || now.Sub(k.at) > c.cfg.Timing.HostLease {
 		k = &contact{incarnation: r.Info.Incarnation, since: now, announced: true}
 		c.contacts[r.Info.Name] = k
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -15,11 +15,13 @@
 	"agatehaven.dev/agatehaven/internal/clock"
 	"agatehaven.dev/agatehaven/internal/codec"
 	"agatehaven.dev/agatehaven/internal/datacentre"
+	"agatehaven.dev/agatehaven/internal/event"
 	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/inventory"
 	"agatehaven.dev/agatehaven/internal/ledger"
 	"agatehaven.dev/agatehaven/internal/model"
 	"agatehaven.dev/agatehaven/internal/peer"
+	"agatehaven.dev/agatehaven/internal/repair"
 	"agatehaven.dev/agatehaven/internal/replica"
 )
 
@@ -85,8 +87,18 @@
 	Log        zerolog.Logger
 	Timing     Timing
 	Policy     Policy
+	// Events takes local events; it sets their ID and Time. It may be nil.
+	Events Recorder
 }
 
+// Recorder takes local events of this process.
+type Recorder interface {
+	Record(e event.Event)
+}
+
+// maxWaits bounds the memory of reasons for which policies wait.
+const maxWaits = 10_000
+
 // Controller runs the leader's responsibilities on one replica. On replicas
 // that do not lead its loops are idle.
 type Controller struct {
@@ -100,6 +112,10 @@
 	entries   map[string]string // open request key -> entry host that took it
 	policies  *policies
 	acked     ackMark
+	orders    map[string]time.Time // reboot order -> last sent
+	waits     map[string]string    // last reason for which a policy waits
+	// repairMemory is used by the repair loop alone.
+	repairMemory repair.Memory
 	// turn spreads requests over owners; only the placement loop uses it.
 	turn int
 }
@@ -112,6 +128,8 @@
 		owners:   make(map[string]*owner),
 		entries:  make(map[string]string),
 		policies: newPolicies(cfg.Policy, cfg.Clock),
+		orders:   make(map[string]time.Time),
+		waits:    make(map[string]string),
 	}
 }
 
@@ -126,7 +144,6 @@
 	}{
 		{"placement", c.cfg.Timing.Tick, c.place, true},
 		{"leases", c.cfg.Timing.Tick, c.expireLeases, false},
-		{"drains", c.cfg.Timing.Tick, c.completeDrains, true},
 		{"waves", c.cfg.Timing.Tick, c.runWaves, true},
 		{"repair", time.Second, c.repair, false},
 		{"resolve", time.Second, c.resolveOrphans, false},
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -2,10 +2,243 @@
 
 import (
 	"context"
+	"time"
+
+	"agatehaven.dev/agatehaven/internal/datacentre"
+	"agatehaven.dev/agatehaven/internal/event"
+	"agatehaven.dev/agatehaven/internal/hlc"
+	"agatehaven.dev/agatehaven/internal/liveness"
+	"agatehaven.dev/agatehaven/internal/model"
+	"agatehaven.dev/agatehaven/internal/repair"
+	"agatehaven.dev/agatehaven/internal/wave"
 )
 
-func (c *Controller) completeDrains(_ context.Context) {}
-func (c *Controller) runWaves(_ context.Context)       {}
-func (c *Controller) repair(_ context.Context)         {}
-func (c *Controller) judgeHosts(_ context.Context)     {}
-func (c *Controller) retryEnded(_ context.Context)     {}
+// rebootRepeat is the time after which a reboot order without effect is sent
+// again under the same id.
+const rebootRepeat = 5 * time.Second
+
+// eventWaiting records a change of the reason for which a policy waits.
+const eventWaiting event.Kind = "policy_waiting"
+
+// fleet is a snapshot for the policies of hosts.
+type fleet struct {
+	catalogue *model.Catalogue
+	views     []liveness.View
+	patient   map[string]patientWork // by host
+	waves     []model.WaveProgress
+}
+
+// patientWork is the running patient work of a host.
+type patientWork struct {
+	tasks int
+	leftS float64
+}
+
+// snapshot joins the committed state of hosts with the leader's contacts.
+func (c *Controller) snapshot() fleet {
+	f := fleet{patient: make(map[string]patientWork)}
+	c.cfg.Machine.View(func(v datacentre.View) {
+		f.catalogue = v.Catalogue
+		f.waves = v.Hosts.Waves()
+		for _, h := range v.Hosts.Hosts() {
+			f.views = append(f.views, liveness.View{Host: h, Idle: v.Requests.Running(h.Info.Name) == 0})
+		}
+		for _, a := range v.Requests.OpenAttempts() {
+			if k := v.Catalogue.JobKinds[a.Kind]; k != nil && k.Priority == model.Patient {
+				work := f.patient[a.Host]
+				work.tasks++
+				work.leftS = max(work.leftS, c.remaining(a.Kind, a.At, v.Catalogue).Seconds())
+				f.patient[a.Host] = work
+			}
+		}
+	})
+	for i := range f.views {
+		k := c.contactOf(f.views[i].Host.Info.Name)
+		if k.announced && k.incarnation == f.views[i].Host.Info.Incarnation {
+			f.views[i].LastAnnounced = hlcOf(k.at)
+			f.views[i].SteadySince = hlcOf(k.since)
+		}
+		// The ledger does not know attempts of requests that it has forgotten;
+		// the target's own list covers them.
+		f.views[i].Idle = f.views[i].Idle && len(k.running) == 0
+	}
+	return f
+}
+
+// remaining returns the expected rest of a run that began at the given time.
+func (c *Controller) remaining(kind string, at hlc.Time, catalogue *model.Catalogue) time.Duration {
+	return max(0, c.policies.runTime(kind, catalogue)-c.now().Sub(at))
+}
+
+func (c *Controller) now() hlc.Time { return hlcOf(c.cfg.Clock.Now()) }
+
+func hlcOf(t time.Time) hlc.Time { return hlc.Time{WallMillis: t.UnixMilli()} }
+
+// floorsHere returns the floors in force in this data centre by pool.
+func (c *Controller) floorsHere(catalogue *model.Catalogue) map[string]int {
+	floors := make(map[string]int, len(catalogue.Floors))
+	for pool, byCentre := range catalogue.Floors {
+		floors[pool] = byCentre[c.cfg.DataCentre]
+	}
+	return floors
+}
+
+// runWaves decides and commits the next actions of every wave, and of waves
+// whose record was deleted while steps were open.
+func (c *Controller) runWaves(ctx context.Context) {
+	f := c.snapshot()
+	floors := c.floorsHere(f.catalogue)
+	spare := make(map[string]int)
+	for name, pool := range f.catalogue.Pools {
+		if pool.Spare {
+			spare[name] = floors[name]
+		}
+	}
+	progress := make(map[string]model.WaveProgress, len(f.waves))
+	for _, p := range f.waves {
+		progress[p.Wave] = p
+	}
+	for _, w := range wavesToRun(&f, progress) {
+		pool := f.catalogue.Pools[w.Pool]
+		in := wave.Input{
+			Now: c.now(), Wave: w, Progress: progress[w.Name], Hosts: f.hostViews(),
+			Floor: floors[w.Pool], SpareFloors: spare, Settings: c.policies.waves,
+		}
+		if pool != nil {
+			in.Desired = pool.Desired[c.cfg.DataCentre]
+		}
+		for _, a := range wave.Decide(in) {
+			if a.Kind == wave.Wait {
+				c.recordWait(event.Event{Wave: a.Wave, Host: a.Host, Pool: w.Pool, Actor: wave.Actor, Reason: a.Reason})
+				continue
+			}
+			if cmd := a.Command(); cmd != nil && c.proposeHost(ctx, *cmd) != nil {
+				break // the plan met a newer state; decide again from it
+			}
+		}
+	}
+	c.orderReboots(ctx, f.views)
+}
+
+// wavesToRun lists the waves of the records and those whose record was
+// deleted while steps are open.
+func wavesToRun(f *fleet, progress map[string]model.WaveProgress) []*model.Wave {
+	var out []*model.Wave
+	for _, w := range f.catalogue.Waves {
+		out = append(out, w)
+	}
+	for name, p := range progress {
+		if f.catalogue.Waves[name] != nil || !p.Finished.IsZero() {
+			continue
+		}
+		for _, v := range f.views {
+			if v.Host.Wave == name {
+				out = append(out, wave.Orphaned(name, v.Host.Pool))
+				break
+			}
+		}
+	}
+	return out
+}
+
+func (f *fleet) hostViews() []wave.HostView {
+	out := make([]wave.HostView, len(f.views))
+	for i, v := range f.views {
+		work := f.patient[v.Host.Info.Name]
+		out[i] = wave.HostView{View: v, PatientTasks: work.tasks, PatientMS: int64(work.leftS * 1000)}
+	}
+	return out
+}
+
+// orderReboots sends the reboot orders of hosts in maintenance to the
+// platform until they take effect. The order id makes repetitions harmless.
+func (c *Controller) orderReboots(ctx context.Context, views []liveness.View) {
+	now := c.cfg.Clock.Now()
+	for _, v := range views {
+		h := &v.Host
+		if h.State != model.HostMaintenance || now.Sub(c.orderedAt(h.OrderID)) < rebootRepeat {
+			continue
+		}
+		c.markOrdered(h.OrderID, now)
+		if err := c.cfg.Platform.Reboot(ctx, h.Info.Name, h.OrderID); err != nil {
+			c.cfg.Log.Warn().Str("target", h.Info.Name).Str("order", h.OrderID).Err(err).Msg("reboot order failed")
+			continue
+		}
+		c.cfg.Log.Info().Str("target", h.Info.Name).Str("order", h.OrderID).Msg("reboot ordered")
+	}
+}
+
+func (c *Controller) orderedAt(order string) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.orders[order]
+}
+
+func (c *Controller) markOrdered(order string, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, t := range c.orders {
+		if at.Sub(t) > 2*rebootRepeat {
+			delete(c.orders, id) // its host has left maintenance, or it is sent again
+		}
+	}
+	c.orders[order] = at
+}
+
+// repair decides and commits moves between the spare pools and the others,
+// completes moves and returns verified hosts.
+func (c *Controller) repair(ctx context.Context) {
+	f := c.snapshot()
+	floors := c.floorsHere(f.catalogue)
+	in := repair.Input{Now: c.now(), Hosts: f.views, Memory: c.repairMemory, Settings: c.policies.repair}
+	for name, pool := range f.catalogue.Pools {
+		in.Pools = append(in.Pools, repair.Pool{
+			Name: name, Floor: floors[name], Desired: pool.Desired[c.cfg.DataCentre],
+			Spare: pool.Spare, InWave: f.inWave(name),
+		})
+	}
+	var actions []repair.Action
+	actions, c.repairMemory = repair.Decide(in)
+	for _, a := range actions {
+		if a.Kind == repair.Wait {
+			c.recordWait(event.Event{Host: a.Host, Pool: a.To + a.From, Actor: repair.Actor, Reason: a.Reason})
+			continue
+		}
+		if cmd := a.Command(); cmd != nil {
+			_ = c.proposeHost(ctx, *cmd) // refusals are logged; the next round decides again
+		}
+	}
+}
+
+func (f *fleet) inWave(pool string) bool {
+	finished := make(map[string]bool, len(f.waves))
+	for _, p := range f.waves {
+		finished[p.Wave] = !p.Finished.IsZero()
+	}
+	for name, w := range f.catalogue.Waves {
+		if w.Pool == pool && w.State != model.WaveCancelled && !finished[name] {
+			return true
+		}
+	}
+	return false
+}
+
+// recordWait records why a policy waits, once for each change of the reason.
+func (c *Controller) recordWait(e event.Event) {
+	key := e.Actor + "/" + e.Wave + "/" + e.Pool + "/" + e.Host
+	c.mu.Lock()
+	known := c.waits[key] == e.Reason
+	if len(c.waits) > maxWaits {
+		clear(c.waits)
+	}
+	c.waits[key] = e.Reason
+	c.mu.Unlock()
+	if known || c.cfg.Events == nil {
+		return
+	}
+	e.Kind, e.DataCentre = eventWaiting, c.cfg.DataCentre
+	c.cfg.Events.Record(e)
+}
+
+func (c *Controller) judgeHosts(_ context.Context) {}
+func (c *Controller) retryEnded(_ context.Context) {}
--- a/internal/control/policies.go
+++ b/internal/control/policies.go
@@ -7,26 +7,32 @@
 	"agatehaven.dev/agatehaven/internal/datacentre"
 	"agatehaven.dev/agatehaven/internal/model"
 	"agatehaven.dev/agatehaven/internal/placement"
+	"agatehaven.dev/agatehaven/internal/repair"
+	"agatehaven.dev/agatehaven/internal/wave"
 )
 
 // Policy holds the settings of the policies.
 type Policy struct {
 	Placement placement.Policy
+	Waves     wave.Settings
+	Repair    repair.Settings
 }
 
 // DefaultPolicy returns the settings chosen by the experiments.
 func DefaultPolicy() Policy {
-	return Policy{Placement: placement.DefaultPolicy()}
+	return Policy{Placement: placement.DefaultPolicy(), Waves: wave.MovesFirst(), Repair: repair.Defaults()}
 }
 
 // policies joins the pure policies with their soft state.
 type policies struct {
 	placement placement.Policy
+	waves     wave.Settings
+	repair    repair.Settings
 	clock     clock.Clock
 }
 
 func newPolicies(p Policy, c clock.Clock) *policies {
-	return &policies{placement: p.Placement, clock: c}
+	return &policies{placement: p.Placement, waves: p.Waves, repair: p.Repair, clock: c}
 }
 
 // size returns the CPU in thousandths of a core and the memory in MB to
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -226,6 +226,7 @@
 		DataCentre: group, Host: d.settings.Host, Group: r, Machine: machine,
 		Records: regionSource{d.leaders[settings.RegionGroup]}, Resolver: d.resolver(),
 		Platform: d.platform(), Clock: d.clock, Log: d.log, Timing: timing, Policy: controlPolicy(&d.settings.Policy),
+		Events: recorder{d},
 	})
 }
 
--- a/internal/daemon/glue.go
+++ b/internal/daemon/glue.go
@@ -12,6 +12,7 @@
 	"agatehaven.dev/agatehaven/internal/peer"
 	"agatehaven.dev/agatehaven/internal/settings"
 	"agatehaven.dev/agatehaven/internal/target"
+	"agatehaven.dev/agatehaven/internal/wave"
 )
 
 // regionSource reads the region group's records for a controller.
@@ -75,7 +76,16 @@
 	}
 }
 
-func controlPolicy(_ *settings.Policy) control.Policy { return control.DefaultPolicy() }
+// controlPolicy applies the operator's weights and switches to the policies.
+func controlPolicy(p *settings.Policy) control.Policy {
+	out := control.DefaultPolicy()
+	out.Placement.LendPools = p.LendIdleSlots
+	out.Waves = wave.MovesFirst()
+	if p.RolloutWeight > p.MovesWeight && p.RolloutWeight > p.BufferWeight {
+		out.Waves = wave.RolloutFirst()
+	}
+	return out
+}
 
 // seedOf makes the election timeouts of the replicas of a group differ.
 func seedOf(host, group string) uint64 {
