Fix faults that the simulation of the raft core found

While a change is not committed, the members before it still count. The log reader accepts a first segment that begins with replaced entries.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -7,10 +7,7 @@
 	if n.lostDisk || n.installing != nil {
 		return false
 	}
-	m, ok := n.log.config().Find(n.id)
-	if !ok && n.log.configIndex() > n.log.committed {
-		m, ok = n.log.configAt(n.log.committed).Find(n.id)
-	}
+	m, ok := n.member(n.id)
 	return ok && !m.Learner && !m.Witness
 }
 
@@ -20,6 +17,7 @@
 	n.resetElection()
 	if !n.promotable() {
 		n.leader = ""
+		n.offerHandover()
 		return
 	}
 	if transfer {
@@ -37,7 +35,7 @@
 	} else {
 		n.becomeFollower(term, "")
 		n.role = Candidate
-		n.hard.Vote = n.id
+		n.hard.Vote, n.hard.Voted = n.id, true
 	}
 	n.votes = map[string]bool{n.id: true}
 	if n.countVotes() {
@@ -47,7 +45,7 @@
 		if id != n.id {
 			n.send(Message{
 				Type: kind, To: id, Term: term, Index: n.log.last(), LogTerm: n.log.lastTerm(),
-				Commit: n.log.committed, Force: force,
+				HintIndex: max(n.log.committed, n.handedOver), Force: force,
 			})
 		}
 	}
@@ -90,7 +88,7 @@
 	response := Message{Type: m.Type + 1, To: m.From, Index: n.log.last()}
 	if free && current && len(n.log.config().Members) > 0 {
 		if m.Type == MsgVote {
-			n.hard.Vote = m.From
+			n.hard.Vote, n.hard.Voted = m.From, true
 			n.electionElapsed = 0
 		}
 		response.Term = m.Term
@@ -99,7 +97,7 @@
 	}
 	response.Reject = true
 	n.send(response)
-	if self, _ := n.log.config().Find(n.id); self.Witness && n.leader == "" {
+	if self, _ := n.member(n.id); self.Witness && n.leader == "" {
 		n.sendHandover(m)
 	}
 }
@@ -146,19 +144,44 @@
 	}
 }
 
-// sendHandover sends the entries that a candidate lacks. A witness may hold
-// committed entries that no electable member holds; since it never campaigns,
-// no leader could be elected unless it passes them on.
+// offerHandover lets a witness without leader tell the voters that can lead
+// how long its log is. A voter whose log is behind may not know of the witness
+// and so would never ask it.
+func (n *Node) offerHandover() {
+	if self, _ := n.member(n.id); !self.Witness || n.log.last() == 0 {
+		return
+	}
+	for _, m := range n.log.config().Members {
+		if !m.Learner && !m.Witness {
+			n.send(Message{Type: MsgHandover, To: m.ID, HintIndex: n.log.last(), HintTerm: n.log.lastTerm()})
+		}
+	}
+}
+
+// askHandover answers an offer. The witness refuses the pre-vote and hands
+// over what this node lacks.
+func (n *Node) askHandover(m *Message) {
+	n.send(Message{
+		Type: MsgPreVote, To: m.From, Term: n.hard.Term + 1, Index: n.log.last(), LogTerm: n.log.lastTerm(),
+		HintIndex: max(n.log.committed, n.handedOver),
+	})
+}
+
+// sendHandover sends the entries that a candidate lacks, or a snapshot if
+// they are compacted. A witness may hold committed entries that no electable
+// member holds; since it never campaigns, no leader could be elected unless it
+// passes them on.
 func (n *Node) sendHandover(m *Message) {
 	if n.log.atLeastUpToDate(m.Index, m.LogTerm) {
 		return
 	}
 	from := m.Index
 	if !n.log.matches(from, m.LogTerm) {
-		from = m.Commit // committed entries match in all logs
+		from = m.HintIndex
 	}
 	term, ok := n.log.term(from)
 	if !ok {
+		n.sendHandoverChunk(m.From, 0)
 		return
 	}
 	n.send(Message{
@@ -168,18 +191,37 @@
 	})
 }
 
-// handleHandover copies entries of a witness whose log is strictly more up to
-// date. Entries replaced by it were never committed: the witness holds an
-// entry of a later term, whose leader had every entry committed before.
+func (n *Node) sendHandoverChunk(to string, offset uint64) {
+	meta := n.snapshot
+	n.send(Message{
+		Type: MsgHandover, To: to, Snapshot: &meta, Offset: offset,
+		HintIndex: n.log.last(), HintTerm: n.log.lastTerm(),
+	})
+}
+
+// handleHandover copies entries or a snapshot of a witness whose log is
+// strictly more up to date. What it replaces was never committed: the witness
+// holds an entry of a later term, whose leader had every entry committed
+// before.
 func (n *Node) handleHandover(m *Message) {
 	leaderless := n.role != Leader && n.leader == ""
 	if !leaderless || !n.log.moreUpToDate(m.HintIndex, m.HintTerm) {
 		return
 	}
+	switch {
+	case m.Snapshot != nil:
+		n.receiveSnapshot(m)
+		return
+	case len(m.Entries) == 0:
+		n.askHandover(m)
+		return
+	}
 	if m.Index < n.log.committed || !n.log.matches(m.Index, m.LogTerm) {
+		n.handedOver = 0 // it was that of another witness
 		return
 	}
 	if n.merge(m.Entries) {
+		n.handedOver = m.Index + uint64(len(m.Entries))
 		n.becomeFollower(n.hard.Term, "")
 	}
 }
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -81,6 +81,10 @@
 	votes    map[string]bool
 	progress map[string]*progress
 
+	// handedOver is the index up to which this log agrees with that of the
+	// witness that handed over entries last.
+	handedOver uint64
+
 	transferee      string
 	transferElapsed int
 
@@ -228,7 +232,9 @@
 		if !n.stepHigherTerm(&m) {
 			return
 		}
-	case m.Term < n.hard.Term:
+	case m.Term < n.hard.Term && m.Type != MsgHandover:
+		// The term of a witness that hands over entries does not matter, only
+		// its log does: no candidate may have reached it in the current term.
 		n.stepLowerTerm(&m)
 		return
 	}
@@ -262,31 +268,46 @@
 // while this node is in a leader's lease they have no effect at all. A vote
 // request from outside is considered only if its log is strictly ahead of
 // this one, since only then can the sender be a member that this node has not
-// learned of yet.
+// learned of yet. The same holds for a handover.
 func (n *Node) admit(m *Message) bool {
 	if n.lostDisk || n.provesLostDisk(m) {
 		n.lostDisk = true
 		return false
 	}
-	config := n.log.config()
-	if _, known := config.Find(m.From); known {
+	if _, known := n.member(m.From); known {
 		return true
 	}
+	configured := len(n.log.config().Members) > 0
 	switch m.Type {
 	case MsgAppend, MsgHeartbeat, MsgSnapshot:
 		return m.Term <= n.hard.Term || !n.inLease()
 	case MsgPreVote, MsgVote:
-		return len(config.Members) > 0 && !n.inLease() && n.log.moreUpToDate(m.Index, m.LogTerm)
+		return configured && !n.inLease() && n.log.moreUpToDate(m.Index, m.LogTerm)
+	case MsgHandover:
+		return configured && !n.inLease() && n.log.moreUpToDate(m.HintIndex, m.HintTerm)
 	}
 	return false
 }
 
+// member returns a member of the configuration. While the latest change is
+// not committed, the members before it count as well: the change may be
+// undone, and a voter that it removes can be needed to commit it.
+func (n *Node) member(id string) (Member, bool) {
+	m, ok := n.log.config().Find(id)
+	if !ok && n.log.configIndex() > n.log.committed {
+		m, ok = n.log.configAt(n.log.committed).Find(id)
+	}
+	return m, ok
+}
+
 // provesLostDisk reports whether the message shows that the group was formed
 // although this initial member has no state. The first election of a group
 // needs the vote of every initial voter, and a vote is durable before it is
-// sent; so a member of a formed group that has no state has lost its disk.
+// sent; so an initial member that has never voted, although the group is
+// formed, has lost its disk. Its term proves nothing, since it may have
+// learned it from a refused pre-vote.
 func (n *Node) provesLostDisk(m *Message) bool {
-	blank := n.hard.Term == 0 && n.log.last() == 0 && n.log.config().IsVoter(n.id)
+	blank := !n.hard.Voted && n.log.last() == 0 && n.log.config().IsVoter(n.id)
 	if !blank {
 		return false
 	}
--- a/internal/raft/snapshot.go
+++ b/internal/raft/snapshot.go
@@ -17,15 +17,21 @@
 }
 
 func (n *Node) handleSnapshot(m *Message) {
+	if n.receiveSnapshot(m) {
+		n.send(Message{Type: MsgAppendResponse, To: m.From, Index: max(m.Snapshot.Index, n.log.committed)})
+	}
+}
+
+// receiveSnapshot takes one chunk and asks for the next one. It reports
+// whether this node holds the content of the snapshot.
+func (n *Node) receiveSnapshot(m *Message) bool {
 	s := *m.Snapshot
-	switch {
-	case s.Index <= n.log.committed:
-		n.send(Message{Type: MsgAppendResponse, To: m.From, Index: n.log.committed})
-		return
-	case n.log.matches(s.Index, s.Term):
+	if s.Index <= n.log.committed {
+		return true
+	}
+	if n.log.matches(s.Index, s.Term) {
 		n.log.commitTo(s.Index)
-		n.send(Message{Type: MsgAppendResponse, To: m.From, Index: s.Index})
-		return
+		return true
 	}
 	in := &n.incoming
 	if in.index != s.Index || in.term != s.Term {
@@ -38,16 +44,21 @@
 		n.send(Message{
 			Type: MsgSnapshotResponse, To: m.From, Index: s.Index, LogTerm: s.Term, Offset: uint64(len(in.data)),
 		})
-		return
+		return false
 	}
 	n.installing = &Snapshot{Meta: s, Data: in.data}
 	n.incoming = incomingSnapshot{}
 	n.log.reset(s)
 	n.previous, n.snapshot = s, s
-	n.send(Message{Type: MsgAppendResponse, To: m.From, Index: s.Index})
+	return true
 }
 
 func (n *Node) handleSnapshotResponse(m *Message) {
+	current := m.Index == n.snapshot.Index && m.LogTerm == n.snapshot.Term
+	if self, _ := n.member(n.id); self.Witness && n.leader == "" && current {
+		n.sendHandoverChunk(m.From, m.Offset)
+		return
+	}
 	p := n.progress[m.From]
 	if n.role != Leader || p == nil || p.state != stateSnapshot {
 		return
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -137,6 +137,9 @@
 type HardState struct {
 	Term uint64 `cbor:"1,keyasint"`
 	Vote string `cbor:"2,keyasint,omitempty"`
+	// Voted is set for good with the first vote. An initial member without it
+	// has never taken part in the group.
+	Voted bool `cbor:"4,keyasint,omitempty"`
 	// Commit is a lower bound: losing its last value costs only time.
 	Commit uint64 `cbor:"3,keyasint,omitempty"`
 }
@@ -173,8 +176,8 @@
 	MsgSnapshotResponse
 	// MsgTimeoutNow asks the receiver to campaign at once (leadership transfer).
 	MsgTimeoutNow
-	// MsgHandover brings entries of a witness to a candidate whose log is
-	// behind that of the witness.
+	// MsgHandover brings entries or a snapshot of a witness to a candidate
+	// whose log is behind that of the witness.
 	MsgHandover
 )
 
@@ -204,7 +207,9 @@
 	Entries []Entry `cbor:"8,keyasint,omitempty"`
 	Reject  bool    `cbor:"9,keyasint,omitempty"`
 	// HintIndex and HintTerm name the entry from which a rejected append
-	// should continue, or the last entry of the witness in a handover.
+	// should continue, or the last entry of the witness in a handover. In a
+	// vote request a handover should continue from HintIndex if the last
+	// entry of the candidate is not in the log of the witness.
 	HintIndex uint64 `cbor:"10,keyasint,omitempty"`
 	HintTerm  uint64 `cbor:"11,keyasint,omitempty"`
 	// Force marks a vote request of a leadership transfer, which voters do
@@ -212,8 +217,9 @@
 	Force bool `cbor:"12,keyasint,omitempty"`
 	// Read numbers the heartbeat round that confirms leadership for reads.
 	Read uint64 `cbor:"13,keyasint,omitempty"`
-	// Snapshot describes the snapshot of MsgSnapshot; Chunk holds its bytes
-	// from Offset on. In a response Offset counts the bytes received.
+	// Snapshot describes the snapshot of MsgSnapshot or MsgHandover; Chunk
+	// holds its bytes from Offset on, filled in by the caller of Ready. In a
+	// response Offset counts the bytes received.
 	Snapshot *SnapshotMeta `cbor:"14,keyasint,omitempty"`
 	Offset   uint64        `cbor:"15,keyasint,omitempty"`
 	Chunk    []byte        `cbor:"16,keyasint,omitempty"`
@@ -258,7 +264,7 @@
 		}
 		previous = e.Term
 	}
-	if m.Type == MsgSnapshot {
+	if m.Type == MsgSnapshot || m.Snapshot != nil {
 		return m.checkSnapshot()
 	}
 	return ""
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -211,6 +211,7 @@
 		return err
 	}
 	c.options.ID = c.identity.MemberID()
+	c.options.HardState = raft.HardState{Term: c.node.Status().Term}
 	node, err := raft.New(c.options)
 	if err != nil {
 		return err
--- a/internal/replica/send.go
+++ b/internal/replica/send.go
@@ -36,7 +36,7 @@
 func (s *sender) send(messages []raft.Message) {
 	batches := map[string]*batch{}
 	for _, m := range messages {
-		if m.Type == raft.MsgSnapshot {
+		if m.Snapshot != nil {
 			chunk, err := s.r.log.ReadChunk(*m.Snapshot, m.Offset)
 			if err != nil {
 				s.r.cfg.Logger.Warn().Err(err).Str("group", s.r.cfg.Group).Msg("read snapshot chunk")
--- a/internal/wal/replay.go
+++ b/internal/wal/replay.go
@@ -13,9 +13,11 @@
 type replayer struct {
 	hard    raft.HardState
 	entries []raft.Entry
-	// base is the index before the first entry, known once based is set.
+	// base is the index before the first entry, known once based is set. It
+	// is exact after a reset, which a snapshot covers.
 	base  uint64
 	based bool
+	exact bool
 	// maxIndex is the highest index seen so far. It only grows, so that a
 	// segment is not released while an earlier one is still needed.
 	maxIndex uint64
@@ -67,7 +69,7 @@
 		if err := codec.Unmarshal(payload, &s); err != nil {
 			return err
 		}
-		p.base, p.based, p.entries = s.Index, true, nil
+		p.base, p.based, p.exact, p.entries = s.Index, true, true, nil
 		p.maxIndex = max(p.maxIndex, s.Index)
 		return nil
 	case recordSave:
@@ -95,9 +97,12 @@
 			return &fault.Corrupt{Reason: fmt.Sprintf("entries before index %d are missing", e.Index)}
 		}
 		if e.Index <= p.base {
-			// Entries below the base are covered by a snapshot, so they are
-			// committed and never replaced.
-			return &fault.Corrupt{Reason: fmt.Sprintf("entry %d replaces one before the log", e.Index)}
+			if p.exact {
+				return &fault.Corrupt{Reason: fmt.Sprintf("entry %d replaces one in the snapshot", e.Index)}
+			}
+			// The first stored segment can begin with entries that a later
+			// leader replaced, along with entries in removed segments.
+			p.base, p.entries = e.Index-1, nil
 		}
 		p.entries = append(p.entries[:e.Index-p.base-1], e)
 		p.maxIndex = max(p.maxIndex, e.Index)
