Close gaps that disabled mechanisms showed in the ledger's tests

Cause: with single mechanisms disabled on a scratch copy, the tests did not notice a missing check of idempotency (the kinds allowed one attempt anyway), CPU, ledger size, payload size, or the incarnation seen by a dispatch.

Change: tests for each of these; the random histories compare without matchers in the inner loop.

--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -64,8 +64,8 @@
 		cat: &model.Catalogue{
 			Pools: map[string]*model.Pool{"plot": {}, "spare": {Spare: true}},
 			JobKinds: map[string]*model.JobKind{
-				"order":   {Pool: "plot", Priority: model.Normal, CPUMillis: 1000, MemoryMB: 1000},
-				"draw":    {Pool: "plot", Priority: model.Urgent, CPUMillis: 1000, MemoryMB: 1000},
+				"order":   {Pool: "plot", Priority: model.Normal, MaxAttempts: 3, CPUMillis: 1000, MemoryMB: 1000},
+				"draw":    {Pool: "plot", Priority: model.Urgent, MaxAttempts: 3, CPUMillis: 1000, MemoryMB: 1000},
 				"proof":   {Pool: "plot", Priority: model.Urgent, Idempotent: true, MaxAttempts: 3, CPUMillis: 1000, MemoryMB: 1000},
 				"archive": {Pool: "plot", Priority: model.Patient, Idempotent: true, MaxAttempts: 2, CPUMillis: 1000, MemoryMB: 1000},
 				"render":  {Pool: "plot", Priority: model.Normal, Idempotent: true, MaxAttempts: 2, CPUMillis: 1000, MemoryMB: 1000, Accelerators: 1},
--- a/internal/ledger/random_test.go
+++ b/internal/ledger/random_test.go
@@ -1,8 +1,10 @@
 package ledger_test
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -27,8 +29,7 @@
 	copy   *ledger.State // restored from a snapshot, then applied in step
 	truth  map[string]map[int]*secret
 	proven map[string]*model.Request // done and not_run requests
-	last   string
-	ends   map[string]int // outcomes reached, for the coverage of the run
+	ends   map[string]int            // outcomes reached, for the coverage of the run
 }
 
 func newHistory(seed uint64) *history {
@@ -49,14 +50,13 @@
 	c := h.ctx()
 	res, events := h.state.Apply(c, &cmd)
 	other, otherEvents := h.copy.Apply(c, &cmd)
-	Expect(otherEvents).To(Equal(events), h.last)
-	Expect(other.Request).To(Equal(res.Request), h.last)
+	must(reflect.DeepEqual(otherEvents, events), "a restored replica gives other events")
+	must(reflect.DeepEqual(other, res), "a restored replica gives another result")
 	return res
 }
 
 func (h *history) step() {
 	key := h.key()
-	h.last = key
 	switch h.rng.IntN(20) {
 	case 0, 1, 2, 3:
 		c := ledger.Claim{Key: key, Kind: pick(h, "order", "draw", "proof", "archive", "render", "huge"), Team: pick(h, "shop", "small"), Payload: []byte("p")}
@@ -228,41 +228,44 @@
 			}
 		}
 	}
-	Expect(h.state.QueuedCount("plot")).To(Equal(queued))
-	Expect(h.state.Queued("plot", 1000)).To(HaveLen(queued))
-	Expect(h.state.RunningCount("plot")).To(Equal(running))
-	Expect(h.state.Ended()).To(HaveLen(ended))
-	Expect(h.state.TeamRunning("small")).To(Equal(teams["small"]))
-	Expect(teams["small"]).To(BeNumerically("<=", 1))
+	must(h.state.QueuedCount("plot") == queued && len(h.state.Queued("plot", 1000)) == queued, "queued count")
+	must(h.state.RunningCount("plot") == running, "running count")
+	must(len(h.state.Ended()) == ended, "requests that await a retry")
+	must(h.state.TeamRunning("small") == teams["small"] && teams["small"] <= 1, "running requests of the team")
 	for name, host := range h.hosts {
 		u := hosts[name]
 		cpu, memory, accelerators := h.state.Reserved(name)
-		Expect(use{h.state.Running(name), cpu, memory, accelerators}).To(Equal(u), name)
-		Expect(u.slots).To(BeNumerically("<=", host.Info.Slots))
-		Expect(u.cpu).To(BeNumerically("<=", host.Info.CPUMillis))
-		Expect(u.memory).To(BeNumerically("<=", host.Info.MemoryMB))
-		Expect(u.accelerators).To(BeNumerically("<=", host.Info.Accelerators))
+		got := use{h.state.Running(name), cpu, memory, accelerators}
+		must(got == u, "host %s holds %v, counted %v", name, got, u)
+		must(u.slots <= host.Info.Slots, "slots of %s", name)
+		must(u.cpu <= host.Info.CPUMillis && u.memory <= host.Info.MemoryMB, "size of %s", name)
+		must(u.accelerators <= host.Info.Accelerators, "accelerators of %s", name)
+	}
+}
+
+// must fails the test unless ok. It replaces matchers in the inner loop, which
+// would take most of the test's time.
+func must(ok bool, format string, args ...any) {
+	if !ok {
+		Fail(fmt.Sprintf(format, args...), 1)
 	}
 }
 
 func (h *history) checkRequest(r *model.Request, begun, ran int) {
 	if !r.Idempotent {
-		Expect(begun).To(BeNumerically("<=", 1), "attempts of %s that may have begun", r.Key)
-		Expect(ran).To(BeNumerically("<=", 1), "runs of %s", r.Key)
+		must(begun <= 1, "%d attempts of %s may have begun", begun, r.Key)
+		must(ran <= 1, "%s ran %d times", r.Key, ran)
 	}
 	if r.Outcome == model.OutcomeNotRun {
-		Expect(ran).To(BeZero(), "%s finished as not_run but ran", r.Key)
+		must(ran == 0, "%s finished as not_run but ran", r.Key)
 	}
 	if r.Outcome == model.OutcomeDone {
-		Expect(ran).To(BeNumerically(">", 0), "%s finished as done but never ran", r.Key)
+		must(ran > 0, "%s finished as done but never ran", r.Key)
 	}
 	old := h.proven[r.Key]
 	if old != nil && old.Claimed == r.Claimed {
-		Expect([]any{r.State, r.Outcome, r.Succeeded, r.Finished}).To(
-			Equal([]any{old.State, old.Outcome, old.Succeeded, old.Finished}), "proven outcome of %s changed", r.Key)
-		if r.Answer != nil {
-			Expect(r.Answer).To(Equal(old.Answer))
-		}
+		must(r.State == old.State && r.Outcome == old.Outcome && r.Succeeded == old.Succeeded && r.Finished == old.Finished &&
+			(r.Answer == nil || bytes.Equal(r.Answer, old.Answer)), "proven outcome of %s changed", r.Key)
 	} else if r.Outcome == model.OutcomeDone || r.Outcome == model.OutcomeNotRun {
 		h.proven[r.Key] = r
 		h.ends[fmt.Sprintf("%s %t", r.Outcome, r.Succeeded)]++
--- a/internal/ledger/rules_test.go
+++ b/internal/ledger/rules_test.go
@@ -19,6 +19,8 @@
 		limits := ledger.DefaultLimits()
 		limits.MaxRequests, limits.MaxQueuedPerPool, limits.MaxPayloadBytes = 4, 3, 4
 		f := newFixture(limits)
+		big := f.apply(ledger.Command{Claim: &ledger.Claim{Key: "h", Kind: "order", Payload: make([]byte, 5)}})
+		Expect(fault.CodeOf(big.Err)).To(Equal(fault.CodeLimitExceeded), "payload")
 		Expect(f.claim("a", "order", "small", 0).Err).NotTo(HaveOccurred())
 		Expect(f.claim("b", "order", "small", 0).Err).NotTo(HaveOccurred())
 		Expect(fault.CodeOf(f.claim("c", "order", "small", 0).Err)).To(Equal(fault.CodeLimitExceeded), "team quota")
@@ -26,9 +28,8 @@
 		Expect(fault.CodeOf(f.claim("e", "order", "shop", 0).Err)).To(Equal(fault.CodeLimitExceeded), "pool queue")
 		Expect(f.dispatch("d", 1, "h1")).To(BeTrue())
 		Expect(f.claim("e", "order", "shop", 0).Err).NotTo(HaveOccurred())
+		Expect(f.dispatch("a", 1, "h1")).To(BeTrue())
 		Expect(fault.CodeOf(f.claim("g", "order", "shop", 0).Err)).To(Equal(fault.CodeLimitExceeded), "ledger")
-		big := f.apply(ledger.Command{Claim: &ledger.Claim{Key: "h", Kind: "order", Payload: make([]byte, 5)}})
-		Expect(fault.CodeOf(big.Err)).To(Equal(fault.CodeLimitExceeded), "payload")
 		Expect(f.state.Recent(9)).To(HaveLen(4))
 	})
 
@@ -111,7 +112,8 @@
 		f.claim("big2", "huge", "shop", 0)
 		Expect(f.dispatch("big", 1, "h1")).To(BeTrue())
 		Expect(f.dispatch("big2", 1, "h1")).To(BeFalse())
-		Expect(f.dispatchItem(ledger.DispatchItem{Key: "big2", Attempt: 1, Host: "h1", CPUMillis: 1000})).To(BeFalse())
+		Expect(f.dispatchItem(ledger.DispatchItem{Key: "big2", Attempt: 1, Host: "h1", CPUMillis: 1000})).To(BeFalse(), "memory")
+		Expect(f.dispatchItem(ledger.DispatchItem{Key: "big2", Attempt: 1, Host: "h1", MemoryMB: 1000})).To(BeFalse(), "CPU")
 		Expect(f.dispatchItem(ledger.DispatchItem{Key: "big2", Attempt: 1, Host: "h1", CPUMillis: 1000, MemoryMB: 1000})).To(BeTrue())
 		cpu, memory, _ := f.state.Reserved("h1")
 		Expect([]int{cpu, memory}).To(Equal([]int{6000, 6000}))
@@ -272,6 +274,27 @@
 		Expect(f.state.Ended()).To(BeEmpty())
 	})
 
+	It("refuses a second attempt even if the state wrongly expects one", func() {
+		// Guards against a duplicate order after a snapshot that another build
+		// wrote with other rules.
+		for _, requeue := range []bool{false, true} {
+			f.claim("a", "proof", "shop", 0)
+			f.dispatch("a", 1, "h1")
+			f.report("a", 1, model.AttemptFailed, "")
+			if requeue {
+				Expect(f.retry("a", 1, false)).To(Succeed())
+			}
+			data, err := f.state.Snapshot()
+			Expect(err).NotTo(HaveOccurred())
+			data = bytes.Replace(data, []byte("\x07\xf5\x08"), []byte("\x07\xf4\x08"), 1) // idempotent: false
+			Expect(f.state.Restore(data)).To(Succeed())
+			Expect(f.get("a").Idempotent).To(BeFalse())
+			Expect(f.retry("a", 1, false)).NotTo(Succeed())
+			Expect(f.dispatch("a", 2, "h2")).To(BeFalse())
+			f = newFixture(ledger.DefaultLimits())
+		}
+	})
+
 	It("backs off and stays bounded when targets refuse every start", func() {
 		// Guards against a request that grows, and against a dispatch loop.
 		f.claim("a", "order", "shop", 0)
@@ -310,6 +333,19 @@
 		Expect(f.state.Running("h1")).To(Equal(1))
 	})
 
+	It("counts slots on the incarnation that the last dispatch saw", func() {
+		// Guards against slots of an ended incarnation that hide free ones.
+		f := newFixture(ledger.DefaultLimits())
+		f.claim("a", "order", "shop", 0)
+		f.claim("b", "order", "shop", 0)
+		f.claim("c", "order", "shop", 0)
+		f.dispatch("a", 1, "h1")
+		f.dispatch("b", 1, "h1")
+		f.hosts["h1"] = newHost("h1", "plot", "i2", 2)
+		Expect(f.dispatch("c", 1, "h1")).To(BeTrue())
+		Expect(f.state.Running("h1")).To(Equal(1))
+	})
+
 	It("does not touch attempts on the current incarnation after a restart", func() {
 		// Guards against a late order about the old incarnation.
 		f := newFixture(ledger.DefaultLimits())
