--- /dev/null
+++ b/internal/retry/retry.go
@@ -0,0 +1,175 @@
+// Package retry limits the retries of idempotent work. Three policies are
+// interchangeable: a fixed limit per request, a pool of tokens per instance,
+// and a pool of tokens shared by all instances of a data centre.
+//
+// The token pool follows "Knowing when to stop retrying": each retry spends
+// tokens and only a success refills them, so that retries stay useful under
+// rare failures and end by themselves under general ones. A fixed limit
+// multiplies the load by that limit exactly when targets fail.
+//
+// Policies are soft state of the leader and not safe for concurrent use.
+package retry
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"time"
+)
+
+// Attempt is an attempt that failed or was lost.
+type Attempt struct {
+	Key string
+	// Begun is the number of attempts that may have begun, and MaxAttempts
+	// bounds it.
+	Begun       int
+	MaxAttempts int
+	// Instance is the entry host that owned the attempt.
+	Instance string
+}
+
+// Verdict is the decision about a retry.
+type Verdict struct {
+	Retry  bool
+	Reason string
+}
+
+// Policy decides about retries.
+type Policy interface {
+	// Decide tells whether another attempt is allowed, and accounts for it.
+	Decide(a Attempt) Verdict
+	// Succeeded accounts for an attempt of the instance that succeeded.
+	Succeeded(instance string)
+}
+
+func exhausted(a Attempt) (Verdict, bool) {
+	limit := max(a.MaxAttempts, 1)
+	if a.Begun < limit {
+		return Verdict{}, false
+	}
+	return Verdict{Reason: fmt.Sprintf("all %d attempts are used", limit)}, true
+}
+
+// Fixed allows every attempt below the request's own limit.
+type Fixed struct{}
+
+// Decide implements Policy.
+func (Fixed) Decide(a Attempt) Verdict {
+	if v, ok := exhausted(a); ok {
+		return v
+	}
+	return Verdict{Retry: true, Reason: fmt.Sprintf("attempt %d of %d", a.Begun+1, a.MaxAttempts)}
+}
+
+// Succeeded implements Policy.
+func (Fixed) Succeeded(string) {}
+
+// Tokens are the settings of a token pool.
+type Tokens struct {
+	// Capacity is the number of tokens of a full pool, the initial state.
+	Capacity float64
+	// Cost is spent by each retry.
+	Cost float64
+	// Refill is gained by each success. Refill/Cost bounds the retries per
+	// success in the long run.
+	Refill float64
+}
+
+// DefaultTokens allows bursts of 100 retries, and one retry per five
+// successes in the long run, which sustains failure rates up to a sixth.
+func DefaultTokens() Tokens { return Tokens{Capacity: 100, Cost: 1, Refill: 0.2} }
+
+type pool struct {
+	settings Tokens
+	tokens   float64
+}
+
+func (p *pool) decide(a Attempt, name string) Verdict {
+	if v, ok := exhausted(a); ok {
+		return v
+	}
+	if p.tokens < p.settings.Cost {
+		return Verdict{Reason: fmt.Sprintf("%s has %.1f retry tokens, %.1f are needed", name, p.tokens, p.settings.Cost)}
+	}
+	p.tokens -= p.settings.Cost
+	return Verdict{Retry: true, Reason: fmt.Sprintf("attempt %d of %d, %.1f retry tokens left", a.Begun+1, a.MaxAttempts, p.tokens)}
+}
+
+func (p *pool) succeeded() { p.tokens = min(p.tokens+p.settings.Refill, p.settings.Capacity) }
+
+// Shared is one pool of tokens for a data centre.
+type Shared struct{ pool pool }
+
+// NewShared returns a full pool.
+func NewShared(t Tokens) *Shared { return &Shared{pool{settings: t, tokens: t.Capacity}} }
+
+// Decide implements Policy.
+func (s *Shared) Decide(a Attempt) Verdict { return s.pool.decide(a, "the data centre") }
+
+// Succeeded implements Policy.
+func (s *Shared) Succeeded(string) { s.pool.succeeded() }
+
+// maxInstances bounds the pools of PerInstance. Instances beyond it share the
+// pool of the empty name.
+const maxInstances = 1024
+
+// PerInstance is one pool of tokens for each instance.
+type PerInstance struct {
+	settings Tokens
+	pools    map[string]*pool
+}
+
+// NewPerInstance returns a policy whose pools are full at their first use.
+func NewPerInstance(t Tokens) *PerInstance {
+	return &PerInstance{settings: t, pools: map[string]*pool{}}
+}
+
+func (p *PerInstance) pool(instance string) *pool {
+	if p.pools[instance] == nil {
+		if len(p.pools) >= maxInstances {
+			instance = ""
+		}
+		if p.pools[instance] == nil {
+			p.pools[instance] = &pool{settings: p.settings, tokens: p.settings.Capacity}
+		}
+	}
+	return p.pools[instance]
+}
+
+// Decide implements Policy.
+func (p *PerInstance) Decide(a Attempt) Verdict {
+	return p.pool(a.Instance).decide(a, "instance "+a.Instance)
+}
+
+// Succeeded implements Policy.
+func (p *PerInstance) Succeeded(instance string) { p.pool(instance).succeeded() }
+
+// Backoff computes the delay before a retry: exponential, with jitter that
+// depends only on seed, key and attempt, so that a new leader computes the
+// same delay.
+type Backoff struct {
+	Base time.Duration
+	Max  time.Duration
+	// Jitter is the fraction of the delay that is random, 0 to 1.
+	Jitter float64
+	Seed   uint64
+}
+
+// DefaultBackoff starts at 100 ms and ends at 10 s; half of it is random, so
+// that requests that failed together do not return together.
+func DefaultBackoff(seed uint64) Backoff {
+	return Backoff{Base: 100 * time.Millisecond, Max: 10 * time.Second, Jitter: 0.5, Seed: seed}
+}
+
+// Delay returns the delay after the attempt with the given number, from 1.
+func (b Backoff) Delay(key string, attempt int) time.Duration {
+	d := b.Base
+	for n := 1; n < attempt && d < b.Max; n++ {
+		d *= 2
+	}
+	d = min(d, b.Max)
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(key))
+	rng := rand.New(rand.NewPCG(b.Seed^uint64(attempt), h.Sum64()))
+	return d - time.Duration(b.Jitter*rng.Float64()*float64(d))
+}
