--- a/internal/ledger/rules_test.go
+++ b/internal/ledger/rules_test.go
@@ -346,6 +346,18 @@
 		Expect(f.state.Running("h1")).To(Equal(1))
 	})
 
+	It("covers the attempts on every earlier incarnation", func() {
+		// Guards against an attempt that stays open for ever because the old
+		// incarnation was not named.
+		f := newFixture(ledger.DefaultLimits())
+		f.claim("a", "order", "shop", 0)
+		f.dispatch("a", 1, "h1")
+		f.hosts["h1"] = newHost("h1", "plot", "i2", 2)
+		f.lose("h1", "i2")
+		Expect(f.outcome("a")).To(Equal("finished unknown false"))
+		Expect(f.state.Running("h1")).To(Equal(0))
+	})
+
 	It("does not touch attempts on the current incarnation after a restart", func() {
 		// Guards against a late order about the old incarnation.
 		f := newFixture(ledger.DefaultLimits())
@@ -370,6 +382,7 @@
 		f.advance(10*time.Minute - time.Millisecond)
 		f.expire()
 		Expect(string(f.get("a").Answer)).To(Equal("answer"))
+		Expect(f.get("a").Payload).To(BeNil(), "finished requests need no payload")
 		f.advance(time.Millisecond)
 		f.expire()
 		Expect(f.get("a").Answer).To(BeNil())
