Compare placement policies on recorded demand

Cause: the settings of placement need figures for buffer cost, moves and requests in time before a default is chosen.

Change: internal/experiment replays one recorded demand (five services of 8 to 12 executors over three data centres, 8 spare hosts, each queue in turn at five times its mean and at a twentieth in between) through the real ledger, estimates and placement.

--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -89,10 +89,10 @@
 	}
 	prior := priorWeight * max(0, 1-float64(h.total)/fadedAt)
 	rank := q * (float64(h.total) + prior)
-	sum, value := 0.0, int64(0)
+	sum, value, declaredBucket := 0.0, int64(0), bucketOf(declared)
 	for b := range h.counts {
 		weight, largest := float64(h.counts[b]), h.largest[b]
-		if prior > 0 && b == bucketOf(declared) {
+		if prior > 0 && b == declaredBucket {
 			weight += prior
 			largest = max(largest, declared)
 		}
--- /dev/null
+++ b/internal/experiment/demand.go
@@ -0,0 +1,183 @@
+// Package experiment compares placement policies. Recorded demand drives the
+// real ledger, estimates and placement with simple fake executors, so that the
+// figures come from the code that decides in production. It is not a cluster
+// simulator: there is no network, and no host fails.
+package experiment
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"agatehaven.dev/agatehaven/internal/model"
+)
+
+// The fleet: five services of 8 to 12 executors with 8 slots each over three
+// data centres, and a spare pool of 8 hosts.
+const (
+	slotsPerHost = 8
+	hostsPerRack = 4
+	sparePool    = "spare"
+	spareHosts   = 8
+	dataCentres  = 3
+)
+
+var services = []struct {
+	name  string
+	hosts int
+}{{"proof", 8}, {"cutting", 9}, {"plotter", 10}, {"archive", 11}, {"draw", 12}}
+
+// class is one part of a service's demand.
+type class struct {
+	priority model.Priority
+	share    float64
+	// mean is the mean run time; declared is what the job kind declares.
+	mean, declared time.Duration
+	// limit is the longest start latency (urgent) or response time (others)
+	// that counts as in time.
+	limit time.Duration
+}
+
+var classes = []class{
+	{model.Urgent, 0.3, 500 * time.Millisecond, time.Second, 1600 * time.Millisecond},
+	{model.Normal, 0.55, 2 * time.Second, 4 * time.Second, 10 * time.Second},
+	{model.Patient, 0.15, 20 * time.Second, 5 * time.Second, 2 * time.Minute},
+}
+
+// Demand is the recorded demand of all queues.
+type Demand struct {
+	arrivals []arrival // by time
+	length   time.Duration
+}
+
+type arrival struct {
+	at         time.Duration
+	dataCentre int
+	pool       string
+	class      int
+	run        time.Duration
+}
+
+// Requests returns the number of requests.
+func (d *Demand) Requests() int { return len(d.arrivals) }
+
+// DemandSettings shape the demand.
+type DemandSettings struct {
+	Seed uint64
+	// Cycles is how often each queue has its burst.
+	Cycles int
+	// Burst is the length of one queue's burst.
+	Burst time.Duration
+	// Peak is the load of a burst as a multiple of the pool's slots.
+	Peak float64
+}
+
+// burstFactor is the demand of a burst and calmFactor the demand in between,
+// as multiples of the mean.
+const (
+	burstFactor = 5.0
+	calmFactor  = 1.0 / 20
+)
+
+// Record draws the demand once: each queue in its turn asks for five times its
+// mean, and for a twentieth of it in between.
+func Record(s DemandSettings) *Demand {
+	rng := rand.New(rand.NewPCG(s.Seed, 0))
+	var perRequest time.Duration // mean slot time of a request
+	for _, c := range classes {
+		perRequest += time.Duration(c.share * float64(c.mean))
+	}
+	turn := s.Burst * time.Duration(len(services))
+	d := &Demand{length: turn * time.Duration(s.Cycles)}
+	for i, svc := range services {
+		burstRate := s.Peak * float64(svc.hosts*slotsPerHost) / perRequest.Seconds()
+		for at := time.Duration(0); ; {
+			rate := burstRate / burstFactor * calmFactor
+			inTurn := at % turn
+			boundary := at - inTurn + s.Burst*time.Duration(i)
+			switch {
+			case inTurn >= s.Burst*time.Duration(i+1):
+				boundary = at - inTurn + turn + s.Burst*time.Duration(i)
+			case inTurn >= s.Burst*time.Duration(i):
+				rate = burstRate
+				boundary = at - inTurn + s.Burst*time.Duration(i+1)
+			}
+			// The exponential distribution has no memory, so a gap that crosses
+			// a change of rate is drawn again from the boundary.
+			gap := time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+			if at+gap >= boundary {
+				at = boundary
+			} else {
+				at += gap
+				d.arrivals = append(d.arrivals, drawArrival(rng, at, svc.name))
+			}
+			if at >= d.length {
+				break
+			}
+		}
+	}
+	sort.SliceStable(d.arrivals, func(i, j int) bool { return d.arrivals[i].at < d.arrivals[j].at })
+	return d
+}
+
+// drawArrival draws the class, place and run time of a request. Run times are
+// log-normal with the mean of their class and a long tail.
+func drawArrival(rng *rand.Rand, at time.Duration, pool string) arrival {
+	a := arrival{at: at, pool: pool, dataCentre: rng.IntN(dataCentres)}
+	u := rng.Float64()
+	for u >= classes[a.class].share && a.class < len(classes)-1 {
+		u -= classes[a.class].share
+		a.class++
+	}
+	const sigma = 0.5
+	factor := math.Exp(sigma*rng.NormFloat64() - sigma*sigma/2)
+	a.run = max(time.Duration(float64(classes[a.class].mean)*factor), 10*time.Millisecond)
+	return a
+}
+
+func kindName(pool string, c int) string { return fmt.Sprintf("%s_%s", pool, classes[c].priority) }
+
+// catalogue declares one job kind for each service and class.
+func catalogue() *model.Catalogue {
+	cat := &model.Catalogue{
+		Pools:    map[string]*model.Pool{sparePool: {Name: sparePool, Spare: true}},
+		JobKinds: map[string]*model.JobKind{},
+	}
+	for _, svc := range services {
+		cat.Pools[svc.name] = &model.Pool{Name: svc.name}
+		for i, c := range classes {
+			cat.JobKinds[kindName(svc.name, i)] = &model.JobKind{
+				Pool: svc.name, Priority: c.priority, CPUMillis: 4000, MemoryMB: 8000,
+				RunTimeMS: int(c.declared.Milliseconds()),
+			}
+		}
+	}
+	return cat
+}
+
+// hostsOf spreads the pools over the data centres and returns the hosts of one.
+func hostsOf(dataCentre int) map[string]*model.Host {
+	hosts := map[string]*model.Host{}
+	add := func(pool string, n int) {
+		for i := range n {
+			if i%dataCentres != dataCentre {
+				continue
+			}
+			name := fmt.Sprintf("%s-%02d", pool, i)
+			hosts[name] = &model.Host{
+				Info: model.HostInfo{
+					Name: name, Rack: fmt.Sprintf("rack%d", i/dataCentres/hostsPerRack), Incarnation: "1",
+					Slots: slotsPerHost, CPUMillis: 32000, MemoryMB: 64000,
+				},
+				Pool: pool, State: model.HostReady,
+			}
+		}
+	}
+	for _, svc := range services {
+		add(svc.name, svc.hosts)
+	}
+	add(sparePool, spareHosts)
+	return hosts
+}
