--- a/internal/floors/floors.go
+++ b/internal/floors/floors.go
@@ -29,14 +29,13 @@
 // Table holds the floors of all pools. The zero value is not usable; its
 // fields are exported for snapshots.
 type Table struct {
-	Revision uint64            `cbor:"1,keyasint"`
-	Acked    map[string]uint64 `cbor:"2,keyasint"`
-	Pools    map[string]*Pool  `cbor:"3,keyasint"`
+	Revision uint64           `cbor:"1,keyasint"`
+	Pools    map[string]*Pool `cbor:"2,keyasint"`
 }
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{Acked: make(map[string]uint64), Pools: make(map[string]*Pool)}
+	return &Table{Pools: make(map[string]*Pool)}
 }
 
 // Split divides the floor of a region evenly over homes. The first homes get
@@ -80,14 +79,13 @@
 }
 
 // Ack records that a data centre has adopted a floor revision and offers new
-// floors if this allows lowering some. Earlier acknowledgements and those of a
-// revision that was never offered are ignored. It returns the pools whose
-// offered floors changed.
+// floors if this allows lowering some. Acknowledgements may come late, in any
+// order and repeatedly; those of a revision that was never offered are ignored.
+// It returns the pools whose offered floors changed.
 func (t *Table) Ack(dataCentre string, revision uint64) []string {
-	if revision <= t.Acked[dataCentre] || revision > t.Revision {
+	if revision > t.Revision {
 		return nil
 	}
-	t.Acked[dataCentre] = revision
 	for _, p := range t.Pools {
 		spans := p.Spans[dataCentre]
 		for len(spans) > 0 && spans[0].Until != 0 && spans[0].Until <= revision {
--- a/internal/floors/floors_test.go
+++ b/internal/floors/floors_test.go
@@ -120,6 +120,7 @@
 		t.SetTargets(map[string]map[string]int{pool: {"a": 4, "b": 6}})
 		Expect(t.Floors()[pool]).To(Equal(map[string]int{"a": 6, "b": 6}))
 		t.Ack("b", 1)
+		t.Ack("b", 99) // never offered
 		Expect(t.Floors()[pool]["a"]).To(Equal(6))
 		t.Ack("b", 2)
 		Expect(t.Floors()[pool]).To(Equal(map[string]int{"a": 4, "b": 6}))
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -136,6 +136,9 @@
 		step("and returns", register("h2", "i2", "render"))
 		step("resume", resume("h2"))
 		step("move", drain("h3", "", "spare"))
+		f.busy["h3"] = true
+		step("complete with running work", out("h3"))
+		f.busy["h3"] = false
 		step("complete", out("h3"))
 		step("resend", drain("h3", "", "spare"))
 		step("last spare", drain("s1", "", "render"))
@@ -146,6 +149,10 @@
 		f.cat.Waves["w"].Resume = 1
 		step("resume", inventory.Command{ResumeWave: &inventory.ResumeWave{Wave: "w", Resume: 1}})
 		step("step", drain("h4", "w", ""))
+		step("lost before its reboot was ordered", lost("h4"))
+		step("returns", register("h4", "i1", "render"))
+		step("verified", back("h4"))
+		step("step again", drain("h4", "w", ""))
 		step("finish with open steps", inventory.Command{FinishWave: &inventory.FinishWave{Wave: "w"}})
 		step("maintain", maintain("h4", "o4"))
 		step("fail", fail("h4"))
