--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -96,11 +96,13 @@
 	}
 	var response peer.ApplyRecordsResponse
 	if err := api.resend(ctx, "/v1/records", request, &response, deadline); err != nil {
-		a.note("to continue this change: apply with -request-id %s -revision %d and the same files", c.requestID, c.revision)
+		if mayContinue(err) {
+			a.note("to continue this change: apply with -request-id %s -revision %d and the same files", c.requestID, c.revision)
+		}
 		return err
 	}
 	if c.noWait {
-		result := &applyResult{RequestID: c.requestID, Revision: response.Revision}
+		result := newApplyResult(c.requestID, response.Revision)
 		return a.print(result, func(t *tableWriter) { t.row(fmt.Sprintf("revision %d accepted", response.Revision)) })
 	}
 	return a.awaitInForce(ctx, c.requestID, response.Revision, deadline)
@@ -108,7 +110,7 @@
 
 // awaitInForce polls until every reachable process has the revision in force.
 func (a *app) awaitInForce(ctx context.Context, requestID string, revision uint64, deadline time.Time) error {
-	result := &applyResult{RequestID: requestID, Revision: revision}
+	result := newApplyResult(requestID, revision)
 	var lastErr error
 	for {
 		var status query.Status
@@ -132,15 +134,19 @@
 		}
 	}
 	if err := a.print(result, func(t *tableWriter) {
-		t.row(fmt.Sprintf("revision %d accepted; in force in %d processes", revision, len(result.InForce)))
+		t.row(fmt.Sprintf("revision %d accepted; processes with it in force: %d", revision, len(result.InForce)))
 	}); err != nil {
 		return err
 	}
 	return result.verdict(lastErr)
 }
 
+func newApplyResult(requestID string, revision uint64) *applyResult {
+	return &applyResult{RequestID: requestID, Revision: revision, InForce: []string{}, Behind: []string{}, Unreachable: []string{}}
+}
+
 func (r *applyResult) fill(s *query.Status) {
-	r.InForce, r.Behind, r.Unreachable = nil, nil, s.Unreachable
+	r.InForce, r.Behind, r.Unreachable = []string{}, []string{}, append([]string{}, s.Unreachable...)
 	for _, p := range s.Processes {
 		switch {
 		case p.Revision >= r.Revision && p.Ready:
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -75,9 +75,26 @@
 	if a.output != "table" && a.output != "json" {
 		return a.finish(&UsageError{Reason: fmt.Sprintf("unknown output format %q", a.output), Next: "use -o table or -o json"})
 	}
+	if err := checkName(commander, flags, "agatehavenctl help"); err != nil {
+		return a.finish(err)
+	}
 	return int(commander.Execute(ctx))
 }
 
+// checkName refuses an unknown command with one line in place of the whole
+// list of commands.
+func checkName(c *subcommands.Commander, f *flag.FlagSet, help string) error {
+	name := f.Arg(0)
+	known := name == ""
+	c.VisitCommands(func(_ *subcommands.CommandGroup, command subcommands.Command) {
+		known = known || command.Name() == name
+	})
+	if known {
+		return nil
+	}
+	return &UsageError{Reason: fmt.Sprintf("unknown command %q", name), Next: "see `" + help + "`"}
+}
+
 func (a *app) setFlags(f *flag.FlagSet) {
 	f.Func("server", "operator address of an entry host, `IP:port`; repeat it or separate several with commas; "+
 		"the next one is tried when one does not answer (default from "+ServersVariable+")", func(s string) error {
@@ -256,5 +273,8 @@
 		c.parent = g.name + " "
 		nested.Register(c, "")
 	}
+	if err := checkName(nested, f, "agatehavenctl help "+g.name); err != nil {
+		return subcommands.ExitStatus(g.app.finish(err))
+	}
 	return nested.Execute(ctx)
 }
--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,287 @@
+package ctl_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatehaven.dev/agatehaven/internal/clock"
+	"agatehaven.dev/agatehaven/internal/ctl"
+	"agatehaven.dev/agatehaven/internal/event"
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/model"
+)
+
+var update = flag.Bool("update", false, "write golden files")
+
+func TestCtl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "ctl")
+}
+
+// steppingClock passes every wait at once.
+type steppingClock struct {
+	*clock.Manual
+	region *region
+	onWait func()
+}
+
+func (c *steppingClock) After(d time.Duration) <-chan time.Time {
+	c.Advance(d)
+	if c.onWait != nil {
+		c.region.mu.Lock()
+		c.onWait()
+		c.region.mu.Unlock()
+	}
+	fired := make(chan time.Time, 1)
+	fired <- c.Now()
+	return fired
+}
+
+// session runs the tool against a region behind one entry host; another entry
+// host does not answer.
+type session struct {
+	region *region
+	clock  *steppingClock
+	server string
+	dead   string
+	ids    int
+	stdin  string
+}
+
+func newSession() *session {
+	r := newRegion()
+	s := &session{region: r, clock: &steppingClock{Manual: clock.NewManual(time.UnixMilli(start + 60_000)), region: r}}
+	live := httptest.NewServer(s.region.handler())
+	live.Config.ErrorLog = nil
+	DeferCleanup(live.Close)
+	s.server = live.Listener.Addr().String()
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s.dead = closed.Addr().String()
+	Expect(closed.Close()).To(Succeed())
+	return s
+}
+
+func (s *session) run(ctx context.Context, args ...string) (string, int) {
+	var out bytes.Buffer
+	code := ctl.Run(ctx, args, ctl.Env{
+		Stdin: strings.NewReader(s.stdin), Stdout: &out, Stderr: &out, Clock: s.clock,
+		Getenv: func(name string) string {
+			return map[string]string{ctl.ServersVariable: s.dead + "," + s.server, "USER": "kim"}[name]
+		},
+		NewID: func() string { s.ids++; return fmt.Sprintf("id-%d", s.ids) },
+	})
+	// Waits for a handler whose client has given up, and orders its writes
+	// before the test's reads.
+	s.region.mu.Lock()
+	defer s.region.mu.Unlock()
+	text := strings.NewReplacer(s.server, "LIVE", s.dead, "DEAD").Replace(out.String())
+	return text, code
+}
+
+// directive changes the region between two commands of a transcript.
+func (s *session) directive(line string) {
+	r := s.region
+	switch word, rest, _ := strings.Cut(line, " "); word {
+	case "unreachable":
+		r.unreachable = strings.Fields(rest)
+	case "lost":
+		r.lost = 1
+	case "lag":
+		_, err := fmt.Sscan(rest, &r.lag)
+		Expect(err).NotTo(HaveOccurred())
+	case "overtake":
+		r.overtake = 1
+	case "refuse":
+		r.refuse = &fault.Precondition{What: "drain of exec-1", Reason: rest}
+	case "full":
+		r.refuse = &fault.LimitExceeded{What: "records", Limit: 4096}
+	case "stdin":
+		s.stdin = strings.ReplaceAll(rest, `\n`, "\n")
+	default:
+		Fail("unknown directive " + line)
+	}
+}
+
+// replay runs the commands of a transcript and returns it with the output
+// seen. Lines with "$ " are commands, with "% " directives, with "# "
+// comments.
+func replay(transcript string) string {
+	s := newSession()
+	var out strings.Builder
+	for _, line := range strings.Split(transcript, "\n") {
+		kind, rest, _ := strings.Cut(line, " ")
+		if kind != "$" && kind != "%" && kind != "#" {
+			continue
+		}
+		_, _ = fmt.Fprintln(&out, line)
+		switch kind {
+		case "%":
+			s.directive(rest)
+		case "$":
+			args := strings.Fields(strings.TrimPrefix(rest, "agatehavenctl"))
+			text, code := s.run(context.Background(), args...)
+			_, _ = fmt.Fprintf(&out, "%s[exit %d]\n\n", text, code)
+		}
+	}
+	return out.String()
+}
+
+var _ = Describe("agatehavenctl", func() {
+	DescribeTable("answers as in the transcript", func(name string) {
+		// Guards against output, advice or exit codes that change unnoticed.
+		path := filepath.Join("testdata", name+".session")
+		transcript, err := os.ReadFile(path)
+		Expect(err).NotTo(HaveOccurred())
+		seen := replay(string(transcript))
+		if *update {
+			Expect(os.WriteFile(path, []byte(seen), 0o600)).To(Succeed())
+			return
+		}
+		Expect(seen).To(Equal(string(transcript)))
+	},
+		Entry(nil, "queries"), Entry(nil, "commands"), Entry(nil, "refusals"), Entry(nil, "help"), Entry(nil, "json"),
+	)
+
+	It("sends a change again with the same id after a lost answer, with one effect", func() {
+		// Guards against a change applied twice, and against a change whose
+		// author never learns that it was made.
+		s := newSession()
+		s.region.lost = 2
+		text, code := s.run(context.Background(), "apply", "-f", "../../examples/wave.toml")
+		Expect(code).To(Equal(0), text)
+		Expect(s.region.paths).To(HaveLen(3))
+		Expect(s.region.applied).To(Equal(1))
+	})
+
+	It("does not repeat an order for a host after a lost answer", func() {
+		// Guards against a second order on a state that has changed.
+		s := newSession()
+		s.region.lost = 1
+		text, code := s.run(context.Background(), "-server", s.server+","+s.server, "drain", "-reason", "x", "exec-1")
+		Expect(code).To(Equal(1))
+		Expect(text).To(ContainSubstring("the command may have had its effect"))
+		Expect(s.region.applied).To(Equal(1))
+	})
+
+	It("changes only the state of a wave, also after a concurrent change", func() {
+		// Guards against a pause that drops another version's fields, rounds
+		// its numbers or fails because of an unrelated change.
+		s := newSession()
+		s.region.overtake = 1
+		text, code := s.run(context.Background(), "waves", "resume", "spring")
+		Expect(code).To(Equal(0), text)
+		record := s.region.records.Items[len(s.region.records.Items)-1]
+		Expect(string(record.Spec)).To(ContainSubstring(`"future_field":9007199254740993`))
+		var spec model.Wave
+		Expect(json.Unmarshal(record.Spec, &spec)).To(Succeed())
+		Expect(spec).To(And(HaveField("State", model.WaveRunning), HaveField("Resume", 1), HaveField("FailureThreshold", 1)))
+	})
+
+	It("prints each event once and in time when it follows", func() {
+		// Guards against a late event of a slower process that is never shown.
+		s := newSession()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		late := event.Event{ID: event.ID{Group: "dc-b", Index: 1}, Time: at(15), Kind: "host_drained", Host: "exec-3"}
+		looks := 0
+		s.clock.onWait = func() {
+			if looks++; looks == 1 {
+				s.region.events = append(s.region.events, late)
+			} else if looks == 3 {
+				cancel()
+			}
+		}
+		text, code := s.run(ctx, "timeline", "-follow")
+		Expect(code).To(Equal(0))
+		Expect(strings.Split(strings.TrimSpace(text), "\n")).To(HaveExactElements(
+			ContainSubstring("host lost"), ContainSubstring("wave paused"), ContainSubstring("host drained (host exec-3)")))
+	})
+
+	DescribeTable("watches a wave to its end", func(end func(*region), code int, last string) {
+		// Guards against a script that takes a paused wave for a finished one.
+		s := newSession()
+		looks := 0
+		s.region.waveStep = func(r *region) {
+			switch looks++; looks {
+			case 2:
+				r.centres[1].Waves = []model.WaveProgress{{Wave: "spring", DataCentre: "dc-b", Done: []string{"exec-3"}, Finished: at(9)}}
+			case 3:
+				end(r)
+			}
+		}
+		text, got := s.run(context.Background(), "waves", "watch", "spring")
+		Expect(got).To(Equal(code), text)
+		Expect(text).To(HavePrefix("04:01:00  dc-a: 1/2 done, 0 failed, running, in step: exec-2\n" +
+			"04:01:02  dc-b: 1/1 done, 0 failed, finished\n"))
+		Expect(text).To(ContainSubstring(last))
+	},
+		Entry("finished", func(r *region) { r.centres[0].Waves[0].Finished = at(9) }, 0, "dc-a: 1/2 done, 0 failed, finished"),
+		Entry("paused by the system", func(r *region) { r.centres[0].Waves[0].Paused = true }, 5, "paused by the system"),
+		Entry("cancelled", func(r *region) {
+			r.records.Items[3].Spec = json.RawMessage(`{"pool":"proofs","state":"cancelled"}`)
+			r.centres[0].Waves[0].Finished = at(9)
+		}, 1, "it was cancelled"),
+	)
+
+	It("reads the sample records without warnings and with floors that add up", func() {
+		// Guards against samples that the tool or the region refuses.
+		s := newSession()
+		text, code := s.run(context.Background(), "apply", "-f", "../../examples/records.toml")
+		Expect(code).To(Equal(0), text)
+		Expect(text).NotTo(ContainSubstring("warning"))
+		pools := map[string]model.Pool{}
+		for _, r := range s.region.records.Items {
+			var p model.Pool
+			if r.Kind == model.KindPool && json.Unmarshal(r.Spec, &p) == nil {
+				pools[r.Name] = p
+				sum := 0
+				for centre, floor := range p.Floors {
+					sum += floor
+					Expect(p.Desired[centre]).To(BeNumerically(">", floor), r.Name+" leaves no room for a wave")
+				}
+				Expect(sum).To(BeNumerically(">=", p.MinAvailable), r.Name)
+			}
+		}
+		for _, r := range s.region.records.Items {
+			var k model.JobKind
+			if r.Kind == model.KindJobKind && json.Unmarshal(r.Spec, &k) == nil {
+				Expect(pools).To(HaveKey(k.Pool))
+				Expect(k.Idempotent || k.MaxAttempts == 1).To(BeTrue(), r.Name)
+			}
+		}
+	})
+
+	It("gives up on a silent entry host and asks the next one", func() {
+		// Guards against a tool that waits on a silent connection for ever.
+		silent, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(silent.Close)
+		accepted := make(chan struct{})
+		go func() {
+			conn, err := silent.Accept()
+			if err == nil {
+				close(accepted)
+				_, _ = io.Copy(io.Discard, conn)
+			}
+		}()
+		s := newSession()
+		text, code := s.run(context.Background(), "-try-timeout", "200ms", "-server", silent.Addr().String(), "-server", s.server, "hosts", "exec-1")
+		Expect(code).To(Equal(0), text)
+		Expect(accepted).To(BeClosed())
+	})
+})
--- a/internal/ctl/errors.go
+++ b/internal/ctl/errors.go
@@ -98,9 +98,13 @@
 
 // finish prints an error with advice and returns the exit code.
 func (a *app) finish(err error) int {
-	if err == nil || errors.Is(err, context.Canceled) {
+	if err == nil {
 		return exitOK
 	}
+	if errors.Is(err, context.Canceled) {
+		a.note("agatehavenctl: interrupted")
+		return exitFailure
+	}
 	_, _ = fmt.Fprintf(a.env.Stderr, "agatehavenctl: %v\n", err)
 	if next := advice(err); next != "" {
 		_, _ = fmt.Fprintf(a.env.Stderr, "next: %s\n", next)
@@ -108,6 +112,16 @@
 	return exitCode(err)
 }
 
+// mayContinue reports whether a change that ended with err can be sent again
+// with the same request id: it has no answer yet.
+func mayContinue(err error) bool {
+	switch fault.CodeOf(err) {
+	case codeLostAnswer, codeUnreachable, fault.CodeUnavailable, fault.CodeNotLeader, fault.CodeShuttingDown:
+		return true
+	}
+	return errors.Is(err, context.Canceled)
+}
+
 func exitCode(err error) int {
 	switch fault.CodeOf(err) {
 	case codeUsage, fault.CodeInvalid:
@@ -139,7 +153,7 @@
 	case fault.CodeRevisionConflict:
 		return "another operator changed the records; read them with `agatehavenctl list`, then apply again"
 	case fault.CodePrecondition:
-		return "see `agatehavenctl pools` for floors and `agatehavenctl explain host NAME` for reasons"
+		return "see `agatehavenctl explain` for the reasons and `agatehavenctl pools` for floors"
 	case fault.CodeLimitExceeded:
 		return "wait until entries are freed, or raise the limit in the settings of the entry hosts"
 	case fault.CodeUnavailable, fault.CodeNotLeader:
--- /dev/null
+++ b/internal/ctl/region_test.go
@@ -0,0 +1,245 @@
+package ctl_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+
+	"agatehaven.dev/agatehaven/internal/event"
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/hlc"
+	"agatehaven.dev/agatehaven/internal/model"
+	"agatehaven.dev/agatehaven/internal/operator/command"
+	"agatehaven.dev/agatehaven/internal/operator/query"
+	"agatehaven.dev/agatehaven/internal/peer"
+	"agatehaven.dev/agatehaven/internal/replica"
+)
+
+// start is the time of the fixture, 2030-05-01T04:00:00Z in milliseconds.
+const start = 1_903_838_400_000
+
+// region is a stand-in for the peer layer.
+type region struct {
+	// mu is held by the handler and by whatever else uses the fields.
+	mu          sync.Mutex
+	records     model.Records
+	centres     []peer.DataCentreResponse
+	processes   []peer.InForceResponse
+	events      []event.Event
+	unreachable []string
+	answers     map[string]uint64 // by request id
+	applied     int               // changes that had effect
+	// lag is the number of status queries until the last process follows.
+	lag int
+	// lost counts answers to lose, each after its command had effect.
+	lost int
+	// refuse is returned by the next commands.
+	refuse error
+	// overtake counts concurrent changes that come before the next ones.
+	overtake int
+	// waveStep advances the wave at every look.
+	waveStep func(*region)
+	paths    []string // of commands, as received
+}
+
+func at(ms int64) hlc.Time { return hlc.Time{WallMillis: start + ms} }
+
+func newRegion() *region {
+	host := func(name, centre, pool string, state model.HostState, reason string) model.Host {
+		return model.Host{
+			Info: model.HostInfo{Name: name, DataCentre: centre, Rack: "r1"}, Pool: pool, State: state, Reason: reason, Since: at(0),
+		}
+	}
+	request := model.Request{
+		Key: "t.dc-a.1", Kind: "draw", Team: "markets", Pool: "draw", Claimed: at(0), Finished: at(5000), State: model.RequestFinished,
+		Outcome: model.OutcomeUnknown, Reason: "the target was lost", Payload: []byte("s3cret"), Answer: []byte("s3cret"),
+		Attempts: []model.Attempt{{Number: 1, Host: "exec-2", Owner: "entry-a1", State: model.AttemptUnknown, At: at(100)}},
+	}
+	queued := model.Request{Key: "fee/7", Kind: "fee_charge", Team: "markets", Pool: "ledger", Claimed: at(50), State: model.RequestQueued}
+	r := &region{answers: map[string]uint64{}}
+	r.records = model.Records{
+		Revision: 12, Floors: map[string]map[string]int{"proofs": {"dc-a": 1, "dc-b": 1}},
+		Items: []model.Record{
+			{Schema: 1, Kind: model.KindJobKind, Name: "proof", Spec: json.RawMessage(`{"pool":"proofs","priority":"urgent","idempotent":true,"cpu_millis":2000,"memory_mb":4096,"run_time_ms":800,"max_attempts":3}`)},
+			{Schema: 2, Kind: model.KindPool, Name: "proofs", Spec: json.RawMessage(`{"min_available":2,"floors":{"dc-a":1,"dc-b":1},"homes":["dc-a","dc-b"]}`)},
+			{Schema: 2, Kind: model.KindPool, Name: "spare", Spec: json.RawMessage(`{"min_available":0,"homes":["dc-a"],"spare":true}`)},
+			{Schema: 1, Kind: model.KindWave, Name: "spring", Spec: json.RawMessage(`{"pool":"proofs","state":"running","failure_threshold":1,"future_field":9007199254740993}`)},
+		},
+	}
+	r.centres = []peer.DataCentreResponse{
+		{
+			DataCentre: "dc-a", Revision: 12, Queued: map[string]int{"proofs": 4}, Running: map[string]int{"proofs": 2},
+			Hosts: []model.Host{
+				host("exec-2", "dc-a", "proofs", model.HostLost, "lease expired"), host("exec-1", "dc-a", "proofs", model.HostReady, ""),
+				host("spare-1", "dc-a", "spare", model.HostReady, ""),
+			},
+			Waves:    []model.WaveProgress{{Wave: "spring", DataCentre: "dc-a", Done: []string{"exec-1"}, Current: []string{"exec-2"}, Started: at(0)}},
+			Requests: []model.Request{request, queued},
+		},
+		{DataCentre: "dc-b", Revision: 12, Hosts: []model.Host{host("exec-3", "dc-b", "proofs", model.HostReady, "")}},
+	}
+	for _, name := range []string{"entry-b1", "entry-a1"} {
+		r.processes = append(r.processes, peer.InForceResponse{Host: name, DataCentre: "dc-" + name[6:7], Revision: 12, Ready: true, Version: "1.0"})
+	}
+	r.events = []event.Event{
+		{ID: event.ID{Group: "dc-a", Index: 5}, Time: at(10), Kind: "host_lost", Host: "exec-2", Pool: "proofs", Actor: "control on entry-a1", Reason: "lease expired"},
+		{ID: event.ID{Group: "dc-a", Index: 6}, Time: at(20), Kind: "wave_paused", Wave: "spring", DataCentre: "dc-a", Reason: "bad\x1b[31m\nreason"},
+	}
+	return r
+}
+
+func (r *region) command() error {
+	err := r.refuse
+	r.refuse = nil
+	return err
+}
+
+func (r *region) ApplyRecords(_ context.Context, q *peer.ApplyRecordsRequest) (*peer.ApplyRecordsResponse, error) {
+	if revision, ok := r.answers[q.RequestID]; ok {
+		return &peer.ApplyRecordsResponse{Revision: revision}, nil
+	}
+	if err := r.command(); err != nil {
+		return nil, err
+	}
+	if r.overtake > 0 {
+		r.overtake--
+		r.records.Revision++
+	}
+	if q.ExpectedRevision != r.records.Revision {
+		return nil, &fault.RevisionConflict{Expected: q.ExpectedRevision, Current: r.records.Revision}
+	}
+	r.records.Revision++
+	r.applied++
+	r.answers[q.RequestID] = r.records.Revision
+	for _, record := range q.Records {
+		r.records.Items = slices.DeleteFunc(r.records.Items, func(o model.Record) bool { return o.Kind == record.Kind && o.Name == record.Name })
+		if !record.Deleted {
+			r.records.Items = append(r.records.Items, record)
+		}
+	}
+	return &peer.ApplyRecordsResponse{Revision: r.records.Revision}, nil
+}
+
+func (r *region) HostCommand(_ context.Context, q *peer.HostCommandRequest) (*peer.HostCommandResponse, error) {
+	if err := r.command(); err != nil {
+		return nil, err
+	}
+	h := r.centres[0].Hosts[1]
+	h.State, h.MoveTo, h.Reason = model.HostDraining, q.ToPool, q.Operator+": "+q.Reason
+	r.applied++
+	return &peer.HostCommandResponse{Host: h}, nil
+}
+
+func (r *region) ChangeReplicas(_ context.Context, q *peer.ChangeReplicasRequest) (*peer.ChangeReplicasResponse, error) {
+	q.Member.Learner = true
+	return &peer.ChangeReplicasResponse{Members: append(members(), q.Member)}, r.command()
+}
+
+func (r *region) CancelRequest(_ context.Context, q *peer.CancelRequestRequest) (*peer.RequestResponse, error) {
+	request, err := r.Request(context.Background(), q.Key)
+	if err != nil {
+		return nil, err
+	}
+	out := *request
+	out.State, out.Outcome, out.Reason = model.RequestFinished, model.OutcomeNotRun, "cancelled by "+q.Actor
+	return &peer.RequestResponse{Request: out}, nil
+}
+
+func (r *region) Records(context.Context) (*model.Records, error) { return &r.records, nil }
+
+func (r *region) RecordsInForce(context.Context) (*model.Records, error) { return &r.records, nil }
+
+func (r *region) DataCentres(context.Context, int) (*query.DataCentres, error) {
+	if r.waveStep != nil {
+		r.waveStep(r)
+	}
+	out := &query.DataCentres{}
+	for _, dc := range r.centres {
+		if slices.Contains(r.unreachable, dc.DataCentre) {
+			out.Unreachable = append(out.Unreachable, dc.DataCentre)
+		} else {
+			out.DataCentres = append(out.DataCentres, dc)
+		}
+	}
+	return out, nil
+}
+
+func (r *region) Request(_ context.Context, key string) (*model.Request, error) {
+	for i := range r.centres[0].Requests {
+		if q := &r.centres[0].Requests[i]; q.Key == key {
+			return q, nil
+		}
+	}
+	return nil, &fault.NotFound{Kind: "request", Name: key}
+}
+
+func members() []replica.Member {
+	return []replica.Member{
+		{ID: "entry-a1#1", Host: "entry-a1"}, {ID: "entry-b1#1", Host: "entry-b1", Witness: true}, {ID: "entry-a2#1", Host: "entry-a2"},
+	}
+}
+
+func (r *region) entryHosts() []string {
+	return slices.DeleteFunc(slices.Clone(r.unreachable), func(s string) bool { return !strings.HasPrefix(s, "entry") })
+}
+
+func (r *region) GroupStatuses(context.Context) (*query.GroupStatuses, error) {
+	status := func(host string, role replica.Role, applied uint64) replica.Status {
+		return replica.Status{Group: "dc-a", ID: host + "#1", Role: role, Term: 3, Leader: "entry-a1", Committed: 40, Applied: applied, Members: members()}
+	}
+	return &query.GroupStatuses{
+		Processes: []peer.GroupStatusResponse{
+			{Host: "entry-b1", ReplicaID: "entry-b1#1", Groups: []replica.Status{status("entry-b1", replica.RoleFollower, 39)}},
+			{Host: "entry-a1", ReplicaID: "entry-a1#1", Groups: []replica.Status{status("entry-a1", replica.RoleLeader, 40)}},
+			{Host: "entry-a2", ReplicaID: "entry-a2#2"},
+		},
+		Unreachable: r.entryHosts(),
+	}, nil
+}
+
+func (r *region) InForce(context.Context) (*query.InForce, error) {
+	out := &query.InForce{Unreachable: r.entryHosts()}
+	for i, p := range r.processes {
+		if slices.Contains(r.unreachable, p.Host) {
+			continue
+		}
+		if p.Revision = r.records.Revision; i == 0 && r.lag > 0 {
+			p.Revision--
+		}
+		out.Processes = append(out.Processes, p)
+	}
+	r.lag--
+	return out, nil
+}
+
+func (r *region) Events(_ context.Context, f event.Filter) (*query.Events, error) {
+	s := event.NewStore(event.StoreCapacity)
+	for _, e := range r.events {
+		s.Add(e)
+	}
+	return &query.Events{Events: s.Query(f), Unreachable: r.entryHosts()}, nil
+}
+
+// handler serves the region's operator API and loses answers as ordered.
+func (r *region) handler() http.Handler {
+	mux := http.NewServeMux()
+	command.Register(mux, r, 1<<20)
+	query.Register(mux, r)
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if q.Method != http.MethodGet {
+			r.paths = append(r.paths, q.Method+" "+q.URL.EscapedPath())
+			if r.lost > 0 {
+				r.lost--
+				mux.ServeHTTP(httptest.NewRecorder(), q)
+				panic(http.ErrAbortHandler)
+			}
+		}
+		mux.ServeHTTP(w, q)
+	})
+}
--- a/internal/ctl/waves.go
+++ b/internal/ctl/waves.go
@@ -219,7 +219,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return nil
+			return ctx.Err()
 		case <-a.env.Clock.After(watchPause):
 		}
 	}
@@ -262,21 +262,21 @@
 	for i := range w.Progress {
 		progress[w.Progress[i].DataCentre] = &w.Progress[i]
 	}
-	paused := ""
+	paused, reason := false, ""
 	for centre, hosts := range w.Hosts {
 		p := progress[centre]
 		switch {
 		case hosts > 0 && (p == nil || (p.Finished.IsZero() && !p.Paused)):
 			return false, nil
 		case p != nil && p.Finished.IsZero() && p.Paused:
-			paused = p.Reason
+			paused, reason = true, p.Reason
 		}
 	}
 	if len(unreachable) > 0 {
 		return false, nil
 	}
-	if paused != "" {
-		return true, &fault.Precondition{What: "wave " + w.Name, Reason: "paused by the system: " + paused}
+	if paused {
+		return true, &fault.Precondition{What: "wave " + w.Name, Reason: "paused by the system: " + reason}
 	}
 	return len(w.Progress) > 0, nil
 }
--- a/internal/event/explain.go
+++ b/internal/event/explain.go
@@ -30,7 +30,7 @@
 	if state == nil {
 		return append([]string{fmt.Sprintf("Host %s is not known to any data centre that was reached.", name)}, history(events)...)
 	}
-	text := fmt.Sprintf("Host %s in data centre %s belongs to pool %s and is %s since %s",
+	text := fmt.Sprintf("Host %s in data centre %s belongs to pool %s and is in state %s since %s",
 		name, state.Info.DataCentre, state.Pool, state.State, Format(state.Since))
 	out := []string{text + because(state.Reason) + "."}
 	if state.Wave != "" {
@@ -78,7 +78,7 @@
 	case !p.Finished.IsZero():
 		text += ", and the wave finished at " + Format(p.Finished)
 	case p.Paused:
-		text += ", and the system paused the wave there until an operator resumes it" + because(p.Reason)
+		text += ", and the system paused the wave there until an operator resumes it; the reason: " + strings.TrimSuffix(p.Reason, ".")
 	}
 	return text + "."
 }
@@ -93,7 +93,7 @@
 	out := []string{requestState(state)}
 	for i := range state.Attempts {
 		a := &state.Attempts[i]
-		out = append(out, fmt.Sprintf("Attempt %d was assigned to host %s at %s, owned by entry host %s, and is %s%s.",
+		out = append(out, fmt.Sprintf("Attempt %d was assigned to host %s at %s, owned by entry host %s, and is in state %s%s.",
 			a.Number, a.Host, Format(a.At), a.Owner, a.State, because(a.Reason)))
 	}
 	return append(out, history(events)...)
--- a/internal/operator/query/compose.go
+++ b/internal/operator/query/compose.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"slices"
 	"sort"
 
 	"agatehaven.dev/agatehaven/internal/event"
 	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/model"
+	"agatehaven.dev/agatehaven/internal/peer"
 )
 
 // explainEvents bounds the events behind one explanation.
@@ -27,8 +27,8 @@
 		return nil, err
 	}
 	out := &Status{
-		Processes:   inForce.Processes,
-		Replicas:    groups.Processes,
+		Processes:   append([]peer.InForceResponse{}, inForce.Processes...),
+		Replicas:    append([]peer.GroupStatusResponse{}, groups.Processes...),
 		Unreachable: union(inForce.Unreachable, groups.Unreachable),
 	}
 	if records, err := b.Records(ctx); err != nil {
@@ -41,16 +41,18 @@
 	return out, nil
 }
 
+// union returns the sorted names of all lists, never nil, so that JSON has a
+// list and not null.
 func union(lists ...[]string) []string {
-	out := slices.Concat(lists...)
+	out := append([]string{}, slices.Concat(lists...)...)
 	sort.Strings(out)
 	return slices.Compact(out)
 }
 
-// pools joins the records with the state of the data centres. A pool without
+// pools joins the records in force with the state of the data centres. A pool without
 // a host in a data centre is listed there if it has a floor there.
 func pools(ctx context.Context, b Backend) (*Pools, error) {
-	records, err := b.Records(ctx)
+	records, err := b.RecordsInForce(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -58,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out := &Pools{Revision: records.Revision, Unreachable: centres.Unreachable}
+	out := &Pools{Pools: []PoolRow{}, Revision: records.Revision, Unreachable: union(centres.Unreachable)}
 	specs := decodeSpecs[model.Pool](records, model.KindPool)
 	for i := range centres.DataCentres {
 		dc := &centres.DataCentres[i]
@@ -130,7 +132,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out := &Hosts{Unreachable: centres.Unreachable}
+	out := &Hosts{Hosts: []model.Host{}, Unreachable: union(centres.Unreachable)}
 	for i := range centres.DataCentres {
 		for _, h := range centres.DataCentres[i].Hosts {
 			if f.matches(&h) {
@@ -146,7 +148,7 @@
 }
 
 func waves(ctx context.Context, b Backend) (*Waves, error) {
-	records, err := b.Records(ctx)
+	records, err := b.RecordsInForce(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -154,9 +156,9 @@
 	if err != nil {
 		return nil, err
 	}
-	out := &Waves{Revision: records.Revision, Unreachable: centres.Unreachable}
+	out := &Waves{Waves: []WaveRow{}, Revision: records.Revision, Unreachable: union(centres.Unreachable)}
 	for name, spec := range decodeSpecs[model.Wave](records, model.KindWave) {
-		row := WaveRow{Name: name, Spec: spec, Hosts: map[string]int{}}
+		row := WaveRow{Name: name, Spec: spec, Progress: []model.WaveProgress{}, Hosts: map[string]int{}}
 		for i := range centres.DataCentres {
 			dc := &centres.DataCentres[i]
 			for j := range dc.Hosts {
@@ -192,7 +194,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out := &Requests{Unreachable: centres.Unreachable}
+	out := &Requests{Requests: []model.Request{}, Unreachable: union(centres.Unreachable)}
 	for i := range centres.DataCentres {
 		for _, r := range centres.DataCentres[i].Requests {
 			if f.matches(&r) {
@@ -213,6 +215,23 @@
 	return r
 }
 
+func groupStatuses(ctx context.Context, b Backend) (*GroupStatuses, error) {
+	statuses, err := b.GroupStatuses(ctx)
+	if err != nil {
+		return nil, err
+	}
+	statuses.Unreachable = union(statuses.Unreachable)
+	return statuses, nil
+}
+
+func events(ctx context.Context, b Backend, f *event.Filter) (*Events, error) {
+	found, err := b.Events(ctx, *f)
+	if err != nil {
+		return nil, err
+	}
+	return &Events{Events: append([]event.Event{}, found.Events...), Unreachable: union(found.Unreachable)}, nil
+}
+
 func request(ctx context.Context, b Backend, key string) (*model.Request, error) {
 	r, err := b.Request(ctx, key)
 	if err != nil {
@@ -239,7 +258,7 @@
 	if err != nil {
 		return nil, err
 	}
-	events, err := b.Events(ctx, event.Filter{Host: name, Limit: explainEvents})
+	past, err := events(ctx, b, &event.Filter{Host: name, Limit: explainEvents})
 	if err != nil {
 		return nil, err
 	}
@@ -247,12 +266,12 @@
 	if len(found.Hosts) > 0 {
 		state = &found.Hosts[0]
 	}
-	if state == nil && len(events.Events) == 0 && len(found.Unreachable) == 0 {
+	if state == nil && len(past.Events) == 0 && len(found.Unreachable) == 0 {
 		return nil, &fault.NotFound{Kind: "host", Name: name}
 	}
 	return &Explanation{
-		Sentences:   event.ExplainHost(name, state, events.Events),
-		Unreachable: union(found.Unreachable, events.Unreachable),
+		Sentences:   event.ExplainHost(name, state, past.Events),
+		Unreachable: union(found.Unreachable, past.Unreachable),
 	}, nil
 }
 
@@ -261,7 +280,7 @@
 	if err != nil {
 		return nil, err
 	}
-	events, err := b.Events(ctx, event.Filter{Wave: name, Limit: explainEvents})
+	past, err := events(ctx, b, &event.Filter{Wave: name, Limit: explainEvents})
 	if err != nil {
 		return nil, err
 	}
@@ -271,12 +290,12 @@
 			state = &event.WaveState{Spec: w.Spec, Progress: w.Progress, Hosts: w.Hosts}
 		}
 	}
-	if state == nil && len(events.Events) == 0 {
+	if state == nil && len(past.Events) == 0 {
 		return nil, &fault.NotFound{Kind: "wave", Name: name}
 	}
 	return &Explanation{
-		Sentences:   event.ExplainWave(name, state, events.Events),
-		Unreachable: union(all.Unreachable, events.Unreachable),
+		Sentences:   event.ExplainWave(name, state, past.Events),
+		Unreachable: union(all.Unreachable, past.Unreachable),
 	}, nil
 }
 
@@ -284,22 +303,31 @@
 // keeps the request or cannot be reached.
 func explainRequest(ctx context.Context, b Backend, key string) (*Explanation, error) {
 	state, stateErr := b.Request(ctx, key)
-	var missing *fault.NotFound
-	if stateErr != nil && !errors.As(stateErr, &missing) && fault.CodeOf(stateErr) != fault.CodeUnavailable {
+	if stateErr != nil && !absent(stateErr) {
 		return nil, stateErr
 	}
-	events, err := b.Events(ctx, event.Filter{Request: key, Limit: explainEvents})
+	past, err := events(ctx, b, &event.Filter{Request: key, Limit: explainEvents})
 	if err != nil {
 		return nil, err
 	}
 	if stateErr != nil {
 		state = nil
-		if len(events.Events) == 0 {
+		if len(past.Events) == 0 {
 			return nil, stateErr
 		}
 	}
 	return &Explanation{
-		Sentences:   event.ExplainRequest(key, state, events.Events),
-		Unreachable: events.Unreachable,
+		Sentences:   event.ExplainRequest(key, state, past.Events),
+		Unreachable: union(past.Unreachable),
 	}, nil
 }
+
+// absent reports whether the home ledger does not keep the request or was not
+// reached.
+func absent(err error) bool {
+	switch fault.CodeOf(err) {
+	case fault.CodeNotFound, fault.CodeUnavailable, fault.CodeNotLeader, fault.CodeTimeout, fault.CodeSilentConnection:
+		return true
+	}
+	return false
+}
--- a/internal/operator/query/http.go
+++ b/internal/operator/query/http.go
@@ -27,7 +27,7 @@
 	handle(mux, "GET /v1/records", none, func(ctx context.Context, _ any) (any, error) { return b.Records(ctx) })
 	handle(mux, "GET /v1/pools", none, func(ctx context.Context, _ any) (any, error) { return pools(ctx, b) })
 	handle(mux, "GET /v1/waves", none, func(ctx context.Context, _ any) (any, error) { return waves(ctx, b) })
-	handle(mux, "GET /v1/replicas", none, func(ctx context.Context, _ any) (any, error) { return b.GroupStatuses(ctx) })
+	handle(mux, "GET /v1/replicas", none, func(ctx context.Context, _ any) (any, error) { return groupStatuses(ctx, b) })
 	handle(mux, "GET /v1/status", none, func(ctx context.Context, _ any) (any, error) { return status(ctx, b) })
 	handle(mux, "GET /v1/hosts", decodeHosts, func(ctx context.Context, r any) (any, error) {
 		return hosts(ctx, b, r.(*hostFilter))
@@ -39,7 +39,7 @@
 		return request(ctx, b, r.(string))
 	})
 	handle(mux, "GET /v1/events", decodeEvents, func(ctx context.Context, r any) (any, error) {
-		return b.Events(ctx, *r.(*event.Filter))
+		return events(ctx, b, r.(*event.Filter))
 	})
 	handle(mux, "GET /v1/explain", decodeExplain, func(ctx context.Context, r any) (any, error) {
 		q := r.(*explainQuery)
--- a/internal/operator/query/query.go
+++ b/internal/operator/query/query.go
@@ -16,6 +16,9 @@
 type Backend interface {
 	// Records returns the records of the region group.
 	Records(ctx context.Context) (*model.Records, error)
+	// RecordsInForce returns the records by which this process decides. It
+	// works while the region group cannot be reached.
+	RecordsInForce(ctx context.Context) (*model.Records, error)
 	// DataCentres returns every data centre's state with up to the given
 	// number of requests each, newest first.
 	DataCentres(ctx context.Context, requests int) (*DataCentres, error)
--- a/internal/settings/lines.go
+++ b/internal/settings/lines.go
@@ -34,6 +34,9 @@
 		w.lines[w.table] = line
 	case unstable.ArrayTable:
 		w.table = fmt.Sprintf("%s[%d]", name, w.counts[name])
+		if w.counts[name] == 0 {
+			w.lines[name] = line
+		}
 		w.counts[name]++
 		w.lines[w.table] = line
 	case unstable.KeyValue:
--- a/internal/settings/problem.go
+++ b/internal/settings/problem.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 
@@ -58,6 +59,11 @@
 	c.problems = append(c.problems, Problem{Key: key, Line: c.lineOf(key), Reason: reason, Allowed: allowed})
 }
 
+// reported tells whether a key has a problem already.
+func (c *checker) reported(key string) bool {
+	return slices.ContainsFunc(c.problems, func(p Problem) bool { return p.Key == key })
+}
+
 // lineOf returns the line of a key, or of the closest table that should hold
 // it.
 func (c *checker) lineOf(key string) int {
--- a/internal/settings/rules.go
+++ b/internal/settings/rules.go
@@ -93,6 +93,9 @@
 		checkMember(c, s, g, key, name)
 	}
 	if len(g.Voters) == 0 {
+		if c.reported(path + ".voters") {
+			return
+		}
 		c.report(path+".voters", "is missing", "at least one host with a disk")
 		return
 	}
