--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -104,6 +104,9 @@
 // allows another attempt. The first result tells whether a further round
 // could succeed.
 func (c *client) round(ctx context.Context, method, path string, body []byte, out any, repeatable bool) (bool, error) {
+	parent := ctx
+	ctx, cancel := context.WithTimeout(ctx, c.app.timeout)
+	defer cancel()
 	var failures []string
 	var lost, refused error
 	for _, server := range c.servers {
@@ -111,8 +114,11 @@
 		if err == nil {
 			return false, nil
 		}
-		if ctx.Err() != nil {
-			return false, ctx.Err()
+		if parent.Err() != nil {
+			return false, parent.Err()
+		}
+		if ctx.Err() != nil && method == http.MethodGet {
+			return true, &fault.Timeout{What: "the command", After: c.app.timeout}
 		}
 		failures = append(failures, fmt.Sprintf("%s: %v", server, err))
 		switch {
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -103,7 +103,7 @@
 	})
 	f.StringVar(&a.output, "o", "table", "output `format`: table or json")
 	f.StringVar(&a.operator, "operator", a.env.Getenv("USER"), "your `name` in the timeline; a client certificate overrides it")
-	f.DurationVar(&a.timeout, "timeout", defaultTimeout, "bound for the whole command, with resending and waiting")
+	f.DurationVar(&a.timeout, "timeout", defaultTimeout, "bound for one command, with resending and waiting; watch and follow use it for each look")
 	f.DurationVar(&a.try, "try-timeout", defaultTry, "bound for one attempt at one entry host")
 	f.BoolVar(&a.useTLS, "tls", false, "use TLS; implied by the other TLS flags")
 	f.StringVar(&a.tls.CA, "tls-ca", "", "PEM `file` of the authorities that sign the entry hosts' certificates")
--- a/internal/ctl/requests.go
+++ b/internal/ctl/requests.go
@@ -14,7 +14,7 @@
 )
 
 func requestsCommand(a *app) *subcommand {
-	var pool, kind, team, state string
+	var pool, kind, team, state, outcome string
 	var limit int
 	return &subcommand{
 		app: a, name: "requests", synopsis: "show requests", args: []string{"KEY"},
@@ -24,13 +24,15 @@
 			f.StringVar(&kind, "kind", "", "only this job `kind`")
 			f.StringVar(&team, "team", "", "only this `team`")
 			f.StringVar(&state, "state", "", "only this `state`: queued, dispatched, parked or finished")
+			f.StringVar(&outcome, "outcome", "", "only this `outcome`: done, not_run or unknown")
 			f.IntVar(&limit, "limit", 100, "look at the latest `n` requests of each data centre, at most 10000")
 		},
 		run: func(ctx context.Context, args []string) error {
 			if len(args) > 0 {
 				return a.showRequest(ctx, args[0])
 			}
-			q := parameters("pool", pool, "kind", kind, "team", team, "state", state, "limit", strconv.Itoa(limit))
+			q := parameters("pool", pool, "kind", kind, "team", team, "state", state,
+				"outcome", outcome, "limit", strconv.Itoa(limit))
 			requests, err := fetch[query.Requests](ctx, a, "/v1/requests", q)
 			if err != nil {
 				return err
--- a/internal/ctl/timeline.go
+++ b/internal/ctl/timeline.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
@@ -149,7 +150,7 @@
 		if f.last.Before(e.Time) {
 			f.last = e.Time
 		}
-		f.app.line("%s", cleanCell(event.Sentence(e)))
+		f.app.showEvent(e)
 	}
 	for id, t := range f.seen {
 		if f.last.Sub(t) > 2*followOverlap {
@@ -162,6 +163,17 @@
 	}
 }
 
+// showEvent writes one event on one line, as a sentence or as JSON.
+func (a *app) showEvent(e *event.Event) {
+	if a.output != "json" {
+		a.line("%s", cleanCell(event.Sentence(e)))
+		return
+	}
+	// An event holds nothing that cannot be encoded, and a failed write ends
+	// the program by its signal.
+	_ = json.NewEncoder(a.env.Stdout).Encode(e)
+}
+
 func explainCommand(a *app) *subcommand {
 	return &subcommand{
 		app: a, name: "explain", synopsis: "tell what was decided about a host, wave or request, and why",
--- a/internal/operator/query/compose.go
+++ b/internal/operator/query/compose.go
@@ -180,13 +180,14 @@
 
 // requestFilter selects requests; empty fields match all.
 type requestFilter struct {
-	pool, kind, team, state string
-	limit                   int
+	pool, kind, team, state, outcome string
+	limit                            int
 }
 
 func (f *requestFilter) matches(r *model.Request) bool {
 	return (f.pool == "" || f.pool == r.Pool) && (f.kind == "" || f.kind == r.Kind) &&
-		(f.team == "" || f.team == r.Team) && (f.state == "" || f.state == string(r.State))
+		(f.team == "" || f.team == r.Team) && (f.state == "" || f.state == string(r.State)) &&
+		(f.outcome == "" || f.outcome == string(r.Outcome))
 }
 
 func requests(ctx context.Context, b Backend, f *requestFilter) (*Requests, error) {
--- a/internal/operator/query/http.go
+++ b/internal/operator/query/http.go
@@ -85,8 +85,11 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &requestFilter{pool: q.Get("pool"), kind: q.Get("kind"), team: q.Get("team"), state: q.Get("state"), limit: limit}
-	return f, known(r, "pool", "kind", "team", "state", "limit")
+	f := &requestFilter{
+		pool: q.Get("pool"), kind: q.Get("kind"), team: q.Get("team"),
+		state: q.Get("state"), outcome: q.Get("outcome"), limit: limit,
+	}
+	return f, known(r, "pool", "kind", "team", "state", "outcome", "limit")
 }
 
 func decodeExplain(_ context.Context, r *http.Request) (any, error) {
