--- a/internal/ctl/region_test.go
+++ b/internal/ctl/region_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync"
 
 	"agatehaven.dev/agatehaven/internal/event"
 	"agatehaven.dev/agatehaven/internal/fault"
@@ -23,6 +24,8 @@
 
 // region is a stand-in for the peer layer.
 type region struct {
+	// mu is held by the handler and by whatever else uses the fields.
+	mu          sync.Mutex
 	records     model.Records
 	centres     []peer.DataCentreResponse
 	processes   []peer.InForceResponse
@@ -227,6 +230,8 @@
 	command.Register(mux, r, 1<<20)
 	query.Register(mux, r)
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
 		if q.Method != http.MethodGet {
 			r.paths = append(r.paths, q.Method+" "+q.URL.EscapedPath())
 			if r.lost > 0 {
