Close gaps that disabled mechanisms showed in the policies' tests

Cause: with single mechanisms disabled on a scratch copy, no test noticed unavailable hosts, the order of lenders, a lender whose own requests wait, the bound of instance pools, the comparison thresholds of suspect hosts, or failing hosts that excuse each other.

Change: a test or a stricter case for each.

--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -155,6 +156,9 @@
 		p := placement.Policy{AgeAfter: time.Hour, HoldAfter: time.Minute}
 		Expect(placedOn(p.Plan(in))).To(HaveLen(2))
 		Expect(placedOn(p.Plan(in))).NotTo(ContainElement("h1"))
+		urgent := in
+		urgent.Queued = append(many(5, "a", model.Urgent), in.Queued...)
+		Expect(placedOn(p.Plan(urgent))).To(HaveLen(5), "urgent work does not wait for the held host")
 		in.Hosts[0] = host("h1", "a", "r1", 4, 0)
 		Expect(placedOn(p.Plan(in))).To(HaveKeyWithValue("big", "h1"))
 	})
@@ -163,13 +167,14 @@
 		// Guards against a lender that cannot serve its own burst, and against
 		// lent work that blocks it for long.
 		in := placement.Input{
-			Queued: append(many(20, "a", model.Normal), many(1, "c", model.Normal)...),
+			Queued: append(many(20, "a", model.Normal), request("large", "c", model.Normal)),
 			Hosts: []placement.Host{
-				host("a1", "a", "r1", 1, 0), host("b1", "b", "r1", 8, 0), host("c1", "c", "r1", 8, 8), host("s1", "spare", "r1", 8, 0),
+				host("a1", "a", "r1", 1, 0), host("c1", "c", "r1", 8, 1), host("s1", "spare", "r1", 8, 0), host("z1", "z", "r1", 16, 0),
 			},
 			Pools: map[string]placement.Pool{"spare": {Spare: true}},
 		}
 		in.Queued[1].Run = time.Minute
+		in.Queued[20].MemoryMB = 8000 // waits in its own pool
 		p := placement.Policy{AgeAfter: time.Hour, LendMaxRun: time.Second, LendReserve: 0.25}
 		Expect(p.Plan(in).Decisions).To(HaveLen(1))
 		p.LendSpare = true
@@ -180,9 +185,21 @@
 		}))
 		p.LendPools = true
 		plan = p.Plan(in)
-		Expect(plan.Decisions).To(HaveLen(1 + 6 + 6))
+		Expect(plan.Decisions).To(HaveLen(1 + 6 + 12))
+		Expect(plan.Decisions[1].LentBy).To(Equal("spare"))
 		Expect(placedOn(plan)).NotTo(HaveKey("a-normal-0001"))
 		Expect(placedOn(plan)).NotTo(ContainElement("c1"))
+		p.LendSpare = false
+		Expect(placedOn(p.Plan(in))).NotTo(ContainElement("s1"))
+	})
+
+	It("places nothing on hosts that are not available", func() {
+		// Guards against decisions that the ledger refuses on apply.
+		in := placement.Input{Queued: many(2, "a", model.Urgent), Hosts: []placement.Host{host("h1", "a", "r1", 8, 0)}}
+		in.Hosts[0].Available = false
+		plan := placement.DefaultPolicy().Plan(in)
+		Expect(plan.Decisions).To(BeEmpty())
+		Expect(plan.Waits).To(Equal([]placement.Wait{{Pool: "a", Priority: model.Urgent, Reason: "pool has no available host", Count: 2}}))
 	})
 
 	It("gives the same plan for the same input", func() {
@@ -192,6 +209,8 @@
 		for range 5 {
 			Expect(placement.DefaultPolicy().Plan(in)).To(Equal(first))
 		}
+		slices.Reverse(in.Hosts)
+		Expect(placement.DefaultPolicy().Plan(in)).To(Equal(first), "hosts in another order")
 	})
 })
 
@@ -215,9 +234,17 @@
 }
 
 func BenchmarkPlan(b *testing.B) {
-	for _, c := range []struct{ pools, hosts, queued int }{{31, 20, 5000}, {1, 622, 5000}, {5, 124, 10000}} {
-		b.Run(fmt.Sprintf("pools=%d/hosts=%d/queued=%d", c.pools, c.pools*c.hosts, c.queued), func(b *testing.B) {
+	for _, c := range []struct {
+		pools, hosts, queued int
+		saturated            bool
+	}{{31, 20, 5000, false}, {1, 622, 5000, false}, {5, 124, 10000, false}, {31, 20, 5000, true}} {
+		b.Run(fmt.Sprintf("pools=%d/hosts=%d/queued=%d/saturated=%t", c.pools, c.pools*c.hosts, c.queued, c.saturated), func(b *testing.B) {
 			in := fleet(c.pools, c.hosts, c.queued)
+			for i := range in.Hosts {
+				if c.saturated && i%10 > 0 {
+					in.Hosts[i].UsedSlots = in.Hosts[i].Slots
+				}
+			}
 			b.ReportAllocs()
 			for b.Loop() {
 				placement.DefaultPolicy().Plan(in)
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -128,6 +128,15 @@
 		}
 	})
 
+	It("bounds the pools of instances", func() {
+		// Guards against memory that grows with every restarted instance.
+		p := retry.NewPerInstance(retry.Tokens{Capacity: 1, Cost: 1})
+		for i := range 2000 {
+			allowed := p.Decide(retry.Attempt{Begun: 1, MaxAttempts: 3, Instance: fmt.Sprint(i)}).Retry
+			Expect(allowed).To(Equal(i <= 1024), "instance %d", i)
+		}
+	})
+
 	It("refills only by success and never above its capacity", func() {
 		// Guards against tokens that return with time and feed a retry storm.
 		p := retry.NewShared(retry.Tokens{Capacity: 2, Cost: 1, Refill: 0.5})
--- a/internal/suspect/suspect_test.go
+++ b/internal/suspect/suspect_test.go
@@ -69,28 +69,44 @@
 		runs(t, "h1", "proof", 30, 0)
 		runs(t, "h2", "proof", 30, 0)
 		runs(t, "h1", "alone", 30, 30)
+		runs(t, "h1", "pair", 30, 30)
+		runs(t, "h2", "pair", 30, 0)
+		Expect(t.Decide(start, fleet(3))).To(BeEmpty())
+	})
+
+	It("does not take few successes elsewhere for a failure rate of zero", func() {
+		// Guards against a set-aside on the first failures of a new job kind.
+		runs(t, "h0", "proof", 6, 4)
+		runs(t, "h1", "proof", 3, 0)
+		runs(t, "h2", "proof", 3, 0)
 		Expect(t.Decide(start, fleet(3))).To(BeEmpty())
 	})
 
 	It("finds several failing hosts and sets them aside one at a time", func() {
 		// Guards against failing hosts that excuse each other, and against a
 		// pool that loses several hosts to one cause at once.
-		for i := range 8 {
-			failed := 0
-			if i < 3 {
-				failed = 30
+		for limit := 1; limit <= 2; limit++ {
+			s := suspect.DefaultSettings()
+			s.MaxPerPool = limit
+			t := suspect.New(s)
+			runs(t, "h0", "proof", 30, 30)
+			runs(t, "h1", "proof", 8, 8)
+			for _, h := range []string{"h2", "h3", "h4", "h5"} {
+				runs(t, h, "proof", 8, 0)
 			}
-			runs(t, fmt.Sprintf("h%d", i), "proof", 30, failed)
+			Expect(t.Decide(start, fleet(6))).To(HaveLen(limit))
 		}
-		hosts := fleet(8)
-		Expect(t.Decide(start, hosts)).To(HaveLen(1))
-		s := suspect.DefaultSettings()
-		s.MaxPerPool = 8
-		all := suspect.New(s)
-		for i := range 8 {
-			runs(all, fmt.Sprintf("h%d", i), "proof", 30, map[bool]int{true: 30}[i < 3])
+	})
+
+	It("bounds the runs that it counts", func() {
+		// Guards against memory that grows with job kinds and hosts.
+		for i := range 40000 {
+			runs(t, fmt.Sprintf("h%d", 1+i%8), fmt.Sprint("kind", i/8), 1, 0)
 		}
-		Expect(all.Decide(start, hosts)).To(HaveLen(3))
+		runs(t, "h1", "kind0", 30, 0)
+		runs(t, "h2", "kind0", 30, 0)
+		runs(t, "h0", "kind0", 30, 30)
+		Expect(t.Decide(start, fleet(3))).To(BeEmpty(), "the table was full before the first run on h0")
 	})
 
 	It("does not accuse healthy hosts of chance failures", func() {
