Find lenders once per plan

Cause: with all slots in use, every waiting request asked every pool whether it lends.

Change: the lenders are listed once and leave the list when only their reserve is free.

--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -163,6 +163,17 @@
 		Expect(placedOn(p.Plan(in))).To(HaveKeyWithValue("big", "h1"))
 	})
 
+	It("does not prefer a small request for its long wait", func() {
+		// Guards against a hold that turns into service in order of arrival.
+		in := placement.Input{
+			Queued: append(many(2, "a", model.Urgent), many(1, "a", model.Patient)...),
+			Hosts:  []placement.Host{host("h1", "a", "r1", 4, 3)},
+		}
+		in.Queued[2].Waiting = time.Hour
+		p := placement.Policy{AgeAfter: time.Minute, HoldAfter: time.Minute}
+		Expect(placedOn(p.Plan(in))).To(HaveKey("a-urgent-0000"))
+	})
+
 	It("lends idle hosts of spare pools, then of other pools, within their reserve", func() {
 		// Guards against a lender that cannot serve its own burst, and against
 		// lent work that blocks it for long.
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"sort"
 
 	"agatehaven.dev/agatehaven/internal/model"
@@ -249,7 +250,7 @@
 		if !fitsNow(r, &h.Host) || (h.held && !s.urgent) {
 			continue
 		}
-		if contains(r.Avoid, h.Name) {
+		if slices.Contains(r.Avoid, h.Name) {
 			if avoided == nil || pl.better(h, avoided) {
 				avoided = h
 			}
@@ -271,15 +272,6 @@
 	return best
 }
 
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
-
 // better compares load as fractions of slots without division. Equal hosts
 // keep their order by name.
 func (pl *planner) better(a, b *slotHost) bool {
@@ -358,15 +350,16 @@
 
 // lend places the requests left on idle hosts of other pools, urgent first.
 func (pl *planner) lend(left []*Request) {
-	if !pl.policy.LendSpare && !pl.policy.LendPools {
-		return
-	}
+	lenders := pl.lenders()
 	for _, priority := range priorities {
 		for _, r := range left {
+			if len(lenders) == 0 {
+				return
+			}
 			if r.Priority != priority || r.Run == 0 || r.Run > pl.policy.LendMaxRun || pl.overQuota(r) {
 				continue
 			}
-			lender, h := pl.pickLent(r)
+			lender, h := pl.pickLent(r, lenders)
 			if h == nil {
 				continue
 			}
@@ -377,21 +370,42 @@
 			}
 			pl.place(from, lender, h, r, reason+" in its own pool; pool "+lender.name+" is idle")
 			pl.wait(r, reason, -1)
+			if lender.free <= pl.keeps(lender) {
+				lenders = slices.DeleteFunc(lenders, func(ps *poolState) bool { return ps == lender })
+			}
 		}
 	}
 }
 
+// lenders returns the pools with capacity to lend: nothing of their own waits,
+// and their reserve stays free. Spare pools come first.
+func (pl *planner) lenders() []*poolState {
+	var spare, others []*poolState
+	for _, name := range pl.names {
+		ps := pl.pools[name]
+		switch {
+		case ps.waiting > 0 || ps.free <= pl.keeps(ps):
+		case ps.info.Spare && pl.policy.LendSpare:
+			spare = append(spare, ps)
+		case !ps.info.Spare && pl.policy.LendPools:
+			others = append(others, ps)
+		}
+	}
+	return append(spare, others...)
+}
+
+// keeps returns the free slots that a lender does not lend.
+func (pl *planner) keeps(ps *poolState) int {
+	return max(share(pl.policy.LendReserve, ps.slots), pl.reserve(ps))
+}
+
 // pickLent returns a host of the lender with the most free slots, spare pools
 // first.
-func (pl *planner) pickLent(r *Request) (*poolState, *slotHost) {
+func (pl *planner) pickLent(r *Request, lenders []*poolState) (*poolState, *slotHost) {
 	var best *poolState
 	var host *slotHost
-	for _, name := range pl.names {
-		ps := pl.pools[name]
-		if name == r.Pool || !pl.lends(ps) {
-			continue
-		}
-		if best != nil && (best.info.Spare && !ps.info.Spare || best.info.Spare == ps.info.Spare && best.free >= ps.free) {
+	for _, ps := range lenders {
+		if ps.name == r.Pool || (best != nil && (best.info.Spare != ps.info.Spare || best.free >= ps.free)) {
 			continue
 		}
 		if h := pl.pick(ps, r); h != nil {
@@ -401,16 +415,6 @@
 	return best, host
 }
 
-// lends reports whether the pool has capacity to lend: nothing of its own
-// waits, and its reserve stays free.
-func (pl *planner) lends(ps *poolState) bool {
-	allowed := pl.policy.LendPools
-	if ps.info.Spare {
-		allowed = pl.policy.LendSpare
-	}
-	return allowed && ps.waiting == 0 && ps.free > max(share(pl.policy.LendReserve, ps.slots), pl.reserve(ps))
-}
-
 func (pl *planner) wait(r *Request, reason string, n int) {
 	pl.waits[Wait{Pool: r.Pool, Priority: r.Priority, Reason: reason}] += n
 }
--- a/internal/suspect/suspect_test.go
+++ b/internal/suspect/suspect_test.go
@@ -71,6 +71,9 @@
 		runs(t, "h1", "alone", 30, 30)
 		runs(t, "h1", "pair", 30, 30)
 		runs(t, "h2", "pair", 30, 0)
+		runs(t, "h0", "rare", 10, 10)
+		runs(t, "h1", "rare", 2, 0)
+		runs(t, "h2", "rare", 2, 0)
 		Expect(t.Decide(start, fleet(3))).To(BeEmpty())
 	})
 
