Learn from finished attempts: retries, sizes, failing hosts

Cause: ended idempotent requests stayed without a decision, declared sizes were never corrected, and a host that fails everything kept its work. An unknown attempt held its slot until the target restarted, so its host could not drain. Ruled out: synthetic probes, since only callers know valid payloads. Conclusion: nine controller tests with an injected clock cover these rules.

--- a/internal/control/contacts.go
+++ b/internal/control/contacts.go
@@ -45,7 +45,7 @@
 		return nil, &fault.Invalid{Field: "data_centre", Reason: "host belongs to another data centre", Allowed: c.cfg.DataCentre}
 	}
 	c.recordContact(r)
-	c.policies.observeUsage(r.Usage, c.kindOf)
+	c.evidence.usage(r.Usage, c.kindOf)
 	if err := c.registerIfChanged(ctx, &r.Info); err != nil {
 		return nil, err
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -110,7 +110,7 @@
 	contacts  map[string]*contact
 	owners    map[string]*owner
 	entries   map[string]string // open request key -> entry host that took it
-	policies  *policies
+	evidence  *evidence
 	acked     ackMark
 	orders    map[string]time.Time // reboot order -> last sent
 	waits     map[string]string    // last reason for which a policy waits
@@ -127,7 +127,7 @@
 		contacts: make(map[string]*contact),
 		owners:   make(map[string]*owner),
 		entries:  make(map[string]string),
-		policies: newPolicies(cfg.Policy, cfg.Clock),
+		evidence: newEvidence(cfg.Policy, cfg.Clock),
 		orders:   make(map[string]time.Time),
 		waits:    make(map[string]string),
 	}
@@ -188,6 +188,7 @@
 		c.term, c.termStart = status.Term, c.cfg.Clock.Now()
 		c.contacts = make(map[string]*contact)
 		c.owners = make(map[string]*owner)
+		c.evidence.reset()
 		c.grantLeases()
 	}
 	return true
--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,179 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatehaven.dev/agatehaven/internal/ledger"
+	"agatehaven.dev/agatehaven/internal/model"
+	"agatehaven.dev/agatehaven/internal/peer"
+)
+
+var _ = Describe("Controller", func() {
+	It("grants every host one full lease at the start of a term", func() {
+		// Guards against a new leader that marks all hosts lost because it has
+		// not heard from them yet.
+		w := newWorld(4, sampleRecords()...)
+		w.clock.Advance(time.Hour)
+		for name := range w.hosts {
+			w.muted[name] = true
+		}
+		w.group.term = 2
+		w.pass(4500 * time.Millisecond)
+		Expect(w.host("host-1").State).To(Equal(model.HostReady))
+		w.pass(2 * time.Second)
+		Expect(w.host("host-1").State).To(Equal(model.HostLost))
+	})
+
+	It("retries idempotent work of a lost host elsewhere and leaves other work unknown", func() {
+		// Guards against lost work, and against a second run of work that may
+		// have run.
+		w := newWorld(3, sampleRecords()...)
+		w.submit("r", "render")
+		w.submit("o", "order")
+		for _, key := range []string{"r", "o"} {
+			w.muted[w.request(key).Attempts[0].Host] = true
+		}
+		first := w.request("r").Attempts[0].Host
+		w.pass(8 * time.Second)
+		Expect(w.request("o").Outcome).To(Equal(model.OutcomeUnknown))
+		Expect(w.request("o").Attempts).To(HaveLen(1))
+		Expect(w.request("r").State).To(Equal(model.RequestDispatched))
+		Expect(w.request("r").Attempts).To(HaveLen(2))
+		Expect(w.request("r").Attempts[1].Host).NotTo(Equal(first))
+	})
+
+	It("reads the result of an attempt whose owner is gone", func() {
+		// Guards against a result that is lost with the entry host that waited
+		// for it, and against reading it while the owner is still alive.
+		w := newWorld(3, sampleRecords()...)
+		w.submit("o", "order")
+		w.resolver.answer = func(a ledger.OpenAttempt, _ bool) (model.AttemptReport, bool) {
+			return model.AttemptReport{Key: a.Key, Attempt: a.Attempt, State: model.AttemptSucceeded, Answer: []byte("done")}, true
+		}
+		w.pass(3 * time.Second)
+		Expect(w.request("o").State).To(Equal(model.RequestDispatched))
+		w.ownerDead = true
+		w.pass(6 * time.Second)
+		Expect(w.request("o").Outcome).To(Equal(model.OutcomeDone))
+		Expect(string(w.request("o").Answer)).To(Equal("done"))
+	})
+
+	It("gives back the slot of an unknown attempt that its target does not run", func() {
+		// Guards against a host that can never drain because of one attempt
+		// without an outcome; the outcome itself stays unknown.
+		w := newWorld(3, sampleRecords()...)
+		w.submit("o", "order")
+		host := w.request("o").Attempts[0].Host
+		absent := model.AttemptReport{Key: "o", Attempt: 1, State: model.AttemptUnknown, Reason: "not known to the target"}
+		w.resolver.answer = func(ledger.OpenAttempt, bool) (model.AttemptReport, bool) { return absent, true }
+		w.report(absent)
+		w.running[host] = []peer.AttemptRef{{Key: "o", Attempt: 1}}
+		w.pass(40 * time.Second)
+		Expect(w.heldSlots(host)).To(Equal(1), "the target lists the attempt as running")
+		w.running[host] = nil
+		w.pass(2 * time.Second)
+		Expect(w.heldSlots(host)).To(BeZero())
+		Expect(w.request("o").Outcome).To(Equal(model.OutcomeUnknown))
+	})
+
+	It("sets a host aside that fails everything, probes it and takes it back", func() {
+		// Guards against a host that keeps failing work, and against one that
+		// never returns after its repair.
+		w := newWorld(4, sampleRecords()...)
+		broken := "host-2"
+		for range 12 {
+			w.runRenders(8, broken)
+		}
+		Expect(w.host(broken).State).To(Equal(model.HostSetAside), w.host(broken).Reason)
+		broken = ""
+		for range 200 {
+			w.runRenders(1, broken)
+		}
+		Expect(w.host("host-2").State).To(Equal(model.HostReady), w.host("host-2").Reason)
+	})
+
+	It("keeps failing hosts in service rather than break the floor", func() {
+		// Guards against a pool that falls below its floor by set-asides.
+		w := newWorld(4, sampleRecords()...)
+		w.records.current = &model.Records{
+			Revision: 1, FloorRevision: 2, Items: w.records.current.Items, Floors: map[string]map[string]int{"work": {"dc-a": 4}},
+		}
+		w.tick()
+		for range 12 {
+			w.runRenders(8, "host-2")
+		}
+		Expect(w.host("host-2").State).To(Equal(model.HostReady))
+	})
+
+	It("queues a parked request once a host fits it", func() {
+		// Guards against a request that stays parked for ever.
+		w := newWorld(3, append(sampleRecords(), record(model.KindJobKind, "large", model.JobKind{
+			Pool: "work", Priority: model.Normal, Idempotent: true, MaxAttempts: 1, CPUMillis: 48_000, MemoryMB: 512, RunTimeMS: 100,
+		}))...)
+		w.submit("l", "large")
+		Expect(w.request("l").State).To(Equal(model.RequestParked))
+		Expect(w.request("l").Reason).NotTo(BeEmpty())
+		w.hosts["host-3"].CPUMillis = 64_000
+		w.pass(2 * time.Second)
+		Expect(w.request("l").State).To(Equal(model.RequestDispatched))
+		Expect(w.request("l").Attempts[0].Host).To(Equal("host-3"))
+	})
+
+	It("repeats a reboot order under the same id until the host returns", func() {
+		// Guards against a lost order, and against a second reboot.
+		w := newWorld(3, append(sampleRecords(), record(model.KindWave, "w1", model.Wave{
+			Pool: "work", State: model.WaveRunning, FailureThreshold: 2, ReturnLimitMS: 60_000, VerifyMS: 1000,
+		}))...)
+		w.pass(20 * time.Second)
+		Expect(len(w.platform.orders)).To(BeNumerically(">=", 3))
+		for _, order := range w.platform.orders {
+			Expect(order).To(Equal(w.platform.orders[0]))
+		}
+	})
+
+	It("does not decide without leadership", func() {
+		// Guards against two controllers that decide at once.
+		w := newWorld(3, sampleRecords()...)
+		w.group.role = "follower"
+		_, err := w.controller.Submit(context.Background(), &peer.SubmitRequest{Key: "x", Kind: "render"})
+		Expect(err).To(MatchError(ContainSubstring("not the leader")))
+	})
+})
+
+// runRenders submits n idempotent requests at once and ends them all.
+func (w *world) runRenders(n int, broken string) {
+	GinkgoHelper()
+	var keys []string
+	for i := range n {
+		key := fmt.Sprintf("r-%d-%d", w.clock.Now().UnixMilli(), i)
+		w.submit(key, "render")
+		keys = append(keys, key)
+	}
+	for _, key := range keys {
+		w.finish(key, broken)
+	}
+	w.tick()
+}
+
+// finish ends the current attempt of a request: in failure on the broken host.
+func (w *world) finish(key, broken string) {
+	GinkgoHelper()
+	for range 4 {
+		r := w.request(key)
+		if r.State != model.RequestDispatched {
+			return
+		}
+		last := r.Attempts[len(r.Attempts)-1]
+		report := model.AttemptReport{Key: key, Attempt: last.Number, State: model.AttemptSucceeded, RunMS: 100}
+		if last.Host == broken {
+			report.State, report.Reason = model.AttemptFailed, "exit status 1"
+		}
+		w.report(report)
+		w.tick()
+	}
+}
--- /dev/null
+++ b/internal/control/harness_test.go
@@ -0,0 +1,212 @@
+package control_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"agatehaven.dev/agatehaven/internal/clock"
+	"agatehaven.dev/agatehaven/internal/control"
+	"agatehaven.dev/agatehaven/internal/datacentre"
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/hlc"
+	"agatehaven.dev/agatehaven/internal/ledger"
+	"agatehaven.dev/agatehaven/internal/model"
+	"agatehaven.dev/agatehaven/internal/peer"
+	"agatehaven.dev/agatehaven/internal/replica"
+)
+
+func TestControl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "control")
+}
+
+// group applies proposals at once.
+type group struct {
+	machine *datacentre.Machine
+	clock   *hlc.Clock
+	role    replica.Role
+	term    uint64
+	index   uint64
+}
+
+func (g *group) Propose(_ context.Context, data []byte) (any, error) {
+	if g.role != replica.RoleLeader {
+		return nil, &fault.NotLeader{Group: "dc-a"}
+	}
+	g.index++
+	return g.machine.Apply(replica.Entry{Index: g.index, Term: g.term, Time: g.clock.Now(), Data: data}), nil
+}
+
+func (g *group) Status() replica.Status {
+	return replica.Status{Group: "dc-a", Role: g.role, Term: g.term}
+}
+
+// records serves a fixed set of records.
+type records struct{ current *model.Records }
+
+func (r *records) PullRecords(_ context.Context, q *peer.PullRecordsRequest) (*peer.PullRecordsResponse, error) {
+	have := model.Records{Revision: q.Revision, FloorRevision: q.FloorRevision}
+	if r.current == nil || !r.current.Newer(&have) {
+		return &peer.PullRecordsResponse{}, nil
+	}
+	return &peer.PullRecordsResponse{Records: r.current}, nil
+}
+
+func (r *records) AckAdoption(context.Context, *peer.AckAdoptionRequest) (*peer.AckAdoptionResponse, error) {
+	return &peer.AckAdoptionResponse{}, nil
+}
+
+// resolver answers for targets without a result.
+type resolver struct {
+	answer func(a ledger.OpenAttempt, canRevoke bool) (model.AttemptReport, bool)
+}
+
+func (r *resolver) Resolve(_ context.Context, a ledger.OpenAttempt, canRevoke bool) (model.AttemptReport, bool) {
+	if r.answer == nil {
+		return model.AttemptReport{}, false
+	}
+	return r.answer(a, canRevoke)
+}
+
+// platform records reboot orders.
+type platform struct{ orders []string }
+
+func (p *platform) Reboot(_ context.Context, _, order string) error {
+	p.orders = append(p.orders, order)
+	return nil
+}
+
+// world is one data centre with a controller, fake targets and a manual clock.
+type world struct {
+	clock      *clock.Manual
+	group      *group
+	machine    *datacentre.Machine
+	controller *control.Controller
+	records    *records
+	resolver   *resolver
+	platform   *platform
+	hosts      map[string]*model.HostInfo
+	running    map[string][]peer.AttemptRef
+	muted      map[string]bool
+	known      []peer.AttemptRef
+	ownerDead  bool
+}
+
+func newWorld(hosts int, recs ...model.Record) *world {
+	source := clock.NewManual(time.UnixMilli(1_000_000))
+	w := &world{
+		clock: source, hosts: map[string]*model.HostInfo{}, running: map[string][]peer.AttemptRef{}, muted: map[string]bool{},
+		resolver: &resolver{}, platform: &platform{},
+	}
+	w.machine = datacentre.New("dc-a", ledger.DefaultLimits(), nil)
+	w.group = &group{machine: w.machine, clock: hlc.NewClock(source), role: replica.RoleLeader, term: 1}
+	w.records = &records{current: &model.Records{
+		Revision: 1, FloorRevision: 1, Items: recs, Floors: map[string]map[string]int{"work": {"dc-a": 2}},
+	}}
+	w.controller = control.New(control.Config{
+		DataCentre: "dc-a", Host: "entry-a1", Group: w.group, Machine: w.machine, Records: w.records,
+		Resolver: w.resolver, Platform: w.platform, Clock: source, Log: zerolog.Nop(),
+		Timing: control.DefaultTiming(), Policy: control.DefaultPolicy(),
+	})
+	for i := range hosts {
+		name := fmt.Sprintf("host-%d", i+1)
+		w.hosts[name] = &model.HostInfo{
+			Name: name, DataCentre: "dc-a", Rack: fmt.Sprintf("rack-%d", i%3), Address: "127.0.0.1:1",
+			Incarnation: "1", CPUMillis: 32_000, MemoryMB: 64_000, Slots: 8, Connections: 64, Pool: "work",
+		}
+	}
+	w.controller.Step(context.Background())
+	w.tick()
+	return w
+}
+
+func record(kind model.RecordKind, name string, spec any) model.Record {
+	data, err := json.Marshal(spec)
+	Expect(err).NotTo(HaveOccurred())
+	return model.Record{Schema: 2, Kind: kind, Name: name, Spec: data}
+}
+
+func sampleRecords() []model.Record {
+	return []model.Record{
+		record(model.KindPool, "work", model.Pool{MinAvailable: 2, Homes: []string{"dc-a"}, Floors: map[string]int{"dc-a": 2}}),
+		record(model.KindJobKind, "render", model.JobKind{Pool: "work", Priority: model.Normal, Idempotent: true, MaxAttempts: 3, CPUMillis: 1000, MemoryMB: 512, RunTimeMS: 100}),
+		record(model.KindJobKind, "order", model.JobKind{Pool: "work", Priority: model.Normal, MaxAttempts: 1, CPUMillis: 1000, MemoryMB: 512, RunTimeMS: 100}),
+	}
+}
+
+// tick lets 500 ms pass with one round of announcements, pulls and decisions.
+func (w *world) tick() {
+	GinkgoHelper()
+	w.clock.Advance(500 * time.Millisecond)
+	for name, info := range w.hosts {
+		if w.muted[name] {
+			continue
+		}
+		_, err := w.controller.Announce(context.Background(), &peer.AnnounceRequest{Info: *info, Running: w.running[name]})
+		Expect(err).NotTo(HaveOccurred())
+	}
+	w.pull()
+	w.controller.Step(context.Background())
+}
+
+// pass ticks until the time has passed.
+func (w *world) pass(d time.Duration) {
+	GinkgoHelper()
+	for end := w.clock.Now().Add(d); w.clock.Now().Before(end); {
+		w.tick()
+	}
+}
+
+// pull renews the owner's lease and returns its new assignments.
+func (w *world) pull() []model.Assignment {
+	GinkgoHelper()
+	if w.ownerDead {
+		return nil
+	}
+	response, err := w.controller.PullAssignments(context.Background(), &peer.PullAssignmentsRequest{
+		DataCentre: "dc-a", Owner: "entry-a1", Incarnation: "p1", Known: w.known,
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return response.Assignments
+}
+
+func (w *world) submit(key, kind string) {
+	GinkgoHelper()
+	_, err := w.controller.Submit(context.Background(), &peer.SubmitRequest{
+		Key: key, Kind: kind, Team: "team", Deadline: hlc.Time{WallMillis: w.clock.Now().Add(time.Hour).UnixMilli()}, Entry: "entry-a1",
+	})
+	Expect(err).NotTo(HaveOccurred())
+	w.controller.Step(context.Background())
+}
+
+func (w *world) report(r model.AttemptReport) {
+	GinkgoHelper()
+	_, err := w.controller.ReportAttempts(context.Background(), &peer.ReportAttemptsRequest{Reports: []model.AttemptReport{r}})
+	Expect(err).NotTo(HaveOccurred())
+}
+
+func (w *world) request(key string) *model.Request {
+	GinkgoHelper()
+	r, ok := w.machine.Request(key)
+	Expect(ok).To(BeTrue(), key)
+	return r
+}
+
+func (w *world) host(name string) model.Host {
+	var h model.Host
+	w.machine.View(func(v datacentre.View) { h, _ = v.Hosts.Host(name) })
+	return h
+}
+
+func (w *world) heldSlots(name string) int {
+	n := 0
+	w.machine.View(func(v datacentre.View) { n = v.Requests.Running(name) })
+	return n
+}
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -67,7 +67,7 @@
 
 // remaining returns the expected rest of a run that began at the given time.
 func (c *Controller) remaining(kind string, at hlc.Time, catalogue *model.Catalogue) time.Duration {
-	return max(0, c.policies.runTime(kind, catalogue)-c.now().Sub(at))
+	return max(0, c.runTime(kind, catalogue)-c.now().Sub(at))
 }
 
 func (c *Controller) now() hlc.Time { return hlcOf(c.cfg.Clock.Now()) }
@@ -102,7 +102,7 @@
 		pool := f.catalogue.Pools[w.Pool]
 		in := wave.Input{
 			Now: c.now(), Wave: w, Progress: progress[w.Name], Hosts: f.hostViews(),
-			Floor: floors[w.Pool], SpareFloors: spare, Settings: c.policies.waves,
+			Floor: floors[w.Pool], SpareFloors: spare, Settings: c.cfg.Policy.Waves,
 		}
 		if pool != nil {
 			in.Desired = pool.Desired[c.cfg.DataCentre]
@@ -190,7 +190,7 @@
 func (c *Controller) repair(ctx context.Context) {
 	f := c.snapshot()
 	floors := c.floorsHere(f.catalogue)
-	in := repair.Input{Now: c.now(), Hosts: f.views, Memory: c.repairMemory, Settings: c.policies.repair}
+	in := repair.Input{Now: c.now(), Hosts: f.views, Memory: c.repairMemory, Settings: c.cfg.Policy.Repair}
 	for name, pool := range f.catalogue.Pools {
 		in.Pools = append(in.Pools, repair.Pool{
 			Name: name, Floor: floors[name], Desired: pool.Desired[c.cfg.DataCentre],
@@ -239,6 +239,3 @@
 	e.Kind, e.DataCentre = eventWaiting, c.cfg.DataCentre
 	c.cfg.Events.Record(e)
 }
-
-func (c *Controller) judgeHosts(_ context.Context) {}
-func (c *Controller) retryEnded(_ context.Context) {}
--- a/internal/control/placement.go
+++ b/internal/control/placement.go
@@ -27,7 +27,8 @@
 		if len(in.Queued) == 0 {
 			return
 		}
-		plan := c.policies.placement.Plan(in)
+		c.probe(ctx, in.Queued)
+		plan := c.cfg.Policy.Placement.Plan(in)
 		for _, p := range plan.Parked {
 			_, _ = c.proposeRequest(ctx, ledger.Command{Park: &ledger.Park{Key: p.Key, Reason: p.Reason}})
 		}
@@ -68,7 +69,7 @@
 		if !ok {
 			return nil // no entry host can execute attempts now
 		}
-		cpu, memory := c.policies.size(r)
+		cpu, memory := c.size(r)
 		items = append(items, ledger.DispatchItem{
 			Key: d.Key, Attempt: ledger.NextAttempt(r), Host: d.Host, LentBy: d.LentBy,
 			Owner: host, OwnerIncarnation: incarnation, Reason: d.Reason,
@@ -120,11 +121,11 @@
 			if r.NotBefore.WallMillis > now.UnixMilli() {
 				continue
 			}
-			cpu, memory := c.policies.size(r)
+			cpu, memory := c.size(r)
 			q := placement.Request{
 				Key: r.Key, Pool: r.Pool, Team: r.Team, Priority: r.Priority,
 				Waiting:   time.Duration(now.UnixMilli()-r.Claimed.WallMillis) * time.Millisecond,
-				Run:       c.policies.runTime(r.Kind, v.Catalogue),
+				Run:       c.runTime(r.Kind, v.Catalogue),
 				CPUMillis: cpu, MemoryMB: memory, Accelerators: r.Accelerators,
 			}
 			if !r.Deadline.IsZero() {
--- a/internal/control/policies.go
+++ b/internal/control/policies.go
@@ -3,11 +3,12 @@
 import (
 	"time"
 
-	"agatehaven.dev/agatehaven/internal/clock"
-	"agatehaven.dev/agatehaven/internal/datacentre"
+	"agatehaven.dev/agatehaven/internal/estimate"
 	"agatehaven.dev/agatehaven/internal/model"
 	"agatehaven.dev/agatehaven/internal/placement"
 	"agatehaven.dev/agatehaven/internal/repair"
+	"agatehaven.dev/agatehaven/internal/retry"
+	"agatehaven.dev/agatehaven/internal/suspect"
 	"agatehaven.dev/agatehaven/internal/wave"
 )
 
@@ -16,39 +17,33 @@
 	Placement placement.Policy
 	Waves     wave.Settings
 	Repair    repair.Settings
+	Suspects  suspect.Settings
+	// Retries makes the policy that limits retries of idempotent work.
+	Retries func() retry.Policy
 }
 
 // DefaultPolicy returns the settings chosen by the experiments.
 func DefaultPolicy() Policy {
-	return Policy{Placement: placement.DefaultPolicy(), Waves: wave.MovesFirst(), Repair: repair.Defaults()}
-}
-
-// policies joins the pure policies with their soft state.
-type policies struct {
-	placement placement.Policy
-	waves     wave.Settings
-	repair    repair.Settings
-	clock     clock.Clock
-}
-
-func newPolicies(p Policy, c clock.Clock) *policies {
-	return &policies{placement: p.Placement, waves: p.Waves, repair: p.Repair, clock: c}
+	return Policy{
+		Placement: placement.DefaultPolicy(), Waves: wave.MovesFirst(), Repair: repair.Defaults(),
+		Suspects: suspect.DefaultSettings(),
+		Retries:  func() retry.Policy { return retry.NewShared(retry.DefaultTokens()) },
+	}
 }
 
 // size returns the CPU in thousandths of a core and the memory in MB to
-// reserve for a request.
-func (p *policies) size(r *model.Request) (cpuMillis, memoryMB int) {
-	return r.CPUMillis, r.MemoryMB
+// reserve for a request: the learned size of its kind.
+func (c *Controller) size(r *model.Request) (cpuMillis, memoryMB int) {
+	e := c.evidence.estimate(r.Kind, estimate.Declared{CPUMillis: r.CPUMillis, MemoryMB: r.MemoryMB})
+	return e.CPUMillis, e.MemoryMB
 }
 
-// runTime returns the expected run time of a job kind.
-func (p *policies) runTime(kind string, catalogue *model.Catalogue) time.Duration {
-	if k := catalogue.JobKinds[kind]; k != nil {
-		return time.Duration(k.RunTimeMS) * time.Millisecond
+// runTime returns the expected run time of a job kind: the learned median.
+func (c *Controller) runTime(kind string, catalogue *model.Catalogue) time.Duration {
+	k := catalogue.JobKinds[kind]
+	if k == nil {
+		return 0
 	}
-	return 0
+	declared := estimate.Declared{Run: time.Duration(k.RunTimeMS) * time.Millisecond}
+	return c.evidence.estimate(kind, declared).RunP50
 }
-
-func (p *policies) observeUsage(_ []model.Usage, _ func(key string) string) {}
-
-func (p *policies) observeReport(_ *datacentre.Machine, _ *model.AttemptReport) {}
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -11,6 +11,7 @@
 	"agatehaven.dev/agatehaven/internal/ledger"
 	"agatehaven.dev/agatehaven/internal/model"
 	"agatehaven.dev/agatehaven/internal/peer"
+	"agatehaven.dev/agatehaven/internal/placement"
 )
 
 const (
@@ -53,7 +54,7 @@
 // ReportAttempts commits results of attempts.
 func (c *Controller) ReportAttempts(ctx context.Context, r *peer.ReportAttemptsRequest) (*peer.ReportAttemptsResponse, error) {
 	for i := range r.Reports {
-		c.policies.observeReport(c.cfg.Machine, &r.Reports[i])
+		c.observeReport(&r.Reports[i])
 	}
 	if _, err := c.proposeRequest(ctx, ledger.Command{Report: &ledger.Report{Reports: r.Reports}}); err != nil {
 		return nil, err
@@ -124,6 +125,27 @@
 	if due {
 		_, _ = c.proposeRequest(ctx, ledger.Command{Expire: &ledger.Expire{}})
 	}
+	c.unpark(ctx)
+}
+
+// unpark queues parked requests again once a host of their pool fits them.
+func (c *Controller) unpark(ctx context.Context) {
+	var hosts []placement.Host
+	var parked []*model.Request
+	c.cfg.Machine.View(func(v datacentre.View) {
+		if parked = v.Requests.Parked(); len(parked) == 0 {
+			return
+		}
+		for _, h := range v.Hosts.Hosts() {
+			hosts = append(hosts, placementHost(&h, v))
+		}
+	})
+	for _, r := range parked {
+		cpu, memory := c.size(r)
+		if placement.Fits(&placement.Request{Pool: r.Pool, CPUMillis: cpu, MemoryMB: memory, Accelerators: r.Accelerators}, hosts) {
+			_, _ = c.proposeRequest(ctx, ledger.Command{Park: &ledger.Park{Key: r.Key}})
+		}
+	}
 }
 
 // resolveOrphans reads the state of attempts whose owner is gone, and of
@@ -156,7 +178,8 @@
 		limit <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-limit }()
-			if report, ok := c.cfg.Resolver.Resolve(ctx, o.attempt, o.canRevoke); ok {
+			report, ok := c.cfg.Resolver.Resolve(ctx, o.attempt, o.canRevoke)
+			if ok && c.worthReporting(&o.attempt, &report) {
 				mu.Lock()
 				reports = append(reports, report)
 				mu.Unlock()
@@ -169,6 +192,30 @@
 	}
 }
 
+// releaseAfter is how long after its dispatch an attempt that its target does
+// not know may still begin. It is ten times the limit of a start request.
+const releaseAfter = 30 * time.Second
+
+// worthReporting filters reports that would change nothing. An unknown attempt
+// that its target neither knows nor runs gives its slot back after
+// releaseAfter, so that the target can drain.
+func (c *Controller) worthReporting(a *ledger.OpenAttempt, report *model.AttemptReport) bool {
+	if a.State != model.AttemptUnknown || report.State != model.AttemptUnknown {
+		return true
+	}
+	k := c.contactOf(a.Host)
+	if a.Released || c.now().Sub(a.At) < releaseAfter || !k.announced || k.incarnation != a.TargetIncarnation {
+		return false
+	}
+	for _, ref := range k.running {
+		if ref.Key == a.Key && ref.Attempt == a.Attempt {
+			return false
+		}
+	}
+	report.Released = true
+	return true
+}
+
 func hasCapability(info *model.HostInfo, want model.Capability) bool {
 	for _, have := range info.Capabilities {
 		if have == want {
--- a/internal/ledger/command.go
+++ b/internal/ledger/command.go
@@ -51,6 +51,9 @@
 	// LentBy is the pool that lends the host; empty means that the host must
 	// belong to the request's own pool.
 	LentBy string `cbor:"9,keyasint,omitempty"`
+	// Probe sends an idempotent request to a host that is set aside, to find
+	// out whether it works again.
+	Probe bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Report brings results of attempts.
--- a/internal/ledger/commands.go
+++ b/internal/ledger/commands.go
@@ -188,7 +188,8 @@
 		return model.Host{}, false
 	}
 	host, ok := c.Hosts.Host(item.Host)
-	if !ok || host.State != model.HostReady || host.Info.Leaving {
+	probes := item.Probe && r.Idempotent && host.State == model.HostSetAside
+	if !ok || host.Info.Leaving || (host.State != model.HostReady && !probes) {
 		return model.Host{}, false
 	}
 	lender := item.LentBy
@@ -227,7 +228,14 @@
 		return
 	}
 	a := findAttempt(rec.req, rep.Attempt)
-	if a == nil || !undecided(a.State) || a.State == rep.State {
+	if a == nil || !undecided(a.State) {
+		return
+	}
+	if a.State == model.AttemptUnknown && rep.State == model.AttemptUnknown && rep.Released {
+		s.update(rec, func(r *model.Request) { findAttempt(r, rep.Attempt).Released = true })
+		return
+	}
+	if a.State == rep.State {
 		return
 	}
 	state, reason, answer := rep.State, rep.Reason, rep.Answer
--- a/internal/ledger/queries.go
+++ b/internal/ledger/queries.go
@@ -24,6 +24,8 @@
 	At                hlc.Time
 	// StopRequested is set if the result is not wanted any more.
 	StopRequested bool
+	// Released is set if the attempt holds no slot any more.
+	Released bool
 }
 
 // Get returns the request of a key.
@@ -153,7 +155,7 @@
 			Key: r.Key, Attempt: a.Number, Kind: r.Kind, Pool: r.Pool, Idempotent: r.Idempotent,
 			Host: a.Host, Address: a.Address, TargetIncarnation: a.TargetIncarnation,
 			Owner: a.Owner, OwnerIncarnation: a.OwnerIncarnation,
-			State: a.State, At: a.At, StopRequested: stopRequested(r),
+			State: a.State, At: a.At, StopRequested: stopRequested(r), Released: a.Released,
 		})
 	}
 	return out
@@ -177,6 +179,24 @@
 	return out
 }
 
+// Parked returns the parked requests in claim order.
+func (s *State) Parked() []*model.Request {
+	refs := make([]attemptRef, 0, len(s.parked))
+	for rec := range s.parked {
+		refs = append(refs, attemptRef{rec: rec})
+	}
+	return requestsOf(refs)
+}
+
+func requestsOf(refs []attemptRef) []*model.Request {
+	sortRefs(refs)
+	out := make([]*model.Request, len(refs))
+	for i, ref := range refs {
+		out[i] = ref.rec.req
+	}
+	return out
+}
+
 // NextDeadline returns the earliest time at which Expire has work.
 func (s *State) NextDeadline() (hlc.Time, bool) {
 	if s.due.Len() == 0 {
@@ -192,10 +212,5 @@
 	for rec := range s.ended {
 		refs = append(refs, attemptRef{rec: rec})
 	}
-	sortRefs(refs)
-	out := make([]*model.Request, len(refs))
-	for i, ref := range refs {
-		out[i] = ref.rec.req
-	}
-	return out
+	return requestsOf(refs)
 }
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -35,8 +35,9 @@
 	MaxAnswerBytes   int
 	// AnswerRetention is how long a finished request keeps its answer.
 	AnswerRetention time.Duration
-	// KeyRetention is how long the key of a finished request is refused for
-	// another run. A later claim of the same key is a new request.
+	// KeyRetention is how long the key of a finished non-idempotent request is
+	// refused for another run. A later claim of the same key is a new request.
+	// The keys of idempotent requests go with their answers.
 	KeyRetention time.Duration
 }
 
@@ -62,6 +63,7 @@
 	elements map[*record]*list.Element
 	queues   map[class]*orderedQueue
 	due      *orderedQueue
+	parked   map[*record]struct{}
 	waiting  counts // queued and parked requests
 	running  counts // dispatched requests
 	hosts    map[string]*hostLoad
@@ -131,6 +133,7 @@
 	s.elements = map[*record]*list.Element{}
 	s.queues = map[class]*orderedQueue{}
 	s.due = &orderedQueue{less: s.dueBefore, pos: func(r *record) *int { return &r.due }}
+	s.parked = map[*record]struct{}{}
 	s.waiting = newCounts()
 	s.running = newCounts()
 	s.hosts = map[string]*hostLoad{}
@@ -188,6 +191,7 @@
 		s.queue(r.Pool, r.Priority).add(rec)
 		s.waiting.add(r, 1)
 	case model.RequestParked:
+		s.parked[rec] = struct{}{}
 		s.waiting.add(r, 1)
 	case model.RequestDispatched:
 		s.running.add(r, 1)
@@ -212,6 +216,7 @@
 		s.queue(r.Pool, r.Priority).remove(rec)
 		s.waiting.add(r, -1)
 	case model.RequestParked:
+		delete(s.parked, rec)
 		s.waiting.add(r, -1)
 	case model.RequestDispatched:
 		s.running.add(r, -1)
@@ -236,7 +241,9 @@
 		s.hosts[a.Host] = h
 	}
 	h.refs[ref] = struct{}{}
-	h.hold(a, rec.req.Accelerators, 1)
+	if !a.Released {
+		h.hold(a, rec.req.Accelerators, 1)
+	}
 	if a.State != model.AttemptAssigned {
 		return
 	}
@@ -251,7 +258,9 @@
 	ref := attemptRef{rec: rec, number: a.Number}
 	delete(s.open, ref)
 	h := s.hosts[a.Host]
-	h.hold(a, rec.req.Accelerators, -1)
+	if !a.Released {
+		h.hold(a, rec.req.Accelerators, -1)
+	}
 	delete(h.refs, ref)
 	o := owner{a.Owner, a.OwnerIncarnation}
 	delete(s.owners[o], ref)
@@ -326,6 +335,11 @@
 	if len(r.Answer) > 0 {
 		return r.Finished.Add(s.limits.AnswerRetention), true
 	}
+	if r.Idempotent {
+		// A second run does no harm, and most requests are idempotent: their
+		// keys would fill the table.
+		return r.Finished.Add(s.limits.AnswerRetention), true
+	}
 	return r.Finished.Add(s.limits.KeyRetention), true
 }
 
--- a/internal/model/request.go
+++ b/internal/model/request.go
@@ -50,6 +50,8 @@
 	// CPUMillis and MemoryMB are reserved on the host for this attempt.
 	CPUMillis int `cbor:"10,keyasint,omitempty" json:"cpu_millis,omitempty"`
 	MemoryMB  int `cbor:"11,keyasint,omitempty" json:"memory_mb,omitempty"`
+	// Released is set when an unknown attempt holds no slot any more.
+	Released bool `cbor:"12,keyasint,omitempty" json:"released,omitempty"`
 }
 
 // Request is a request as its home ledger knows it.
@@ -116,4 +118,8 @@
 	Answer  []byte       `cbor:"5,keyasint,omitempty"`
 	// RunMS is the observed run time in milliseconds, 0 if unknown.
 	RunMS int64 `cbor:"6,keyasint,omitempty"`
+	// Released, with AttemptUnknown, tells that the target does not run the
+	// attempt and no start can still be on its way: it holds no slot any more.
+	// It is no proof that the attempt never ran.
+	Released bool `cbor:"7,keyasint,omitempty"`
 }
