--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -10,9 +10,9 @@
 )
 
 var (
-	simSeeds = flag.Uint64("raft.seeds", 24, "number of seeds of the randomized test")
-	simFirst = flag.Uint64("raft.first", 1, "first seed of the randomized test")
-	simSteps = flag.Int("raft.steps", 20000, "steps per seed of the randomized test")
+	simSeeds = flag.Uint64("raft.seeds", 24, "number of seeds of the simulation")
+	simFirst = flag.Uint64("raft.first", 1, "first seed of the simulation")
+	simSteps = flag.Int("raft.steps", 20000, "steps per seed of the simulation")
 )
 
 func TestRaft(t *testing.T) {
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -219,7 +219,7 @@
 	s := h.s
 	s.require(e.Index == h.index+1, "%s applies %d after %d", h.id, e.Index, h.index)
 	hash := fnv.New64a()
-	fmt.Fprintf(hash, "%d %d %d %x", h.state, e.Term, e.Type, e.Data)
+	_, _ = fmt.Fprintf(hash, "%d %d %d %x", h.state, e.Term, e.Type, e.Data)
 	h.index, h.state = e.Index, hash.Sum64()
 	if known, ok := s.applied[e.Index]; ok {
 		s.require(known.Term == e.Term && s.state[e.Index] == h.state, "%s applies another entry at %d", h.id, e.Index)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -207,6 +207,9 @@
 	if len(data) > MaxProposalBytes {
 		return nil, &fault.LimitExceeded{What: "proposal bytes", Limit: MaxProposalBytes}
 	}
+	if err := r.stopped(); err != nil {
+		return nil, err
+	}
 	if r.inflight.Add(1) > int64(r.cfg.MaxInflight) {
 		r.inflight.Add(-1)
 		return nil, &fault.LimitExceeded{What: "proposals in flight", Limit: int64(r.cfg.MaxInflight)}
@@ -261,12 +264,17 @@
 	case <-ctx.Done():
 		return &fault.Timeout{What: what, After: r.cfg.Clock.Now().Sub(started)}
 	case <-r.done:
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		return r.failure
+		return r.stopped()
 	}
 }
 
+// stopped returns why the replica has stopped, or nil while it runs.
+func (r *Replica) stopped() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failure
+}
+
 // AddReplica implements Group. It returns once the learner is a member.
 func (r *Replica) AddReplica(ctx context.Context, m Member) error {
 	return r.change(ctx, func(n *raft.Node) (uint64, uint64, error) { return n.ProposeAdd(raft.Member(m)) })
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/replica"
+	"agatehaven.dev/agatehaven/internal/testsupport/faultfs"
 )
 
 var _ = Describe("Replica", func() {
@@ -95,4 +98,159 @@
 		c.isolate(l, false)
 		c.holds("kept", three...)
 	})
+
+	It("refuses a lost disk its former vote until an operator adds it anew", func() {
+		// Guards against a host that votes as its former self with an empty
+		// disk, although the bootstrap setting is still in place.
+		c := newCluster(three...)
+		for _, h := range three {
+			c.start(h, three...)
+		}
+		l := c.leader(three...)
+		Expect(c.propose(l, "kept")).To(Succeed())
+		lost := "a"
+		if l == "a" {
+			lost = "b"
+		}
+		c.stop(lost)
+		c.disks[lost].Wipe()
+		c.start(lost, three...)
+		c.until("the host takes a new incarnation", func() bool {
+			return c.running[lost].Status().ID == lost+"#new1"
+		})
+		Expect(c.running[lost].Status().Role).To(Equal(replica.RoleLearner))
+		Expect(c.running[lost].Status().Reason).NotTo(BeEmpty())
+		ctx := context.Background()
+		c.until("the leader removes the former replica", func() bool {
+			return c.running[l].RemoveReplica(ctx, lost+"#1") == nil
+		})
+		Expect(c.running[l].AddReplica(ctx, replica.Member{ID: lost + "#new1", Host: lost})).To(Succeed())
+		c.holds("kept", lost)
+		c.until("the replica votes again", func() bool {
+			return c.running[lost].Status().Role == replica.RoleFollower && len(c.running[l].Status().Members) == 3
+		})
+	})
+
+	It("gives a host without bootstrap a fresh incarnation and keeps it", func() {
+		// Guards against a replaced disk that takes up a former identity.
+		c := newCluster("d")
+		c.start("d")
+		Expect(c.running["d"].Status().ID).To(Equal("d#new1"))
+		c.stop("d")
+		c.start("d")
+		Expect(c.running["d"].Status().ID).To(Equal("d#new1"))
+	})
+
+	It("refuses a second change before the new replica has caught up", func() {
+		// Guards against a group that loses its quorum by a removal while the
+		// replacement of another replica is still empty.
+		c := newCluster("a", "b", "c", "d")
+		for _, h := range three {
+			c.start(h, three...)
+		}
+		l := c.leader(three...)
+		ctx := context.Background()
+		Expect(c.running[l].AddReplica(ctx, replica.Member{ID: "d#new1", Host: "d"})).To(Succeed())
+		for _, id := range []string{"a#1", "b#1", "c#1"} {
+			err := c.running[l].RemoveReplica(ctx, id)
+			Expect(fault.CodeOf(err)).To(Equal(fault.CodePrecondition))
+			Expect(err).To(MatchError(ContainSubstring("d#new1")))
+		}
+		c.start("d")
+		c.until("d is a voter", func() bool { return c.running["d"].Status().Role == replica.RoleFollower })
+		c.until("the removal succeeds", func() bool { return c.running[l].RemoveReplica(ctx, l+"#1") == nil })
+	})
+
+	It("brings a replica that is far behind up to date by a snapshot", func() {
+		// Guards against a replica that can never catch up once the entries
+		// that it lacks are compacted, and against a log that grows for ever.
+		c := newCluster(three...)
+		c.config = func(cfg *replica.Config) { cfg.SnapshotEntries = 10 }
+		for _, h := range three {
+			c.start(h, three...)
+		}
+		l := c.leader(three...)
+		behind := "a"
+		if l == "a" {
+			behind = "b"
+		}
+		c.isolate(behind, true)
+		for range 50 {
+			Expect(c.propose(l, "x")).To(Succeed())
+		}
+		c.isolate(behind, false)
+		want := strings.TrimSuffix(strings.Repeat("x ", 50), " ")
+		c.holds(want, behind)
+		c.stop(behind)
+		c.start(behind)
+		c.holds(want, behind)
+	})
+
+	It("transfers leadership on request", func() {
+		// Guards against a planned stop that makes the group wait for an
+		// election timeout.
+		c := newCluster(three...)
+		for _, h := range three {
+			c.start(h, three...)
+		}
+		l := c.leader(three...)
+		term := c.running[l].Status().Term
+		Expect(c.running[l].TransferLeadership(context.Background())).To(Succeed())
+		next := c.leader(three...)
+		Expect(next).NotTo(Equal(l))
+		Expect(c.running[next].Status().Term).To(Equal(term + 1))
+	})
+
+	It("works as a group of one, with entry times that increase", func() {
+		// Guards against a single replica that waits for others, and against
+		// a state machine that sees time run backwards after a restart.
+		c := newCluster("a")
+		c.start("a", "a")
+		c.leader("a")
+		Expect(c.propose("a", "one")).To(Succeed())
+		Expect(c.running["a"].ReadBarrier(context.Background())).To(Succeed())
+		last := c.states["a"].times[0]
+		c.stop("a")
+		c.clock.Advance(-time.Minute)
+		c.start("a", "a")
+		c.leader("a")
+		Expect(c.propose("a", "two")).To(Succeed())
+		c.holds("one two", "a")
+		Expect(last.Before(c.states["a"].times[1])).To(BeTrue())
+	})
+
+	It("bounds the proposals in flight", func() {
+		// Guards against unbounded memory while the group has no quorum.
+		c := newCluster(three...)
+		c.config = func(cfg *replica.Config) { cfg.MaxInflight = 2 }
+		for _, h := range three {
+			c.start(h, three...)
+		}
+		l := c.leader(three...)
+		for _, h := range three {
+			c.isolate(h, true)
+		}
+		results := make(chan error, 3)
+		for range 3 {
+			go func() { results <- c.propose(l, "x") }()
+		}
+		var refused error
+		Eventually(results).WithTimeout(patient).Should(Receive(&refused))
+		Expect(fault.CodeOf(refused)).To(Equal(fault.CodeLimitExceeded))
+	})
+
+	It("stops with the reason when its disk fails, and does not start from a corrupt log", func() {
+		// Guards against a replica that acknowledges what it cannot store.
+		c := newCluster("a")
+		c.start("a", "a")
+		c.leader("a")
+		Expect(c.propose("a", "one")).To(Succeed())
+		c.disks["a"].FailAfter(faultfs.OpSync, 0)
+		Expect(fault.CodeOf(c.propose("a", "two"))).To(Equal(fault.CodeProposalUnknown))
+		Eventually(c.running["a"].Done()).WithTimeout(patient).Should(BeClosed())
+		Expect(c.running["a"].Status().Reason).To(ContainSubstring("injected sync failure"))
+		Expect(fault.CodeOf(c.propose("a", "three"))).To(Equal(fault.CodeUnavailable))
+		c.disks["a"].Edit("/data/log-0000000000000001.wal", func(d []byte) []byte { d[40] ^= 1; return d })
+		Expect(fault.CodeOf(c.tryStart("a", "a"))).To(Equal(fault.CodeCorrupt))
+	})
 })
