--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -7,6 +7,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"agatehaven.dev/agatehaven/internal/raft"
 )
 
 var (
@@ -62,4 +64,36 @@
 			Expect(totals[k]).NotTo(BeZero(), "the test no longer covers: %s", k)
 		}
 	})
+
+	It("bounds the appends in flight to a member that does not answer", func() {
+		// Guards against unbounded memory in the queues of the transport.
+		config := raft.Configuration{Members: []raft.Member{{ID: "a#1", Host: "a"}, {ID: "b#1", Host: "b"}}}
+		n, err := raft.New(raft.Options{ID: "a#1", MaxInflight: 4, Snapshot: raft.SnapshotMeta{Config: config}})
+		Expect(err).NotTo(HaveOccurred())
+		appends := 0
+		work := func() {
+			for rd, ok := n.Ready(); ok; rd, ok = n.Ready() {
+				for _, m := range rd.Messages {
+					answer := raft.Message{Type: m.Type + 1, From: "b#1", To: "a#1", Term: m.Term, Index: uint64(len(m.Entries))}
+					if m.Type == raft.MsgAppend {
+						appends++
+					}
+					if m.Type != raft.MsgAppend || appends == 1 {
+						defer n.Step(answer)
+					}
+				}
+				n.Advance(rd)
+			}
+		}
+		for range 40 {
+			n.Tick()
+			work()
+		}
+		for range 100 {
+			_, _, err := n.Propose([]byte("x"))
+			Expect(err).NotTo(HaveOccurred())
+			work()
+		}
+		Expect(appends).To(Equal(1 + 4))
+	})
 })
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -261,6 +261,11 @@
 }
 
 func (h *simHost) send(m raft.Message) {
+	size := 0
+	for _, e := range m.Entries {
+		size += len(e.Data)
+	}
+	h.s.require(size <= 100 || len(m.Entries) == 1, "append of %d bytes", size)
 	if m.Snapshot != nil {
 		chunk, err := h.log.ReadChunk(*m.Snapshot, m.Offset)
 		if err != nil {
