--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/raft"
 )
 
@@ -96,4 +97,39 @@
 		}
 		Expect(appends).To(Equal(1 + 4))
 	})
+
+	It("commits entries of earlier terms only with one of its own", func() {
+		// Guards against the commit of an entry that a later leader can still
+		// replace (figure 8 of the Raft paper).
+		config := raft.Configuration{}
+		for _, h := range []string{"a", "b", "c"} {
+			config.Members = append(config.Members, raft.Member{ID: raft.MemberID(h, "1"), Host: h})
+		}
+		n, err := raft.New(raft.Options{
+			ID: "a#1", HardState: raft.HardState{Term: 3, Voted: true}, Snapshot: raft.SnapshotMeta{Config: config},
+			Entries: []raft.Entry{{Index: 1, Term: 1}, {Index: 2, Term: 2}},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		step := func(m raft.Message) {
+			m.From, m.To = "b#1", "a#1"
+			n.Step(m)
+			for rd, ok := n.Ready(); ok; rd, ok = n.Ready() {
+				n.Advance(rd)
+			}
+		}
+		for n.Status().Role != raft.PreCandidate {
+			n.Tick()
+		}
+		step(raft.Message{Type: raft.MsgPreVoteResponse, Term: 4})
+		step(raft.Message{Type: raft.MsgVoteResponse, Term: 4})
+		Expect(n.Status().Role).To(Equal(raft.Leader))
+		step(raft.Message{Type: raft.MsgAppendResponse, Term: 4, Index: 2})
+		Expect(n.Commit()).To(BeZero())
+		// A change of members that starts before could be overtaken by one of
+		// an earlier leader, so that their quorums do not overlap.
+		_, _, err = n.ProposeAdd(raft.Member{ID: "d#1", Host: "d"})
+		Expect(fault.CodeOf(err)).To(Equal(fault.CodePrecondition))
+		step(raft.Message{Type: raft.MsgAppendResponse, Term: 4, Index: 3})
+		Expect(n.Commit()).To(Equal(uint64(3)))
+	})
 })
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -253,7 +253,7 @@
 	if h.log.SaveSnapshot(raft.Snapshot{Meta: meta, Data: data}) != nil {
 		return false
 	}
-	h.node.Compact(meta, 5)
+	h.node.Compact(meta, raft.Retention{Entries: 5, Bytes: 1000})
 	must(h.log.Release(meta.Index))
 	h.mirror = slices.Clone(h.mirror[meta.Index-h.base.Index:])
 	h.base = meta
--- a/internal/raft/snapshot.go
+++ b/internal/raft/snapshot.go
@@ -75,15 +75,27 @@
 	p.offset = m.Offset
 }
 
-// Compact tells the node that the snapshot is durable, and forgets all
-// entries up to it except the last retain ones, which serve members that are
-// slightly behind.
-func (n *Node) Compact(s SnapshotMeta, retain uint64) {
+// Retention bounds the entries that are kept in memory although a snapshot
+// covers them, for members that are slightly behind.
+type Retention struct {
+	Entries uint64
+	Bytes   uint64
+}
+
+// Compact tells the node that the snapshot is durable, and forgets the entries
+// that it covers, except the last ones within the retention.
+func (n *Node) Compact(s SnapshotMeta, retain Retention) {
 	if s.Index <= n.snapshot.Index {
 		return
 	}
 	n.previous, n.snapshot = n.snapshot, s
-	if s.Index > retain {
-		n.log.compact(s.Index - retain)
+	from, size := s.Index, uint64(0)
+	for from > n.log.baseIndex && s.Index-from < retain.Entries {
+		size += uint64(len(n.log.entries[from-n.log.baseIndex-1].Data)) + entryOverheadBytes
+		if size > retain.Bytes {
+			break
+		}
+		from--
 	}
+	n.log.compact(from)
 }
--- a/internal/raft/transcript_test.go
+++ b/internal/raft/transcript_test.go
@@ -151,8 +151,10 @@
 		}
 		s.printf("%s->%s %s term=%d index=%d/%d commit=%d entries=%d reject=%t",
 			from, to, m.Type, m.Term, m.Index, m.LogTerm, m.Commit, len(m.Entries), m.Reject)
-		s.nodes[to].Step(m)
-		s.flush(to)
+		if n := s.nodes[to]; n != nil {
+			n.Step(m)
+			s.flush(to)
+		}
 	}
 }
 
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -20,7 +20,7 @@
 	DefaultTickInterval    = 100 * time.Millisecond
 	DefaultElectionTicks   = raft.DefaultElectionTicks
 	DefaultSnapshotEntries = 10_000
-	DefaultSnapshotBytes   = 32 << 20
+	DefaultSnapshotBytes   = 16 << 20
 	DefaultMaxInflight     = 1024
 	// MaxProposalBytes leaves room for a batch in the peer message limit.
 	MaxProposalBytes = 1 << 20
@@ -55,7 +55,7 @@
 	Self Member
 	// Bootstrap lists the initial members by host, in the same order on every
 	// host. It is used only if Dir has no identity yet; then this host takes
-	// incarnation "1" and the group forms once all initial members are up.
+	// incarnation "1" and the group forms once all initial voters are up.
 	// If it is empty, a host without identity takes a new random incarnation
 	// and waits to be added. A bootstrapping host that finds the group formed
 	// already has lost its disk, and takes a new random incarnation as well.
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -108,7 +108,7 @@
 
 // compact forgets entries that a durable snapshot covers.
 func (c *core) compact(s raft.SnapshotMeta) error {
-	c.node.Compact(s, c.r.cfg.SnapshotEntries/2)
+	c.node.Compact(s, raft.Retention{Entries: c.r.cfg.SnapshotEntries / 2, Bytes: c.r.cfg.SnapshotBytes / 4})
 	return c.r.log.Release(s.Index)
 }
 
