Measure a request's life in small and large ledgers

Cause: every operation must cost what it touches, not the table's size.

Change: BenchmarkLifecycle runs claim, dispatch, report and expire.

--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -237,3 +237,29 @@
 		})
 	}
 })
+
+// BenchmarkLifecycle runs one request from claim to result in tables of
+// different sizes. Guards against operations that scan the table.
+func BenchmarkLifecycle(b *testing.B) {
+	for _, size := range []int{1000, 100_000} {
+		b.Run(fmt.Sprintf("requests=%d", size), func(b *testing.B) {
+			limits := ledger.DefaultLimits()
+			limits.MaxRequests, limits.MaxQueuedPerPool = 1<<30, 1<<30
+			limits.KeyRetention = time.Second
+			f := newFixture(limits)
+			for i := range size {
+				f.claim(fmt.Sprint("old", i), "archive", "shop", time.Hour+time.Duration(i)*time.Millisecond)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				key := fmt.Sprint("new", i)
+				f.claim(key, "proof", "shop", time.Hour)
+				f.dispatch(key, 1, "h1")
+				f.report(key, 1, model.AttemptSucceeded, "")
+				f.advance(time.Millisecond)
+				f.expire()
+				f.events = nil
+			}
+		})
+	}
+}
