--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -180,14 +180,14 @@
 		// Guards against a lender that cannot serve its own burst, and against
 		// lent work that blocks it for long.
 		in := placement.Input{
-			Queued: append(many(20, "a", model.Normal), request("large", "c", model.Normal)),
+			Queued: append(many(30, "a", model.Normal), request("large", "c", model.Normal)),
 			Hosts: []placement.Host{
 				host("a1", "a", "r1", 1, 0), host("b1", "b", "r1", 8, 6), host("c1", "c", "r1", 8, 1), host("s1", "spare", "r1", 8, 0), host("z1", "z", "r1", 16, 0),
 			},
 			Pools: map[string]placement.Pool{"spare": {Spare: true}},
 		}
 		in.Queued[1].Run = time.Minute
-		in.Queued[20].MemoryMB = 8000 // waits in its own pool
+		in.Queued[30].MemoryMB = 8000 // waits in its own pool
 		p := placement.Policy{AgeAfter: time.Hour, LendMaxRun: time.Second, LendReserve: 0.25}
 		Expect(p.Plan(in).Decisions).To(HaveLen(1))
 		p.LendSpare = true
