Record the ledger's rules as sessions

Change: the same command sequences and checks as golden sessions, which now also print reason, answer, attempts, open and stopped attempts after every command.

--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -184,6 +184,10 @@
 		f.lose(w[1], w[2])
 	case "restart":
 		f.restartHost(w[1], w[2])
+	case "host": // changes the inventory without an order to the ledger
+		h := f.hosts[w[1]]
+		h.Info.Incarnation = w[2]
+		f.hosts[w[1]] = h
 	default:
 		Fail("unknown command: " + line)
 	}
@@ -193,6 +197,26 @@
 	return ""
 }
 
+// describe prints the request that the line names, and the load.
+func (f *fixture) describe(out *strings.Builder, key string) {
+	if r, ok := f.state.Get(key); ok {
+		fmt.Fprintf(out, "< %s %s outcome=%s succeeded=%t reason=%q answer=%q attempts=", r.Key, r.State, r.Outcome, r.Succeeded, r.Reason, r.Answer)
+		for _, a := range r.Attempts {
+			fmt.Fprintf(out, " %d:%s@%s#%s", a.Number, a.State, a.Host, a.TargetIncarnation)
+		}
+		fmt.Fprintln(out)
+	}
+	stop := 0
+	assignments := f.state.Assignments("e1", "p1")
+	for _, a := range assignments {
+		if a.StopRequested {
+			stop++
+		}
+	}
+	fmt.Fprintf(out, "< load h1=%d h2=%d assigned=%d stop=%d open=%d ended=%d\n", f.state.Running("h1"), f.state.Running("h2"),
+		len(assignments), stop, len(f.state.OpenAttempts()), len(f.state.Ended()))
+}
+
 func runSession(path string) string {
 	text, err := os.ReadFile(path)
 	Expect(err).NotTo(HaveOccurred())
@@ -213,11 +237,7 @@
 		for _, e := range f.events {
 			fmt.Fprintf(&out, "< %s %s attempt=%d host=%s actor=%s reason=%q\n", e.Kind, e.Request, e.Attempt, e.Host, e.Actor, e.Reason)
 		}
-		if key := strings.Fields(line)[1:]; len(key) > 0 && !strings.HasPrefix(line, "advance") {
-			if r, ok := f.state.Get(key[0]); ok {
-				fmt.Fprintf(&out, "< %s %s outcome=%s succeeded=%t h1=%d h2=%d\n", r.Key, r.State, r.Outcome, r.Succeeded, f.state.Running("h1"), f.state.Running("h2"))
-			}
-		}
+		f.describe(&out, append(strings.Fields(line), "")[1])
 	}
 	return out.String()
 }
--- a/internal/ledger/rules_test.go
+++ b/internal/ledger/rules_test.go
@@ -132,58 +132,6 @@
 		Expect(f.dispatch(key, 1, "h1")).To(BeTrue())
 	}
 
-	It("never finishes as not_run while an attempt may have begun", func() {
-		// Guards against a false not_run: the caller would order again.
-		start("late", "proof")
-		f.report("late", 1, model.AttemptUnknown, "")
-		Expect(f.retry("late", 1, false)).To(Succeed())
-		start("failed", "proof")
-		f.report("failed", 1, model.AttemptFailed, "")
-		f.claim("queued", "order", "shop", time.Minute)
-		f.advance(time.Minute)
-		f.expire()
-		Expect(f.outcome("late")).To(Equal("finished unknown false"))
-		Expect(f.outcome("failed")).To(Equal("finished done false"))
-		Expect(f.outcome("queued")).To(Equal("finished not_run false"))
-	})
-
-	It("keeps a dispatched request open after its deadline", func() {
-		// Guards against an outcome that is given before the result is known.
-		start("a", "order")
-		f.advance(time.Hour)
-		f.expire()
-		Expect(f.outcome("a")).To(Equal("dispatched  false"))
-	})
-
-	It("resolves unknown by later evidence and never changes a proven outcome", func() {
-		// Guards against a lost result, and against a result that changes after
-		// the caller has read it.
-		for key, evidence := range map[string]model.AttemptState{
-			"a": model.AttemptSucceeded, "b": model.AttemptNotBegun, "c": model.AttemptFailed,
-		} {
-			start(key, "order")
-			f.report(key, 1, model.AttemptUnknown, "")
-			Expect(f.outcome(key)).To(Equal("finished unknown false"))
-			f.report(key, 1, evidence, "answer")
-			resolved := f.get(key)
-			for _, later := range []model.AttemptState{model.AttemptUnknown, model.AttemptFailed, model.AttemptSucceeded, model.AttemptNotBegun} {
-				f.report(key, 1, later, "other")
-			}
-			Expect(f.get(key)).To(BeIdenticalTo(resolved))
-		}
-		Expect(f.outcome("a")).To(Equal("finished done true"))
-		Expect(f.outcome("b")).To(Equal("finished not_run false"))
-		Expect(f.outcome("c")).To(Equal("finished done false"))
-	})
-
-	It("ignores reports of attempts that were never assigned", func() {
-		// Guards against a mismatched answer that finishes another request.
-		f.claim("a", "order", "shop", 0)
-		f.report("a", 1, model.AttemptSucceeded, "wrong")
-		f.report("b", 1, model.AttemptSucceeded, "wrong")
-		Expect(f.outcome("a")).To(Equal("queued  false"))
-	})
-
 	It("does not pass on an answer above the limit", func() {
 		// Guards against an answer that is cut or that fills the memory.
 		limits := ledger.DefaultLimits()
@@ -196,37 +144,6 @@
 		Expect(f.get("a").Reason).To(Equal("answer of 5 bytes exceeds the limit of 4 bytes"))
 	})
 
-	It("stops the attempt that is left when an earlier one has succeeded", func() {
-		// Guards against a second attempt that runs on for nothing.
-		start("a", "proof")
-		f.lose("h1", "i1")
-		Expect(f.retry("a", 1, false)).To(Succeed())
-		Expect(f.dispatch("a", 2, "h2")).To(BeTrue())
-		Expect(f.state.Assignments("e1", "p1")[0].StopRequested).To(BeFalse())
-		f.report("a", 1, model.AttemptSucceeded, "first")
-		Expect(f.outcome("a")).To(Equal("finished done true"))
-		Expect(f.state.Assignments("e1", "p1")[0].StopRequested).To(BeTrue())
-		Expect(f.state.Running("h2")).To(Equal(1), "the slot is held until the attempt ends")
-		f.advance(48 * time.Hour)
-		f.expire()
-		Expect(f.outcome("a")).To(Equal("finished done true"), "kept while an attempt is assigned")
-	})
-
-	It("lets the owner's report finish a cancelled request", func() {
-		// Guards against a cancellation that reports not_run for work that ran.
-		start("ran", "proof")
-		start("refused", "proof")
-		for _, key := range []string{"ran", "refused"} {
-			Expect(f.cancel(key).Request.CancelRequested).To(BeTrue())
-		}
-		Expect(f.state.Assignments("e1", "p1")).To(HaveEach(HaveField("StopRequested", true)))
-		f.report("ran", 1, model.AttemptFailed, "")
-		f.report("refused", 1, model.AttemptNotBegun, "")
-		Expect(f.outcome("ran")).To(Equal("finished done false"))
-		Expect(f.outcome("refused")).To(Equal("finished not_run false"))
-		Expect(fault.CodeOf(f.cancel("none").Err)).To(Equal(fault.CodeNotFound))
-	})
-
 	It("frees the place of a cancelled request at once", func() {
 		// Guards against queues that stay full after a burst of cancellations.
 		limits := ledger.DefaultLimits()
@@ -244,36 +161,6 @@
 	var f *fixture
 	BeforeEach(func() { f = newFixture(ledger.DefaultLimits()) })
 
-	It("accepts a second attempt of a non-idempotent request only after not_begun", func() {
-		// Guards against a duplicate order.
-		for key, state := range map[string]model.AttemptState{"f": model.AttemptFailed, "u": model.AttemptUnknown} {
-			f.claim(key, "order", "shop", 0)
-			f.dispatch(key, 1, "h1")
-			f.report(key, 1, state, "")
-			Expect(f.retry(key, 1, false)).NotTo(Succeed())
-			Expect(f.dispatch(key, 2, "h2")).To(BeFalse())
-		}
-		f.claim("n", "order", "shop", 0)
-		f.dispatch("n", 1, "h2")
-		f.report("n", 1, model.AttemptNotBegun, "")
-		f.advance(time.Second)
-		Expect(f.dispatch("n", 2, "h2")).To(BeTrue())
-	})
-
-	It("waits for the decision about an idempotent request and records a refusal", func() {
-		// Guards against retries outside the retry limits.
-		f.claim("a", "proof", "shop", 0)
-		f.dispatch("a", 1, "h1")
-		f.report("a", 1, model.AttemptFailed, "log")
-		Expect(f.state.Ended()).To(HaveLen(1))
-		Expect(f.dispatch("a", 2, "h2")).To(BeFalse())
-		Expect(f.retry("a", 2, false)).NotTo(Succeed())
-		Expect(f.retry("a", 1, true)).To(Succeed())
-		Expect(f.outcome("a")).To(Equal("finished done false"))
-		Expect(string(f.get("a").Answer)).To(Equal("log"))
-		Expect(f.state.Ended()).To(BeEmpty())
-	})
-
 	It("refuses a second attempt even if the state wrongly expects one", func() {
 		// Guards against a duplicate order after a snapshot that another build
 		// wrote with other rules.
@@ -311,64 +198,6 @@
 	})
 })
 
-var _ = Describe("lost hosts", func() {
-	It("holds slots until a new incarnation proves that the tasks ended", func() {
-		// Guards against overload of a host that was only partitioned, and
-		// against slots that leak after a restart.
-		f := newFixture(ledger.DefaultLimits())
-		f.claim("a", "order", "shop", 0)
-		f.claim("b", "proof", "shop", 0)
-		f.dispatch("a", 1, "h1")
-		f.dispatch("b", 1, "h1")
-		f.lose("h1", "i1")
-		Expect(f.outcome("a")).To(Equal("finished unknown false"))
-		Expect(f.state.Ended()).To(HaveLen(1))
-		Expect(f.state.Running("h1")).To(Equal(2))
-		Expect(f.state.OpenAttempts()).To(HaveLen(2))
-		f.restartHost("h1", "i2")
-		Expect(f.state.Running("h1")).To(Equal(0))
-		Expect(f.state.OpenAttempts()).To(BeEmpty())
-		Expect(f.retry("b", 1, false)).To(Succeed())
-		Expect(f.dispatch("b", 2, "h1")).To(BeTrue())
-		Expect(f.state.Running("h1")).To(Equal(1))
-	})
-
-	It("counts slots on the incarnation that the last dispatch saw", func() {
-		// Guards against slots of an ended incarnation that hide free ones.
-		f := newFixture(ledger.DefaultLimits())
-		f.claim("a", "order", "shop", 0)
-		f.claim("b", "order", "shop", 0)
-		f.claim("c", "order", "shop", 0)
-		f.dispatch("a", 1, "h1")
-		f.dispatch("b", 1, "h1")
-		f.hosts["h1"] = newHost("h1", "plot", "i2", 2)
-		Expect(f.dispatch("c", 1, "h1")).To(BeTrue())
-		Expect(f.state.Running("h1")).To(Equal(1))
-	})
-
-	It("covers the attempts on every earlier incarnation", func() {
-		// Guards against an attempt that stays open for ever because the old
-		// incarnation was not named.
-		f := newFixture(ledger.DefaultLimits())
-		f.claim("a", "order", "shop", 0)
-		f.dispatch("a", 1, "h1")
-		f.hosts["h1"] = newHost("h1", "plot", "i2", 2)
-		f.lose("h1", "i2")
-		Expect(f.outcome("a")).To(Equal("finished unknown false"))
-		Expect(f.state.Running("h1")).To(Equal(0))
-	})
-
-	It("does not touch attempts on the current incarnation after a restart", func() {
-		// Guards against a late order about the old incarnation.
-		f := newFixture(ledger.DefaultLimits())
-		f.restartHost("h1", "i2")
-		f.claim("a", "order", "shop", 0)
-		f.dispatch("a", 1, "h1")
-		f.lose("h1", "i1")
-		Expect(f.outcome("a")).To(Equal("dispatched  false"))
-	})
-})
-
 var _ = Describe("retention", func() {
 	It("drops answers, then forgets keys, and tells when it is due", func() {
 		// Guards against a ledger that fills up, and against a key that is
