--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -7,12 +7,15 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/raft"
 )
 
 var (
-	simSeeds = flag.Uint64("raft.seeds", 24, "number of seeds of the randomized test")
-	simFirst = flag.Uint64("raft.first", 1, "first seed of the randomized test")
-	simSteps = flag.Int("raft.steps", 20000, "steps per seed of the randomized test")
+	simSeeds = flag.Uint64("raft.seeds", 24, "number of seeds of the simulation")
+	simFirst = flag.Uint64("raft.first", 1, "first seed of the simulation")
+	simSteps = flag.Int("raft.steps", 20000, "steps per seed of the simulation")
 )
 
 func TestRaft(t *testing.T) {
@@ -62,4 +65,71 @@
 			Expect(totals[k]).NotTo(BeZero(), "the test no longer covers: %s", k)
 		}
 	})
+
+	It("bounds the appends in flight to a member that does not answer", func() {
+		// Guards against unbounded memory in the queues of the transport.
+		config := raft.Configuration{Members: []raft.Member{{ID: "a#1", Host: "a"}, {ID: "b#1", Host: "b"}}}
+		n, err := raft.New(raft.Options{ID: "a#1", MaxInflight: 4, Snapshot: raft.SnapshotMeta{Config: config}})
+		Expect(err).NotTo(HaveOccurred())
+		appends := 0
+		work := func() {
+			for rd, ok := n.Ready(); ok; rd, ok = n.Ready() {
+				for _, m := range rd.Messages {
+					answer := raft.Message{Type: m.Type + 1, From: "b#1", To: "a#1", Term: m.Term, Index: uint64(len(m.Entries))}
+					if m.Type == raft.MsgAppend {
+						appends++
+					}
+					if m.Type != raft.MsgAppend || appends == 1 {
+						defer n.Step(answer)
+					}
+				}
+				n.Advance(rd)
+			}
+		}
+		for range 40 {
+			n.Tick()
+			work()
+		}
+		for range 100 {
+			_, _, err := n.Propose([]byte("x"))
+			Expect(err).NotTo(HaveOccurred())
+			work()
+		}
+		Expect(appends).To(Equal(1 + 4))
+	})
+
+	It("commits entries of earlier terms only with one of its own", func() {
+		// Guards against the commit of an entry that a later leader can still
+		// replace (figure 8 of the Raft paper).
+		config := raft.Configuration{}
+		for _, h := range []string{"a", "b", "c"} {
+			config.Members = append(config.Members, raft.Member{ID: raft.MemberID(h, "1"), Host: h})
+		}
+		n, err := raft.New(raft.Options{
+			ID: "a#1", HardState: raft.HardState{Term: 3, Voted: true}, Snapshot: raft.SnapshotMeta{Config: config},
+			Entries: []raft.Entry{{Index: 1, Term: 1}, {Index: 2, Term: 2}},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		step := func(m raft.Message) {
+			m.From, m.To = "b#1", "a#1"
+			n.Step(m)
+			for rd, ok := n.Ready(); ok; rd, ok = n.Ready() {
+				n.Advance(rd)
+			}
+		}
+		for n.Status().Role != raft.PreCandidate {
+			n.Tick()
+		}
+		step(raft.Message{Type: raft.MsgPreVoteResponse, Term: 4})
+		step(raft.Message{Type: raft.MsgVoteResponse, Term: 4})
+		Expect(n.Status().Role).To(Equal(raft.Leader))
+		step(raft.Message{Type: raft.MsgAppendResponse, Term: 4, Index: 2})
+		Expect(n.Commit()).To(BeZero())
+		// A change of members that starts before could be overtaken by one of
+		// an earlier leader, so that their quorums do not overlap.
+		_, _, err = n.ProposeAdd(raft.Member{ID: "d#1", Host: "d"})
+		Expect(fault.CodeOf(err)).To(Equal(fault.CodePrecondition))
+		step(raft.Message{Type: raft.MsgAppendResponse, Term: 4, Index: 3})
+		Expect(n.Commit()).To(Equal(uint64(3)))
+	})
 })
