Give owners the stop limit and the capability to revoke

Cause: assignments left StopLimitMS and CanRevoke at zero, so a graceful stop waited only 5 s, or not at all for running attempts, and an attempt whose start got no answer stayed unknown although its target could revoke it. A caller's wait also ended at the first read without an answer. Change: the leader completes assignments from the inventory and the records; the entry host goes on reading until the caller's wait is over.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -63,6 +63,23 @@
 		Expect(string(w.request("o").Answer)).To(Equal("done"))
 	})
 
+	It("tells the owner how long a stop waits and whether the target can revoke", func() {
+		// Guards against a graceful stop that cuts running attempts, and against
+		// outcomes that stay unknown although the target could prove them.
+		w := newWorld(0, sampleRecords()...)
+		w.hosts["host-1"] = &model.HostInfo{
+			Name: "host-1", DataCentre: "dc-a", Rack: "r", Address: "127.0.0.1:1", Incarnation: "1", CPUMillis: 32_000,
+			MemoryMB: 64_000, Slots: 8, Connections: 64, Pool: "work", Capabilities: []model.Capability{model.CapabilityRevoke},
+		}
+		w.tick()
+		w.submit("o", "order")
+		list := w.pull()
+		Expect(list).To(HaveLen(1))
+		Expect(list[0].CanRevoke).To(BeTrue())
+		Expect(list[0].StopLimitMS).To(Equal(model.DefaultStopLimitMS))
+		Expect(list[0].HostDraining).To(BeFalse())
+	})
+
 	It("gives back the slot of an unknown attempt that its target does not run", func() {
 		// Guards against a host that can never drain because of one attempt
 		// without an outcome; the outcome itself stays unknown.
--- a/internal/control/owners.go
+++ b/internal/control/owners.go
@@ -70,9 +70,7 @@
 	var fresh, updates []model.Assignment
 	c.cfg.Machine.View(func(v datacentre.View) {
 		for _, a := range v.Requests.Assignments(r.Owner, r.Incarnation) {
-			if h, ok := v.Hosts.Host(a.Host); ok && h.State != model.HostReady {
-				a.HostDraining = true
-			}
+			c.complete(&a, v)
 			switch {
 			case !known[peer.AttemptRef{Key: a.Key, Attempt: a.Attempt}]:
 				fresh = append(fresh, a)
@@ -92,6 +90,19 @@
 	return fresh
 }
 
+// complete adds what the owner needs to know of the host and the job kind.
+func (c *Controller) complete(a *model.Assignment, v datacentre.View) {
+	if h, ok := v.Hosts.Host(a.Host); ok {
+		// A host that is set aside gets only probes, which have to run.
+		a.HostDraining = h.State != model.HostReady && h.State != model.HostSetAside
+		a.CanRevoke = hasCapability(&h.Info, model.CapabilityRevoke)
+	}
+	a.StopLimitMS = model.DefaultStopLimitMS
+	if k := v.Catalogue.JobKinds[a.Kind]; k != nil {
+		a.StopLimitMS = k.StopLimitMS
+	}
+}
+
 // ownerAlive reports whether an owner's process still holds its lease.
 func (c *Controller) ownerAlive(host, incarnation string) bool {
 	c.mu.Lock()
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -25,6 +25,8 @@
 	// awaitSlice is the longest wait of one peer call; longer waits repeat it,
 	// so that a silent connection delays an answer by no more than its margin.
 	awaitSlice = 5 * time.Second
+	// readRetryPause separates reads of a home that gives no answer.
+	readRetryPause = 200 * time.Millisecond
 )
 
 var _ caller.Service = (*Daemon)(nil)
@@ -135,20 +137,37 @@
 // returns the last state read, since a request that was claimed stays claimed
 // whatever happens to the wait.
 func (d *Daemon) awaitUntil(ctx context.Context, home string, last model.Request, until time.Time) model.Request {
-	for last.State != model.RequestFinished && ctx.Err() == nil {
+	for !settled(&last) && ctx.Err() == nil {
 		left := until.Sub(d.clock.Now())
 		if left <= 0 {
 			break
 		}
 		request, err := d.read(ctx, home, last.Key, min(left, awaitSlice))
-		if err != nil {
+		if err == nil {
+			last = request
+		} else if !d.pause(ctx) {
 			break
 		}
-		last = request
 	}
 	return last
 }
 
+// pause waits for readRetryPause; it returns false if ctx has ended.
+func (d *Daemon) pause(ctx context.Context) bool {
+	select {
+	case <-d.clock.After(readRetryPause):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// settled reports whether waiting longer cannot change the answer. A request
+// whose claim got no answer may be open, so its wait goes on.
+func settled(r *model.Request) bool {
+	return r.State == model.RequestFinished && (r.Outcome != model.OutcomeUnknown || len(r.Attempts) > 0)
+}
+
 // read reads a request from its home and waits for its outcome.
 func (d *Daemon) read(ctx context.Context, home, key string, wait time.Duration) (model.Request, error) {
 	ctx, cancel := context.WithTimeout(ctx, homeTimeout+wait)
