--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -76,7 +76,7 @@
 		list := w.pull()
 		Expect(list).To(HaveLen(1))
 		Expect(list[0].CanRevoke).To(BeTrue())
-		Expect(list[0].StopLimitMS).To(Equal(model.DefaultStopLimitMS))
+		Expect(list[0].StopLimitMS).To(Equal(7000))
 		Expect(list[0].HostDraining).To(BeFalse())
 	})
 
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -137,7 +137,7 @@
 	return []model.Record{
 		record(model.KindPool, "work", model.Pool{MinAvailable: 2, Homes: []string{"dc-a"}, Floors: map[string]int{"dc-a": 2}}),
 		record(model.KindJobKind, "render", model.JobKind{Pool: "work", Priority: model.Normal, Idempotent: true, MaxAttempts: 3, CPUMillis: 1000, MemoryMB: 512, RunTimeMS: 100}),
-		record(model.KindJobKind, "order", model.JobKind{Pool: "work", Priority: model.Normal, MaxAttempts: 1, CPUMillis: 1000, MemoryMB: 512, RunTimeMS: 100}),
+		record(model.KindJobKind, "order", model.JobKind{Pool: "work", Priority: model.Normal, MaxAttempts: 1, CPUMillis: 1000, MemoryMB: 512, RunTimeMS: 100, StopLimitMS: 7000}),
 	}
 }
 
