--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -20,7 +20,9 @@
 // Defaults of Config.
 const (
 	DefaultMaxAttempts = 512
-	DefaultPollWait    = time.Second
+	// DefaultMaxEnded attempts take about 100 bytes each.
+	DefaultMaxEnded = 65_536
+	DefaultPollWait = time.Second
 	// DefaultPullWait keeps pulls well below the 5 s without contact after
 	// which the leader resolves the owner's attempts itself.
 	DefaultPullWait = 2 * time.Second
@@ -89,6 +91,8 @@
 	Clock       clock.Clock
 	// MaxAttempts bounds the attempts in hand; DefaultMaxAttempts if zero.
 	MaxAttempts int
+	// MaxEnded bounds the memory of ended attempts; DefaultMaxEnded if zero.
+	MaxEnded int
 	// Events may be nil.
 	Events Events
 	// The following are the defaults of the same name if zero.
@@ -114,6 +118,9 @@
 	if c.MaxAttempts <= 0 {
 		c.MaxAttempts = DefaultMaxAttempts
 	}
+	if c.MaxEnded <= 0 {
+		c.MaxEnded = DefaultMaxEnded
+	}
 	return c
 }
 
@@ -143,7 +150,7 @@
 	cfg = cfg.withDefaults()
 	return &Dispatcher{
 		cfg:     cfg,
-		table:   newTable(cfg.MaxAttempts, cfg.Incarnation),
+		table:   newTable(cfg.MaxAttempts, cfg.MaxEnded, cfg.Incarnation),
 		starts:  ring.New[*entry]("starts", cfg.MaxAttempts),
 		reports: ring.New[outgoing]("attempt reports", 2*cfg.MaxAttempts),
 		stopped: make(chan struct{}),
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -8,9 +8,6 @@
 	"agatehaven.dev/agatehaven/internal/peer"
 )
 
-// maxEnded bounds the memory of ended attempts, at about 100 bytes each.
-const maxEnded = 65_536
-
 // verdict is what the table says about an assignment.
 type verdict int
 
@@ -58,9 +55,9 @@
 	limit   int
 }
 
-func newTable(size int, incarnation string) *table {
+func newTable(size, ended int, incarnation string) *table {
 	return &table{
-		max: size, incarnation: incarnation, limit: maxEnded,
+		max: size, incarnation: incarnation, limit: ended,
 		active: map[peer.AttemptRef]*entry{}, ended: map[peer.AttemptRef]hlc.Time{},
 		changed: make(chan struct{}),
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -15,6 +15,7 @@
 	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/hlc"
 	"agatehaven.dev/agatehaven/internal/peer"
+	"agatehaven.dev/agatehaven/internal/testsupport/silent"
 )
 
 func TestPeer(t *testing.T) {
@@ -57,6 +58,9 @@
 }
 
 func (f *fakeHandler) PullAssignments(ctx context.Context, _ *peer.PullAssignmentsRequest) (*peer.PullAssignmentsResponse, error) {
+	f.mu.Lock()
+	f.calls++
+	f.mu.Unlock()
 	<-ctx.Done()
 	return nil, ctx.Err()
 }
@@ -165,3 +169,129 @@
 		Expect(errors.Is(err, context.Canceled)).To(BeTrue())
 	})
 })
+
+var _ = Describe("Silent connections", func() {
+	ctx := context.Background()
+
+	It("discards a silent connection and dials anew, and loses no other host's", func() {
+		// Guards against calls that hang on a connection that went silent,
+		// which with HTTP/2 carries all calls to a host.
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		listener := silent.NewListener(l)
+		s := peer.NewHTTPServer(peer.NewServer(&fakeHandler{}, peer.ServerOptions{}), nil)
+		go func() { _ = s.Serve(listener) }()
+		DeferCleanup(s.Close)
+		manual := clock.NewManual(time.UnixMilli(0))
+		c := dial(peer.DialerConfig{Clock: manual}, l.Addr().String())
+		_, err = c.GroupStatus(ctx, &peer.GroupStatusRequest{})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = c.GroupStatus(ctx, &peer.GroupStatusRequest{})
+		Expect(err).NotTo(HaveOccurred())
+		_, total := listener.Counts()
+		Expect(total).To(Equal(1), "calls share one connection")
+
+		listener.Silence()
+		failed := make(chan error, 1)
+		go func() {
+			_, err := c.GroupStatus(ctx, &peer.GroupStatusRequest{})
+			failed <- err
+		}()
+		Eventually(listener.Dropped).Should(BeNumerically(">", 0))
+		manual.Advance(peer.DefaultCallTimeout)
+		Expect(fault.CodeOf(<-failed)).To(Equal(fault.CodeSilentConnection))
+		_, err = c.GroupStatus(ctx, &peer.GroupStatusRequest{})
+		Expect(err).NotTo(HaveOccurred())
+		_, total = listener.Counts()
+		Expect(total).To(Equal(2))
+		Eventually(listener.Open).Should(Equal(1), "the silent connection is closed")
+	})
+
+	It("gives a long poll its wait before the connection counts as silent", func() {
+		// Guards against long polls that are cut as silent.
+		manual := clock.NewManual(time.UnixMilli(0))
+		h := &fakeHandler{}
+		c := dial(peer.DialerConfig{Clock: manual}, serve(h))
+		_, err := c.GroupStatus(ctx, &peer.GroupStatusRequest{})
+		Expect(err).NotTo(HaveOccurred())
+		done := make(chan error, 1)
+		go func() {
+			_, err := c.PullAssignments(ctx, &peer.PullAssignmentsRequest{WaitMS: 10_000})
+			done <- err
+		}()
+		Eventually(h.count).Should(Equal(2))
+		manual.Advance(10 * time.Second)
+		Consistently(done, "20ms").ShouldNot(Receive())
+		manual.Advance(peer.DefaultCallTimeout)
+		Eventually(done).Should(Receive(BeAssignableToTypeOf(&fault.SilentConnection{})))
+	})
+})
+
+// scriptedDialer returns a handler per host and counts the calls.
+type scriptedDialer struct {
+	hosts map[string]*fakeHandler
+	order []string
+}
+
+func (d *scriptedDialer) Dial(host string) (peer.Handler, error) {
+	d.order = append(d.order, host)
+	h, ok := d.hosts[host]
+	if !ok {
+		return nil, &fault.NotFound{Kind: "peer", Name: host}
+	}
+	return h, nil
+}
+
+var _ = Describe("LeaderClient", func() {
+	var (
+		d    *scriptedDialer
+		c    *peer.LeaderClient
+		call = func(h peer.Handler) error {
+			_, err := h.GroupStatus(context.Background(), &peer.GroupStatusRequest{})
+			return err
+		}
+	)
+	BeforeEach(func() {
+		d = &scriptedDialer{hosts: map[string]*fakeHandler{"a": {}, "b": {}, "c": {}}}
+		c = peer.NewLeaderClient(peer.LeaderConfig{Dialer: d, Hosts: []string{"a", "b", "c"}, Clock: clock.System{}, Attempts: 6})
+	})
+
+	It("follows the hint, remembers the leader and tries the others when it is gone", func() {
+		// Guards against calls that stay with a former leader.
+		d.hosts["a"].fail = &fault.NotLeader{Group: "g", Leader: "c"}
+		Expect(c.Do(context.Background(), call)).To(Succeed())
+		Expect(c.Do(context.Background(), call)).To(Succeed())
+		Expect(d.order).To(Equal([]string{"a", "c", "c"}))
+		d.hosts["c"].fail = &fault.Unavailable{What: "peer c", Reason: "down"}
+		d.hosts["a"].fail = &fault.NotLeader{Group: "g", Leader: "b"}
+		Expect(c.Do(context.Background(), call)).To(Succeed())
+		Expect(d.order[3:]).To(Equal([]string{"c", "a", "b"}))
+	})
+
+	DescribeTable("repeats a call of unknown effect only if it is idempotent",
+		// Guards against an operation that takes effect twice.
+		func(unknown error) {
+			d.hosts["a"].fail = unknown
+			Expect(c.Do(context.Background(), call)).To(MatchError(unknown))
+			Expect(d.order).To(Equal([]string{"a"}))
+			Expect(c.DoIdempotent(context.Background(), call)).To(Succeed())
+			Expect(d.order).To(Equal([]string{"a", "a", "b"}))
+		},
+		Entry(nil, &fault.SilentConnection{Address: "x"}),
+		Entry(nil, &fault.ConnectionLost{Address: "x"}),
+		Entry(nil, &fault.ProposalUnknown{Group: "g"}),
+		Entry(nil, &fault.Remote{RemoteCode: fault.CodeTimeout}),
+	)
+
+	It("ends after its attempts and passes on the leader's own answer", func() {
+		// Guards against an endless loop in a group without a leader.
+		for _, h := range d.hosts {
+			h.fail = &fault.NotLeader{Group: "g"}
+		}
+		Expect(c.Do(context.Background(), call)).To(BeAssignableToTypeOf(&fault.NotLeader{}))
+		Expect(d.order).To(HaveLen(6))
+		d.hosts["a"].fail = &fault.Precondition{What: "drain", Reason: "floor"}
+		Expect(c.Do(context.Background(), call)).To(BeAssignableToTypeOf(&fault.Precondition{}))
+		Expect(d.order).To(HaveLen(7))
+	})
+})
--- a/internal/target/http.go
+++ b/internal/target/http.go
@@ -126,6 +126,13 @@
 	}
 }
 
+func (e *endpoint) lease(fresh bool) *transport.Lease {
+	if fresh {
+		return e.pool.AcquireFresh()
+	}
+	return e.pool.Acquire()
+}
+
 // shorten divides the wait of a poll when more calls than connections compete,
 // so that a start is not kept behind long polls.
 func (c *httpClient) shorten(e *endpoint, wait time.Duration) time.Duration {
@@ -141,7 +148,13 @@
 	if err != nil {
 		return &NotSentError{Address: address, Reason: err.Error()}
 	}
-	resp, err := c.post(ctx, address, "/v1/tasks", body)
+	e := c.enter(address)
+	defer c.leave(e)
+	// A kept connection may have gone silent or be closing, which would leave
+	// the start without a response and its effect unknown.
+	resp, err := c.exchange(ctx, e, call{
+		method: http.MethodPost, path: "/v1/tasks", body: body, limit: c.cfg.StartTimeout, fresh: true,
+	})
 	if err != nil {
 		return err
 	}
@@ -160,7 +173,7 @@
 	defer c.leave(e)
 	wait = c.shorten(e, wait)
 	path := taskPath(key, attempt) + "?wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
-	resp, err := c.exchange(ctx, e, http.MethodGet, path, nil, wait+c.cfg.PollMargin)
+	resp, err := c.exchange(ctx, e, call{method: http.MethodGet, path: path, limit: wait + c.cfg.PollMargin})
 	if err != nil {
 		return TaskStatus{}, err
 	}
@@ -191,13 +204,23 @@
 func (c *httpClient) post(ctx context.Context, address, path string, body []byte) (*response, error) {
 	e := c.enter(address)
 	defer c.leave(e)
-	return c.exchange(ctx, e, http.MethodPost, path, body, c.cfg.StartTimeout)
+	return c.exchange(ctx, e, call{method: http.MethodPost, path: path, body: body, limit: c.cfg.StartTimeout})
 }
 
 func taskPath(key string, attempt int) string {
 	return "/v1/tasks/" + url.PathEscape(key) + "/" + strconv.Itoa(attempt)
 }
 
+// call is one request. Its limit starts when a connection is free for it.
+type call struct {
+	method string
+	path   string
+	body   []byte
+	limit  time.Duration
+	// fresh asks for a connection of its own.
+	fresh bool
+}
+
 // response is a complete response.
 type response struct {
 	status int
@@ -213,25 +236,25 @@
 	return string(r.body[:min(len(r.body), maxReasonBytes)])
 }
 
-// exchange sends one request once and reads the whole response. The limit
-// starts when a connection is free for the call.
-func (c *httpClient) exchange(ctx context.Context, e *endpoint, method, path string, body []byte, limit time.Duration) (*response, error) {
+// exchange sends one request once and reads the whole response.
+func (c *httpClient) exchange(ctx context.Context, e *endpoint, what call) (*response, error) {
 	if err := e.gate.Acquire(ctx, 1); err != nil {
 		return nil, &NotSentError{Address: e.address, Reason: err.Error()}
 	}
 	defer e.gate.Release(1)
-	silent := &fault.SilentConnection{Address: e.address, Limit: limit}
-	callCtx, cancel := clock.WithTimeout(ctx, c.cfg.Clock, limit, silent)
+	silent := &fault.SilentConnection{Address: e.address, Limit: what.limit}
+	callCtx, cancel := clock.WithTimeout(ctx, c.cfg.Clock, what.limit, silent)
 	defer cancel()
 
 	var sent sentProof
 	callCtx = httptrace.WithClientTrace(callCtx, &httptrace.ClientTrace{GotConn: sent.gotConn})
-	req, err := newRequest(callCtx, method, "http://"+e.address+path, body)
+	req, err := newRequest(callCtx, what.method, "http://"+e.address+what.path, what.body)
 	if err != nil {
 		return nil, &NotSentError{Address: e.address, Reason: err.Error()}
 	}
-	lease := e.pool.Acquire()
+	lease := e.lease(what.fresh)
 	defer lease.Release()
+	req.Close = what.fresh
 	resp, err := roundTrip(lease, req)
 	if err == nil {
 		resp.lease = lease
--- a/internal/testsupport/standin/faults.go
+++ b/internal/testsupport/standin/faults.go
@@ -1,11 +1,5 @@
 package standin
 
-import (
-	"net"
-	"sync"
-	"sync/atomic"
-)
-
 // StartFault changes how a target treats a start request.
 type StartFault string
 
@@ -37,79 +31,3 @@
 	// Mute stops the announcements.
 	Mute bool `json:"mute,omitempty"`
 }
-
-// silentConn can go silent: what it receives is dropped and what it sends is
-// swallowed, while the connection stays open.
-type silentConn struct {
-	net.Conn
-	silent atomic.Bool
-	onDone func()
-	done   sync.Once
-}
-
-func (c *silentConn) Read(p []byte) (int, error) {
-	for {
-		n, err := c.Conn.Read(p)
-		if err != nil || !c.silent.Load() {
-			return n, err
-		}
-	}
-}
-
-func (c *silentConn) Write(p []byte) (int, error) {
-	if c.silent.Load() {
-		return len(p), nil
-	}
-	return c.Conn.Write(p)
-}
-
-func (c *silentConn) Close() error {
-	c.done.Do(c.onDone)
-	return c.Conn.Close()
-}
-
-// silentListener tracks the open connections of a target and can silence them.
-type silentListener struct {
-	net.Listener
-	mu    sync.Mutex
-	open  map[*silentConn]struct{}
-	peak  int
-	total int
-}
-
-func newSilentListener(l net.Listener) *silentListener {
-	return &silentListener{Listener: l, open: map[*silentConn]struct{}{}}
-}
-
-func (l *silentListener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	c := &silentConn{Conn: raw}
-	c.onDone = func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		delete(l.open, c)
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.open[c] = struct{}{}
-	l.total++
-	l.peak = max(l.peak, len(l.open))
-	return c, nil
-}
-
-func (l *silentListener) silence() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for c := range l.open {
-		c.silent.Store(true)
-	}
-}
-
-func (l *silentListener) counts() (peak, total int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.peak, l.total
-}
--- a/internal/testsupport/standin/serve.go
+++ b/internal/testsupport/standin/serve.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"agatehaven.dev/agatehaven/internal/target"
+	"agatehaven.dev/agatehaven/internal/testsupport/silent"
 )
 
 const (
@@ -40,8 +41,8 @@
 
 // silence makes the connection of a request silent.
 func silence(r *http.Request) {
-	if c, ok := r.Context().Value(connKey{}).(*silentConn); ok {
-		c.silent.Store(true)
+	if c, ok := r.Context().Value(connKey{}).(*silent.Conn); ok {
+		c.Silence()
 	}
 }
 
--- a/internal/testsupport/standin/target.go
+++ b/internal/testsupport/standin/target.go
@@ -12,6 +12,7 @@
 
 	"agatehaven.dev/agatehaven/internal/model"
 	"agatehaven.dev/agatehaven/internal/target"
+	"agatehaven.dev/agatehaven/internal/testsupport/silent"
 )
 
 // relistenPause separates the attempts of a rebooted target to take its
@@ -40,7 +41,7 @@
 	leaving      bool
 	leavingSince time.Time
 	down         bool
-	listener     *silentListener
+	listener     *silent.Listener
 	server       *http.Server
 	slotRefusals int
 }
@@ -61,7 +62,7 @@
 	l := t.listener
 	t.mu.Unlock()
 	if f.SilenceConnections && l != nil {
-		l.silence()
+		l.Silence()
 	}
 }
 
@@ -109,7 +110,7 @@
 	if err != nil {
 		return err
 	}
-	l := newSilentListener(raw)
+	l := silent.NewListener(raw)
 	server := &http.Server{
 		Handler:           t.handler(),
 		ReadHeaderTimeout: serverHeaderTimeout,
@@ -238,7 +239,7 @@
 	defer t.mu.Unlock()
 	s := TargetStats{Address: t.info.Address, Incarnation: t.incarnation, SlotRefusals: t.slotRefusals}
 	if t.listener != nil {
-		s.PeakConnections, s.Connections = t.listener.counts()
+		s.PeakConnections, s.Connections = t.listener.Counts()
 	}
 	return s
 }
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -80,8 +80,9 @@
 // Lease is the use of one generation for one call. It must be released after
 // the response has been read.
 type Lease struct {
-	pool *Pool
-	gen  *generation
+	pool  *Pool
+	gen   *generation
+	fresh bool
 }
 
 // Acquire returns a lease of the current generation.
@@ -95,6 +96,17 @@
 	return &Lease{pool: p, gen: p.current}
 }
 
+// AcquireFresh returns a lease whose call dials its own connection, which is
+// closed after it.
+func (p *Pool) AcquireFresh() *Lease {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.newGeneration()
+	g.discarded = true
+	g.inFlight++
+	return &Lease{pool: p, gen: g, fresh: true}
+}
+
 // RoundTrip implements http.RoundTripper.
 func (l *Lease) RoundTrip(req *http.Request) (*http.Response, error) {
 	return l.gen.transport.RoundTrip(req)
@@ -103,18 +115,25 @@
 // Do implements connect.HTTPClient. It follows no redirects.
 func (l *Lease) Do(req *http.Request) (*http.Response, error) { return l.RoundTrip(req) }
 
-// Discard makes later calls dial anew. Calls in flight on the generation
+// Discard makes later calls dial anew, also after a fresh lease. Calls in flight on the generation
 // continue until their own deadlines, since a slow response does not prove
 // that the others' connections are silent; its connections are closed after
 // the last of them.
 func (l *Lease) Discard() {
-	l.pool.mu.Lock()
+	p := l.pool
+	p.mu.Lock()
 	l.gen.discarded = true
-	if l.pool.current == l.gen {
-		l.pool.current = nil
+	var replaced *generation
+	if p.current == l.gen || l.fresh {
+		replaced, p.current = p.current, nil
+	}
+	if replaced != nil {
+		replaced.discarded = true
+	}
+	p.mu.Unlock()
+	if replaced != nil {
+		replaced.transport.CloseIdleConnections()
 	}
-	l.pool.mu.Unlock()
-	l.gen.transport.CloseIdleConnections()
 }
 
 // Release ends the lease.
@@ -184,19 +203,15 @@
 	return g
 }
 
-// dial connects to the address. With a bound it first waits for a connection
-// of an earlier generation to close, so that the bound holds over all
-// generations.
+// dial connects to the address. With a bound it first closes idle connections
+// and waits for one of another generation to close, so that the bound holds
+// over all generations.
 func (p *Pool) dial(ctx context.Context, g *generation) (net.Conn, error) {
 	late := &fault.Timeout{What: "connecting to " + p.cfg.Address, After: p.cfg.DialTimeout}
 	ctx, cancel := clock.WithTimeout(ctx, p.cfg.Clock, p.cfg.DialTimeout, late)
 	defer cancel()
-	if p.tokens != nil {
-		select {
-		case p.tokens <- struct{}{}:
-		case <-ctx.Done():
-			return nil, context.Cause(ctx)
-		}
+	if err := p.takeToken(ctx); err != nil {
+		return nil, err
 	}
 	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", p.cfg.Address)
 	if err != nil {
@@ -216,6 +231,29 @@
 	return c, nil
 }
 
+func (p *Pool) takeToken(ctx context.Context) error {
+	if p.tokens == nil {
+		return nil
+	}
+	select {
+	case p.tokens <- struct{}{}:
+		return nil
+	default:
+	}
+	p.mu.Lock()
+	current := p.current
+	p.mu.Unlock()
+	if current != nil {
+		current.transport.CloseIdleConnections()
+	}
+	select {
+	case p.tokens <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
 func (p *Pool) returnToken() {
 	if p.tokens != nil {
 		<-p.tokens
