--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
@@ -93,12 +94,13 @@
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Owner: d.settings.Host, Incarnation: d.incarnation, DataCentre: d.settings.DataCentre,
 		Leader: dispatch.NewPeerLeader(d.leaders[d.settings.DataCentre]), Targets: d.targets,
-		Clock: d.clock, Events: recorder{d},
+		Clock: d.clock, Events: recorder{d}, PollWait: d.settings.Timing.PollWait,
 	})
 	if err := d.startReplicas(ctx); err != nil {
 		d.closeReplicas(ctx)
 		return nil, err
 	}
+	d.registerMetrics(metrics.GetDefaultSet())
 	return d, nil
 }
 
@@ -112,14 +114,21 @@
 	for _, h := range d.settings.Hosts {
 		addresses[h.Name] = h.Peer
 	}
-	d.dialer = peer.NewDialer(peer.DialerConfig{Addresses: addresses, TLS: tlsConfig, Clock: d.clock, HLC: d.hlc})
+	d.dialer = peer.NewDialer(peer.DialerConfig{
+		Addresses: addresses, TLS: tlsConfig, Clock: d.clock, HLC: d.hlc,
+		CallTimeout: d.settings.Timing.SilenceLimit,
+	})
 	for _, g := range d.settings.Groups {
 		d.leaders[g.Name] = peer.NewLeaderClient(peer.LeaderConfig{
 			Dialer: d.dialer, Hosts: d.groupHosts(g), Clock: d.clock,
 		})
 	}
 	d.sender = newSender(d.dialer, d.log)
-	d.targets = target.NewHTTPClient(target.HTTPConfig{Clock: d.clock, MaxConns: d.connectionShare()})
+	d.targets = target.NewHTTPClient(target.HTTPConfig{
+		Clock: d.clock, MaxConns: d.connectionShare(),
+		StartTimeout: d.settings.Timing.SilenceLimit,
+		PollMargin:   d.settings.Timing.SilenceLimit - d.settings.Timing.PollWait,
+	})
 	return nil
 }
 
--- a/internal/daemon/glue.go
+++ b/internal/daemon/glue.go
@@ -10,6 +10,7 @@
 	"agatehaven.dev/agatehaven/internal/ledger"
 	"agatehaven.dev/agatehaven/internal/model"
 	"agatehaven.dev/agatehaven/internal/peer"
+	"agatehaven.dev/agatehaven/internal/retry"
 	"agatehaven.dev/agatehaven/internal/settings"
 	"agatehaven.dev/agatehaven/internal/target"
 	"agatehaven.dev/agatehaven/internal/wave"
@@ -79,7 +80,10 @@
 // controlPolicy applies the operator's weights and switches to the policies.
 func controlPolicy(p *settings.Policy) control.Policy {
 	out := control.DefaultPolicy()
-	out.Placement.LendPools = p.LendIdleSlots
+	out.Placement.LendPools, out.Placement.LendSpare = p.LendIdleSlots, p.LendSpare
+	tokens := retry.DefaultTokens()
+	tokens.Capacity, tokens.Refill = float64(p.RetryTokens), p.RetryRefill
+	out.Retries = func() retry.Policy { return retry.NewShared(tokens) }
 	out.Waves = wave.MovesFirst()
 	if p.RolloutWeight > p.MovesWeight && p.RolloutWeight > p.BufferWeight {
 		out.Waves = wave.RolloutFirst()
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -8,10 +8,9 @@
 	"net/http"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"agatehaven.dev/agatehaven/internal/caller"
 	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/metrics"
 	"agatehaven.dev/agatehaven/internal/operator/command"
 	"agatehaven.dev/agatehaven/internal/operator/query"
 	"agatehaven.dev/agatehaven/internal/peer"
@@ -127,9 +126,7 @@
 // diagnosticsHandler serves metrics, health and readiness.
 func (d *Daemon) diagnosticsHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		metrics.WritePrometheus(w, true)
-	})
+	mux.Handle("GET /metrics", metrics.Handler())
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte("ok\n"))
 	})
--- a/internal/settings/rules.go
+++ b/internal/settings/rules.go
@@ -197,7 +197,4 @@
 	if p.MovesWeight == 0 && p.BufferWeight == 0 && p.RolloutWeight == 0 {
 		c.report("policy", "has no weight above 0", "at least one weight above 0")
 	}
-	if p.LendToPatient && !p.LendIdleSlots {
-		c.report("policy.lend_to_patient", "needs lend_idle_slots", "true only with lend_idle_slots = true")
-	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -107,17 +107,13 @@
 	MovesWeight   float64
 	BufferWeight  float64
 	RolloutWeight float64
-	// LendSpare lets repair move hosts out of the spare pool.
+	// LendSpare lets requests run on idle hosts of the spare pools.
 	LendSpare bool
 	// LendIdleSlots lets a pool in a burst use idle slots of other pools.
 	LendIdleSlots bool
-	// LendToPatient lets patient work use lent slots too.
-	LendToPatient bool
-	// DegradedIdempotent runs idempotent work without the ledger's guarantee
-	// while the data centre group has no quorum.
-	DegradedIdempotent bool
 	// RetryTokens is the size of the data centre's pool of retry tokens, and
-	// RetryRefill its refill in tokens per second.
+	// RetryRefill the tokens gained by each success: the retries per success
+	// in the long run.
 	RetryTokens int
 	RetryRefill float64
 }
