--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -147,13 +147,13 @@
 func readPolicy(t *table) Policy {
 	defer t.done()
 	return Policy{
-		MovesWeight:   t.float("moves_weight", 1, 0, 100),
-		BufferWeight:  t.float("buffer_weight", 1, 0, 100),
-		RolloutWeight: t.float("rollout_weight", 1, 0, 100),
+		MovesWeight:   t.float("moves_weight", 1, 100),
+		BufferWeight:  t.float("buffer_weight", 1, 100),
+		RolloutWeight: t.float("rollout_weight", 1, 100),
 		LendSpare:     t.boolean("lend_spare", true),
 		LendIdleSlots: t.boolean("lend_idle_slots", true),
 		RetryTokens:   t.integer("retry_tokens", 100, 0, 100_000),
-		RetryRefill:   t.float("retry_refill_per_success", 0.2, 0, 1),
+		RetryRefill:   t.float("retry_refill_per_success", 0.2, 1),
 	}
 }
 
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -149,12 +149,13 @@
 	return int(n)
 }
 
-func (t *table) float(key string, def, least, most float64) float64 {
+// float reads a number from 0 to most.
+func (t *table) float(key string, def, most float64) float64 {
 	v, ok := t.take(key)
 	if !ok {
 		return def
 	}
-	allowed := fmt.Sprintf("%g to %g", least, most)
+	allowed := fmt.Sprintf("0 to %g", most)
 	n, ok := v.(float64)
 	if i, isInt := v.(int64); isInt {
 		n, ok = float64(i), true
@@ -164,7 +165,7 @@
 		return def
 	}
 	// Written so that NaN, which TOML allows, is refused too.
-	if !(n >= least && n <= most) {
+	if !(n >= 0 && n <= most) {
 		t.report(key, fmt.Sprintf("%g is out of range", n), allowed)
 		return def
 	}
