--- a/internal/ledger/rules_test.go
+++ b/internal/ledger/rules_test.go
@@ -56,6 +56,12 @@
 		f = newFixture(ledger.DefaultLimits())
 		f.claim("a", "order", "shop", time.Minute)
 	})
+	It("skips decisions without an owner", func() {
+		// Guards against an attempt that nobody starts and nobody reports.
+		item := ledger.DispatchItem{Key: "a", Attempt: 1, Host: "h1"}
+		Expect(f.apply(ledger.Command{Dispatch: &ledger.Dispatch{Items: []ledger.DispatchItem{item}}}).Dispatched).To(BeEmpty())
+	})
+
 	It("skips requests past their deadline or before their backoff ends", func() {
 		// Guards against work whose caller was already told not_run.
 		f.claim("p", "proof", "shop", time.Hour)
