--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -108,8 +108,10 @@
 // one for the run and two for an estimate that is too small.
 const agedSlackRuns = 3
 
-// DefaultPolicy returns the settings chosen from the experiment in this
-// package.
+// DefaultPolicy returns the default settings. Lending follows the figures of
+// internal/experiment. There the urgent reserve shortens the start of urgent
+// work only without lending (p99 475 ms to 368 ms); it is kept for times when
+// no other pool is idle.
 func DefaultPolicy() Policy {
 	return Policy{
 		UrgentReserve: 0.1,
