Add load, path, fleet and change measurements to the load tool

Cause: docs/CAPACITY.md needs measured costs, and the tool could only send one request of every kind.

Change: agatehaven-load run sends seeded open-loop load with steady or bursting demand, checks answers and the stand-ins' run log, and exits with 1 on a broken promise; path compares calls through an entry host with direct calls; fleet measures daemons against the number of announcing hosts; changes measures the adoption of records. Daemons count sent and received bytes per kind of connection and bytes written to logs, record an event when a revision comes in force, and serve profiles on the diagnostics listener. Stand-in targets can use a connection each and spread their announcements.

Ruled out: polling every process for its revision during changes, since the polls would be part of the measured cost.

--- a/cmd/agatehaven-load/main.go
+++ b/cmd/agatehaven-load/main.go
@@ -1,12 +1,15 @@
 // Command agatehaven-load sends requests to a running region and measures the
-// answers.
+// answers and what they cost.
 package main
 
 import (
 	"context"
 	"flag"
+	"fmt"
 	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 
 	"github.com/google/subcommands"
 
@@ -16,26 +19,77 @@
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&sampleCommand{}, "")
+	subcommands.Register(&runCommand{}, "")
+	subcommands.Register(&pathCommand{}, "")
+	subcommands.Register(&fleetCommand{}, "")
+	subcommands.Register(&changesCommand{}, "")
 	flag.Parse()
-	os.Exit(int(subcommands.Execute(context.Background())))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	status := subcommands.Execute(ctx)
+	stop()
+	os.Exit(int(status))
+}
+
+// list is a flag of comma-separated values.
+type list []string
+
+// String implements flag.Value.
+func (l *list) String() string { return strings.Join(*l, ",") }
+
+// Set implements flag.Value.
+func (l *list) Set(text string) error {
+	*l = nil
+	if text != "" {
+		*l = strings.Split(text, ",")
+	}
+	return nil
+}
+
+// usage are the flags that several commands share.
+type usage struct {
+	diagnostics list
+	operator    string
+	format      string
+}
+
+func (u *usage) set(f *flag.FlagSet) {
+	f.Var(&u.diagnostics, "diagnostics", "comma-separated `addresses` of diagnostics listeners, for CPU, memory and bytes")
+	f.StringVar(&u.operator, "operator", "", "`address` of one operator listener")
+	f.StringVar(&u.format, "o", string(load.FormatText), "output `format`: text or json")
+}
+
+// finish prints a report and returns the exit status.
+func finish(u *usage, report load.Printable, err error) subcommands.ExitStatus {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	if err := load.Print(os.Stdout, load.Format(u.format), report); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	if report.Failed() {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
 }
 
 // sampleCommand sends one request of every sample kind.
-type sampleCommand struct{ entries string }
+type sampleCommand struct{ entries list }
 
 func (*sampleCommand) Name() string     { return "sample" }
 func (*sampleCommand) Synopsis() string { return "send one request of every sample kind" }
 func (*sampleCommand) Usage() string    { return "sample -entries IP:PORT,...\n" }
 
 func (c *sampleCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.entries, "entries", "", "comma-separated `addresses` of caller listeners")
+	f.Var(&c.entries, "entries", "comma-separated `addresses` of caller listeners")
 }
 
 func (c *sampleCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if c.entries == "" {
+	if len(c.entries) == 0 {
 		return subcommands.ExitUsageError
 	}
-	if load.Sample(ctx, load.NewClient(strings.Split(c.entries, ",")), os.Stdout) > 0 {
+	if load.Sample(ctx, load.NewClient(c.entries), os.Stdout) > 0 {
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
--- a/internal/daemon/inforce.go
+++ b/internal/daemon/inforce.go
@@ -2,12 +2,18 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 
+	"agatehaven.dev/agatehaven/internal/event"
 	"agatehaven.dev/agatehaven/internal/model"
 	"agatehaven.dev/agatehaven/internal/peer"
 )
 
+// eventRecordsInForce tells that a process decides by a newer revision. Its
+// reason has the form "revision N, floor revision M".
+const eventRecordsInForce event.Kind = "records_in_force"
+
 // inForce holds the records by which this process decides. They come from the
 // leader of its data centre group by a linearizable read, and never get older.
 type inForce struct {
@@ -79,6 +85,10 @@
 	if err := d.force.adopt(records); err != nil {
 		return err
 	}
+	recorder{d}.Record(event.Event{
+		Kind: eventRecordsInForce, DataCentre: d.settings.DataCentre, Actor: d.settings.Host,
+		Reason: fmt.Sprintf("revision %d, floor revision %d", records.Revision, records.FloorRevision),
+	})
 	d.log.Info().Uint64("revision", records.Revision).Uint64("floor_revision", records.FloorRevision).Msg("records in force")
 	return nil
 }
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -16,6 +17,7 @@
 	"agatehaven.dev/agatehaven/internal/operator/query"
 	"agatehaven.dev/agatehaven/internal/peer"
 	"agatehaven.dev/agatehaven/internal/target"
+	"agatehaven.dev/agatehaven/internal/transport"
 )
 
 // headerTimeout bounds the reading of a request's headers.
@@ -65,11 +67,12 @@
 	}
 	s := &servers{callers: callers}
 	for _, p := range plan {
-		p.l.socket, err = net.Listen("tcp", p.address)
+		socket, err := net.Listen("tcp", p.address)
 		if err != nil {
 			s.close()
 			return nil, &fault.Unavailable{What: p.l.name + " listener", Reason: err.Error()}
 		}
+		p.l.socket = transport.NewMeter(transport.SideServer, p.l.name).Listener(socket)
 		if p.tls != nil {
 			p.l.server.TLSConfig, p.l.tls = p.tls, true
 		}
@@ -124,7 +127,7 @@
 	return mux
 }
 
-// diagnosticsHandler serves metrics, health and readiness.
+// diagnosticsHandler serves metrics, health, readiness and profiles.
 func (d *Daemon) diagnosticsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
@@ -133,6 +136,8 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte("ok\n"))
 	})
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if err := d.Ready(); err != nil {
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -13,6 +13,7 @@
 
 	"agatehaven.dev/agatehaven/internal/caller"
 	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/httpjson"
 )
 
 // maxBody bounds a response: an answer of 256 KiB in base64 and its fields.
@@ -44,7 +45,7 @@
 }
 
 // Send submits a request under a key and returns the response and its HTTP
-// status. An error of type *fault.Remote is the entry host's own refusal.
+// status. An error of type *RefusedError is the entry host's own refusal.
 func (c *Client) Send(ctx context.Context, entry, key string, body caller.Body) (caller.Response, int, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
@@ -77,7 +78,11 @@
 		return response.StatusCode, &fault.Unavailable{What: "entry host " + entry, Reason: err.Error()}
 	}
 	if response.StatusCode >= http.StatusBadRequest && !strings.Contains(string(data), `"state"`) {
-		return response.StatusCode, &fault.Remote{RemoteCode: fault.CodeUnavailable, Text: strings.TrimSpace(string(data))}
+		refused := &RefusedError{Status: response.StatusCode}
+		if json.Unmarshal(data, &refused.Failure) != nil || refused.Failure.Code == "" {
+			refused.Failure = httpjson.Failure{Code: fault.CodeInternal, Message: string(data), Effect: httpjson.EffectUnknown}
+		}
+		return response.StatusCode, refused
 	}
 	if err := json.Unmarshal(data, out); err != nil {
 		return response.StatusCode, &fault.Corrupt{What: "response of " + entry, Reason: err.Error()}
--- /dev/null
+++ b/internal/load/client_errors.go
@@ -0,0 +1,21 @@
+package load
+
+import (
+	"fmt"
+
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/httpjson"
+)
+
+// RefusedError is an entry host's refusal of a call.
+type RefusedError struct {
+	Status  int
+	Failure httpjson.Failure
+}
+
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("status %d, %s: %s", e.Status, e.Failure.Code, e.Failure.Message)
+}
+
+// Code implements fault.Coded.
+func (e *RefusedError) Code() fault.Code { return e.Failure.Code }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -81,6 +81,7 @@
 		host: host, base: scheme + address, address: address, limit: cfg.CallTimeout, clock: cfg.Clock,
 		pool: transport.NewPool(transport.Config{
 			Address: address, TLS: cfg.TLS, HTTP2: true, DialTimeout: cfg.DialTimeout, Clock: cfg.Clock,
+			Meter: transport.NewMeter(transport.SideClient, "peer"),
 		}),
 	}
 	for _, o := range commonOptions() {
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -156,6 +156,7 @@
 		if err := c.r.log.Save(rd.HardState, rd.Entries); err != nil {
 			return err
 		}
+		c.r.metrics.logBytes.Set(uint64(c.r.log.Written()))
 		c.r.metrics.syncSeconds.Update(c.r.cfg.Clock.Now().Sub(started).Seconds())
 	}
 	c.r.observe(rd.Entries)
--- a/internal/replica/meters.go
+++ b/internal/replica/meters.go
@@ -14,6 +14,7 @@
 	dropped        *metrics.Counter
 	installed      *metrics.Counter
 	sentBytes      *metrics.Counter
+	logBytes       *metrics.Counter
 	snapshotBytes  *metrics.Gauge
 	commitSeconds  *metrics.Histogram
 	syncSeconds    *metrics.Histogram
@@ -31,6 +32,7 @@
 		dropped:        set.GetOrCreateCounter(name("dropped_messages_total")),
 		installed:      set.GetOrCreateCounter(name("installed_snapshots_total")),
 		sentBytes:      set.GetOrCreateCounter(name("sent_bytes_total")),
+		logBytes:       set.GetOrCreateCounter(name("log_bytes_total")),
 		snapshotBytes:  set.GetOrCreateGauge(name("snapshot_bytes"), nil),
 		commitSeconds:  set.GetOrCreateHistogram(name("commit_seconds")),
 		syncSeconds:    set.GetOrCreateHistogram(name("sync_seconds")),
--- a/internal/target/http.go
+++ b/internal/target/http.go
@@ -103,6 +103,7 @@
 			gate:    semaphore.NewWeighted(int64(c.cfg.MaxConns)),
 			pool: transport.NewPool(transport.Config{
 				Address: address, MaxConns: c.cfg.MaxConns, DialTimeout: c.cfg.DialTimeout, Clock: c.cfg.Clock,
+				Meter: transport.NewMeter(transport.SideClient, "target"),
 			}),
 		}
 		c.peers[address] = e
--- a/internal/testsupport/standin/fleet.go
+++ b/internal/testsupport/standin/fleet.go
@@ -40,8 +40,11 @@
 	IP string
 	// BasePort is the port of the first target; the others follow. 0 lets the
 	// system choose all ports.
-	BasePort   int
-	Targets    int
+	BasePort int
+	Targets  int
+	// First is the number of targets that other stand-ins of the data centre
+	// have; names continue after it.
+	First      int
 	DataCentre string
 	// Racks and Pools are given to the targets in turn; each pool spreads
 	// over all racks.
@@ -60,6 +63,9 @@
 	RebootTime time.Duration
 	// AnnounceEvery is one second if zero.
 	AnnounceEvery time.Duration
+	// Separate gives every target its own connection to an entry host and
+	// spreads the announcements over AnnounceEvery, as separate machines do.
+	Separate bool
 	// UsageLag is the age of reported usage.
 	UsageLag time.Duration
 	Clock    clock.Clock
@@ -98,7 +104,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Fleet{
 		cfg: cfg, log: newRunLog(), ctx: ctx, cancel: cancel, orders: map[string]bool{},
-		client: &http.Client{Timeout: announceTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 2}},
+		client: newClient(),
 	}
 	for i := range cfg.Targets {
 		t := f.newTarget(i)
@@ -125,6 +131,10 @@
 	return f, nil
 }
 
+func newClient() *http.Client {
+	return &http.Client{Timeout: announceTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
+}
+
 func (c Config) withDefaults() Config {
 	set := func(d *time.Duration, v time.Duration) {
 		if *d == 0 {
@@ -162,7 +172,7 @@
 	}
 	pools := len(f.cfg.Pools)
 	info := model.HostInfo{
-		Name:       fmt.Sprintf("%s-t%02d", f.cfg.DataCentre, i+1),
+		Name:       fmt.Sprintf("%s-t%02d", f.cfg.DataCentre, f.cfg.First+i+1),
 		DataCentre: f.cfg.DataCentre, Rack: f.cfg.Racks[i/pools%len(f.cfg.Racks)],
 		Address:   net.JoinHostPort(f.cfg.IP, strconv.Itoa(port)),
 		CPUMillis: defaultCPUMillis, MemoryMB: defaultMemoryMB,
@@ -266,9 +276,16 @@
 // announce sends the target's announcements, and goes to the next entry host
 // when one fails. first spreads the targets over the entry hosts.
 func (f *Fleet) announce(ctx context.Context, t *Target, first int) {
-	at := first
+	at, client := first, f.client
+	if f.cfg.Separate {
+		client = newClient()
+		defer client.CloseIdleConnections()
+		if !f.wait(ctx, f.cfg.AnnounceEvery*time.Duration(first)/time.Duration(len(f.targets))) {
+			return
+		}
+	}
 	for {
-		if a, ok := t.announcement(); ok && !f.send(ctx, f.cfg.EntryHosts[at%len(f.cfg.EntryHosts)], a) {
+		if a, ok := t.announcement(); ok && !f.send(ctx, client, f.cfg.EntryHosts[at%len(f.cfg.EntryHosts)], a) {
 			at++
 		}
 		if !f.wait(ctx, f.cfg.AnnounceEvery) {
@@ -277,7 +294,7 @@
 	}
 }
 
-func (f *Fleet) send(ctx context.Context, entryHost string, a target.Announcement) bool {
+func (f *Fleet) send(ctx context.Context, client *http.Client, entryHost string, a target.Announcement) bool {
 	body, err := json.Marshal(a)
 	if err != nil {
 		return false
@@ -286,9 +303,9 @@
 	if err != nil {
 		return false
 	}
-	resp, err := f.client.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
-		f.client.CloseIdleConnections()
+		client.CloseIdleConnections()
 		return false
 	}
 	defer func() { _ = resp.Body.Close() }()
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -44,6 +44,8 @@
 	// DialTimeout is DefaultDialTimeout if zero.
 	DialTimeout time.Duration
 	Clock       clock.Clock
+	// Meter counts the bytes of the connections if not nil.
+	Meter *Meter
 }
 
 // Pool holds the current generation of connections to one address. It is safe
@@ -203,6 +205,9 @@
 		p.returnToken()
 		return nil, err
 	}
+	if p.cfg.Meter != nil {
+		raw = p.cfg.Meter.Conn(raw)
+	}
 	c := &Conn{Conn: raw}
 	c.onClose = func() {
 		p.mu.Lock()
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -68,6 +68,7 @@
 	mu       sync.Mutex
 	file     File
 	size     int64
+	written  int64
 	segments []segment // ascending, the last one is open
 	hard     raft.HardState
 	buffer   []byte
@@ -331,6 +332,7 @@
 		err = w.file.Sync()
 	}
 	w.size += int64(len(buffer))
+	w.written += int64(len(buffer))
 	if err == nil && w.size >= w.maxSize {
 		err = w.startSegment()
 	}
@@ -381,6 +383,13 @@
 	return w.fs.SyncDir(w.dir)
 }
 
+// Written returns the bytes of records appended since Open.
+func (w *WAL) Written() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.written
+}
+
 // Segments returns the number of stored segments.
 func (w *WAL) Segments() int {
 	w.mu.Lock()
