Skip the waves loop while no wave is under way

Cause: the loop runs after every applied entry and copied and sorted all hosts, their contacts and all open attempts each time, 12% to 17% of a leader's CPU samples under 300 requests/s with 618 hosts.

Change: the loop first looks for an unfinished wave, a host in a step and a host in maintenance, without copies. inventory.State.Each visits hosts in place.

Ruled out: waking the loop by time only, since a wave's steps would wait up to 100 ms for each other.

Benchmark with 622 hosts and no wave, on a busy machine: 1,876 us and 914,502 B to 16 us and 0 B for each call.

--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -86,6 +86,9 @@
 // runWaves decides and commits the next actions of every wave, and of waves
 // whose record was deleted while steps were open.
 func (c *Controller) runWaves(ctx context.Context) {
+	if c.wavesIdle() {
+		return
+	}
 	f := c.snapshot()
 	floors := c.floorsHere(f.catalogue)
 	spare := make(map[string]int)
@@ -120,6 +123,23 @@
 	c.orderReboots(ctx, f.views)
 }
 
+// wavesIdle reports whether no wave is under way and no host is out for one.
+// The loop runs after every applied entry, so it must not copy the state of
+// all hosts when there is nothing to decide.
+func (c *Controller) wavesIdle() bool {
+	idle := true
+	c.cfg.Machine.View(func(v datacentre.View) {
+		for name := range v.Catalogue.Waves {
+			progress, begun := v.Hosts.Wave(name)
+			idle = idle && begun && !progress.Finished.IsZero()
+		}
+		v.Hosts.Each(func(h *model.Host) {
+			idle = idle && h.State != model.HostMaintenance && h.Wave == ""
+		})
+	})
+	return idle
+}
+
 // wavesToRun lists the waves of the records and those whose record was
 // deleted while steps are open.
 func wavesToRun(f *fleet, progress map[string]model.WaveProgress) []*model.Wave {
--- a/internal/inventory/queries.go
+++ b/internal/inventory/queries.go
@@ -22,6 +22,14 @@
 	return s.where(func(*model.Host) bool { return true })
 }
 
+// Each calls fn with every host, in no order and without copies. fn must not
+// change or keep them.
+func (s *State) Each(fn func(*model.Host)) {
+	for _, h := range s.hosts {
+		fn(h)
+	}
+}
+
 // InPool returns copies of the hosts of a pool by name, whatever their state.
 func (s *State) InPool(pool string) []model.Host {
 	return s.where(func(h *model.Host) bool { return h.Pool == pool })
