Replicate the ledger's limits and bound its bytes

Cause: the limits of each host's settings decided on apply, so two entry hosts with different settings would compute different states. Payloads were bounded by their number only: 10,000 of 256 KiB in one pool exceed the memory goal of 128 MB many times. Ruled out: checks by the leader alone before it proposes, which two proposals in flight can pass together. Conclusion: covered by a controller test.

--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -41,13 +41,10 @@
 		{Schema: 1, Kind: model.KindJobKind, Name: "proof", Spec: []byte(`{"pool":"proofs","priority":"urgent","idempotent":true,
 			"cpu_millis":1000,"memory_mb":100,"run_time_ms":100,"stop_limit_ms":100,"max_attempts":3}`)},
 	}}
-	machine := datacentre.New("dc-a", ledger.Limits{
-		MaxRequests: 1000, MaxQueuedPerPool: 1000, MaxPayloadBytes: 1024, MaxAnswerBytes: 1024,
-		AnswerRetention: time.Minute, KeyRetention: time.Hour,
-	}, nil)
+	machine := datacentre.New("dc-a", nil)
 	group := &leader{machine: machine}
 	c := New(Config{
-		DataCentre: "dc-a", Host: "a1", Group: group, Machine: machine, Clock: clock.NewManual(time.UnixMilli(1_000_000)), Timing: DefaultTiming(),
+		DataCentre: "dc-a", Host: "a1", Group: group, Machine: machine, Clock: clock.NewManual(time.UnixMilli(1_000_000)), Timing: DefaultTiming(), Policy: DefaultPolicy(),
 	})
 	commands := []datacentre.Command{{Adopt: records}}
 	for i := range benchHosts {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -87,6 +87,8 @@
 	Log        zerolog.Logger
 	Timing     Timing
 	Policy     Policy
+	// Limits are those of this host's settings; the leader's are in force.
+	Limits ledger.Limits
 	// Events takes local events; it sets their ID and Time. It may be nil.
 	Events Recorder
 }
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/ledger"
 	"agatehaven.dev/agatehaven/internal/model"
 	"agatehaven.dev/agatehaven/internal/peer"
@@ -141,6 +142,19 @@
 		Expect(w.request("l").Attempts[0].Host).To(Equal("host-3"))
 	})
 
+	It("brings the limits of its settings into force through the log", func() {
+		// Guards against replicas with different settings that compute different
+		// states, and against a ledger whose payloads outgrow the memory.
+		w := newWorld(3, sampleRecords()...)
+		w.limits.MaxStoredBytes = 10
+		w.restart()
+		w.pass(time.Second)
+		_, err := w.controller.Submit(context.Background(), &peer.SubmitRequest{Key: "x", Kind: "render", Payload: make([]byte, 11)})
+		Expect(fault.CodeOf(err)).To(Equal(fault.CodeLimitExceeded))
+		_, err = w.controller.Submit(context.Background(), &peer.SubmitRequest{Key: "y", Kind: "render", Payload: make([]byte, 10)})
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("repeats a reboot order under the same id until the host returns", func() {
 		// Guards against a lost order, and against a second reboot.
 		w := newWorld(3, append(sampleRecords(), record(model.KindWave, "w1", model.Wave{
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -97,24 +97,21 @@
 	muted      map[string]bool
 	known      []peer.AttemptRef
 	ownerDead  bool
+	limits     ledger.Limits
 }
 
 func newWorld(hosts int, recs ...model.Record) *world {
 	source := clock.NewManual(time.UnixMilli(1_000_000))
 	w := &world{
 		clock: source, hosts: map[string]*model.HostInfo{}, running: map[string][]peer.AttemptRef{}, muted: map[string]bool{},
-		resolver: &resolver{}, platform: &platform{},
+		resolver: &resolver{}, platform: &platform{}, limits: ledger.DefaultLimits(),
 	}
-	w.machine = datacentre.New("dc-a", ledger.DefaultLimits(), nil)
+	w.machine = datacentre.New("dc-a", nil)
 	w.group = &group{machine: w.machine, clock: hlc.NewClock(source), role: replica.RoleLeader, term: 1}
 	w.records = &records{current: &model.Records{
 		Revision: 1, FloorRevision: 1, Items: recs, Floors: map[string]map[string]int{"work": {"dc-a": 2}},
 	}}
-	w.controller = control.New(control.Config{
-		DataCentre: "dc-a", Host: "entry-a1", Group: w.group, Machine: w.machine, Records: w.records,
-		Resolver: w.resolver, Platform: w.platform, Clock: source, Log: zerolog.Nop(),
-		Timing: control.DefaultTiming(), Policy: control.DefaultPolicy(),
-	})
+	w.restart()
 	for i := range hosts {
 		name := fmt.Sprintf("host-%d", i+1)
 		w.hosts[name] = &model.HostInfo{
@@ -127,6 +124,15 @@
 	return w
 }
 
+// restart replaces the controller by a new one with the present limits.
+func (w *world) restart() {
+	w.controller = control.New(control.Config{
+		DataCentre: "dc-a", Host: "entry-a1", Group: w.group, Machine: w.machine, Records: w.records,
+		Resolver: w.resolver, Platform: w.platform, Clock: w.clock, Log: zerolog.Nop(),
+		Timing: control.DefaultTiming(), Policy: control.DefaultPolicy(), Limits: w.limits,
+	})
+}
+
 func record(kind model.RecordKind, name string, spec any) model.Record {
 	data, err := json.Marshal(spec)
 	Expect(err).NotTo(HaveOccurred())
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -126,6 +126,16 @@
 		_, _ = c.proposeRequest(ctx, ledger.Command{Expire: &ledger.Expire{}})
 	}
 	c.unpark(ctx)
+	c.applyLimits(ctx)
+}
+
+// applyLimits brings the limits of this leader's settings into force.
+func (c *Controller) applyLimits(ctx context.Context) {
+	differ := false
+	c.cfg.Machine.View(func(v datacentre.View) { differ = v.Requests.Limits() != c.cfg.Limits })
+	if differ {
+		_, _ = c.proposeRequest(ctx, ledger.Command{SetLimits: &c.cfg.Limits})
+	}
 }
 
 // unpark queues parked requests again once a host of their pool fits them.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -218,7 +218,7 @@
 		d.region = &regionNode{group: r, machine: machine}
 		return nil
 	}
-	machine := datacentre.New(group, ledgerLimits(&d.settings.Limits), d.events.Add)
+	machine := datacentre.New(group, d.events.Add)
 	cfg.Machine = machine
 	r, err := replica.Start(ctx, cfg)
 	if err != nil {
@@ -235,7 +235,7 @@
 		DataCentre: group, Host: d.settings.Host, Group: r, Machine: machine,
 		Records: regionSource{d.leaders[settings.RegionGroup]}, Resolver: d.resolver(),
 		Platform: d.platform(), Clock: d.clock, Log: d.log, Timing: timing, Policy: controlPolicy(&d.settings.Policy),
-		Events: recorder{d},
+		Events: recorder{d}, Limits: ledgerLimits(&d.settings.Limits),
 	})
 }
 
--- a/internal/datacentre/commands.go
+++ b/internal/datacentre/commands.go
@@ -45,7 +45,6 @@
 	catalogue *model.Catalogue
 	hosts     *inventory.State
 	requests  *ledger.State
-	limits    ledger.Limits
 	changed   chan struct{}
 	// recordsChanged is closed and replaced when records are adopted.
 	recordsChanged chan struct{}
@@ -54,7 +53,7 @@
 
 // New returns an empty machine. onEvent receives the events of applied
 // entries; it must not block.
-func New(dataCentre string, limits ledger.Limits, onEvent func(event.Event)) *Machine {
+func New(dataCentre string, onEvent func(event.Event)) *Machine {
 	return &Machine{
 		dataCentre:     dataCentre,
 		group:          dataCentre,
@@ -62,8 +61,7 @@
 		records:        &model.Records{},
 		catalogue:      emptyCatalogue(),
 		hosts:          inventory.New(),
-		requests:       ledger.New(limits),
-		limits:         limits,
+		requests:       ledger.New(ledger.DefaultLimits()),
 		changed:        make(chan struct{}),
 		recordsChanged: make(chan struct{}),
 		watchers:       make(map[string]*watcher),
@@ -200,7 +198,7 @@
 	if err != nil {
 		return err
 	}
-	hosts, requests := inventory.New(), ledger.New(m.limits)
+	hosts, requests := inventory.New(), ledger.New(ledger.DefaultLimits())
 	if err := hosts.Restore(s.Inventory); err != nil {
 		return err
 	}
--- a/internal/ledger/command.go
+++ b/internal/ledger/command.go
@@ -17,6 +17,8 @@
 	Expire   *Expire   `cbor:"5,keyasint,omitempty"`
 	Park     *Park     `cbor:"6,keyasint,omitempty"`
 	Retry    *Retry    `cbor:"7,keyasint,omitempty"`
+	// SetLimits replaces the limits by those of the leader's settings.
+	SetLimits *Limits `cbor:"8,keyasint,omitempty"`
 }
 
 // Claim creates a request under its key. A known key with the same digest
--- a/internal/ledger/commands.go
+++ b/internal/ledger/commands.go
@@ -70,6 +70,8 @@
 		res = s.park(l, cmd.Park)
 	case cmd.Retry != nil:
 		res = s.retry(l, cmd.Retry)
+	case cmd.SetLimits != nil:
+		s.setLimits(*cmd.SetLimits)
 	default:
 		res.Err = &fault.Invalid{Field: "command", Reason: "no field is set"}
 	}
@@ -136,6 +138,9 @@
 	if s.waiting.pool[kind.Pool] >= s.limits.MaxQueuedPerPool {
 		return nil, &fault.LimitExceeded{What: "queue of pool " + kind.Pool, Limit: int64(s.limits.MaxQueuedPerPool)}
 	}
+	if s.stored+int64(len(cl.Payload)) > s.limits.MaxStoredBytes {
+		return nil, &fault.LimitExceeded{What: "payloads and answers of the ledger in bytes", Limit: s.limits.MaxStoredBytes}
+	}
 	if q := c.Catalogue.Quotas[cl.Team]; q != nil && q.MaxQueued > 0 && s.waiting.team[cl.Team] >= q.MaxQueued {
 		return nil, &fault.LimitExceeded{What: "queued requests of team " + cl.Team, Limit: int64(q.MaxQueued)}
 	}
--- a/internal/ledger/queries.go
+++ b/internal/ledger/queries.go
@@ -179,6 +179,9 @@
 	return out
 }
 
+// Limits returns the limits in force.
+func (s *State) Limits() Limits { return s.limits }
+
 // Parked returns the parked requests in claim order.
 func (s *State) Parked() []*model.Request {
 	refs := make([]attemptRef, 0, len(s.parked))
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -16,6 +16,7 @@
 	Seq      uint64           `cbor:"2,keyasint"`
 	Requests []snapshotRecord `cbor:"3,keyasint"` // in claim order
 	Hosts    []snapshotHost   `cbor:"4,keyasint"` // by name
+	Limits   Limits           `cbor:"5,keyasint"`
 }
 
 type snapshotRecord struct {
@@ -32,7 +33,7 @@
 
 // Snapshot encodes the ledger. Equal states give equal bytes.
 func (s *State) Snapshot() ([]byte, error) {
-	snap := snapshot{Version: snapshotVersion, Seq: s.seq}
+	snap := snapshot{Version: snapshotVersion, Seq: s.seq, Limits: s.limits}
 	for e := s.order.Front(); e != nil; e = e.Next() {
 		rec := e.Value.(*record)
 		snap.Requests = append(snap.Requests, snapshotRecord{Seq: rec.seq, Request: rec.req})
@@ -60,7 +61,7 @@
 		}
 	}
 	s.clear()
-	s.seq = snap.Seq
+	s.seq, s.limits = snap.Seq, snap.Limits
 	for _, r := range snap.Requests {
 		s.insert(&record{seq: r.Seq, req: r.Request})
 	}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -25,20 +25,23 @@
 	Hosts      Hosts
 }
 
-// Limits bounds the ledger. All replicas of a group must use equal limits,
-// since they decide on apply.
+// Limits bounds the ledger. They are part of the replicated state, since they
+// decide on apply; SetLimits changes them.
 type Limits struct {
-	MaxRequests int
+	MaxRequests int `cbor:"1,keyasint"`
 	// MaxQueuedPerPool bounds the queued and parked requests of one pool.
-	MaxQueuedPerPool int
-	MaxPayloadBytes  int
-	MaxAnswerBytes   int
+	MaxQueuedPerPool int `cbor:"2,keyasint"`
+	MaxPayloadBytes  int `cbor:"3,keyasint"`
+	MaxAnswerBytes   int `cbor:"4,keyasint"`
 	// AnswerRetention is how long a finished request keeps its answer.
-	AnswerRetention time.Duration
+	AnswerRetention time.Duration `cbor:"5,keyasint"`
 	// KeyRetention is how long the key of a finished non-idempotent request is
 	// refused for another run. A later claim of the same key is a new request.
 	// The keys of idempotent requests go with their answers.
-	KeyRetention time.Duration
+	KeyRetention time.Duration `cbor:"6,keyasint"`
+	// MaxStoredBytes bounds the payloads and answers held together; claims
+	// beyond it are refused. Answers of running requests may exceed it.
+	MaxStoredBytes int64 `cbor:"7,keyasint"`
 }
 
 // DefaultLimits returns the limits of the design page.
@@ -50,6 +53,7 @@
 		MaxAnswerBytes:   256 << 10,
 		AnswerRetention:  10 * time.Minute,
 		KeyRetention:     24 * time.Hour,
+		MaxStoredBytes:   48 << 20,
 	}
 }
 
@@ -58,6 +62,7 @@
 type State struct {
 	limits   Limits
 	seq      uint64
+	stored   int64 // bytes of payloads and answers
 	requests map[string]*record
 	order    *list.List // records in claim order
 	elements map[*record]*list.Element
@@ -127,7 +132,7 @@
 }
 
 func (s *State) clear() {
-	s.seq = 0
+	s.seq, s.stored = 0, 0
 	s.requests = map[string]*record{}
 	s.order = list.New()
 	s.elements = map[*record]*list.Element{}
@@ -184,8 +189,11 @@
 	}
 }
 
+func storedBytes(r *model.Request) int64 { return int64(len(r.Payload) + len(r.Answer)) }
+
 func (s *State) link(rec *record) {
 	r := rec.req
+	s.stored += storedBytes(r)
 	switch r.State {
 	case model.RequestQueued:
 		s.queue(r.Pool, r.Priority).add(rec)
@@ -211,6 +219,7 @@
 
 func (s *State) unlink(rec *record) {
 	r := rec.req
+	s.stored -= storedBytes(r)
 	switch r.State {
 	case model.RequestQueued:
 		s.queue(r.Pool, r.Priority).remove(rec)
@@ -343,6 +352,20 @@
 	return r.Finished.Add(s.limits.KeyRetention), true
 }
 
+// setLimits takes new limits into force. Retention times order the heap of due
+// times, so it is built again.
+func (s *State) setLimits(l Limits) {
+	records := s.due.items
+	s.due.items = nil
+	for _, rec := range records {
+		rec.due = -1
+	}
+	s.limits = l
+	for _, rec := range records {
+		s.due.add(rec)
+	}
+}
+
 // eventLog numbers the events of one log entry.
 type eventLog struct {
 	ctx    Context
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -121,6 +121,7 @@
 	return Limits{
 		PayloadBytes:      t.integer("payload_bytes", 256<<10, 1<<10, 1<<20),
 		AnswerBytes:       t.integer("answer_bytes", 256<<10, 1<<10, 1<<20),
+		StoredBytes:       t.integer("stored_bytes", 48<<20, 1<<20, 1<<30),
 		QueueRequests:     t.integer("queue_requests", 10_000, 1, 100_000),
 		LedgerRequests:    t.integer("ledger_requests", 100_000, 10, 1_000_000),
 		AnswerRetention:   t.duration("answer_retention", 10*time.Minute, time.Minute, 24*time.Hour),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -69,8 +69,10 @@
 
 // Limits are the size limits of the process.
 type Limits struct {
-	PayloadBytes   int
-	AnswerBytes    int
+	PayloadBytes int
+	AnswerBytes  int
+	// StoredBytes bounds the payloads and answers in a data centre's ledger.
+	StoredBytes    int
 	QueueRequests  int // per pool
 	LedgerRequests int
 	// AnswerRetention is how long a finished answer is kept, KeyRetention how
