Place requests and expire leases without copies of all hosts

Cause: every plan and every lease check, ten times a second, copied and sorted all hosts; a plan copied them once more by pool to look for one that fits.

Change: both visit the hosts in place; a plan makes its list once in its final size, reads all contacts under one lock, and looks for a fitting host in the list it has. Lost hosts are still marked in the order of their names.

--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -73,8 +73,8 @@
 			b.Fatal(err)
 		}
 	}
-	if !c.leading() {
-		b.Fatal("the controller does not lead")
+	if !c.leading() || len(c.hosts()) != benchHosts {
+		b.Fatal("the controller does not lead its hosts")
 	}
 	return c
 }
--- a/internal/control/contacts.go
+++ b/internal/control/contacts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"agatehaven.dev/agatehaven/internal/datacentre"
@@ -92,16 +93,24 @@
 
 // expireLeases marks hosts lost whose lease has run out.
 func (c *Controller) expireLeases(ctx context.Context) {
+	var names []string
+	c.cfg.Machine.View(func(v datacentre.View) {
+		names = make([]string, 0, v.Hosts.Len())
+		v.Hosts.Each(func(h *model.Host) {
+			// A host in maintenance is expected to be silent.
+			if h.State != model.HostLost && h.State != model.HostMaintenance {
+				names = append(names, h.Info.Name)
+			}
+		})
+	})
 	now := c.cfg.Clock.Now()
-	for _, h := range c.hosts() {
-		if h.State == model.HostLost || h.State == model.HostMaintenance {
-			continue // a host in maintenance is expected to be silent
-		}
-		if now.Sub(c.lastContact(h.Info.Name)) <= c.cfg.Timing.HostLease {
-			continue
-		}
+	names = slices.DeleteFunc(names, func(name string) bool {
+		return now.Sub(c.lastContact(name)) <= c.cfg.Timing.HostLease
+	})
+	slices.Sort(names)
+	for _, name := range names {
 		_ = c.proposeHost(ctx, inventory.Command{MarkLost: &inventory.MarkLost{
-			Host: h.Info.Name, Reason: "no announcement within the lease of " + c.cfg.Timing.HostLease.String(),
+			Host: name, Reason: "no announcement within the lease of " + c.cfg.Timing.HostLease.String(),
 		}})
 	}
 }
--- a/internal/control/placement.go
+++ b/internal/control/placement.go
@@ -93,9 +93,8 @@
 		if len(in.Queued) == 0 {
 			return
 		}
-		for _, h := range v.Hosts.Hosts() {
-			in.Hosts = append(in.Hosts, placementHost(&h, v))
-		}
+		in.Hosts = make([]placement.Host, 0, v.Hosts.Len())
+		v.Hosts.Each(func(h *model.Host) { in.Hosts = append(in.Hosts, placementHost(h, v)) })
 		for name, pool := range v.Catalogue.Pools {
 			in.Pools[name] = placement.Pool{
 				Spare:        pool.Spare,
@@ -154,9 +153,11 @@
 // Their lease still runs, but a start sent to them would likely be lost.
 func (c *Controller) skipSilent(hosts []placement.Host) {
 	now := c.cfg.Clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for i := range hosts {
-		k := c.contactOf(hosts[i].Name)
-		if !k.announced || now.Sub(k.at) > c.cfg.Timing.HostLease/2 {
+		k := c.contacts[hosts[i].Name]
+		if k == nil || !k.announced || now.Sub(k.at) > c.cfg.Timing.HostLease/2 {
 			hosts[i].Available = false
 		}
 	}
--- a/internal/inventory/queries.go
+++ b/internal/inventory/queries.go
@@ -22,6 +22,9 @@
 	return s.where(func(*model.Host) bool { return true })
 }
 
+// Len returns the number of hosts.
+func (s *State) Len() int { return len(s.hosts) }
+
 // Each calls fn with every host, in no order and without copies. fn must not
 // change or keep them.
 func (s *State) Each(fn func(*model.Host)) {
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -121,10 +121,6 @@
 		pool string
 		shape
 	}
-	hosts := map[string][]Host{}
-	for _, h := range pl.in.Hosts {
-		hosts[h.Pool] = append(hosts[h.Pool], h)
-	}
 	fits := map[poolShape]bool{}
 	for i := range pl.in.Queued {
 		r := &pl.in.Queued[i]
@@ -132,7 +128,7 @@
 		ok, known := fits[key]
 		if !known {
 			// A pool without hosts proves nothing about the request's size.
-			ok = len(hosts[r.Pool]) == 0 || Fits(r, hosts[r.Pool])
+			ok = !pl.hasHosts(r.Pool) || Fits(r, pl.in.Hosts)
 			fits[key] = ok
 		}
 		if !ok {
@@ -147,6 +143,16 @@
 	sort.Strings(pl.names)
 }
 
+// hasHosts reports whether a pool has a host, whatever its state.
+func (pl *planner) hasHosts(pool string) bool {
+	for i := range pl.in.Hosts {
+		if pl.in.Hosts[i].Pool == pool {
+			return true
+		}
+	}
+	return false
+}
+
 func (pl *planner) aged(r *Request) bool {
 	return r.Waiting >= pl.policy.AgeAfter || (r.Slack > 0 && r.Slack < agedSlackRuns*r.Run)
 }
