Look up owners outside the view of the state

Cause: resolveOrphans took the controller's lock within a view, while the first step of a new term reads a view with the lock held. With an entry waiting to be applied between the two, each waits for the other and the process stops applying entries. Found by reading; it has not been seen.

Change: attempts are listed in the view and their owners looked up after it.

--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -136,9 +137,6 @@
 	var orphans []orphan
 	c.cfg.Machine.View(func(v datacentre.View) {
 		for _, a := range v.Requests.OpenAttempts() {
-			if a.State == model.AttemptAssigned && c.ownerAlive(a.Owner, a.OwnerIncarnation) {
-				continue
-			}
 			h, ok := v.Hosts.Host(a.Host)
 			if !ok || h.State == model.HostLost || h.Info.Incarnation != a.TargetIncarnation {
 				continue
@@ -146,6 +144,11 @@
 			orphans = append(orphans, orphan{a, hasCapability(&h.Info, model.CapabilityRevoke)})
 		}
 	})
+	// The owners are looked up outside the view: leading reads the view while
+	// it holds the controller's lock, and the opposite order could block both.
+	orphans = slices.DeleteFunc(orphans, func(o orphan) bool {
+		return o.attempt.State == model.AttemptAssigned && c.ownerAlive(o.attempt.Owner, o.attempt.OwnerIncarnation)
+	})
 	var (
 		wg      sync.WaitGroup
 		limit   = make(chan struct{}, resolveParallel)
