--- a/internal/e2e/region_test.go
+++ b/internal/e2e/region_test.go
@@ -264,7 +264,7 @@
 	if CurrentSpecReport().Failed() {
 		for _, h := range r.hosts {
 			log, _ := os.ReadFile(filepath.Join(r.folder, h.name+".log"))
-			fmt.Fprintf(GinkgoWriter, "--- log of %s\n%s", h.name, log)
+			_, _ = fmt.Fprintf(GinkgoWriter, "--- log of %s\n%s", h.name, log)
 		}
 	}
 }
--- a/internal/e2e/silence_test.go
+++ b/internal/e2e/silence_test.go
@@ -92,7 +92,7 @@
 			}
 			slowest = max(slowest, a.took)
 		}
-		fmt.Fprintf(GinkgoWriter, "requests=%d slowest=%s\n", len(list), slowest)
+		_, _ = fmt.Fprintf(GinkgoWriter, "requests=%d slowest=%s\n", len(list), slowest)
 		Expect(slowest).To(BeNumerically(">", time.Second), "the silence met no request")
 	})
 }
--- a/internal/e2e/wave_test.go
+++ b/internal/e2e/wave_test.go
@@ -145,6 +145,6 @@
 		}
 		Expect(len(orders)).To(BeNumerically(">", 200))
 		watch.expectNone([]string{"dc-a", "dc-b", "dc-c"}, 50)
-		fmt.Fprintf(GinkgoWriter, "orders=%d samples=%v\n", len(orders), watch.samples)
+		_, _ = fmt.Fprintf(GinkgoWriter, "orders=%d samples=%v\n", len(orders), watch.samples)
 	})
 })
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -34,6 +34,11 @@
 	hold chan struct{}
 }
 
+// InForce answers the probes of hosts in doubt.
+func (f *fakeHandler) InForce(context.Context, *peer.InForceRequest) (*peer.InForceResponse, error) {
+	return &peer.InForceResponse{}, nil
+}
+
 func (f *fakeHandler) GroupStatus(ctx context.Context, _ *peer.GroupStatusRequest) (*peer.GroupStatusResponse, error) {
 	f.mu.Lock()
 	f.calls++
@@ -229,6 +234,46 @@
 		Eventually(listener.Open).Should(Equal(1), "the silent connection is closed")
 	})
 
+	It("refuses calls to a host that answers no probe, without sending them", func() {
+		// Guards against an unknown effect for every call to a host that is cut
+		// off: only the first one may have been delivered.
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		manual := clock.NewManual(time.UnixMilli(0))
+		c := dial(peer.DialerConfig{Clock: manual}, l.Addr().String())
+		submit := func() chan error {
+			done := make(chan error, 1)
+			go func() {
+				_, err := c.Submit(ctx, &peer.SubmitRequest{Key: "k"})
+				done <- err
+			}()
+			return done
+		}
+		first := submit()
+		Eventually(manual.Waiters).Should(BeNumerically(">", 0))
+		Eventually(func() error {
+			manual.Advance(peer.DefaultCallTimeout)
+			select {
+			case err := <-first:
+				return err
+			default:
+				return nil
+			}
+		}).Should(HaveOccurred())
+		before := manual.Waiters()
+		second := submit()
+		Eventually(manual.Waiters).Should(BeNumerically(">", before))
+		manual.Advance(time.Second)
+		var refused error
+		Eventually(second).Should(Receive(&refused))
+		Expect(fault.CodeOf(refused)).To(Equal(fault.CodeUnavailable))
+		Expect(peer.HadNoEffect(refused)).To(BeTrue())
+		var third error
+		Eventually(submit()).Should(Receive(&third), "the last probe answers for a second")
+		Expect(fault.CodeOf(third)).To(Equal(fault.CodeUnavailable))
+	})
+
 	It("gives a long poll its wait before the connection counts as silent", func() {
 		// Guards against long polls that are cut as silent.
 		manual := clock.NewManual(time.UnixMilli(0))
