Make every mechanism of the runtime fail its test when disabled

Cause: trials without the mechanism passed for unwritten sectors, pending proposals after a lost leadership, reads that wait for the state machine, acknowledgement after the sync, and compaction. Change: stricter or additional tests for each.

--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
+	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -75,7 +78,10 @@
 		l := c.leader(three...)
 		c.isolate(l, true)
 		lost := make(chan error, 1)
-		go func() { lost <- c.propose(l, "lost") }()
+		go func() {
+			_, err := c.running[l].Propose(context.Background(), []byte("lost"))
+			lost <- err
+		}()
 		var err error
 		c.until("the proposal ends", func() bool {
 			select {
@@ -165,7 +171,8 @@
 		// Guards against a replica that can never catch up once the entries
 		// that it lacks are compacted, and against a log that grows for ever.
 		c := newCluster(three...)
-		c.config = func(cfg *replica.Config) { cfg.SnapshotEntries = 10 }
+		set := metrics.NewSet()
+		c.config = func(cfg *replica.Config) { cfg.SnapshotEntries, cfg.Metrics = 10, set }
 		for _, h := range three {
 			c.start(h, three...)
 		}
@@ -181,6 +188,8 @@
 		c.isolate(behind, false)
 		want := strings.TrimSuffix(strings.Repeat("x ", 50), " ")
 		c.holds(want, behind)
+		name := fmt.Sprintf("agatehaven_replica_installed_snapshots_total{group=%q,host=%q}", "east", behind)
+		Expect(set.GetOrCreateCounter(name).Get()).NotTo(BeZero())
 		c.stop(behind)
 		c.start(behind)
 		c.holds(want, behind)
@@ -223,6 +232,8 @@
 		// Guards against a reader that does not see its own write.
 		c := newCluster(three...)
 		c.gate = make(chan struct{})
+		open := sync.OnceFunc(func() { close(c.gate) })
+		DeferCleanup(open)
 		for _, h := range three {
 			c.start(h, three...)
 		}
@@ -235,7 +246,7 @@
 		ticks := 0
 		c.until("several heartbeats are answered", func() bool { ticks++; return ticks > 20 })
 		Expect(read).NotTo(Receive())
-		close(c.gate)
+		open()
 		Eventually(read).WithTimeout(patient).Should(Receive(BeNil()))
 		Eventually(proposed).WithTimeout(patient).Should(Receive(BeNil()))
 		Expect(c.states[l].content()).To(Equal([]string{"x"}))
@@ -261,6 +272,32 @@
 		Expect(fault.CodeOf(refused)).To(Equal(fault.CodeLimitExceeded))
 	})
 
+	It("acknowledges no entry that its followers failed to store", func() {
+		// Guards against an acknowledgement that is sent before the sync.
+		c := newCluster(three...)
+		for _, h := range three {
+			c.start(h, three...)
+		}
+		l := c.leader(three...)
+		for _, h := range three {
+			if h != l {
+				c.disks[h].FailAfter(faultfs.OpSync, 0)
+			}
+		}
+		result := make(chan error, 1)
+		go func() { result <- c.propose(l, "x") }()
+		var err error
+		c.until("the proposal ends", func() bool {
+			select {
+			case err = <-result:
+				return true
+			default:
+				return false
+			}
+		})
+		Expect(fault.CodeOf(err)).To(Equal(fault.CodeProposalUnknown))
+	})
+
 	It("stops with the reason when its disk fails, and does not start from a corrupt log", func() {
 		// Guards against a replica that acknowledges what it cannot store.
 		c := newCluster("a")
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -117,6 +117,23 @@
 		}
 	})
 
+	It("cuts a last record with a sector that was never written", func() {
+		// Guards against a replica that does not start after a crash in which
+		// the disk wrote the sectors of a record out of order.
+		w, _ := open(fs)
+		Expect(w.Save(nil, entries(1, 1, 1, 40))).To(Succeed())
+		Expect(w.Save(nil, entries(1, 2, 2, 2000))).To(Succeed())
+		zero := func(data []byte) []byte { clear(data[1024:1536]); return data }
+		fs.Edit(firstSegment, zero)
+		w, s := open(fs)
+		Expect(s.Entries).To(Equal(entries(1, 1, 1, 40)))
+		// A record that was followed by another had been synced.
+		Expect(w.Save(nil, entries(1, 2, 2, 2000))).To(Succeed())
+		Expect(w.Save(nil, entries(1, 3, 3, 40))).To(Succeed())
+		fs.Edit(firstSegment, zero)
+		openCorrupt(fs)
+	})
+
 	It("reports a missing or short segment before the last one", func() {
 		// Guards against a gap in the log that is taken for its end.
 		w, _ := open(fs)
