Derive election timeouts from group and host

Cause: hosts with the same seed in their settings would have had the same election timeouts, so that votes are split again and again. Change: the seed is combined with a hash of group and host.

--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -25,10 +25,10 @@
 	b.Helper()
 	c := &cluster{running: map[string]*replica.Replica{}, cut: map[string]bool{}}
 	hosts := []string{"a", "b", "c"}
-	for i, h := range hosts {
+	for _, h := range hosts {
 		r, err := replica.Start(context.Background(), replica.Config{
 			Group: "east", Self: replica.Member{Host: h}, Bootstrap: members(hosts...), Dir: b.TempDir(),
-			Seed: uint64(i), Transport: transport{c: c, from: h}, Machine: &counter{},
+			Transport: transport{c: c, from: h}, Machine: &counter{},
 		})
 		if err != nil {
 			b.Fatal(err)
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"hash/fnv"
 	"slices"
 	"time"
 
@@ -71,7 +72,7 @@
 	SnapshotBytes   uint64
 	// MaxInflight bounds the proposals that have not been applied yet.
 	MaxInflight int
-	// Seed makes election timeouts differ between hosts.
+	// Seed determines the election timeouts together with the group and host.
 	Seed uint64
 
 	Clock     clock.Clock
@@ -130,6 +131,14 @@
 	return nil
 }
 
+// seed differs between hosts even if their settings have the same seed: with
+// equal election timeouts the votes would be split again and again.
+func (c *Config) seed() uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(c.Group + "/" + c.Self.Host))
+	return c.Seed ^ hash.Sum64()
+}
+
 // bootstraps reports whether this host is an initial member.
 func (c *Config) bootstraps() bool {
 	return slices.ContainsFunc(c.Bootstrap, func(m Member) bool { return m.Host == c.Self.Host })
--- a/internal/replica/harness_test.go
+++ b/internal/replica/harness_test.go
@@ -143,7 +143,7 @@
 	j := &journal{gate: c.gate}
 	cfg := replica.Config{
 		Group: "east", Self: replica.Member{Host: host}, Bootstrap: members(bootstrap...), Dir: "/data",
-		TickInterval: tick, Seed: uint64(len(host)) + uint64(host[0]), Clock: c.clock, HLC: hlc.NewClock(c.clock),
+		TickInterval: tick, Clock: c.clock, HLC: hlc.NewClock(c.clock),
 		Transport: transport{c: c, from: host}, Machine: j, FS: c.disks[host],
 		NewIncarnation: func() string { c.names++; return fmt.Sprintf("new%d", c.names) },
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -117,7 +117,7 @@
 	r.observe(state.Entries)
 	c := &core{r: r, reads: map[uint64]chan outcome{}, identity: identity}
 	c.options = raft.Options{
-		Group: r.cfg.Group, ID: identity.MemberID(), ElectionTicks: r.cfg.ElectionTicks, Seed: r.cfg.Seed,
+		Group: r.cfg.Group, ID: identity.MemberID(), ElectionTicks: r.cfg.ElectionTicks, Seed: r.cfg.seed(),
 		HardState: state.HardState, Snapshot: state.Snapshot, Entries: state.Entries,
 	}
 	node, err := raft.New(c.options)
