Leave borrowed hosts out of the wave that borrowed them

Cause: a borrowed host goes back to the spare pool after the wave, yet the wave rebooted it as well: 56 steps in place of 50. Change: Drain with Wave and MoveTo lends a host to the wave's pool and lists it in WaveProgress.Skipped (additive). Ruled out: fixing the wave's hosts at its start, since a host that repair brings into the pool during the wave has to be maintained.

--- a/internal/inventory/command.go
+++ b/internal/inventory/command.go
@@ -52,7 +52,8 @@
 }
 
 // Drain plans the removal of a ready host: for a wave step, for a move or by
-// an operator. It is refused with *fault.Precondition if the pool's available
+// an operator. With Wave and MoveTo, the host is lent to the pool of the wave,
+// which does not maintain it. It is refused with *fault.Precondition if the pool's available
 // hosts less one would fall below its floor, or if the host is not ready.
 type Drain struct {
 	Host   string `cbor:"1,keyasint"`
--- a/internal/inventory/commands.go
+++ b/internal/inventory/commands.go
@@ -206,10 +206,11 @@
 // proposer saw.
 func (c *change) drain(h *model.Host, d *Drain) error {
 	what := fmt.Sprintf("drain of host %q", h.Info.Name)
-	if d.Wave != "" && d.MoveTo != "" {
-		return &fault.Invalid{Field: "drain", Reason: "names a wave and a move", Allowed: "one of them"}
+	step := d.Wave
+	if d.MoveTo != "" {
+		step = ""
 	}
-	same := h.Wave == d.Wave && h.MoveTo == d.MoveTo
+	same := h.Wave == step && h.MoveTo == d.MoveTo
 	ordered := d.Wave == "" && d.MoveTo == ""
 	if h.State == model.HostDraining && same && (!ordered || operatorDrain(h)) {
 		return nil
@@ -233,13 +234,17 @@
 		return &fault.NotFound{Kind: "pool", Name: d.MoveTo}
 	}
 	if d.Wave != "" {
-		if err := c.checkStep(what, h, d.Wave); err != nil {
+		if err := c.checkStep(what, h, d); err != nil {
 			return err
 		}
 		p := c.progress(d.Wave)
-		p.Current = append(p.Current, h.Info.Name)
+		if step != "" {
+			p.Current = append(p.Current, h.Info.Name)
+		} else if !slices.Contains(p.Skipped, h.Info.Name) {
+			p.Skipped = append(p.Skipped, h.Info.Name)
+		}
 	}
-	h.Wave, h.MoveTo = d.Wave, d.MoveTo
+	h.Wave, h.MoveTo = step, d.MoveTo
 	if ordered {
 		h.ReturnTo = model.HostDraining
 	}
@@ -250,18 +255,22 @@
 
 func drainReason(d *Drain) string {
 	switch {
-	case d.Wave != "":
-		return "step of wave " + d.Wave + ": " + d.Reason
 	case d.MoveTo != "":
 		return "move to pool " + d.MoveTo + ": " + d.Reason
+	case d.Wave != "":
+		return "step of wave " + d.Wave + ": " + d.Reason
 	}
 	return "drained by " + d.Actor + ": " + d.Reason
 }
 
-// checkStep refuses a new step that the wave's record or progress does not
-// allow now. A proposal may have been made before the wave was paused,
+// checkStep refuses a new step, or a host lent to a wave, that the wave's
+// record or progress does not allow now. A proposal may have been made before the wave was paused,
 // cancelled or finished.
-func (c *change) checkStep(what string, h *model.Host, wave string) error {
+func (c *change) checkStep(what string, h *model.Host, d *Drain) error {
+	wave, pool := d.Wave, h.Pool
+	if d.MoveTo != "" {
+		pool = d.MoveTo
+	}
 	w := c.Catalogue.Waves[wave]
 	if w == nil {
 		return &fault.NotFound{Kind: "wave", Name: wave}
@@ -277,8 +286,10 @@
 		return refused(what, fmt.Sprintf("wave %q is paused: %s", wave, p.Reason))
 	case !p.Finished.IsZero():
 		return refused(what, fmt.Sprintf("wave %q is finished", wave))
-	case h.Pool != w.Pool:
-		return refused(what, fmt.Sprintf("wave %q maintains pool %q, the host is in %q", wave, w.Pool, h.Pool))
+	case pool != w.Pool:
+		return refused(what, fmt.Sprintf("wave %q maintains pool %q, not %q", wave, w.Pool, pool))
+	case d.MoveTo != "":
+		return nil
 	case slices.Contains(p.Done, h.Info.Name) || slices.Contains(p.Failed, h.Info.Name):
 		return refused(what, fmt.Sprintf("its step of wave %q has ended", wave))
 	case w.MaxConcurrent > 0 && len(p.Current) >= w.MaxConcurrent:
--- a/internal/inventory/queries.go
+++ b/internal/inventory/queries.go
@@ -77,6 +77,7 @@
 	out := *p
 	out.Done, out.Failed = slices.Clone(p.Done), slices.Clone(p.Failed)
 	out.Current, out.Lost = slices.Clone(p.Current), slices.Clone(p.Lost)
+	out.Skipped = slices.Clone(p.Skipped)
 	out.Steps = maps.Clone(p.Steps)
 	return out
 }
--- a/internal/inventory/random_test.go
+++ b/internal/inventory/random_test.go
@@ -26,7 +26,7 @@
 	case 5, 6:
 		return drain(host, "w", "")
 	case 7:
-		return drain(host, "", []string{"", "spare", "render"}[rng.IntN(3)])
+		return drain(host, []string{"", "w"}[rng.IntN(2)], []string{"", "spare", "render"}[rng.IntN(3)])
 	case 8:
 		return maintain(host, fmt.Sprintf("o%d", rng.IntN(3)))
 	case 9:
--- a/internal/model/wave.go
+++ b/internal/model/wave.go
@@ -24,6 +24,9 @@
 	// Lost lists the hosts that were lost during their step or shortly after
 	// it. A later return does not remove them.
 	Lost []string `cbor:"12,keyasint,omitempty" json:"lost,omitempty"`
+	// Skipped lists the hosts that were borrowed for the wave and go back after
+	// it, so they are not maintained by it.
+	Skipped []string `cbor:"14,keyasint,omitempty" json:"skipped,omitempty"`
 	// FailuresSeen is the number of failures and losses at the last
 	// resumption; only later ones count towards the next pause.
 	FailuresSeen int `cbor:"13,keyasint,omitempty" json:"failures_seen,omitempty"`
--- a/internal/wave/action.go
+++ b/internal/wave/action.go
@@ -27,7 +27,8 @@
 	// Release takes a draining host back into service because the wave is
 	// paused.
 	Release Kind = "release"
-	// Borrow moves a spare host into the pool to raise the concurrency.
+	// Borrow moves a spare host into the pool to raise the concurrency. The
+	// wave does not maintain it.
 	Borrow Kind = "borrow"
 	// Pause pauses the wave because of correlated failures.
 	Pause Kind = "pause"
@@ -64,7 +65,7 @@
 	case Drain:
 		return &inventory.Command{Drain: &inventory.Drain{Host: a.Host, Wave: a.Wave, Actor: Actor, Reason: a.Reason}}
 	case Borrow:
-		return &inventory.Command{Drain: &inventory.Drain{Host: a.Host, MoveTo: a.Pool, Actor: Actor, Reason: a.Reason}}
+		return &inventory.Command{Drain: &inventory.Drain{Host: a.Host, Wave: a.Wave, MoveTo: a.Pool, Actor: Actor, Reason: a.Reason}}
 	case Maintain:
 		return &inventory.Command{Maintain: &inventory.Maintain{Host: a.Host, OrderID: a.OrderID}}
 	case Finish:
--- a/internal/wave/settings.go
+++ b/internal/wave/settings.go
@@ -49,8 +49,8 @@
 }
 
 // borrows reports whether one more spare host in the pool pays: it raises the
-// concurrency by one for the hosts that remain, but has to be maintained as
-// well, is moved in and out, and is missing in the spare pool until the end.
+// concurrency by one for the hosts that remain, but is moved in and out and is
+// missing in the spare pool until the end.
 // Without any concurrency the wave could never proceed, so it always pays.
 func (s Settings) borrows(remaining, concurrent int, stepMS int64) bool {
 	if concurrent <= 0 {
@@ -58,7 +58,7 @@
 	}
 	step := seconds(stepMS)
 	now := float64(remaining) / float64(concurrent) * step
-	then := float64(remaining+1) / float64(concurrent+1) * step
+	then := float64(remaining) / float64(concurrent+1) * step
 	return s.Rollout*(now-then) > 2*s.Move+s.Buffer*then
 }
 
--- a/internal/wave/start.go
+++ b/internal/wave/start.go
@@ -46,7 +46,8 @@
 		name := h.Host.Info.Name
 		switch {
 		case h.Host.Pool != d.Wave.Pool || h.Host.Wave == d.Wave.Name ||
-			slices.Contains(d.Progress.Done, name) || slices.Contains(d.Progress.Failed, name):
+			slices.Contains(d.Progress.Done, name) || slices.Contains(d.Progress.Failed, name) ||
+			slices.Contains(d.Progress.Skipped, name):
 		case h.Host.State == model.HostReady && h.Fresh(d.Now, d.Settings.LeaseMS):
 			candidates = append(candidates, h)
 		case h.Host.State == model.HostReady || d.Now.WallMillis-h.Host.Since.WallMillis <= int64(d.Wave.ReturnLimitMS):
--- a/internal/wave/wave_test.go
+++ b/internal/wave/wave_test.go
@@ -307,6 +307,7 @@
 				s.step()
 			}
 			Expect(s.Moves).To(Equal(c.moves), "floor %d", c.floor)
+			Expect(s.progress().Skipped).To(HaveLen(c.moves))
 			Expect(s.Violations).To(BeEmpty())
 		}
 	})
@@ -332,6 +333,9 @@
 			s.Do(a.Command())
 		}
 		Expect(s.kinds()).NotTo(HaveKey(wave.Borrow))
+		s.run(7200)
+		Expect(s.progress().Finished.IsZero()).To(BeFalse())
+		Expect(s.progress().Done).To(HaveLen(8), "the borrowed host is not maintained")
 	})
 
 	It("offers no step to hosts that are out of service for good", func() {
