Test lost calls, TLS and the health check of peer connections

Cause: three properties of the peer client rested on the libraries' documents only: a call that was sent on a first connection is not taken for unsent, HTTP/2 is agreed with TLS, and a long poll ends when its connection is silent. Change: a test for each. Conclusion: they hold. The test of the health check fails without its ping, and the tests of lost and unreachable calls fail when sent and unsent calls are not told apart.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
+	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -160,6 +164,41 @@
 		Expect(err).To(BeAssignableToTypeOf(&fault.NotFound{}))
 	})
 
+	It("reports a call that was sent, but not answered, as lost", func() {
+		// Guards against a call that is repeated as if it had no effect, also
+		// on the first use of a connection.
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = io.CopyN(io.Discard, c, 2048)
+				_ = c.Close()
+			}
+		}()
+		_, err = dial(peer.DialerConfig{}, l.Addr().String()).Step(ctx, &peer.StepRequest{Messages: make([]byte, 4096)})
+		Expect(fault.CodeOf(err)).To(Equal(fault.CodeConnectionLost))
+	})
+
+	It("calls with TLS", func() {
+		// Guards against a TLS setting that leaves HTTP/2 without agreement.
+		s := httptest.NewUnstartedServer(peer.NewServer(&fakeHandler{}, peer.ServerOptions{}))
+		s.EnableHTTP2 = true
+		s.StartTLS()
+		DeferCleanup(s.Close)
+		settings := s.Client().Transport.(*http.Transport).TLSClientConfig
+		c := dial(peer.DialerConfig{TLS: settings}, s.Listener.Addr().String())
+		_, err := c.GroupStatus(ctx, &peer.GroupStatusRequest{})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = dial(peer.DialerConfig{TLS: &tls.Config{MinVersion: tls.VersionTLS12}}, s.Listener.Addr().String()).
+			GroupStatus(ctx, &peer.GroupStatusRequest{})
+		Expect(fault.CodeOf(err)).To(Equal(fault.CodeUnavailable))
+	})
+
 	It("reports the caller's own cancellation as such", func() {
 		// Guards against a cancelled long poll that costs a good connection.
 		c := dial(peer.DialerConfig{}, serve(&fakeHandler{}))
@@ -207,6 +246,28 @@
 		Eventually(listener.Open).Should(Equal(1), "the silent connection is closed")
 	})
 
+	It("end a long poll by the health check of the connection", func() {
+		// Guards against a long poll that waits out its whole time on a
+		// connection that went silent. The check runs on the system clock.
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		listener, h := silent.NewListener(l), &fakeHandler{}
+		s := peer.NewHTTPServer(peer.NewServer(h, peer.ServerOptions{}), nil)
+		go func() { _ = s.Serve(listener) }()
+		DeferCleanup(s.Close)
+		c := dial(peer.DialerConfig{Clock: clock.NewManual(time.UnixMilli(0))}, l.Addr().String())
+		done := make(chan error, 1)
+		go func() {
+			_, err := c.PullAssignments(ctx, &peer.PullAssignmentsRequest{WaitMS: 60_000})
+			done <- err
+		}()
+		Eventually(h.count).Should(Equal(1))
+		listener.Silence()
+		Eventually(done, "20s").Should(Receive(BeAssignableToTypeOf(&fault.ConnectionLost{})))
+		_, err = c.GroupStatus(ctx, &peer.GroupStatusRequest{})
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("gives a long poll its wait before the connection counts as silent", func() {
 		// Guards against long polls that are cut as silent.
 		manual := clock.NewManual(time.UnixMilli(0))
