Give up late followed attempts when the owner's table is full

Cause: attempts on lost hosts are followed for ten minutes after they were reported as unknown, and could fill the table, so that the owner refused new work. Change: a full table gives up one such attempt for each new assignment. A drain now waits until the leader has confirmed reports of unknown attempts. Conclusion: the new test fails without the change and passes with it.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -127,8 +127,9 @@
 // outgoing is a report on its way to the leader.
 type outgoing struct {
 	report model.AttemptReport
-	// entry is ended once the report is confirmed, if not nil.
+	// entry may be nil. A final report ends it once it is confirmed.
 	entry *entry
+	final bool
 }
 
 // Dispatcher executes the attempts of one owner incarnation. Create it with
@@ -266,12 +267,10 @@
 		kind = EventUnknown
 	}
 	d.recordAttempt(kind, e.assignment, r.Reason)
-	out := outgoing{report: r}
 	if final {
-		out.entry = e
 		d.table.reported(e)
 	}
-	_ = d.reports.Put(ctx, out) // fails only when the process stops
+	_ = d.reports.Put(ctx, outgoing{report: r, entry: e, final: final}) // fails only when the process stops
 }
 
 func (d *Dispatcher) reportLoop(ctx context.Context) {
@@ -347,8 +346,12 @@
 			})
 		}
 		for _, o := range batch {
-			if o.entry != nil {
+			switch {
+			case o.entry == nil:
+			case o.final:
 				d.table.end(o.entry)
+			default:
+				d.table.confirm(o.entry)
 			}
 		}
 		return
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -342,6 +342,21 @@
 		Expect(t.started("c")).To(BeZero())
 	})
 
+	It("gives up attempts followed for a late result when its table is full", func() {
+		// Guards against lost hosts that keep an owner from taking new work.
+		t.start, t.status.State = &fault.SilentConnection{}, target.TaskAbsent
+		a, b, c := assignment("a"), assignment("b"), assignment("c")
+		a.CanRevoke, b.CanRevoke, c.CanRevoke = false, false, false
+		l.assign(a, b)
+		run(l, t, func(c *dispatch.Config) { c.MaxAttempts = 2 })
+		for _, key := range []string{"a", "b"} {
+			Eventually(l.states(key)).Should(Equal([]model.AttemptState{model.AttemptUnknown}))
+		}
+		l.assign(c)
+		Eventually(l.states("c"), "5s").Should(Equal([]model.AttemptState{model.AttemptUnknown}))
+		Expect(t.started("c")).To(Equal(1))
+	})
+
 	It("sends reports again until they are confirmed and drops only a rejected one", func() {
 		// Guards against a result lost with its confirmation, and against one
 		// bad report that holds back all others.
--- a/internal/dispatch/drain.go
+++ b/internal/dispatch/drain.go
@@ -54,17 +54,21 @@
 	return out
 }
 
+// settled reports whether the leader knows that the attempt is unknown and no
+// later result is on its way. It must be called with the table's mutex held.
+func (e *entry) settled() bool { return e.late && e.confirmed && !e.reported }
+
 // open reports whether a drain that began at the given time must still wait,
 // for how long at most, and a channel that is closed at the next change.
 func (t *table) open(began, now time.Time) (changed <-chan struct{}, next time.Duration, open bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, e := range t.active {
-		if e.late && !e.reported {
+		if e.settled() {
 			continue
 		}
 		limit := time.Duration(e.assignment.StopLimitMS) * time.Millisecond
-		if e.reported || !e.sent {
+		if e.reported || e.late || !e.sent {
 			limit = max(limit, reportGrace)
 		}
 		left := began.Add(limit).Sub(now)
@@ -86,7 +90,7 @@
 	defer t.mu.Unlock()
 	var out []model.Assignment
 	for _, e := range t.active {
-		if !e.late || e.reported {
+		if !e.settled() {
 			out = append(out, e.assignment)
 		}
 	}
--- a/internal/dispatch/execute.go
+++ b/internal/dispatch/execute.go
@@ -48,9 +48,16 @@
 	followCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go d.stopOnRequest(followCtx, e)
-	f := &follower{d: d, e: e, begun: begun, contact: d.cfg.Clock.Now()}
-	for ctx.Err() == nil {
-		if f.step(ctx) {
+	go func() {
+		select {
+		case <-e.dropped:
+			cancel()
+		case <-followCtx.Done():
+		}
+	}()
+	f := &follower{d: d, e: e, run: ctx, begun: begun, contact: d.cfg.Clock.Now()}
+	for followCtx.Err() == nil {
+		if f.step(followCtx) {
 			return
 		}
 	}
@@ -58,8 +65,11 @@
 
 // follower is the progress of follow.
 type follower struct {
-	d     *Dispatcher
-	e     *entry
+	d *Dispatcher
+	e *entry
+	// run is the context of the dispatcher: a result that was read is reported
+	// even if the attempt is no longer followed.
+	run   context.Context
 	begun bool
 	// contact is the time of the last usable answer.
 	contact time.Time
@@ -94,7 +104,7 @@
 	case o.report.State == model.AttemptUnknown:
 		return f.unknown(ctx, o.report.Reason)
 	}
-	f.d.report(ctx, f.e, o.report, true)
+	f.d.report(f.run, f.e, o.report, true)
 	return true
 }
 
@@ -104,8 +114,8 @@
 	now := f.d.cfg.Clock.Now()
 	if f.unknownAt.IsZero() {
 		f.unknownAt = now
-		f.d.report(ctx, f.e, unknown(f.e.assignment.Key, f.e.assignment.Attempt, reason), false)
 		f.d.table.setLate(f.e)
+		f.d.report(f.run, f.e, unknown(f.e.assignment.Key, f.e.assignment.Attempt, reason), false)
 	}
 	if now.Sub(f.unknownAt) >= f.d.cfg.LateLimit {
 		f.d.table.end(f.e)
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -26,12 +26,15 @@
 	// readOnly is set if the attempt may have been started before: it is
 	// followed, but never started.
 	readOnly bool
-	// stop is closed when the attempt is to be stopped.
+	// stop is closed when the attempt is to be stopped, dropped when it is no
+	// longer followed.
 	stop         chan struct{}
+	dropped      chan struct{}
 	stopping     bool
 	hostDraining bool
 	sent         bool
 	late         bool // reported as unknown
+	confirmed    bool // the leader has confirmed that report
 	reported     bool // the final result is on its way to the leader
 }
 
@@ -82,6 +85,9 @@
 		return nil, verdictIgnore
 	}
 	readOnly := !t.evicted.IsZero() && !t.evicted.Before(a.At)
+	if len(t.active) >= t.max {
+		t.dropLate()
+	}
 	switch {
 	case readOnly && len(t.active) >= t.max:
 		return nil, verdictIgnore // no proof that it was not sent
@@ -97,12 +103,26 @@
 		// that would count as proof that it never ran.
 		a.CanRevoke = false
 	}
-	e := &entry{assignment: a, readOnly: readOnly, sent: readOnly, stop: make(chan struct{})}
+	e := &entry{assignment: a, readOnly: readOnly, sent: readOnly, stop: make(chan struct{}), dropped: make(chan struct{})}
 	e.update(a)
 	t.active[ref] = e
 	return e, verdictStart
 }
 
+// dropLate makes space by giving up an attempt that was reported as unknown and
+// is followed only for a late result. Otherwise the attempts on lost hosts
+// would fill the table. It must be called with the mutex held.
+func (t *table) dropLate() {
+	for ref, e := range t.active {
+		if e.late && !e.reported {
+			close(e.dropped)
+			delete(t.active, ref)
+			t.remember(ref, e.assignment.At)
+			return
+		}
+	}
+}
+
 // update takes over the orders of a repeated assignment.
 func (e *entry) update(a model.Assignment) verdict {
 	v := verdictIgnore
@@ -154,7 +174,7 @@
 	return len(t.active)
 }
 
-// setLate marks an attempt as reported unknown: a drain does not wait for it.
+// setLate marks an attempt as reported unknown.
 func (t *table) setLate(e *entry) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -162,6 +182,15 @@
 	t.notify()
 }
 
+// confirm marks the report of an unknown attempt as confirmed: a drain does not
+// wait for it any longer.
+func (t *table) confirm(e *entry) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e.confirmed = true
+	t.notify()
+}
+
 // reported marks the final result as handed to the reporter.
 func (t *table) reported(e *entry) {
 	t.mu.Lock()
