Forward announcements to the leader in batches

Cause: every announcement was one peer call. With 600 hosts the calls were most of a leader's CPU time and a third of its bytes.

Change: an entry host gathers announcements for 50 ms and forwards them in one call; each target still gets its own answer, and a replica that does not lead refuses the whole batch, so that it goes to the leader.

Ruled out: answering a target before the leader has taken its announcement, since the lease would then be granted by a process that may be cut off; a shortcut without a call on the leader's own host, since batches make it unnecessary.

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -271,24 +271,13 @@
 
 // Announce implements target.AnnounceService.
 func (a announcements) Announce(ctx context.Context, m target.Announcement) (time.Duration, error) {
-	leader := a.d.leaders[m.DataCentre]
-	if leader == nil {
+	to := a.d.announcers[m.DataCentre]
+	if to == nil {
 		return 0, &fault.NotFound{Kind: "data centre", Name: m.DataCentre}
 	}
-	request := &peer.AnnounceRequest{Info: m.HostInfo, Usage: m.Usage}
+	request := peer.AnnounceRequest{Info: m.HostInfo, Usage: m.Usage}
 	for _, task := range m.Running {
 		request.Running = append(request.Running, peer.AttemptRef{Key: task.Request, Attempt: task.Attempt})
 	}
-	ctx, cancel := context.WithTimeout(ctx, homeTimeout)
-	defer cancel()
-	var response *peer.AnnounceResponse
-	err := leader.DoIdempotent(ctx, func(h peer.Handler) error {
-		var err error
-		response, err = h.Announce(ctx, request)
-		return err
-	})
-	if err != nil {
-		return 0, err
-	}
-	return time.Duration(response.LeaseMS) * time.Millisecond, nil
+	return to.announce(ctx, request)
 }
--- a/internal/daemon/commands.go
+++ b/internal/daemon/commands.go
@@ -71,13 +71,13 @@
 	return c.ReportAttempts(ctx, r)
 }
 
-// Announce takes a target's announcement.
-func (h handler) Announce(ctx context.Context, r *peer.AnnounceRequest) (*peer.AnnounceResponse, error) {
-	c, err := h.controller(r.Info.DataCentre)
+// Announce takes targets' announcements.
+func (h handler) Announce(ctx context.Context, r *peer.AnnounceBatchRequest) (*peer.AnnounceBatchResponse, error) {
+	c, err := h.controller(r.DataCentre)
 	if err != nil {
 		return nil, err
 	}
-	return c.Announce(ctx, r)
+	return takeAnnouncements(ctx, r.Items, c.Announce)
 }
 
 // HostCommand carries out an operator's order for a host.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -44,6 +44,7 @@
 
 	dialer      peer.Dialer
 	leaders     map[string]*peer.LeaderClient
+	announcers  map[string]*announcer // by data centre
 	sender      *sender
 	region      *regionNode
 	dataCentres map[string]*dataCentreNode
@@ -84,6 +85,7 @@
 		hlc:         hlc.NewClock(cfg.Clock),
 		incarnation: uuid.NewString(),
 		leaders:     make(map[string]*peer.LeaderClient),
+		announcers:  make(map[string]*announcer),
 		dataCentres: make(map[string]*dataCentreNode),
 		events:      event.NewStore(cfg.Settings.Limits.Events),
 		force:       newInForce(),
@@ -122,6 +124,9 @@
 		d.leaders[g.Name] = peer.NewLeaderClient(peer.LeaderConfig{
 			Dialer: d.dialer, Hosts: d.groupHosts(g), Clock: d.clock,
 		})
+		if g.Name != settings.RegionGroup {
+			d.announcers[g.Name] = newAnnouncer(g.Name, d.leaders[g.Name], d.clock)
+		}
 	}
 	d.sender = newSender(d.dialer, d.log)
 	d.targets = target.NewHTTPClient(target.HTTPConfig{
@@ -251,6 +256,9 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { d.sender.run(ctx) })
 	wg.Go(func() { d.followRecords(ctx) })
+	for _, a := range d.announcers {
+		wg.Go(func() { a.run(ctx) })
+	}
 	wg.Go(func() { d.monitorPeers(ctx) })
 	wg.Go(func() { d.dispatcher.Run(ctx) })
 	for _, n := range d.dataCentres {
--- a/internal/e2e/operators_test.go
+++ b/internal/e2e/operators_test.go
@@ -130,5 +130,5 @@
 			}
 		}
 		return behind
-	}).WithTimeout(15 * time.Second).WithPolling(pollEvery).Should(BeEmpty(), "revision %d is not in force", revision)
+	}).WithTimeout(15*time.Second).WithPolling(pollEvery).Should(BeEmpty(), "revision %d is not in force", revision)
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -223,8 +223,8 @@
 	return call[ReportAttemptsRequest, ReportAttemptsResponse](ctx, c, "ReportAttempts", r, 0)
 }
 
-func (c *client) Announce(ctx context.Context, r *AnnounceRequest) (*AnnounceResponse, error) {
-	return call[AnnounceRequest, AnnounceResponse](ctx, c, "Announce", r, 0)
+func (c *client) Announce(ctx context.Context, r *AnnounceBatchRequest) (*AnnounceBatchResponse, error) {
+	return call[AnnounceBatchRequest, AnnounceBatchResponse](ctx, c, "Announce", r, 0)
 }
 
 func (c *client) PullRecords(ctx context.Context, r *PullRecordsRequest) (*PullRecordsResponse, error) {
--- a/internal/peer/handler.go
+++ b/internal/peer/handler.go
@@ -12,7 +12,7 @@
 	CancelRequest(ctx context.Context, r *CancelRequestRequest) (*RequestResponse, error)
 	PullAssignments(ctx context.Context, r *PullAssignmentsRequest) (*PullAssignmentsResponse, error)
 	ReportAttempts(ctx context.Context, r *ReportAttemptsRequest) (*ReportAttemptsResponse, error)
-	Announce(ctx context.Context, r *AnnounceRequest) (*AnnounceResponse, error)
+	Announce(ctx context.Context, r *AnnounceBatchRequest) (*AnnounceBatchResponse, error)
 	PullRecords(ctx context.Context, r *PullRecordsRequest) (*PullRecordsResponse, error)
 	ApplyRecords(ctx context.Context, r *ApplyRecordsRequest) (*ApplyRecordsResponse, error)
 	AckAdoption(ctx context.Context, r *AckAdoptionRequest) (*AckAdoptionResponse, error)
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -4,6 +4,7 @@
 
 import (
 	"agatehaven.dev/agatehaven/internal/event"
+	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/hlc"
 	"agatehaven.dev/agatehaven/internal/model"
 	"agatehaven.dev/agatehaven/internal/replica"
@@ -90,7 +91,26 @@
 // ReportAttemptsResponse confirms that all reports are committed.
 type ReportAttemptsResponse struct{}
 
-// AnnounceRequest forwards a target's announcement to the leader.
+// AnnounceBatchRequest forwards announcements of one data centre's targets.
+type AnnounceBatchRequest struct {
+	DataCentre string            `cbor:"1,keyasint"`
+	Items      []AnnounceRequest `cbor:"2,keyasint"`
+}
+
+// AnnounceBatchResponse holds one result for each item, in their order.
+type AnnounceBatchResponse struct {
+	Results []AnnounceResult `cbor:"1,keyasint"`
+}
+
+// AnnounceResult is the lease granted to a target, or why its announcement
+// was refused.
+type AnnounceResult struct {
+	LeaseMS int64      `cbor:"1,keyasint,omitempty"`
+	Code    fault.Code `cbor:"2,keyasint,omitempty"`
+	Text    string     `cbor:"3,keyasint,omitempty"`
+}
+
+// AnnounceRequest is a target's announcement.
 type AnnounceRequest struct {
 	Info    model.HostInfo `cbor:"1,keyasint"`
 	Running []AttemptRef   `cbor:"2,keyasint"`
