Add the replica that a host runs of the named group

Cause: `replicas add` took the id of the host's first replica, but every group has its own identity on a host's disk. After a lost disk the learner that it added was one that no process runs, and it never caught up. A host that had just restarted without its disk still showed its former id, and the tool added that one again.

Change: the id comes from the status of the named group. A replica that is a member by its own state is refused with the reason. The misleading field replica_id of the status is gone.

The tool's transcript covers a host with replicas of two groups.

--- a/internal/ctl/region_test.go
+++ b/internal/ctl/region_test.go
@@ -193,9 +193,12 @@
 	}
 	return &query.GroupStatuses{
 		Processes: []peer.GroupStatusResponse{
-			{Host: "entry-b1", ReplicaID: "entry-b1#1", Groups: []replica.Status{status("entry-b1", replica.RoleFollower, 39)}},
-			{Host: "entry-a1", ReplicaID: "entry-a1#1", Groups: []replica.Status{status("entry-a1", replica.RoleLeader, 40)}},
-			{Host: "entry-a2", ReplicaID: "entry-a2#2"},
+			{Host: "entry-b1", Groups: []replica.Status{status("entry-b1", replica.RoleFollower, 39)}},
+			{Host: "entry-a1", Groups: []replica.Status{status("entry-a1", replica.RoleLeader, 40)}},
+			{Host: "entry-a2", Groups: []replica.Status{
+				{Group: "region", ID: "entry-a2#7", Role: replica.RoleLearner, Reason: "replica entry-a2#7 is not a member of the group: an operator must add it"},
+				{Group: "dc-a", ID: "entry-a2#2", Role: replica.RoleLearner, Reason: "replica entry-a2#2 is not a member of the group: an operator must add it"},
+			}},
 		},
 		Unreachable: r.entryHosts(),
 	}, nil
--- a/internal/ctl/replicas.go
+++ b/internal/ctl/replicas.go
@@ -147,7 +147,7 @@
 				return &UsageError{Reason: "replicas add needs a group and a host", Next: "add -group GROUP -host HOST"}
 			}
 			if m.ID == "" {
-				id, err := a.replicaID(ctx, m.Host)
+				id, err := a.replicaID(ctx, group, m.Host)
 				if err != nil {
 					return err
 				}
@@ -158,21 +158,32 @@
 	}
 }
 
-// replicaID reads the identity on a host's disk.
-func (a *app) replicaID(ctx context.Context, host string) (string, error) {
+// replicaID reads the identity of the replica that a host runs of a group.
+// Every group has its own identity on the host's disk. A host that has just
+// lost its disk shows its former identity until it hears from the group; that
+// one must not be added again.
+func (a *app) replicaID(ctx context.Context, group, host string) (string, error) {
 	statuses, err := fetch[query.GroupStatuses](ctx, a, "/v1/replicas", nil)
 	if err != nil {
 		return "", err
 	}
+	what := "adding " + host + " to group " + group
 	for i := range statuses.Processes {
 		p := &statuses.Processes[i]
 		if p.Host != host {
 			continue
 		}
-		if p.ReplicaID == "" {
-			return "", &fault.Precondition{What: "adding " + host, Reason: "the host has no disk"}
+		for j := range p.Groups {
+			switch s := &p.Groups[j]; {
+			case s.Group != group:
+			case s.Reason == "":
+				return "", &fault.Precondition{What: what, Reason: "replica " + s.ID +
+					" is a member by its own state; if its disk was lost, it takes a new id once it hears from the group"}
+			default:
+				return s.ID, nil
+			}
 		}
-		return p.ReplicaID, nil
+		return "", &fault.Precondition{What: what, Reason: "the host runs no replica of the group"}
 	}
 	if err := reached(statuses.Unreachable); err != nil {
 		return "", err
--- a/internal/daemon/queries.go
+++ b/internal/daemon/queries.go
@@ -120,9 +120,6 @@
 		out.Groups = append(out.Groups, r.Status())
 	}
 	sort.Slice(out.Groups, func(i, j int) bool { return out.Groups[i].Group < out.Groups[j].Group })
-	if len(out.Groups) > 0 {
-		out.ReplicaID = out.Groups[0].ID
-	}
 	return out, nil
 }
 
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -213,8 +213,6 @@
 type GroupStatusResponse struct {
 	Host   string           `cbor:"1,keyasint" json:"host"`
 	Groups []replica.Status `cbor:"2,keyasint" json:"groups"`
-	// ReplicaID is the identity stored on this host's disk; empty without one.
-	ReplicaID string `cbor:"3,keyasint" json:"replica_id"`
 }
 
 // EventsRequest asks a process for its events. Empty filters match all.
