Search for a leader as long as silent connections need

Cause: when all connections between entry hosts go silent, they are noticed after 3 s and a leader is elected after that. The search for a leader ended after 24 calls, which last 0.6 s with seven hosts. A request whose claim was lost with its connection then ended as unknown, although its home came back 1 or 2 s later. A failed wait for an outcome also ended the caller's wait.

Change: the search may last 5 s; a request that may be claimed is followed until the time of its call is over, and one that is not is refused as not run when the search is over. A failed wait is repeated until the caller's time is over, unless the home itself refuses. The search checks its time before every call: a call that is not sent because the time is over looked like one without an answer, which turned refusals into unknown.

Ruled out: counting an unsent call of an ended context as unavailable in the client, since a cancelled long poll must be reported as cancelled.

The price is that a request for a home that is cut off is refused after up to 5 s instead of about 1 s.

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -20,8 +20,8 @@
 	// ticketPrefix starts a key that names its home data centre.
 	ticketPrefix = "t."
 	// homeTimeout bounds the search for the leader of a key's home. It covers
-	// two election timeouts.
-	homeTimeout = 3 * time.Second
+	// the 3 s in which silent connections are noticed and an election.
+	homeTimeout = 5 * time.Second
 	// awaitSlice is the longest wait of one peer call; longer waits repeat it,
 	// so that a silent connection delays an answer by no more than its margin.
 	awaitSlice = 5 * time.Second
@@ -68,12 +68,19 @@
 
 // claim sends the submission to its home's leader.
 func (d *Daemon) claim(ctx context.Context, home string, r *peer.SubmitRequest) (model.Request, error) {
-	// The time for finding the leader adds to the time of the call itself.
+	// The time for finding the leader adds to the time of the call itself. A
+	// request that may be claimed is worth the whole time, since its outcome
+	// would be unknown; one that is not is refused when the search is over.
+	searchUntil := d.clock.Now().Add(homeTimeout)
 	ctx, cancel := context.WithTimeout(ctx, homeTimeout+time.Duration(r.WaitMS)*time.Millisecond)
 	defer cancel()
 	var response *peer.RequestResponse
 	mayBeClaimed := false
 	err := d.leaders[home].DoIdempotent(ctx, func(h peer.Handler) error {
+		if !mayBeClaimed && d.clock.Now().After(searchUntil) {
+			cancel()
+			return &fault.Unavailable{What: "data centre " + home, Reason: "no leader answered in time"}
+		}
 		var err error
 		response, err = h.Submit(ctx, r)
 		if err != nil && !peer.HadNoEffect(err) {
@@ -141,10 +148,12 @@
 			break
 		}
 		request, err := d.read(ctx, home, last.Key, min(left, awaitSlice))
-		if err != nil {
-			break
+		switch {
+		case err == nil:
+			last = request
+		case peer.IsAnswer(err):
+			return last
 		}
-		last = request
 	}
 	return last
 }
--- a/internal/peer/leader.go
+++ b/internal/peer/leader.go
@@ -13,9 +13,11 @@
 )
 
 const (
-	// DefaultLeaderAttempts bounds the calls of one Do. With three hosts it
-	// covers about two election timeouts.
-	DefaultLeaderAttempts = 24
+	// DefaultLeaderAttempts bounds the calls of one Do. With the seven hosts of
+	// today's region eight calls share one pause, so it covers 5 s: the time in
+	// which a group notices that all its connections are silent and elects a
+	// leader. Most callers bound the time further.
+	DefaultLeaderAttempts = 200
 	// leaderPause separates rounds over all hosts. It is a fraction of the
 	// election timeout of 1 s, so that a new leader is found soon.
 	leaderPause = 200 * time.Millisecond
@@ -65,6 +67,10 @@
 	host, turn, sinceRest := c.remembered(), 0, 0
 	var last error = &fault.Unavailable{What: "group", Reason: "it has no hosts"}
 	for range c.cfg.Attempts {
+		if ctx.Err() != nil {
+			// A call that is not sent must not look like one without an answer.
+			return eris.Wrap(ctx.Err(), last.Error())
+		}
 		if host == "" {
 			if len(c.cfg.Hosts) == 0 {
 				return last
