--- a/internal/e2e/region_test.go
+++ b/internal/e2e/region_test.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -22,8 +23,11 @@
 	. "github.com/onsi/gomega"
 
 	"agatehaven.dev/agatehaven/internal/caller"
+	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/load"
 	"agatehaven.dev/agatehaven/internal/operator/query"
+	"agatehaven.dev/agatehaven/internal/peer"
+	"agatehaven.dev/agatehaven/internal/replica"
 	"agatehaven.dev/agatehaven/internal/testsupport/standin"
 )
 
@@ -69,6 +73,7 @@
 	links  map[[2]string]*link // from, to
 	fleets map[string]*standin.Fleet
 	client *load.Client
+	peers  peer.Dialer
 }
 
 var regionShape = []struct{ name, dataCentre string }{
@@ -95,6 +100,7 @@
 			caller: freeAddress(), target: freeAddress(), operator: freeAddress(), peer: freeAddress(), diagnostics: freeAddress(),
 		})
 	}
+	r.peers = r.directPeers()
 	r.startFleets(change)
 	r.startLinks()
 	for _, h := range r.hosts {
@@ -192,7 +198,7 @@
 	line("[[groups]]\nname = \"dc-b\"\nvoters = [\"entry-b1\", \"entry-b2\"]\nwitnesses = [\"entry-c1\"]")
 	line("[[groups]]\nname = \"dc-c\"\nvoters = [\"entry-c1\", \"entry-c2\"]\nwitnesses = [\"entry-a1\"]")
 	line("[platform]\naddress = %q", r.fleets[h.dataCentre].Control())
-	line("[timing]\nsnapshot_entries = 1000")
+	line("[timing]\nsnapshot_entries = 100")
 	Expect(os.WriteFile(r.settingsFile(h), []byte(b.String()), 0o600)).To(Succeed())
 }
 
@@ -230,6 +236,24 @@
 	}).WithTimeout(readyLimit).WithPolling(pollEvery).Should(Equal(http.StatusOK), h.name)
 }
 
+// waitReached waits until every entry host reaches all others, after restarts
+// or partitions.
+func (r *region) waitReached() {
+	GinkgoHelper()
+	for _, h := range r.hosts {
+		r.waitReady(h)
+	}
+	for _, h := range r.hosts {
+		Eventually(func() error {
+			status, err := get[query.Status](h, "/v1/status")
+			if err == nil && len(status.Unreachable) > 0 {
+				err = &fault.Unavailable{What: strings.Join(status.Unreachable, ", "), Reason: "not reached from " + h.name}
+			}
+			return err
+		}).WithTimeout(settleLimit).WithPolling(pollEvery).Should(Succeed())
+	}
+}
+
 // signal sends a signal to the daemon of a host.
 func (r *region) signal(h *host, s syscall.Signal) {
 	GinkgoHelper()
@@ -259,7 +283,7 @@
 	if CurrentSpecReport().Failed() {
 		for _, h := range r.hosts {
 			log, _ := os.ReadFile(filepath.Join(r.folder, h.name+".log"))
-			fmt.Fprintf(GinkgoWriter, "--- log of %s\n%s", h.name, log)
+			GinkgoWriter.Printf("--- log of %s\n%s", h.name, log)
 		}
 	}
 }
@@ -352,29 +376,28 @@
 	return n
 }
 
-// leader returns the host that leads a group, as seen by any reachable host.
+// leader returns the host that leads a group in the highest term that the
+// processes report.
 func (r *region) leader(group string) *host {
 	GinkgoHelper()
-	var name string
-	Eventually(func() string {
-		name = ""
-		for _, h := range r.hosts {
-			statuses, err := get[query.GroupStatuses](h, "/v1/replicas")
-			if err != nil {
-				continue
-			}
-			for _, p := range statuses.Processes {
-				for _, g := range p.Groups {
-					if g.Group == group && g.Role == "leader" {
-						name = p.Host
-					}
-				}
+	var leader *host
+	Eventually(func() *host {
+		statuses := make([]*replica.Status, len(r.hosts))
+		var wg sync.WaitGroup
+		for i, h := range r.hosts {
+			wg.Go(func() { statuses[i] = r.status(h, group) })
+		}
+		wg.Wait()
+		leader = nil
+		term := uint64(0)
+		for i, s := range statuses {
+			if s != nil && s.Role == replica.RoleLeader && s.Term > term {
+				leader, term = r.hosts[i], s.Term
 			}
-			break
 		}
-		return name
-	}).WithTimeout(settleLimit).WithPolling(pollEvery).ShouldNot(BeEmpty())
-	return r.host(name)
+		return leader
+	}).WithTimeout(settleLimit).WithPolling(pollEvery).ShouldNot(BeNil())
+	return leader
 }
 
 // runs counts how often a request ran on any target.
--- /dev/null
+++ b/internal/e2e/silence_test.go
@@ -0,0 +1,98 @@
+package e2e_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatehaven.dev/agatehaven/internal/caller"
+)
+
+// silenceAll makes every open connection between entry hosts silent for ever.
+func (r *region) silenceAll() {
+	for _, l := range r.links {
+		l.silence()
+	}
+}
+
+// answered is one request of a stream with its whole time.
+type answered struct {
+	key      string
+	body     caller.Body
+	response caller.Response
+	err      error
+	took     time.Duration
+}
+
+// stream sends requests one after the other from several callers, through all
+// entry hosts in turn, until stop is closed.
+func (r *region) stream(prefix string, callers int, kinds []string, run time.Duration, stop <-chan struct{}) func() []answered {
+	var (
+		mu  sync.Mutex
+		out []answered
+		n   atomic.Int64
+		wg  sync.WaitGroup
+	)
+	for range callers {
+		wg.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				i := int(n.Add(1))
+				a := answered{key: fmt.Sprintf("%s-%d", prefix, i), body: body(kinds[i%len(kinds)], run)}
+				a.body.Payload = fmt.Appendf(nil, `{"run_ms":%d,"part":"%d"}`, run.Milliseconds(), i)
+				begun := time.Now()
+				a.response, _, a.err = r.client.Send(context.Background(), r.client.Entry(i), a.key, a.body)
+				a.took = time.Since(begun)
+				mu.Lock()
+				out = append(out, a)
+				mu.Unlock()
+			}
+		})
+	}
+	return func() []answered {
+		wg.Wait()
+		return out
+	}
+}
+
+func silenceCases(shared func() *region) {
+	It("delay no answer beyond 10 s and repeat no run", func() {
+		// Guards against a call, a long poll or a replicated log that waits for
+		// ever on an established connection that gives nothing any more, and
+		// against a second run after such a wait.
+		r := shared()
+		stop := make(chan struct{})
+		finish := r.stream("quiet", 24, []string{"plotter_order", "proof", "draw"}, 100*time.Millisecond, stop)
+		before := r.totalRuns()
+		for range 2 {
+			Eventually(r.totalRuns).WithTimeout(settleLimit).Should(BeNumerically(">=", before+60))
+			r.silenceAll()
+			// Requests flow again, so the next round meets new connections.
+			before = r.totalRuns() + 60
+		}
+		Eventually(r.totalRuns).WithTimeout(settleLimit).Should(BeNumerically(">=", before+60))
+		close(stop)
+		slowest := time.Duration(0)
+		list := finish()
+		for _, a := range list {
+			Expect(a.err).NotTo(HaveOccurred(), a.key)
+			expectOwnAnswer(a.key, a.body.Payload, a.response)
+			Expect(a.took).To(BeNumerically("<", 10*time.Second), a.key)
+			if a.body.Kind != "proof" {
+				Expect(r.runs(a.key)).To(Equal(1), a.key)
+			}
+			slowest = max(slowest, a.took)
+		}
+		GinkgoWriter.Printf("requests=%d slowest=%s\n", len(list), slowest)
+		Expect(slowest).To(BeNumerically(">", time.Second), "the silence met no request")
+	})
+}
--- a/internal/testsupport/standin/faults.go
+++ b/internal/testsupport/standin/faults.go
@@ -36,6 +36,9 @@
 	DelayMS int64 `json:"delay_ms,omitempty"`
 	// Mute stops the announcements.
 	Mute bool `json:"mute,omitempty"`
+	// MuteAfterReboot sets Mute at the next reboot, like a host that does not
+	// come back.
+	MuteAfterReboot bool `json:"mute_after_reboot,omitempty"`
 }
 
 // silentConn can go silent: what it receives is dropped and what it sends is
--- a/internal/testsupport/standin/target.go
+++ b/internal/testsupport/standin/target.go
@@ -82,6 +82,7 @@
 		return
 	}
 	t.down = true
+	t.faults.Mute = t.faults.Mute || t.faults.MuteAfterReboot
 	server, tasks := t.server, t.tasks
 	t.tasks = map[ref]*task{}
 	t.revoked = map[ref]bool{}
