--- a/internal/e2e/durability_test.go
+++ b/internal/e2e/durability_test.go
@@ -22,6 +22,8 @@
 // every replica has a snapshot and entries after it.
 const manyChanges = 300
 
+var durableKinds = []string{"plotter_order", "draw", "proof"}
+
 // pools returns the pool of every host.
 func (r *region) pools(h *host) map[string]string {
 	GinkgoHelper()
@@ -52,12 +54,14 @@
 	}
 }
 
-// finished sends requests and expects all of them to be done.
-func (r *region) finished(n int, prefix string, b func(i int) string) (list []sent) {
+// finished sends requests of all durableKinds, n in all, through the given
+// entry hosts and expects them to be done. The result is ordered by kind.
+func (r *region) finished(n int, prefix string, entries []string) (list []sent) {
 	GinkgoHelper()
-	for i, kind := range []string{b(0), b(1), b(2)} {
-		for _, s := range r.sendMany(n/3, fmt.Sprintf("%s-%s", prefix, kind), body(kind, 20*time.Millisecond), r.callers(), nil) {
-			Expect(s.err).NotTo(HaveOccurred(), "%d %s", i, s.key)
+	for _, kind := range durableKinds {
+		b := body(kind, 20*time.Millisecond)
+		for _, s := range r.sendMany(n/len(durableKinds), prefix+"-"+kind, b, entries, nil) {
+			Expect(s.err).NotTo(HaveOccurred(), s.key)
 			Expect(s.response.Outcome).To(Equal(model.OutcomeDone), "%s: %s", s.key, s.response.Reason)
 			list = append(list, s)
 		}
@@ -80,10 +84,6 @@
 	}
 }
 
-var durableKinds = []string{"plotter_order", "draw", "proof"}
-
-func durableKind(i int) string { return durableKinds[i] }
-
 var _ = Describe("Durable state", Ordered, ContinueOnFailure, func() {
 	var r *region
 	BeforeAll(func() { r = startRegion(nil) })
@@ -94,7 +94,7 @@
 		r.ctl("move", "-reason", "test", "dc-a-t06", "proofs")
 		Eventually(func() string { return r.pools(r.hosts[1])["dc-a-t06"] }).WithTimeout(settleLimit).Should(Equal("proofs"))
 		r.changeMany(r.host("entry-b1"), manyChanges)
-		list := r.finished(manyChanges, "durable", durableKind)
+		list := r.finished(manyChanges, "durable", r.callers())
 		records, pools := r.records(r.hosts[1]), r.pools(r.hosts[1])
 		watch := r.sampleRevisions()
 		r.expectInForce(records.Revision)
@@ -122,7 +122,7 @@
 		// Guards against a replica that votes under its old id without its
 		// former state, and against a repair that leaves too few copies.
 		watch := r.sampleRevisions()
-		list := r.finished(60, "before", durableKind)
+		list := r.finished(60, "before", r.callers())
 		lost, second := r.host("entry-a1"), r.host("entry-a2")
 		r.loseDisk(lost)
 		r.kill(second)
@@ -145,14 +145,14 @@
 		for _, group := range []string{"region", "dc-c"} {
 			r.replaceReplica(lost, group)
 		}
-		after := r.finished(60, "after", durableKind)
+		after := r.finished(60, "after", r.callers())
 		Eventually(func() bool { return r.applied(lost, "dc-a") >= r.applied(r.leader("dc-a"), "dc-a") }).
 			WithTimeout(settleLimit).WithPolling(pollEvery).Should(BeTrue(), "the new replica catches up")
 		third := r.host("entry-a3")
 		r.kill(third)
 		r.expectKept(list, r.callers(third.name))
 		r.expectKept(after, r.callers(third.name))
-		r.finished(30, "without-third", durableKind)
+		r.finished(30, "without-third", r.callers(third.name))
 		r.start(third)
 		r.waitReady(third)
 		watch.expectNone(r.names(), 20)
--- a/internal/e2e/region_test.go
+++ b/internal/e2e/region_test.go
@@ -23,6 +23,7 @@
 	. "github.com/onsi/gomega"
 
 	"agatehaven.dev/agatehaven/internal/caller"
+	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/load"
 	"agatehaven.dev/agatehaven/internal/operator/query"
 	"agatehaven.dev/agatehaven/internal/peer"
@@ -235,6 +236,24 @@
 	}).WithTimeout(readyLimit).WithPolling(pollEvery).Should(Equal(http.StatusOK), h.name)
 }
 
+// waitReached waits until every entry host reaches all others, after restarts
+// or partitions.
+func (r *region) waitReached() {
+	GinkgoHelper()
+	for _, h := range r.hosts {
+		r.waitReady(h)
+	}
+	for _, h := range r.hosts {
+		Eventually(func() error {
+			status, err := get[query.Status](h, "/v1/status")
+			if err == nil && len(status.Unreachable) > 0 {
+				err = &fault.Unavailable{What: strings.Join(status.Unreachable, ", "), Reason: "not reached from " + h.name}
+			}
+			return err
+		}).WithTimeout(settleLimit).WithPolling(pollEvery).Should(Succeed())
+	}
+}
+
 // signal sends a signal to the daemon of a host.
 func (r *region) signal(h *host, s syscall.Signal) {
 	GinkgoHelper()
@@ -264,7 +283,7 @@
 	if CurrentSpecReport().Failed() {
 		for _, h := range r.hosts {
 			log, _ := os.ReadFile(filepath.Join(r.folder, h.name+".log"))
-			_, _ = fmt.Fprintf(GinkgoWriter, "--- log of %s\n%s", h.name, log)
+			GinkgoWriter.Printf("--- log of %s\n%s", h.name, log)
 		}
 	}
 }
