Keep the replica tests in step with their manual clock

Change: the clock advances only once every replica waits for its next tick and no message is under way; the transfer test no longer advances it at all.

--- a/internal/replica/harness_test.go
+++ b/internal/replica/harness_test.go
@@ -7,6 +7,7 @@
 	"path"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,8 +26,9 @@
 }
 
 const (
-	tick    = 100 * time.Millisecond
-	patient = 30 * time.Second
+	tick         = 100 * time.Millisecond
+	patient      = 30 * time.Second
+	pollInterval = 300 * time.Microsecond
 )
 
 // journal is a state machine that remembers the entries in order.
@@ -73,6 +75,7 @@
 	mu      sync.Mutex
 	running map[string]*replica.Replica
 	cut     map[string]bool // hosts without network
+	sent    atomic.Int64
 	disks   map[string]*faultfs.FS
 	states  map[string]*journal
 	gate    chan struct{}
@@ -86,6 +89,7 @@
 }
 
 func (t transport) Send(host, _ string, messages []byte) {
+	t.c.sent.Add(1)
 	t.c.mu.Lock()
 	target := t.c.running[host]
 	if t.c.cut[host] || t.c.cut[t.from] {
@@ -174,13 +178,45 @@
 	c.cut[host] = isolated
 }
 
-// until advances the clock tick by tick until the condition holds.
+// until advances the clock tick by tick until the condition holds. A tick
+// comes only after all replicas have handled the last one and their messages
+// have been delivered, so that a slow machine does not look like a lost leader.
 func (c *cluster) until(what string, condition func() bool) {
 	GinkgoHelper()
-	Eventually(func() bool {
+	deadline := time.Now().Add(patient)
+	for !condition() {
+		Expect(time.Now().Before(deadline)).To(BeTrue(), what)
 		c.clock.Advance(tick)
-		return condition()
-	}).WithTimeout(patient).WithPolling(time.Millisecond).Should(BeTrue(), what)
+		c.settle(deadline)
+	}
+}
+
+// settle waits until every running replica waits for its next tick and no
+// message was sent for several polls.
+func (c *cluster) settle(deadline time.Time) {
+	const quietPolls = 4
+	last := int64(-1)
+	for quiet := 0; quiet < quietPolls && time.Now().Before(deadline); quiet++ {
+		if sent := c.sent.Load(); c.clock.Waiters() < c.alive() || sent != last {
+			last, quiet = sent, 0
+		}
+		<-time.After(pollInterval)
+	}
+}
+
+// alive returns the number of replicas that have not stopped.
+func (c *cluster) alive() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, r := range c.running {
+		select {
+		case <-r.Done():
+		default:
+			n++
+		}
+	}
+	return n
 }
 
 // leader waits for a leader that can commit and returns its host.
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -205,9 +205,15 @@
 		l := c.leader(three...)
 		term := c.running[l].Status().Term
 		Expect(c.running[l].TransferLeadership(context.Background())).To(Succeed())
-		next := c.leader(three...)
-		Expect(next).NotTo(Equal(l))
-		Expect(c.running[next].Status().Term).To(Equal(term + 1))
+		// The clock stands still, so no election timeout passes.
+		Eventually(func() (terms []uint64) {
+			for _, h := range three {
+				if s := c.running[h].Status(); h != l && s.Role == replica.RoleLeader {
+					terms = append(terms, s.Term)
+				}
+			}
+			return terms
+		}).WithTimeout(patient).Should(Equal([]uint64{term + 1}))
 	})
 
 	It("works as a group of one, with entry times that increase", func() {
