Make the tests of report batches independent of timing

Cause: with the repetition of reports or the split of batches disabled, the test failed in one run and passed in another, since it depended on how reports fell into batches. Change: one test for each, with the batch forced by a held first call.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -12,6 +12,7 @@
 
 	"agatehaven.dev/agatehaven/internal/clock"
 	"agatehaven.dev/agatehaven/internal/dispatch"
+	"agatehaven.dev/agatehaven/internal/event"
 	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/hlc"
 	"agatehaven.dev/agatehaven/internal/model"
@@ -46,13 +47,16 @@
 
 func (l *fakeLeader) ReportAttempts(_ context.Context, r *peer.ReportAttemptsRequest) (*peer.ReportAttemptsResponse, error) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.calls++
+	calls := l.calls
+	l.mu.Unlock()
 	if l.reject != nil {
-		if err := l.reject(l.calls, r.Reports); err != nil {
+		if err := l.reject(calls, r.Reports); err != nil {
 			return nil, err
 		}
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.reports = append(l.reports, r.Reports...)
 	return &peer.ReportAttemptsResponse{}, nil
 }
@@ -108,6 +112,29 @@
 	Eventually(l.pulled).Should(BeNumerically(">", seen+1))
 }
 
+// recorder keeps the kinds of events.
+type recorder struct {
+	mu    sync.Mutex
+	kinds []event.Kind
+}
+
+func (r *recorder) Record(e event.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.kinds = append(r.kinds, e.Kind)
+}
+
+func (r *recorder) count(kind event.Kind) (n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, k := range r.kinds {
+		if k == kind {
+			n++
+		}
+	}
+	return n
+}
+
 // fakeTarget answers from functions and counts calls by request.
 type fakeTarget struct {
 	mu      sync.Mutex
@@ -357,13 +384,28 @@
 		Expect(t.started("c")).To(Equal(1))
 	})
 
-	It("sends reports again until they are confirmed and drops only a rejected one", func() {
-		// Guards against a result lost with its confirmation, and against one
-		// bad report that holds back all others.
-		l.reject = func(calls int, reports []model.AttemptReport) error {
+	It("sends a report again until it is confirmed", func() {
+		// Guards against a result that is lost with its confirmation.
+		l.reject = func(calls int, _ []model.AttemptReport) error {
 			if calls == 1 {
 				return &fault.SilentConnection{}
 			}
+			return nil
+		}
+		l.assign(assignment("a"))
+		run(l, t)
+		Eventually(l.states("a")).Should(HaveLen(1))
+	})
+
+	It("drops only the report that the leader rejects", func() {
+		// Guards against one bad report that holds back or takes along the
+		// others of its batch.
+		entered, release := make(chan struct{}), make(chan struct{})
+		l.reject = func(calls int, reports []model.AttemptReport) error {
+			if calls == 1 {
+				close(entered)
+				<-release
+			}
 			for _, r := range reports {
 				if r.Key == "bad" {
 					return &fault.Invalid{Field: "key"}
@@ -371,12 +413,19 @@
 			}
 			return nil
 		}
-		l.assign(assignment("a"), assignment("bad"), assignment("b"))
-		d := run(l, t)
-		Eventually(l.states("a")).Should(HaveLen(1))
-		Eventually(l.states("b")).Should(HaveLen(1))
+		events := &recorder{}
+		d := run(l, t, func(c *dispatch.Config) { c.Events = events })
+		l.assign(assignment("first"))
+		Eventually(entered).Should(BeClosed())
+		l.assign(assignment("bad"), assignment("b"), assignment("c"))
+		Eventually(func() int { return events.count(dispatch.EventEnded) }).Should(Equal(4))
+		close(release)
+		for _, key := range []string{"first", "b", "c"} {
+			Eventually(l.states(key)).Should(HaveLen(1))
+		}
 		Eventually(d.InHand).Should(BeZero())
 		Expect(l.states("bad")()).To(BeEmpty())
+		Expect(events.count(dispatch.EventReportFailed)).To(Equal(1))
 	})
 })
 
