--- a/internal/e2e/wave_test.go
+++ b/internal/e2e/wave_test.go
@@ -117,7 +117,7 @@
 		Eventually(func() []string { return r.unfinished("first") }).
 			WithTimeout(readyLimit).WithPolling(pollEvery).Should(BeEmpty())
 		r.start(leader)
-		r.waitReady(leader)
+		r.waitReached()
 
 		for i, t := range r.fleets["dc-a"].Targets() {
 			if i%6 == 1 { // pool plotters
@@ -145,6 +145,6 @@
 		}
 		Expect(len(orders)).To(BeNumerically(">", 200))
 		watch.expectNone([]string{"dc-a", "dc-b", "dc-c"}, 50)
-		fmt.Fprintf(GinkgoWriter, "orders=%d samples=%v\n", len(orders), watch.samples)
+		GinkgoWriter.Printf("orders=%d samples=%v\n", len(orders), watch.samples)
 	})
 })
--- a/internal/peer/leader.go
+++ b/internal/peer/leader.go
@@ -67,6 +67,10 @@
 	host, turn, sinceRest := c.remembered(), 0, 0
 	var last error = &fault.Unavailable{What: "group", Reason: "it has no hosts"}
 	for range c.cfg.Attempts {
+		if ctx.Err() != nil {
+			// A call that is not sent must not look like one without an answer.
+			return eris.Wrap(ctx.Err(), last.Error())
+		}
 		if host == "" {
 			if len(c.cfg.Hosts) == 0 {
 				return last
