--- a/internal/testsupport/standin/standin_test.go
+++ b/internal/testsupport/standin/standin_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -102,4 +104,37 @@
 		fleet.Targets()[0].Drain(true)
 		Eventually(func() bool { return (<-got).Leaving }).Should(BeTrue())
 	})
+
+	It("numbers targets after others and gives each its own connection", func() {
+		// Guards against a measured entry host that serves a few connections
+		// where a real fleet has one for each host.
+		var mu sync.Mutex
+		connections := map[string]string{} // by host
+		entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			var a target.Announcement
+			if json.NewDecoder(r.Body).Decode(&a) == nil {
+				mu.Lock()
+				connections[a.Name] = r.RemoteAddr
+				mu.Unlock()
+			}
+			_, _ = w.Write([]byte(`{"lease_ms":5000}`))
+		}))
+		DeferCleanup(entry.Close)
+		start(standin.Config{
+			Targets: 3, First: 18, DataCentre: "dc1", AnnounceEvery: 5 * time.Millisecond, Separate: true,
+			EntryHosts: []string{strings.TrimPrefix(entry.URL, "http://")},
+		})
+		Eventually(func() map[string]string {
+			mu.Lock()
+			defer mu.Unlock()
+			return maps.Clone(connections)
+		}).Should(And(HaveKey("dc1-t19"), HaveKey("dc1-t20"), HaveKey("dc1-t21")))
+		mu.Lock()
+		defer mu.Unlock()
+		distinct := map[string]bool{}
+		for _, c := range connections {
+			distinct[c] = true
+		}
+		Expect(distinct).To(HaveLen(3))
+	})
 })
