--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -244,6 +244,15 @@
 		Expect(sender.keys).To(Equal([]string{"k1", "k1"}))
 	})
 
+	It("reports only what was sent when it is interrupted", func() {
+		// Guards against requests that count as sent although they were not.
+		runner.Plan = Plan{Seed: 1, PerSecond: 10, For: time.Second, Mix: DefaultMix()}
+		sender.replies = append(sender.replies, finished(model.OutcomeDone))
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		Expect(runner.Run(ctx)).To(BeEmpty())
+	})
+
 	It("takes no refusal for an answer once an earlier call may have had an effect", func() {
 		// Guards against a false alarm: a later refusal says nothing about the
 		// first call, so the outcome is unknown and not "did not run".
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -53,6 +53,7 @@
 	var wg sync.WaitGroup
 	for i, a := range arrivals {
 		if !r.wait(ctx, start.Add(a.At).Sub(r.Clock.Now())) {
+			results = results[:i]
 			break
 		}
 		wg.Go(func() { results[i] = r.one(ctx, a, fmt.Sprintf("%s%d", prefix, i), start.Add(a.At), uint64(i)) })
