Merge httpjson into httpapi

Cause: both packages decoded bounded JSON bodies and mapped typed errors to HTTP statuses, and they differed in details: connection_lost was 500 for operators and 504 for callers, and only callers got the effect of a failure.

Change: internal/httpapi serves the callers', targets' and operators' APIs, agatehavenctl and the load tool. A failure body has code, message and effect; operators' bodies had code and error before. Responses choose a status through go-kit's StatusCoder instead of an interface of this project. Where the two differed: - a body above its limit is 413, also when it is not valid JSON (as for callers before); - connection_lost is 504 for operators too; - an exceeded context deadline is 504 timeout for callers and targets too; - a cancelled context is 500 internal with an unknown effect (as for callers before; it was 503 unavailable for operators); - operators' responses have a Content-Length.

Tests: the operators' body is still compared as a whole, with message for error and with the effect.

Ruled out: 503 for a cancelled context. A client takes it for a call without effect, but a command may be committed after its context is cancelled.

--- a/internal/caller/http.go
+++ b/internal/caller/http.go
@@ -12,7 +12,7 @@
 	kithttp "github.com/go-kit/kit/transport/http"
 
 	"agatehaven.dev/agatehaven/internal/fault"
-	"agatehaven.dev/agatehaven/internal/httpjson"
+	"agatehaven.dev/agatehaven/internal/httpapi"
 	"agatehaven.dev/agatehaven/internal/model"
 )
 
@@ -65,16 +65,16 @@
 	status int
 }
 
-// HTTPStatus implements httpjson.Status.
-func (r Response) HTTPStatus() int { return r.status }
+// StatusCode implements kithttp.StatusCoder.
+func (r Response) StatusCode() int { return r.status }
 
 // Ticket is the JSON response of POST /v1/tickets.
 type Ticket struct {
 	Key string `json:"key"`
 }
 
-// HTTPStatus implements httpjson.Status.
-func (Ticket) HTTPStatus() int { return http.StatusCreated }
+// StatusCode implements kithttp.StatusCoder.
+func (Ticket) StatusCode() int { return http.StatusCreated }
 
 // NewHandler returns the HTTP handler of the callers' listener.
 func NewHandler(svc Service, opts Options) http.Handler {
@@ -83,8 +83,8 @@
 	}
 	mux := http.NewServeMux()
 	route := func(pattern string, e endpoint.Endpoint, dec kithttp.DecodeRequestFunc) {
-		mux.Handle(pattern, kithttp.NewServer(e, dec, httpjson.EncodeResponse,
-			kithttp.ServerErrorEncoder(httpjson.EncodeError)))
+		mux.Handle(pattern, kithttp.NewServer(e, dec, httpapi.EncodeResponse,
+			kithttp.ServerErrorEncoder(httpapi.EncodeError)))
 	}
 	route("POST /v1/tickets", ready(svc)(ticketEndpoint(svc)), kithttp.NopRequestDecoder)
 	route("POST /v1/requests", ready(svc)(submitEndpoint(svc)), decodeSubmission(opts))
@@ -178,7 +178,7 @@
 	limit := int64(opts.MaxPayloadBytes)/3*4 + bodyOverhead
 	return func(_ context.Context, r *http.Request) (any, error) {
 		var b Body
-		if err := httpjson.Decode(r, limit, &b); err != nil {
+		if err := httpapi.Decode(r, limit, &b); err != nil {
 			return nil, err
 		}
 		key, err := checkKey(r.Header.Get("Idempotency-Key"))
--- a/internal/caller/http_test.go
+++ b/internal/caller/http_test.go
@@ -16,7 +16,7 @@
 
 	"agatehaven.dev/agatehaven/internal/caller"
 	"agatehaven.dev/agatehaven/internal/fault"
-	"agatehaven.dev/agatehaven/internal/httpjson"
+	"agatehaven.dev/agatehaven/internal/httpapi"
 	"agatehaven.dev/agatehaven/internal/model"
 )
 
@@ -116,23 +116,23 @@
 
 	DescribeTable("maps errors to status codes and tells the effect of the call",
 		// Guards against a caller that takes an unknown effect for none.
-		func(err error, status int, effect httpjson.Effect) {
+		func(err error, status int, effect httpapi.Effect) {
 			svc.err = err
 			resp, data := send(http.MethodPost, "/v1/requests", "k/1", body)
 			Expect(resp.StatusCode).To(Equal(status))
-			var f httpjson.Failure
+			var f httpapi.Failure
 			Expect(json.Unmarshal(data, &f)).To(Succeed())
-			Expect(f).To(Equal(httpjson.Failure{Code: fault.CodeOf(err), Message: err.Error(), Effect: effect}))
+			Expect(f).To(Equal(httpapi.Failure{Code: fault.CodeOf(err), Message: err.Error(), Effect: effect}))
 		},
-		Entry(nil, &fault.KeyReused{Key: "k"}, 409, httpjson.EffectNone),
-		Entry(nil, &fault.NotFound{Kind: "job kind", Name: "x"}, 404, httpjson.EffectNone),
-		Entry(nil, &fault.LimitExceeded{What: "queue", Limit: 1}, 429, httpjson.EffectNone),
-		Entry(nil, &fault.Unavailable{What: "group"}, 503, httpjson.EffectNone),
-		Entry(nil, &fault.NotLeader{Group: "g"}, 503, httpjson.EffectNone),
-		Entry(nil, &fault.ProposalUnknown{Group: "g"}, 504, httpjson.EffectUnknown),
-		Entry(nil, &fault.SilentConnection{Address: "a"}, 504, httpjson.EffectUnknown),
-		Entry(nil, &fault.ConnectionLost{Address: "a"}, 504, httpjson.EffectUnknown),
-		Entry(nil, &fault.Remote{RemoteCode: fault.CodeInternal, Text: "x"}, 500, httpjson.EffectUnknown),
+		Entry(nil, &fault.KeyReused{Key: "k"}, 409, httpapi.EffectNone),
+		Entry(nil, &fault.NotFound{Kind: "job kind", Name: "x"}, 404, httpapi.EffectNone),
+		Entry(nil, &fault.LimitExceeded{What: "queue", Limit: 1}, 429, httpapi.EffectNone),
+		Entry(nil, &fault.Unavailable{What: "group"}, 503, httpapi.EffectNone),
+		Entry(nil, &fault.NotLeader{Group: "g"}, 503, httpapi.EffectNone),
+		Entry(nil, &fault.ProposalUnknown{Group: "g"}, 504, httpapi.EffectUnknown),
+		Entry(nil, &fault.SilentConnection{Address: "a"}, 504, httpapi.EffectUnknown),
+		Entry(nil, &fault.ConnectionLost{Address: "a"}, 504, httpapi.EffectUnknown),
+		Entry(nil, &fault.Remote{RemoteCode: fault.CodeInternal, Text: "x"}, 500, httpapi.EffectUnknown),
 	)
 
 	It("takes no new requests while it is not ready, but still answers", func() {
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -212,12 +212,12 @@
 }
 
 func remoteError(status int, data []byte) error {
-	var body httpapi.Error
+	var body httpapi.Failure
 	if json.Unmarshal(data, &body) != nil || body.Code == "" {
 		return &fault.Remote{
 			RemoteCode: fault.CodeInternal,
 			Text:       fmt.Sprintf("unexpected response with status %d; is this an operator address?", status),
 		}
 	}
-	return &fault.Remote{RemoteCode: body.Code, Text: body.Text}
+	return &fault.Remote{RemoteCode: body.Code, Text: body.Message}
 }
--- a/internal/e2e/operators_test.go
+++ b/internal/e2e/operators_test.go
@@ -63,7 +63,7 @@
 		return applied{err: err}
 	}
 	if response.StatusCode != http.StatusOK {
-		var refusal httpapi.Error
+		var refusal httpapi.Failure
 		err := json.Unmarshal(answer, &refusal)
 		return applied{code: refusal.Code, err: err}
 	}
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -1,8 +1,11 @@
-// Package httpapi holds what the HTTP JSON APIs share: the encoding of typed
-// failures and the bounded decoding of bodies.
+// Package httpapi holds what the HTTP JSON APIs share: bounded decoding of
+// bodies, complete responses with their length, and the mapping of typed
+// errors to status codes and failure bodies. Its functions fit go-kit's HTTP
+// transport.
 package httpapi
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -10,100 +13,141 @@
 	"net/http"
 	"strconv"
 
+	kithttp "github.com/go-kit/kit/transport/http"
+
 	"agatehaven.dev/agatehaven/internal/fault"
 )
 
-// retryAfterSeconds is the advice given with failures that pass by
-// themselves; one election timeout is 1 s.
+// retryAfterSeconds is sent with refusals that may pass soon. A new leader is
+// elected within about one second.
 const retryAfterSeconds = 1
 
-// bodyName is the What of the *fault.LimitExceeded for a large body.
-const bodyName = "request body"
+// Effect tells what a failed call did.
+type Effect string
+
+// Effects of a failed call. EffectNone says nothing about earlier calls with
+// the same key.
+const (
+	EffectNone    Effect = "none"
+	EffectUnknown Effect = "unknown"
+)
 
-// Error is the body of every response that reports a failure.
-type Error struct {
-	Code fault.Code `json:"code"`
-	Text string     `json:"error"`
+// Failure is the JSON body of every error response.
+type Failure struct {
+	Code    fault.Code `json:"code"`
+	Message string     `json:"message"`
+	Effect  Effect     `json:"effect"`
 }
 
-// EncodeError writes err as its HTTP status and an Error body. It has the
-// form of go-kit's ErrorEncoder.
-func EncodeError(_ context.Context, err error, w http.ResponseWriter) {
-	code, status := classify(err)
-	w.Header().Set("Content-Type", "application/json; charset=utf-8")
-	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-		w.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds))
+// bodyTooLarge is a *fault.LimitExceeded of the request body.
+type bodyTooLarge struct{ fault.LimitExceeded }
+
+// Decode reads the body of r into v. It returns *fault.Invalid for anything
+// but exactly one JSON document without unknown fields, so that a misspelt
+// field of a command is not silently ignored. An error with the code
+// fault.CodeLimitExceeded reports a body above limit bytes.
+func Decode(r *http.Request, limit int64, v any) error { return decode(r, limit, v, true) }
+
+// DecodeTolerant is Decode for messages of other programs, which may be newer
+// than this one: it ignores unknown fields.
+func DecodeTolerant(r *http.Request, limit int64, v any) error { return decode(r, limit, v, false) }
+
+func decode(r *http.Request, limit int64, v any, strict bool) error {
+	data, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return &fault.Invalid{Field: "body", Reason: err.Error()}
 	}
-	w.WriteHeader(status)
-	// A failed write means that the client has gone; nobody is left to tell.
-	_ = json.NewEncoder(w).Encode(Error{Code: code, Text: err.Error()})
+	if int64(len(data)) > limit {
+		return &bodyTooLarge{fault.LimitExceeded{What: "request body", Limit: limit}}
+	}
+	d := json.NewDecoder(bytes.NewReader(data))
+	allowed := "one JSON document"
+	if strict {
+		d.DisallowUnknownFields()
+		allowed = "one JSON document with known fields"
+	}
+	if err := d.Decode(v); err != nil {
+		return &fault.Invalid{Field: "body", Reason: err.Error(), Allowed: allowed}
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return &fault.Invalid{Field: "body", Reason: "data after the JSON document", Allowed: allowed}
+	}
+	return nil
 }
 
-// Status returns the HTTP status of err.
-func Status(err error) int {
-	_, status := classify(err)
-	return status
+// EncodeResponse writes v as a complete JSON response with Content-Length.
+// The status is 200 unless v implements kithttp.StatusCoder.
+func EncodeResponse(_ context.Context, w http.ResponseWriter, v any) error {
+	status := http.StatusOK
+	if s, ok := v.(kithttp.StatusCoder); ok {
+		status = s.StatusCode()
+	}
+	write(w, status, v)
+	return nil
 }
 
-func classify(err error) (fault.Code, int) {
-	var coded fault.Coded
-	if !errors.As(err, &coded) {
-		switch {
-		case errors.Is(err, context.DeadlineExceeded):
-			return fault.CodeTimeout, http.StatusGatewayTimeout
-		case errors.Is(err, context.Canceled):
-			return fault.CodeUnavailable, http.StatusServiceUnavailable
-		}
-		return fault.CodeInternal, http.StatusInternalServerError
-	}
-	var limit *fault.LimitExceeded
-	if errors.As(err, &limit) && limit.What == bodyName {
-		return limit.Code(), http.StatusRequestEntityTooLarge
+// EncodeError writes err as a Failure with the status of its code. It is a
+// kithttp.ErrorEncoder.
+func EncodeError(_ context.Context, err error, w http.ResponseWriter) {
+	status := Status(err)
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		w.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds))
 	}
-	return coded.Code(), statusOf(coded.Code())
+	write(w, status, Failure{Code: codeOf(err), Message: err.Error(), Effect: effectOf(status)})
 }
 
-func statusOf(code fault.Code) int {
-	switch code {
+// Status returns the HTTP status code of err.
+func Status(err error) int {
+	var large *bodyTooLarge
+	if errors.As(err, &large) {
+		return http.StatusRequestEntityTooLarge
+	}
+	switch codeOf(err) {
 	case fault.CodeInvalid:
 		return http.StatusBadRequest
 	case fault.CodeNotFound:
 		return http.StatusNotFound
-	case fault.CodeRevisionConflict, fault.CodeKeyReused, fault.CodePrecondition:
+	case fault.CodeKeyReused, fault.CodeRevisionConflict, fault.CodePrecondition:
 		return http.StatusConflict
 	case fault.CodeLimitExceeded:
 		return http.StatusTooManyRequests
-	case fault.CodeUnavailable, fault.CodeNotLeader, fault.CodeShuttingDown:
+	case fault.CodeUnavailable, fault.CodeShuttingDown, fault.CodeNotLeader:
 		return http.StatusServiceUnavailable
-	case fault.CodeTimeout, fault.CodeSilentConnection, fault.CodeProposalUnknown:
+	case fault.CodeProposalUnknown, fault.CodeTimeout, fault.CodeSilentConnection, fault.CodeConnectionLost:
 		return http.StatusGatewayTimeout
 	}
 	return http.StatusInternalServerError
 }
 
-// DecodeJSON reads one JSON document of at most limit bytes into v. Unknown
-// fields and trailing data are refused, so that a misspelt field of a command
-// is not silently ignored. It returns *fault.Invalid or *fault.LimitExceeded.
-func DecodeJSON(r *http.Request, limit int64, v any) error {
-	decoder := json.NewDecoder(http.MaxBytesReader(nil, r.Body, limit))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(v); err != nil {
-		return bodyError(err, limit)
+// codeOf is fault.CodeOf that also knows the deadline of a context. A
+// cancelled context stays fault.CodeInternal: fault.CodeUnavailable would
+// promise that the call had no effect.
+func codeOf(err error) fault.Code {
+	var coded fault.Coded
+	if !errors.As(err, &coded) && errors.Is(err, context.DeadlineExceeded) {
+		return fault.CodeTimeout
 	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		var large *http.MaxBytesError
-		if errors.As(err, &large) {
-			return bodyError(err, limit)
-		}
-		return &fault.Invalid{Field: "body", Reason: "data after the JSON document", Allowed: "one JSON document"}
+	return fault.CodeOf(err)
+}
+
+// effectOf is EffectNone only for statuses of errors whose type proves it.
+func effectOf(status int) Effect {
+	if status == http.StatusGatewayTimeout || status == http.StatusInternalServerError {
+		return EffectUnknown
 	}
-	return nil
+	return EffectNone
 }
 
-func bodyError(err error, limit int64) error {
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return &fault.LimitExceeded{What: bodyName, Limit: limit}
+func write(w http.ResponseWriter, status int, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		status = http.StatusInternalServerError
+		// A Failure holds only strings, which always encode.
+		data, _ = json.Marshal(Failure{Code: fault.CodeInternal, Message: err.Error(), Effect: EffectUnknown})
 	}
-	return &fault.Invalid{Field: "body", Reason: err.Error(), Allowed: "one JSON document with known fields"}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	w.WriteHeader(status)
+	// A failed write means that the client has gone; nobody is left to tell.
+	_, _ = w.Write(data)
 }
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -13,7 +13,7 @@
 
 	"agatehaven.dev/agatehaven/internal/caller"
 	"agatehaven.dev/agatehaven/internal/fault"
-	"agatehaven.dev/agatehaven/internal/httpjson"
+	"agatehaven.dev/agatehaven/internal/httpapi"
 )
 
 // maxBody bounds a response: an answer of 256 KiB in base64 and its fields.
@@ -80,7 +80,7 @@
 	if response.StatusCode >= http.StatusBadRequest && !strings.Contains(string(data), `"state"`) {
 		refused := &RefusedError{Status: response.StatusCode}
 		if json.Unmarshal(data, &refused.Failure) != nil || refused.Failure.Code == "" {
-			refused.Failure = httpjson.Failure{Code: fault.CodeInternal, Message: string(data), Effect: httpjson.EffectUnknown}
+			refused.Failure = httpapi.Failure{Code: fault.CodeInternal, Message: string(data), Effect: httpapi.EffectUnknown}
 		}
 		return response.StatusCode, refused
 	}
--- a/internal/load/client_errors.go
+++ b/internal/load/client_errors.go
@@ -4,13 +4,13 @@
 	"fmt"
 
 	"agatehaven.dev/agatehaven/internal/fault"
-	"agatehaven.dev/agatehaven/internal/httpjson"
+	"agatehaven.dev/agatehaven/internal/httpapi"
 )
 
 // RefusedError is an entry host's refusal of a call.
 type RefusedError struct {
 	Status  int
-	Failure httpjson.Failure
+	Failure httpapi.Failure
 }
 
 func (e *RefusedError) Error() string {
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -18,7 +18,7 @@
 	"agatehaven.dev/agatehaven/internal/event"
 	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/hlc"
-	"agatehaven.dev/agatehaven/internal/httpjson"
+	"agatehaven.dev/agatehaven/internal/httpapi"
 	"agatehaven.dev/agatehaven/internal/model"
 	"agatehaven.dev/agatehaven/internal/testsupport/standin"
 )
@@ -227,7 +227,7 @@
 		}
 	}
 	once := Arrival{RepeatAfter: -1}
-	refused := &RefusedError{Failure: httpjson.Failure{Code: fault.CodeUnavailable, Effect: httpjson.EffectNone}}
+	refused := &RefusedError{Failure: httpapi.Failure{Code: fault.CodeUnavailable, Effect: httpapi.EffectNone}}
 
 	It("reports a refusal without effect as refused and does not send again", func() {
 		// Guards against load that hides refusals behind retries.
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -12,7 +12,7 @@
 
 	"agatehaven.dev/agatehaven/internal/caller"
 	"agatehaven.dev/agatehaven/internal/clock"
-	"agatehaven.dev/agatehaven/internal/httpjson"
+	"agatehaven.dev/agatehaven/internal/httpapi"
 	"agatehaven.dev/agatehaven/internal/model"
 	"agatehaven.dev/agatehaven/internal/testsupport/standin"
 )
@@ -131,7 +131,7 @@
 			last = reply{OutcomeUnknown, response.Reason, &response}
 		case err == nil:
 			last, uncertain = reply{OutcomeOpen, response.Reason, &response}, true
-		case errors.As(err, &refused) && refused.Failure.Effect == httpjson.EffectNone && !uncertain:
+		case errors.As(err, &refused) && refused.Failure.Effect == httpapi.EffectNone && !uncertain:
 			return reply{outcome: OutcomeRefused, reason: err.Error()}
 		default:
 			uncertain, entry = true, entry+1
--- a/internal/operator/command/command.go
+++ b/internal/operator/command/command.go
@@ -46,7 +46,7 @@
 }
 
 func handle(mux *http.ServeMux, pattern string, e endpoint.Endpoint, decode kithttp.DecodeRequestFunc) {
-	mux.Handle(pattern, kithttp.NewServer(e, decode, kithttp.EncodeJSONResponse,
+	mux.Handle(pattern, kithttp.NewServer(e, decode, httpapi.EncodeResponse,
 		kithttp.ServerErrorEncoder(httpapi.EncodeError)))
 }
 
@@ -91,7 +91,7 @@
 	if err != nil || media != "application/json" {
 		return &fault.Invalid{Field: "Content-Type", Reason: "is not JSON", Allowed: "application/json"}
 	}
-	return httpapi.DecodeJSON(r, d.limit, v)
+	return httpapi.Decode(r, d.limit, v)
 }
 
 func (d decoder) apply(_ context.Context, r *http.Request) (any, error) {
--- a/internal/operator/command/command_test.go
+++ b/internal/operator/command/command_test.go
@@ -96,7 +96,7 @@
 		b := &backend{err: &fault.Precondition{What: "drain", Reason: "floor 2"}}
 		w := call(b, "POST", "/v1/hosts/exec-1/drain", drainBody, nil)
 		Expect(w.Code).To(Equal(http.StatusConflict))
-		Expect(w.Body.String()).To(MatchJSON(`{"code":"precondition_failed","error":"drain refused: floor 2"}`))
+		Expect(w.Body.String()).To(MatchJSON(`{"code":"precondition_failed","message":"drain refused: floor 2","effect":"none"}`))
 	})
 
 	DescribeTable("refuses before the backend", func(path, body string, status int, text string) {
--- a/internal/operator/query/http.go
+++ b/internal/operator/query/http.go
@@ -48,7 +48,7 @@
 }
 
 func handle(mux *http.ServeMux, pattern string, decode kithttp.DecodeRequestFunc, e endpoint.Endpoint) {
-	mux.Handle(pattern, kithttp.NewServer(e, decode, kithttp.EncodeJSONResponse,
+	mux.Handle(pattern, kithttp.NewServer(e, decode, httpapi.EncodeResponse,
 		kithttp.ServerErrorEncoder(httpapi.EncodeError)))
 }
 
--- a/internal/target/announce.go
+++ b/internal/target/announce.go
@@ -9,7 +9,7 @@
 	kithttp "github.com/go-kit/kit/transport/http"
 
 	"agatehaven.dev/agatehaven/internal/fault"
-	"agatehaven.dev/agatehaven/internal/httpjson"
+	"agatehaven.dev/agatehaven/internal/httpapi"
 )
 
 const (
@@ -40,8 +40,8 @@
 		return AnnounceReply{LeaseMS: lease.Milliseconds()}, nil
 	}
 	mux := http.NewServeMux()
-	mux.Handle("POST /v1/announce", kithttp.NewServer(endpoint, decodeAnnouncement, httpjson.EncodeResponse,
-		kithttp.ServerErrorEncoder(httpjson.EncodeError)))
+	mux.Handle("POST /v1/announce", kithttp.NewServer(endpoint, decodeAnnouncement, httpapi.EncodeResponse,
+		kithttp.ServerErrorEncoder(httpapi.EncodeError)))
 	return mux
 }
 
@@ -55,7 +55,7 @@
 
 func decodeAnnouncement(_ context.Context, r *http.Request) (any, error) {
 	var a Announcement
-	if err := httpjson.DecodeTolerant(r, maxAnnouncementBytes, &a); err != nil {
+	if err := httpapi.DecodeTolerant(r, maxAnnouncementBytes, &a); err != nil {
 		return nil, err
 	}
 	for _, f := range [][2]string{{"host", a.Name}, {"data_centre", a.DataCentre}, {"incarnation", a.Incarnation}} {
