--- a/internal/daemon/announcer.go
+++ b/internal/daemon/announcer.go
@@ -36,11 +36,9 @@
 // in one call, since a call costs far more than taking a heartbeat.
 type announcer struct {
 	dataCentre string
-	leader     interface {
-		DoIdempotent(ctx context.Context, call func(peer.Handler) error) error
-	}
-	clock   clock.Clock
-	waiting *ring.Ring[*announcement]
+	leader     peer.IdempotentDoer
+	clock      clock.Clock
+	waiting    *ring.Ring[*announcement]
 }
 
 // announcement waits for the leader's answer.
@@ -114,12 +112,7 @@
 	for _, n := range batch {
 		request.Items = append(request.Items, n.request)
 	}
-	var response *peer.AnnounceBatchResponse
-	err := a.leader.DoIdempotent(ctx, func(h peer.Handler) error {
-		var err error
-		response, err = h.Announce(ctx, request)
-		return err
-	})
+	response, err := peer.CallIdempotent(ctx, a.leader, peer.Handler.Announce, request)
 	for i, n := range batch {
 		switch {
 		case err != nil:
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -131,13 +131,7 @@
 	ctx, cancel := context.WithTimeout(ctx, homeTimeout)
 	defer cancel()
 	r.DataCentre = home
-	var response *peer.RequestResponse
-	err = d.leaders[home].DoIdempotent(ctx, func(h peer.Handler) error {
-		var err error
-		response, err = h.CancelRequest(ctx, r)
-		return err
-	})
-	return response, err
+	return peer.CallIdempotent(ctx, d.leaders[home], peer.Handler.CancelRequest, r)
 }
 
 // awaitUntil repeats the wait for an outcome until the time is over. It
@@ -180,12 +174,8 @@
 func (d *Daemon) read(ctx context.Context, home, key string, wait time.Duration) (model.Request, error) {
 	ctx, cancel := context.WithTimeout(ctx, homeTimeout+wait)
 	defer cancel()
-	var response *peer.RequestResponse
-	err := d.leaders[home].DoIdempotent(ctx, func(h peer.Handler) error {
-		var err error
-		response, err = h.Await(ctx, &peer.AwaitRequest{Key: key, WaitMS: wait.Milliseconds(), DataCentre: home})
-		return err
-	})
+	request := &peer.AwaitRequest{Key: key, WaitMS: wait.Milliseconds(), DataCentre: home}
+	response, err := peer.CallIdempotent(ctx, d.leaders[home], peer.Handler.Await, request)
 	if err != nil {
 		return model.Request{}, err
 	}
--- a/internal/daemon/glue.go
+++ b/internal/daemon/glue.go
@@ -20,21 +20,13 @@
 type regionSource struct{ leader *peer.LeaderClient }
 
 // PullRecords implements control.RecordSource.
-func (s regionSource) PullRecords(ctx context.Context, r *peer.PullRecordsRequest) (out *peer.PullRecordsResponse, err error) {
-	err = s.leader.DoIdempotent(ctx, func(h peer.Handler) error {
-		out, err = h.PullRecords(ctx, r)
-		return err
-	})
-	return out, err
+func (s regionSource) PullRecords(ctx context.Context, r *peer.PullRecordsRequest) (*peer.PullRecordsResponse, error) {
+	return peer.CallIdempotent(ctx, s.leader, peer.Handler.PullRecords, r)
 }
 
 // AckAdoption implements control.RecordSource.
-func (s regionSource) AckAdoption(ctx context.Context, r *peer.AckAdoptionRequest) (out *peer.AckAdoptionResponse, err error) {
-	err = s.leader.DoIdempotent(ctx, func(h peer.Handler) error {
-		out, err = h.AckAdoption(ctx, r)
-		return err
-	})
-	return out, err
+func (s regionSource) AckAdoption(ctx context.Context, r *peer.AckAdoptionRequest) (*peer.AckAdoptionResponse, error) {
+	return peer.CallIdempotent(ctx, s.leader, peer.Handler.AckAdoption, r)
 }
 
 // resolver adapts dispatch.Resolver to the controller.
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -32,23 +32,21 @@
 
 // ApplyRecords implements command.Backend. The request id makes a repetition
 // after an unknown effect harmless.
-func (o operators) ApplyRecords(ctx context.Context, r *peer.ApplyRecordsRequest) (out *peer.ApplyRecordsResponse, err error) {
+func (o operators) ApplyRecords(ctx context.Context, r *peer.ApplyRecordsRequest) (*peer.ApplyRecordsResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	err = o.d.leaders[settings.RegionGroup].DoIdempotent(ctx, func(h peer.Handler) error {
-		out, err = h.ApplyRecords(ctx, r)
-		return err
-	})
-	return out, err
+	return peer.CallIdempotent(ctx, o.d.leaders[settings.RegionGroup], peer.Handler.ApplyRecords, r)
 }
 
 // HostCommand implements command.Backend. Without a data centre in the
 // request the host is looked up.
-func (o operators) HostCommand(ctx context.Context, r *peer.HostCommandRequest) (out *peer.HostCommandResponse, err error) {
+func (o operators) HostCommand(ctx context.Context, r *peer.HostCommandRequest) (*peer.HostCommandResponse, error) {
 	if r.DataCentre == "" {
-		if r.DataCentre, err = o.locate(ctx, r.Host); err != nil {
+		dataCentre, err := o.locate(ctx, r.Host)
+		if err != nil {
 			return nil, err
 		}
+		r.DataCentre = dataCentre
 	}
 	leader := o.d.leaders[r.DataCentre]
 	if leader == nil {
@@ -56,11 +54,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	err = leader.DoIdempotent(ctx, func(h peer.Handler) error {
-		out, err = h.HostCommand(ctx, r)
-		return err
-	})
-	return out, err
+	return peer.CallIdempotent(ctx, leader, peer.Handler.HostCommand, r)
 }
 
 func (o operators) locate(ctx context.Context, host string) (string, error) {
@@ -105,19 +99,14 @@
 func (o operators) Records(ctx context.Context) (*model.Records, error) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
-	var out *model.Records
-	err := o.d.leaders[settings.RegionGroup].DoIdempotent(ctx, func(h peer.Handler) error {
-		response, err := h.PullRecords(ctx, &peer.PullRecordsRequest{})
-		if err != nil {
-			return err
-		}
-		out = response.Records
-		return nil
-	})
-	if err == nil && out == nil {
-		out = &model.Records{}
+	response, err := peer.CallIdempotent(ctx, o.d.leaders[settings.RegionGroup], peer.Handler.PullRecords, &peer.PullRecordsRequest{})
+	if err != nil {
+		return nil, err
 	}
-	return out, err
+	if response.Records == nil {
+		return &model.Records{}, nil
+	}
+	return response.Records, nil
 }
 
 // DataCentres implements query.Backend.
@@ -126,13 +115,8 @@
 	defer cancel()
 	names := o.d.settings.DataCentres()
 	states, unreachable := gather(names, func(name string) (*peer.DataCentreResponse, error) {
-		var out *peer.DataCentreResponse
-		err := o.d.leaders[name].DoIdempotent(ctx, func(h peer.Handler) error {
-			var err error
-			out, err = h.DataCentre(ctx, &peer.DataCentreRequest{DataCentre: name, Requests: requests})
-			return err
-		})
-		return out, err
+		request := &peer.DataCentreRequest{DataCentre: name, Requests: requests}
+		return peer.CallIdempotent(ctx, o.d.leaders[name], peer.Handler.DataCentre, request)
 	})
 	if len(states) == 0 {
 		return nil, &fault.Unavailable{What: "data centres", Reason: "none was reached"}
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -12,18 +12,10 @@
 
 type peerLeader struct{ client *peer.LeaderClient }
 
-func (l *peerLeader) PullAssignments(ctx context.Context, r *peer.PullAssignmentsRequest) (out *peer.PullAssignmentsResponse, err error) {
-	err = l.client.DoIdempotent(ctx, func(h peer.Handler) error {
-		out, err = h.PullAssignments(ctx, r)
-		return err
-	})
-	return out, err
+func (l *peerLeader) PullAssignments(ctx context.Context, r *peer.PullAssignmentsRequest) (*peer.PullAssignmentsResponse, error) {
+	return peer.CallIdempotent(ctx, l.client, peer.Handler.PullAssignments, r)
 }
 
-func (l *peerLeader) ReportAttempts(ctx context.Context, r *peer.ReportAttemptsRequest) (out *peer.ReportAttemptsResponse, err error) {
-	err = l.client.DoIdempotent(ctx, func(h peer.Handler) error {
-		out, err = h.ReportAttempts(ctx, r)
-		return err
-	})
-	return out, err
+func (l *peerLeader) ReportAttempts(ctx context.Context, r *peer.ReportAttemptsRequest) (*peer.ReportAttemptsResponse, error) {
+	return peer.CallIdempotent(ctx, l.client, peer.Handler.ReportAttempts, r)
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -99,11 +99,11 @@
 }
 
 // call makes one unary call that the other side may hold for wait.
-func call[Req, Res any](ctx context.Context, c *client, name string, req *Req, wait time.Duration) (*Res, error) {
+func call[Res, Req any](ctx context.Context, c *client, name string, req *Req, wait time.Duration) (*Res, error) {
 	if err := c.ensureReachable(ctx); err != nil {
 		return nil, err
 	}
-	res, err := exchange[Req, Res](ctx, c, name, req, c.limit+max(wait, 0))
+	res, err := exchange[Res](ctx, c, name, req, c.limit+max(wait, 0))
 	if noAnswer(err) {
 		c.doubt.raise()
 	}
@@ -111,7 +111,7 @@
 }
 
 // exchange sends one request and waits for its response up to limit.
-func exchange[Req, Res any](ctx context.Context, c *client, name string, req *Req, limit time.Duration) (*Res, error) {
+func exchange[Res, Req any](ctx context.Context, c *client, name string, req *Req, limit time.Duration) (*Res, error) {
 	silent := &fault.SilentConnection{Address: c.address, Limit: limit}
 	callCtx, cancel := clock.WithTimeout(ctx, c.clock, limit, silent)
 	defer cancel()
@@ -200,65 +200,65 @@
 func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
 func (c *client) Step(ctx context.Context, r *StepRequest) (*StepResponse, error) {
-	return call[StepRequest, StepResponse](ctx, c, "Step", r, 0)
+	return call[StepResponse](ctx, c, "Step", r, 0)
 }
 
 func (c *client) Submit(ctx context.Context, r *SubmitRequest) (*RequestResponse, error) {
-	return call[SubmitRequest, RequestResponse](ctx, c, "Submit", r, millis(r.WaitMS))
+	return call[RequestResponse](ctx, c, "Submit", r, millis(r.WaitMS))
 }
 
 func (c *client) Await(ctx context.Context, r *AwaitRequest) (*RequestResponse, error) {
-	return call[AwaitRequest, RequestResponse](ctx, c, "Await", r, millis(r.WaitMS))
+	return call[RequestResponse](ctx, c, "Await", r, millis(r.WaitMS))
 }
 
 func (c *client) CancelRequest(ctx context.Context, r *CancelRequestRequest) (*RequestResponse, error) {
-	return call[CancelRequestRequest, RequestResponse](ctx, c, "CancelRequest", r, 0)
+	return call[RequestResponse](ctx, c, "CancelRequest", r, 0)
 }
 
 func (c *client) PullAssignments(ctx context.Context, r *PullAssignmentsRequest) (*PullAssignmentsResponse, error) {
-	return call[PullAssignmentsRequest, PullAssignmentsResponse](ctx, c, "PullAssignments", r, millis(r.WaitMS))
+	return call[PullAssignmentsResponse](ctx, c, "PullAssignments", r, millis(r.WaitMS))
 }
 
 func (c *client) ReportAttempts(ctx context.Context, r *ReportAttemptsRequest) (*ReportAttemptsResponse, error) {
-	return call[ReportAttemptsRequest, ReportAttemptsResponse](ctx, c, "ReportAttempts", r, 0)
+	return call[ReportAttemptsResponse](ctx, c, "ReportAttempts", r, 0)
 }
 
 func (c *client) Announce(ctx context.Context, r *AnnounceBatchRequest) (*AnnounceBatchResponse, error) {
-	return call[AnnounceBatchRequest, AnnounceBatchResponse](ctx, c, "Announce", r, 0)
+	return call[AnnounceBatchResponse](ctx, c, "Announce", r, 0)
 }
 
 func (c *client) PullRecords(ctx context.Context, r *PullRecordsRequest) (*PullRecordsResponse, error) {
-	return call[PullRecordsRequest, PullRecordsResponse](ctx, c, "PullRecords", r, millis(r.WaitMS))
+	return call[PullRecordsResponse](ctx, c, "PullRecords", r, millis(r.WaitMS))
 }
 
 func (c *client) ApplyRecords(ctx context.Context, r *ApplyRecordsRequest) (*ApplyRecordsResponse, error) {
-	return call[ApplyRecordsRequest, ApplyRecordsResponse](ctx, c, "ApplyRecords", r, 0)
+	return call[ApplyRecordsResponse](ctx, c, "ApplyRecords", r, 0)
 }
 
 func (c *client) AckAdoption(ctx context.Context, r *AckAdoptionRequest) (*AckAdoptionResponse, error) {
-	return call[AckAdoptionRequest, AckAdoptionResponse](ctx, c, "AckAdoption", r, 0)
+	return call[AckAdoptionResponse](ctx, c, "AckAdoption", r, 0)
 }
 
 func (c *client) DataCentre(ctx context.Context, r *DataCentreRequest) (*DataCentreResponse, error) {
-	return call[DataCentreRequest, DataCentreResponse](ctx, c, "DataCentre", r, 0)
+	return call[DataCentreResponse](ctx, c, "DataCentre", r, 0)
 }
 
 func (c *client) HostCommand(ctx context.Context, r *HostCommandRequest) (*HostCommandResponse, error) {
-	return call[HostCommandRequest, HostCommandResponse](ctx, c, "HostCommand", r, 0)
+	return call[HostCommandResponse](ctx, c, "HostCommand", r, 0)
 }
 
 func (c *client) ChangeReplicas(ctx context.Context, r *ChangeReplicasRequest) (*ChangeReplicasResponse, error) {
-	return call[ChangeReplicasRequest, ChangeReplicasResponse](ctx, c, "ChangeReplicas", r, 0)
+	return call[ChangeReplicasResponse](ctx, c, "ChangeReplicas", r, 0)
 }
 
 func (c *client) GroupStatus(ctx context.Context, r *GroupStatusRequest) (*GroupStatusResponse, error) {
-	return call[GroupStatusRequest, GroupStatusResponse](ctx, c, "GroupStatus", r, 0)
+	return call[GroupStatusResponse](ctx, c, "GroupStatus", r, 0)
 }
 
 func (c *client) Events(ctx context.Context, r *EventsRequest) (*EventsResponse, error) {
-	return call[EventsRequest, EventsResponse](ctx, c, "Events", r, 0)
+	return call[EventsResponse](ctx, c, "Events", r, 0)
 }
 
 func (c *client) InForce(ctx context.Context, r *InForceRequest) (*InForceResponse, error) {
-	return call[InForceRequest, InForceResponse](ctx, c, "InForce", r, 0)
+	return call[InForceResponse](ctx, c, "InForce", r, 0)
 }
--- a/internal/peer/doubt.go
+++ b/internal/peer/doubt.go
@@ -64,7 +64,7 @@
 	if failed {
 		return unreachable
 	}
-	_, err := exchange[InForceRequest, InForceResponse](ctx, c, "InForce", &InForceRequest{}, probeTimeout)
+	_, err := exchange[InForceResponse](ctx, c, "InForce", &InForceRequest{}, probeTimeout)
 	if err == nil || answered(err) {
 		c.doubt.clear()
 		return nil
--- a/internal/peer/leader.go
+++ b/internal/peer/leader.go
@@ -63,6 +63,25 @@
 	return c.do(ctx, call, true)
 }
 
+// IdempotentDoer is what CallIdempotent needs of a LeaderClient.
+type IdempotentDoer interface {
+	DoIdempotent(ctx context.Context, call func(Handler) error) error
+}
+
+// CallIdempotent calls one method of the group's leader through DoIdempotent
+// and returns its response.
+func CallIdempotent[Req, Res any](
+	ctx context.Context, leader IdempotentDoer, method func(Handler, context.Context, *Req) (*Res, error), r *Req,
+) (*Res, error) {
+	var out *Res
+	err := leader.DoIdempotent(ctx, func(h Handler) error {
+		var err error
+		out, err = method(h, ctx, r)
+		return err
+	})
+	return out, err
+}
+
 func (c *LeaderClient) do(ctx context.Context, call func(Handler) error, idempotent bool) error {
 	host, turn, sinceRest := c.remembered(), 0, 0
 	var last error = &fault.Unavailable{What: "group", Reason: "it has no hosts"}
