Merge repeated code of the APIs, queries and proposals

Cause: the same logic stood in several packages. Four APIs built their go-kit server from the same encoders, pools and waves read the same two sources, three places removed a request's payload and answer, two encoded a command and checked the type of its result, and three refused calls on a replica that does not lead.

Change: httpapi.Handle, recordsAndState in operator/query, model.Request.WithoutContent, replica.ProposeCommand and Controller.requireLeading serve these places. The comment of pools also names queued requests, which list a pool in a data centre as floors do.

Left: rows of types, error types, constants and settings defaults that are alike by shape only.

--- a/internal/caller/http.go
+++ b/internal/caller/http.go
@@ -82,14 +82,10 @@
 		opts.MaxPayloadBytes = DefaultMaxPayloadBytes
 	}
 	mux := http.NewServeMux()
-	route := func(pattern string, e endpoint.Endpoint, dec kithttp.DecodeRequestFunc) {
-		mux.Handle(pattern, kithttp.NewServer(e, dec, httpapi.EncodeResponse,
-			kithttp.ServerErrorEncoder(httpapi.EncodeError)))
-	}
-	route("POST /v1/tickets", ready(svc)(ticketEndpoint(svc)), kithttp.NopRequestDecoder)
-	route("POST /v1/requests", ready(svc)(submitEndpoint(svc)), decodeSubmission(opts))
-	route("GET /v1/requests/{key}", awaitEndpoint(svc), decodeAwait)
-	route("DELETE /v1/requests/{key}", cancelEndpoint(svc), decodeAwait)
+	httpapi.Handle(mux, "POST /v1/tickets", ready(svc)(ticketEndpoint(svc)), kithttp.NopRequestDecoder)
+	httpapi.Handle(mux, "POST /v1/requests", ready(svc)(submitEndpoint(svc)), decodeSubmission(opts))
+	httpapi.Handle(mux, "GET /v1/requests/{key}", awaitEndpoint(svc), decodeAwait)
+	httpapi.Handle(mux, "DELETE /v1/requests/{key}", cancelEndpoint(svc), decodeAwait)
 	return mux
 }
 
--- a/internal/control/contacts.go
+++ b/internal/control/contacts.go
@@ -39,8 +39,8 @@
 // host is new, returned or changed; a plain heartbeat stays in memory, so the
 // log does not grow with the number of hosts.
 func (c *Controller) Announce(ctx context.Context, r *peer.AnnounceRequest) (*peer.AnnounceResponse, error) {
-	if !c.leading() {
-		return nil, &fault.NotLeader{Group: c.cfg.DataCentre, Leader: c.cfg.Group.Status().Leader}
+	if err := c.requireLeading(); err != nil {
+		return nil, err
 	}
 	if r.Info.DataCentre != c.cfg.DataCentre {
 		return nil, &fault.Invalid{Field: "data_centre", Reason: "host belongs to another data centre", Allowed: c.cfg.DataCentre}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -13,7 +13,6 @@
 	"github.com/rs/zerolog"
 
 	"agatehaven.dev/agatehaven/internal/clock"
-	"agatehaven.dev/agatehaven/internal/codec"
 	"agatehaven.dev/agatehaven/internal/datacentre"
 	"agatehaven.dev/agatehaven/internal/event"
 	"agatehaven.dev/agatehaven/internal/fault"
@@ -196,23 +195,24 @@
 	return true
 }
 
+// requireLeading returns *fault.NotLeader if this replica does not lead its
+// group.
+func (c *Controller) requireLeading() error {
+	if !c.leading() {
+		return &fault.NotLeader{Group: c.cfg.DataCentre, Leader: c.cfg.Group.Status().Leader}
+	}
+	return nil
+}
+
 // propose commits one command and returns its result. Refusals by the state
 // machine are returned as errors.
 func (c *Controller) propose(ctx context.Context, cmd datacentre.Command) (datacentre.Result, error) {
-	data, err := codec.Marshal(cmd)
-	if err != nil {
-		return datacentre.Result{}, err
-	}
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timing.ProposeTimeout)
 	defer cancel()
-	applied, err := c.cfg.Group.Propose(ctx, data)
+	result, err := replica.ProposeCommand[datacentre.Result](ctx, c.cfg.Group, cmd)
 	if err != nil {
 		return datacentre.Result{}, err
 	}
-	result, ok := applied.(datacentre.Result)
-	if !ok {
-		return datacentre.Result{}, &fault.Invalid{Field: "result", Reason: "unexpected type from the state machine"}
-	}
 	return result, result.Err
 }
 
--- a/internal/control/owners.go
+++ b/internal/control/owners.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"agatehaven.dev/agatehaven/internal/datacentre"
-	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/model"
 	"agatehaven.dev/agatehaven/internal/peer"
 )
@@ -29,8 +28,8 @@
 func (c *Controller) PullAssignments(ctx context.Context, r *peer.PullAssignmentsRequest) (*peer.PullAssignmentsResponse, error) {
 	deadline := c.cfg.Clock.After(time.Duration(r.WaitMS) * time.Millisecond)
 	for {
-		if !c.leading() {
-			return nil, &fault.NotLeader{Group: c.cfg.DataCentre, Leader: c.cfg.Group.Status().Leader}
+		if err := c.requireLeading(); err != nil {
+			return nil, err
 		}
 		changed := c.cfg.Machine.Changed()
 		updatesDue := c.recordOwner(r)
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -25,8 +25,8 @@
 // Submit claims a key in this data centre's ledger and waits for the outcome
 // up to r.WaitMS.
 func (c *Controller) Submit(ctx context.Context, r *peer.SubmitRequest) (*peer.RequestResponse, error) {
-	if !c.leading() {
-		return nil, &fault.NotLeader{Group: c.cfg.DataCentre, Leader: c.cfg.Group.Status().Leader}
+	if err := c.requireLeading(); err != nil {
+		return nil, err
 	}
 	c.rememberEntry(r.Key, r.Entry)
 	_, err := c.proposeRequest(ctx, ledger.Command{Claim: &ledger.Claim{
--- a/internal/daemon/commands.go
+++ b/internal/daemon/commands.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"agatehaven.dev/agatehaven/internal/codec"
 	"agatehaven.dev/agatehaven/internal/control"
 	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/peer"
@@ -118,18 +117,10 @@
 	if h.d.region == nil {
 		return region.Result{}, &fault.NotLeader{Group: settings.RegionGroup}
 	}
-	data, err := codec.Marshal(cmd)
+	result, err := replica.ProposeCommand[region.Result](ctx, h.d.region.group, cmd)
 	if err != nil {
 		return region.Result{}, err
 	}
-	applied, err := h.d.region.group.Propose(ctx, data)
-	if err != nil {
-		return region.Result{}, err
-	}
-	result, ok := applied.(region.Result)
-	if !ok {
-		return region.Result{}, &fault.Invalid{Field: "result", Reason: "unexpected type from the state machine"}
-	}
 	return result, result.Err
 }
 
--- a/internal/daemon/queries.go
+++ b/internal/daemon/queries.go
@@ -101,9 +101,7 @@
 		out.Hosts = v.Hosts.Hosts()
 		out.Waves = v.Hosts.Waves()
 		for _, q := range v.Requests.Recent(r.Requests) {
-			request := *q
-			request.Payload, request.Answer = nil, nil
-			out.Requests = append(out.Requests, request)
+			out.Requests = append(out.Requests, q.WithoutContent())
 		}
 		for pool := range v.Catalogue.Pools {
 			out.Queued[pool] = v.Requests.QueuedCount(pool)
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/go-kit/kit/endpoint"
 	kithttp "github.com/go-kit/kit/transport/http"
 
 	"agatehaven.dev/agatehaven/internal/fault"
@@ -75,6 +76,12 @@
 	return nil
 }
 
+// Handle adds a route to mux that decodes its requests by decode, answers by
+// EncodeResponse and reports failures by EncodeError.
+func Handle(mux *http.ServeMux, pattern string, e endpoint.Endpoint, decode kithttp.DecodeRequestFunc) {
+	mux.Handle(pattern, kithttp.NewServer(e, decode, EncodeResponse, kithttp.ServerErrorEncoder(EncodeError)))
+}
+
 // EncodeResponse writes v as a complete JSON response with Content-Length.
 // The status is 200 unless v implements kithttp.StatusCoder.
 func EncodeResponse(_ context.Context, w http.ResponseWriter, v any) error {
--- a/internal/model/request.go
+++ b/internal/model/request.go
@@ -87,6 +87,14 @@
 	Accelerators int `cbor:"23,keyasint,omitempty" json:"accelerators,omitempty"`
 }
 
+// WithoutContent returns a copy without payload and answer, which belong to
+// the caller.
+func (r *Request) WithoutContent() Request {
+	out := *r
+	out.Payload, out.Answer = nil, nil
+	return out
+}
+
 // Assignment tells the owner of an attempt to start it.
 type Assignment struct {
 	Key               string   `cbor:"1,keyasint"`
--- a/internal/operator/command/command.go
+++ b/internal/operator/command/command.go
@@ -37,17 +37,12 @@
 // limit bytes.
 func Register(mux *http.ServeMux, b Backend, limit int64) {
 	d := decoder{limit: limit}
-	handle(mux, "POST /v1/records", applyEndpoint(b), d.apply)
-	handle(mux, "POST /v1/hosts/{host}/drain", hostEndpoint(b), d.host(peer.HostDrain))
-	handle(mux, "POST /v1/hosts/{host}/move", hostEndpoint(b), d.host(peer.HostMove))
-	handle(mux, "POST /v1/hosts/{host}/resume", hostEndpoint(b), d.host(peer.HostResume))
-	handle(mux, "POST /v1/replicas", replicasEndpoint(b), d.replicas)
-	handle(mux, "DELETE /v1/requests/{key}", cancelEndpoint(b), d.cancel)
-}
-
-func handle(mux *http.ServeMux, pattern string, e endpoint.Endpoint, decode kithttp.DecodeRequestFunc) {
-	mux.Handle(pattern, kithttp.NewServer(e, decode, httpapi.EncodeResponse,
-		kithttp.ServerErrorEncoder(httpapi.EncodeError)))
+	httpapi.Handle(mux, "POST /v1/records", applyEndpoint(b), d.apply)
+	httpapi.Handle(mux, "POST /v1/hosts/{host}/drain", hostEndpoint(b), d.host(peer.HostDrain))
+	httpapi.Handle(mux, "POST /v1/hosts/{host}/move", hostEndpoint(b), d.host(peer.HostMove))
+	httpapi.Handle(mux, "POST /v1/hosts/{host}/resume", hostEndpoint(b), d.host(peer.HostResume))
+	httpapi.Handle(mux, "POST /v1/replicas", replicasEndpoint(b), d.replicas)
+	httpapi.Handle(mux, "DELETE /v1/requests/{key}", cancelEndpoint(b), d.cancel)
 }
 
 func applyEndpoint(b Backend) endpoint.Endpoint {
@@ -74,9 +69,7 @@
 		if err != nil {
 			return nil, err
 		}
-		// Payload and answer belong to the caller.
-		r := response.Request
-		r.Payload, r.Answer = nil, nil
+		r := response.Request.WithoutContent()
 		return &r, nil
 	}
 }
--- a/internal/operator/query/compose.go
+++ b/internal/operator/query/compose.go
@@ -49,14 +49,25 @@
 	return slices.Compact(out)
 }
 
-// pools joins the records in force with the state of the data centres. A pool without
-// a host in a data centre is listed there if it has a floor there.
-func pools(ctx context.Context, b Backend) (*Pools, error) {
+// recordsAndState returns the records in force and the state of the data
+// centres without requests.
+func recordsAndState(ctx context.Context, b Backend) (*model.Records, *DataCentres, error) {
 	records, err := b.RecordsInForce(ctx)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	centres, err := b.DataCentres(ctx, 0)
+	if err != nil {
+		return nil, nil, err
+	}
+	return records, centres, nil
+}
+
+// pools joins the records in force with the state of the data centres. A pool
+// without a host in a data centre is listed there if it has a floor or queued
+// requests there.
+func pools(ctx context.Context, b Backend) (*Pools, error) {
+	records, centres, err := recordsAndState(ctx, b)
 	if err != nil {
 		return nil, err
 	}
@@ -148,11 +159,7 @@
 }
 
 func waves(ctx context.Context, b Backend) (*Waves, error) {
-	records, err := b.RecordsInForce(ctx)
-	if err != nil {
-		return nil, err
-	}
-	centres, err := b.DataCentres(ctx, 0)
+	records, centres, err := recordsAndState(ctx, b)
 	if err != nil {
 		return nil, err
 	}
@@ -199,7 +206,7 @@
 	for i := range centres.DataCentres {
 		for _, r := range centres.DataCentres[i].Requests {
 			if f.matches(&r) {
-				out.Requests = append(out.Requests, withoutContent(r))
+				out.Requests = append(out.Requests, r.WithoutContent())
 			}
 		}
 	}
@@ -210,12 +217,6 @@
 	return out, nil
 }
 
-// withoutContent removes what belongs to the caller.
-func withoutContent(r model.Request) model.Request {
-	r.Payload, r.Answer = nil, nil
-	return r
-}
-
 func groupStatuses(ctx context.Context, b Backend) (*GroupStatuses, error) {
 	statuses, err := b.GroupStatuses(ctx)
 	if err != nil {
@@ -238,7 +239,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out := withoutContent(*r)
+	out := r.WithoutContent()
 	return &out, nil
 }
 
--- a/internal/operator/query/http.go
+++ b/internal/operator/query/http.go
@@ -24,34 +24,32 @@
 
 // Register adds the routes of the queries to mux.
 func Register(mux *http.ServeMux, b Backend) {
-	handle(mux, "GET /v1/records", none, func(ctx context.Context, _ any) (any, error) { return b.Records(ctx) })
-	handle(mux, "GET /v1/pools", none, func(ctx context.Context, _ any) (any, error) { return pools(ctx, b) })
-	handle(mux, "GET /v1/waves", none, func(ctx context.Context, _ any) (any, error) { return waves(ctx, b) })
-	handle(mux, "GET /v1/replicas", none, func(ctx context.Context, _ any) (any, error) { return groupStatuses(ctx, b) })
-	handle(mux, "GET /v1/status", none, func(ctx context.Context, _ any) (any, error) { return status(ctx, b) })
-	handle(mux, "GET /v1/hosts", decodeHosts, func(ctx context.Context, r any) (any, error) {
+	handle := func(pattern string, decode kithttp.DecodeRequestFunc, e endpoint.Endpoint) {
+		httpapi.Handle(mux, pattern, e, decode)
+	}
+	handle("GET /v1/records", none, func(ctx context.Context, _ any) (any, error) { return b.Records(ctx) })
+	handle("GET /v1/pools", none, func(ctx context.Context, _ any) (any, error) { return pools(ctx, b) })
+	handle("GET /v1/waves", none, func(ctx context.Context, _ any) (any, error) { return waves(ctx, b) })
+	handle("GET /v1/replicas", none, func(ctx context.Context, _ any) (any, error) { return groupStatuses(ctx, b) })
+	handle("GET /v1/status", none, func(ctx context.Context, _ any) (any, error) { return status(ctx, b) })
+	handle("GET /v1/hosts", decodeHosts, func(ctx context.Context, r any) (any, error) {
 		return hosts(ctx, b, r.(*hostFilter))
 	})
-	handle(mux, "GET /v1/requests", decodeRequests, func(ctx context.Context, r any) (any, error) {
+	handle("GET /v1/requests", decodeRequests, func(ctx context.Context, r any) (any, error) {
 		return requests(ctx, b, r.(*requestFilter))
 	})
-	handle(mux, "GET /v1/requests/{key}", decodeKey, func(ctx context.Context, r any) (any, error) {
+	handle("GET /v1/requests/{key}", decodeKey, func(ctx context.Context, r any) (any, error) {
 		return request(ctx, b, r.(string))
 	})
-	handle(mux, "GET /v1/events", decodeEvents, func(ctx context.Context, r any) (any, error) {
+	handle("GET /v1/events", decodeEvents, func(ctx context.Context, r any) (any, error) {
 		return events(ctx, b, r.(*event.Filter))
 	})
-	handle(mux, "GET /v1/explain", decodeExplain, func(ctx context.Context, r any) (any, error) {
+	handle("GET /v1/explain", decodeExplain, func(ctx context.Context, r any) (any, error) {
 		q := r.(*explainQuery)
 		return explain(ctx, b, q.kind, q.name)
 	})
 }
 
-func handle(mux *http.ServeMux, pattern string, decode kithttp.DecodeRequestFunc, e endpoint.Endpoint) {
-	mux.Handle(pattern, kithttp.NewServer(e, decode, httpapi.EncodeResponse,
-		kithttp.ServerErrorEncoder(httpapi.EncodeError)))
-}
-
 type explainQuery struct{ kind, name string }
 
 // known refuses parameters that a query does not have, since a misspelt
--- /dev/null
+++ b/internal/replica/propose.go
@@ -0,0 +1,33 @@
+package replica
+
+import (
+	"context"
+
+	"agatehaven.dev/agatehaven/internal/codec"
+	"agatehaven.dev/agatehaven/internal/fault"
+)
+
+// Proposer is what ProposeCommand needs of a Group.
+type Proposer interface {
+	Propose(ctx context.Context, data []byte) (any, error)
+}
+
+// ProposeCommand encodes cmd, proposes it and returns the result of its
+// application, which the state machine must give as an R. Its errors are
+// those of Propose; a refusal by the state machine is part of the result.
+func ProposeCommand[R any](ctx context.Context, p Proposer, cmd any) (R, error) {
+	var none R
+	data, err := codec.Marshal(cmd)
+	if err != nil {
+		return none, err
+	}
+	applied, err := p.Propose(ctx, data)
+	if err != nil {
+		return none, err
+	}
+	result, ok := applied.(R)
+	if !ok {
+		return none, &fault.Invalid{Field: "result", Reason: "unexpected type from the state machine"}
+	}
+	return result, nil
+}
--- a/internal/target/announce.go
+++ b/internal/target/announce.go
@@ -6,8 +6,6 @@
 	"net/netip"
 	"time"
 
-	kithttp "github.com/go-kit/kit/transport/http"
-
 	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/httpapi"
 )
@@ -40,8 +38,7 @@
 		return AnnounceReply{LeaseMS: lease.Milliseconds()}, nil
 	}
 	mux := http.NewServeMux()
-	mux.Handle("POST /v1/announce", kithttp.NewServer(endpoint, decodeAnnouncement, httpapi.EncodeResponse,
-		kithttp.ServerErrorEncoder(httpapi.EncodeError)))
+	httpapi.Handle(mux, "POST /v1/announce", endpoint, decodeAnnouncement)
 	return mux
 }
 
