--- a/internal/control/contacts.go
+++ b/internal/control/contacts.go
@@ -88,7 +88,7 @@
 	return a.Incarnation == b.Incarnation && a.Address == b.Address && a.Rack == b.Rack &&
 		a.Slots == b.Slots && a.Connections == b.Connections && a.CPUMillis == b.CPUMillis &&
 		a.MemoryMB == b.MemoryMB && a.Accelerators == b.Accelerators && a.Leaving == b.Leaving &&
-		len(a.Capabilities) == len(b.Capabilities)
+		slices.Equal(a.Capabilities, b.Capabilities)
 }
 
 // expireLeases marks hosts lost whose lease has run out.
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -230,12 +230,7 @@
 }
 
 func hasCapability(info *model.HostInfo, want model.Capability) bool {
-	for _, have := range info.Capabilities {
-		if have == want {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(info.Capabilities, want)
 }
 
 // adopt pulls newer records from the region group into this data centre's
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -165,7 +165,7 @@
 		return true
 	}
 	switch remote.RemoteCode {
-	case fault.CodeTimeout, fault.CodeProposalUnknown, fault.CodeSilentConnection, fault.CodeInternal:
+	case fault.CodeTimeout, fault.CodeProposalUnknown, fault.CodeSilentConnection, fault.CodeConnectionLost, fault.CodeInternal:
 		return true
 	}
 	return false
--- /dev/null
+++ b/internal/datacentre/datacentre_test.go
@@ -0,0 +1,121 @@
+package datacentre_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatehaven.dev/agatehaven/internal/codec"
+	"agatehaven.dev/agatehaven/internal/datacentre"
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/hlc"
+	"agatehaven.dev/agatehaven/internal/inventory"
+	"agatehaven.dev/agatehaven/internal/ledger"
+	"agatehaven.dev/agatehaven/internal/model"
+	"agatehaven.dev/agatehaven/internal/replica"
+)
+
+func TestDatacentre(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "datacentre")
+}
+
+// log applies commands to a machine with rising indexes and times.
+type log struct {
+	machine *datacentre.Machine
+	index   uint64
+}
+
+func (l *log) apply(cmd datacentre.Command) datacentre.Result {
+	GinkgoHelper()
+	data, err := codec.Marshal(cmd)
+	Expect(err).NotTo(HaveOccurred())
+	l.index++
+	entry := replica.Entry{Index: l.index, Term: 1, Time: hlc.Time{WallMillis: int64(l.index) * 1000}, Data: data}
+	return l.machine.Apply(entry).(datacentre.Result)
+}
+
+func records(revision uint64) *model.Records {
+	return &model.Records{
+		Revision: revision, FloorRevision: revision,
+		Items: []model.Record{
+			{Schema: 2, Kind: model.KindPool, Name: "work", Spec: []byte(`{"min_available":0,"homes":["dc-a"]}`)},
+			{Schema: 2, Kind: model.KindJobKind, Name: "order", Spec: []byte(`{"pool":"work","priority":"normal","max_attempts":1}`)},
+		},
+		Floors: map[string]map[string]int{"work": {"dc-a": 0}},
+	}
+}
+
+func register(incarnation string) datacentre.Command {
+	return datacentre.Command{Inventory: &inventory.Command{Register: &inventory.Register{Info: model.HostInfo{
+		Name: "h1", DataCentre: "dc-a", Rack: "r1", Address: "127.0.0.1:1", Incarnation: incarnation,
+		CPUMillis: 8000, MemoryMB: 8000, Slots: 8, Connections: 64, Pool: "work",
+	}}}}
+}
+
+func dispatched() *log {
+	GinkgoHelper()
+	l := &log{machine: datacentre.New("dc-a", nil)}
+	Expect(l.apply(datacentre.Command{Adopt: records(2)}).Err).NotTo(HaveOccurred())
+	Expect(l.apply(register("1")).Err).NotTo(HaveOccurred())
+	Expect(l.apply(datacentre.Command{Ledger: &ledger.Command{Claim: &ledger.Claim{Key: "k", Kind: "order"}}}).Err).NotTo(HaveOccurred())
+	result := l.apply(datacentre.Command{Ledger: &ledger.Command{Dispatch: &ledger.Dispatch{Items: []ledger.DispatchItem{
+		{Key: "k", Attempt: 1, Host: "h1", Owner: "entry-a1", OwnerIncarnation: "p"},
+	}}}})
+	Expect(result.Dispatched).To(HaveLen(1))
+	return l
+}
+
+var _ = Describe("Machine", func() {
+	It("refuses records that are not newer", func() {
+		// Guards against a configuration that reverts.
+		l := &log{machine: datacentre.New("dc-a", nil)}
+		Expect(l.apply(datacentre.Command{Adopt: records(5)}).Err).NotTo(HaveOccurred())
+		for _, revision := range []uint64{4, 5} {
+			Expect(fault.CodeOf(l.apply(datacentre.Command{Adopt: records(revision)}).Err)).To(Equal(fault.CodeRevisionConflict))
+		}
+		Expect(l.machine.Records().Revision).To(Equal(uint64(5)))
+	})
+
+	It("makes the attempts on a restarted host unknown in the same entry", func() {
+		// Guards against an attempt that stays assigned to tasks that ended.
+		l := dispatched()
+		Expect(l.apply(register("2")).Err).NotTo(HaveOccurred())
+		r, ok := l.machine.Request("k")
+		Expect(ok).To(BeTrue())
+		Expect(r.Outcome).To(Equal(model.OutcomeUnknown))
+	})
+
+	It("continues from a snapshot as from the log", func() {
+		// Guards against state that a restart loses.
+		l := dispatched()
+		data, err := l.machine.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		restored := &log{machine: datacentre.New("dc-a", nil), index: l.index}
+		Expect(restored.machine.Restore(data)).To(Succeed())
+		report := datacentre.Command{Ledger: &ledger.Command{Report: &ledger.Report{Reports: []model.AttemptReport{
+			{Key: "k", Attempt: 1, State: model.AttemptSucceeded, Answer: []byte("done")},
+		}}}}
+		l.apply(report)
+		restored.apply(report)
+		first, err := l.machine.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		second, err := restored.machine.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(second).To(Equal(first))
+	})
+
+	It("wakes those who wait for a request at its change", func() {
+		// Guards against a caller that waits out its time for an answer that is
+		// there.
+		l := dispatched()
+		changed, stop := l.machine.WatchRequest("k")
+		defer stop()
+		Expect(changed).NotTo(BeClosed())
+		l.apply(datacentre.Command{Ledger: &ledger.Command{Report: &ledger.Report{Reports: []model.AttemptReport{
+			{Key: "k", Attempt: 1, State: model.AttemptFailed},
+		}}}})
+		Expect(changed).To(BeClosed())
+	})
+})
