--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -149,7 +149,7 @@
 		{"repair", time.Second, c.repair, false},
 		{"resolve", time.Second, c.resolveOrphans, false},
 		{"retry", c.cfg.Timing.Tick, c.retryEnded, true},
-		{"expiry", time.Second, c.expireRequests, false},
+		{"ledger", time.Second, c.maintainLedger, false},
 		{"suspects", time.Second, c.judgeHosts, false},
 		{"adoption", c.cfg.Timing.Tick, c.adopt, false},
 	}
--- a/internal/control/export_test.go
+++ b/internal/control/export_test.go
@@ -11,7 +11,7 @@
 	c.expireLeases(ctx)
 	c.judgeHosts(ctx)
 	c.retryEnded(ctx)
-	c.expireRequests(ctx)
+	c.maintainLedger(ctx)
 	c.runWaves(ctx)
 	c.repair(ctx)
 	c.place(ctx)
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -221,7 +222,9 @@
 	actions, c.repairMemory = repair.Decide(in)
 	for _, a := range actions {
 		if a.Kind == repair.Wait {
-			c.recordWait(event.Event{Host: a.Host, Pool: a.To + a.From, Actor: repair.Actor, Reason: a.Reason})
+			// A wait names the pool that lacks a host or the one with too many.
+			pool := cmp.Or(a.To, a.From)
+			c.recordWait(event.Event{Host: a.Host, Pool: pool, Actor: repair.Actor, Reason: a.Reason})
 			continue
 		}
 		if cmd := a.Command(); cmd != nil {
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -114,6 +114,13 @@
 	delete(c.entries, key)
 }
 
+// maintainLedger does what the passing of time asks of the ledger.
+func (c *Controller) maintainLedger(ctx context.Context) {
+	c.applyLimits(ctx)
+	c.expireRequests(ctx)
+	c.unpark(ctx)
+}
+
 // expireRequests finishes requests whose deadline has passed and drops what
 // its retention allows.
 func (c *Controller) expireRequests(ctx context.Context) {
@@ -126,8 +133,6 @@
 	if due {
 		_, _ = c.proposeRequest(ctx, ledger.Command{Expire: &ledger.Expire{}})
 	}
-	c.unpark(ctx)
-	c.applyLimits(ctx)
 }
 
 // applyLimits brings the limits of this leader's settings into force.
