--- a/internal/control/evidence.go
+++ b/internal/control/evidence.go
@@ -9,7 +9,6 @@
 	"agatehaven.dev/agatehaven/internal/datacentre"
 	"agatehaven.dev/agatehaven/internal/estimate"
 	"agatehaven.dev/agatehaven/internal/event"
-	"agatehaven.dev/agatehaven/internal/hlc"
 	"agatehaven.dev/agatehaven/internal/inventory"
 	"agatehaven.dev/agatehaven/internal/ledger"
 	"agatehaven.dev/agatehaven/internal/model"
@@ -184,7 +183,7 @@
 		delay, verdict := c.evidence.retry(r)
 		_, err := c.proposeRequest(ctx, ledger.Command{Retry: &ledger.Retry{
 			Key: r.Key, Attempt: r.Attempts[len(r.Attempts)-1].Number,
-			NotBefore: hlc.Time{WallMillis: c.cfg.Clock.Now().Add(delay).UnixMilli()},
+			NotBefore: hlcOf(c.cfg.Clock.Now().Add(delay)),
 			Refused:   !verdict.Retry, Reason: verdict.Reason,
 		}})
 		if err != nil {
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -8,7 +8,6 @@
 
 	"agatehaven.dev/agatehaven/internal/datacentre"
 	"agatehaven.dev/agatehaven/internal/fault"
-	"agatehaven.dev/agatehaven/internal/hlc"
 	"agatehaven.dev/agatehaven/internal/ledger"
 	"agatehaven.dev/agatehaven/internal/model"
 	"agatehaven.dev/agatehaven/internal/peer"
@@ -124,7 +123,7 @@
 // expireRequests finishes requests whose deadline has passed and drops what
 // its retention allows.
 func (c *Controller) expireRequests(ctx context.Context) {
-	now := hlc.Time{WallMillis: c.cfg.Clock.Now().UnixMilli()}
+	now := c.now()
 	due := false
 	c.cfg.Machine.View(func(v datacentre.View) {
 		at, ok := v.Requests.NextDeadline()
