--- a/internal/ctl/records.go
+++ b/internal/ctl/records.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -118,10 +119,12 @@
 		return eris.Wrap(decoder.Decode(file), "JSON")
 	}
 	err := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields().Decode(file)
-	if strict, ok := err.(*toml.StrictMissingError); ok { //nolint:errorlint // the decoder returns it unwrapped
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
 		return eris.Wrap(&UsageError{Reason: strict.String()}, "unknown fields")
 	}
-	if decode, ok := err.(*toml.DecodeError); ok { //nolint:errorlint // the decoder returns it unwrapped
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
 		row, column := decode.Position()
 		return eris.Wrapf(err, "line %d, column %d", row, column)
 	}
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -1,6 +1,7 @@
 package wal
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -78,7 +79,8 @@
 // they are complete: there a torn tail is damage.
 func nextWhole(r *reader) (recordType, []byte, error) {
 	kind, payload, err := r.next()
-	if _, torn := err.(*tornTail); torn { //nolint:errorlint // next returns it unwrapped
+	var torn *tornTail
+	if errors.As(err, &torn) {
 		err = r.corrupt("incomplete record")
 	}
 	return kind, payload, err
