Read job kinds of usage reports without the lock of the learned sizes

Cause: a deadlock of a data centre's leader. evidence.usage held the lock of the learned sizes while it looked up requests in the state machine; plans take the two locks in the opposite order. With an entry waiting to be applied, which blocks further readers, neither side goes on: the leader keeps its heartbeats, but applies nothing more. A wave stays as it was, and a request sent again waits until its time is over. Ruled out: adoption of records (the loops were blocked before they reached it), silent links, a pause proposed before and committed after a resumption. Change: the kinds are looked up before the lock is taken; the type's comment states the order of the locks. The new test fails by a time limit without the change.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -30,6 +30,21 @@
 		Expect(w.host("host-1").State).To(Equal(model.HostLost))
 	})
 
+	It("reads the state machine for a usage report without the lock of the learned sizes", func() {
+		// Guards against a deadlock: plans take that lock within a view of the
+		// state machine, and a waiting writer blocks further readers.
+		w := newWorld(1, sampleRecords()...)
+		taken := make(chan struct{})
+		go func() {
+			defer close(taken)
+			w.controller.TakeUsage([]model.Usage{{Request: "r", Attempt: 1}}, func(string) string {
+				w.controller.Estimate("render")
+				return "render"
+			})
+		}()
+		Eventually(taken).WithTimeout(10 * time.Second).Should(BeClosed())
+	})
+
 	It("retries idempotent work of a lost host elsewhere and leaves other work unknown", func() {
 		// Guards against lost work, and against a second run of work that may
 		// have run.
--- a/internal/control/evidence.go
+++ b/internal/control/evidence.go
@@ -25,7 +25,8 @@
 
 // evidence is the soft state that is learned from finished attempts: run
 // times and sizes, failing hosts and kinds, retry tokens. A new leader starts
-// without it. It is safe for concurrent use.
+// without it. It is safe for concurrent use. Its lock is taken within views of
+// the state machine, so no method may call the machine while it holds the lock.
 type evidence struct {
 	clock  clock.Clock
 	policy Policy
@@ -61,12 +62,19 @@
 	return e.learner.Estimate(kind, declared)
 }
 
+// usage takes a target's report of the resources that its tasks use. kindOf
+// returns the job kind of a request, or empty if it is not known; it reads the
+// state machine, so it is called without the lock.
 func (e *evidence) usage(list []model.Usage, kindOf func(key string) string) {
+	kinds := make([]string, len(list))
+	for i := range list {
+		kinds[i] = kindOf(list[i].Request)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, u := range list {
-		if kind := kindOf(u.Request); kind != "" {
-			e.learner.Usage(kind, u)
+	for i, u := range list {
+		if kinds[i] != "" {
+			e.learner.Usage(kinds[i], u)
 		}
 	}
 }
--- a/internal/control/export_test.go
+++ b/internal/control/export_test.go
@@ -1,6 +1,22 @@
 package control
 
-import "context"
+import (
+	"context"
+
+	"agatehaven.dev/agatehaven/internal/estimate"
+	"agatehaven.dev/agatehaven/internal/model"
+)
+
+// Estimate returns the learned size of a job kind, as policies read it within
+// a view of the state machine.
+func (c *Controller) Estimate(kind string) estimate.Estimate {
+	return c.evidence.estimate(kind, estimate.Declared{})
+}
+
+// TakeUsage takes a usage report with the given look-up of job kinds.
+func (c *Controller) TakeUsage(list []model.Usage, kindOf func(key string) string) {
+	c.evidence.usage(list, kindOf)
+}
 
 // Step runs every responsibility once, in a fixed order, so that tests do not
 // depend on the scheduling of the loops.
