--- a/internal/e2e/silence_test.go
+++ b/internal/e2e/silence_test.go
@@ -30,8 +30,9 @@
 }
 
 // stream sends requests one after the other from several callers, through all
-// entry hosts in turn, until stop is closed.
-func (r *region) stream(prefix string, callers int, kinds []string, run time.Duration, stop <-chan struct{}) func() []answered {
+// entry hosts in turn, until stop is closed. Each of them waits for its answer
+// up to the given time.
+func (r *region) stream(prefix string, callers int, kinds []string, run, wait time.Duration, stop <-chan struct{}) func() []answered {
 	var (
 		mu  sync.Mutex
 		out []answered
@@ -49,6 +50,7 @@
 				i := int(n.Add(1))
 				a := answered{key: fmt.Sprintf("%s-%d", prefix, i), body: body(kinds[i%len(kinds)], run)}
 				a.body.Payload = fmt.Appendf(nil, `{"run_ms":%d,"part":"%d"}`, run.Milliseconds(), i)
+				a.body.WaitMS = wait.Milliseconds()
 				begun := time.Now()
 				a.response, _, a.err = r.client.Send(context.Background(), r.client.Entry(i), a.key, a.body)
 				a.took = time.Since(begun)
@@ -71,7 +73,7 @@
 		// against a second run after such a wait.
 		r := shared()
 		stop := make(chan struct{})
-		finish := r.stream("quiet", 24, []string{"plotter_order", "proof", "draw"}, 100*time.Millisecond, stop)
+		finish := r.stream("quiet", 24, []string{"plotter_order", "proof", "draw"}, 100*time.Millisecond, 30*time.Second, stop)
 		before := r.totalRuns()
 		for range 2 {
 			Eventually(r.totalRuns).WithTimeout(settleLimit).Should(BeNumerically(">=", before+60))
