Print the times of syncs and commits beside the latencies of a run

Change: agatehaven-load adds the p50 and p99 of the logs' syncs and the p99 of commits, from the histograms that the daemons export. Conclusion: a start waits for two commits, each of which waits for the second slowest of three syncs, so the tail of the syncs is a large part of the tail of the starts.

--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -350,6 +351,27 @@
 	})
 })
 
+var _ = Describe("Histogram", func() {
+	It("takes quantiles of the durations between two readings, over all groups", func() {
+		// Guards against quantiles that include durations from before the run.
+		page := func(fast, slow int) string {
+			return fmt.Sprintf(`agatehaven_replica_sync_seconds_bucket{group="dc-a",host="entry-a1",vmrange="1.000e-03...1.136e-03"} %d
+agatehaven_replica_sync_seconds_bucket{group="region",host="entry-a1",vmrange="1.000e-03...1.136e-03"} 10
+agatehaven_replica_sync_seconds_bucket{group="dc-a",host="entry-a1",vmrange="8.799e-02...1.000e-01"} %d
+`, fast, slow)
+		}
+		a, err := parseMetrics(strings.NewReader(page(100, 500)))
+		Expect(err).NotTo(HaveOccurred())
+		b, err := parseMetrics(strings.NewReader(page(190, 510)))
+		Expect(err).NotTo(HaveOccurred())
+		b.At = a.At.Add(time.Second)
+		u := Between(a, b)
+		Expect(u.SyncP50MS).To(BeNumerically("~", 1.136, 0.001))
+		Expect(u.SyncP99MS).To(BeNumerically("~", 100, 0.001))
+		Expect(u.CommitP99MS).To(BeZero())
+	})
+})
+
 var _ = Describe("payload", func() {
 	It("has the size asked for and differs between requests", func() {
 		// Guards against equal payloads, with which a mix-up is not seen.
--- a/internal/load/usage.go
+++ b/internal/load/usage.go
@@ -26,6 +26,10 @@
 	Receive float64
 	Log     float64 // bytes written to logs
 	Commits float64 // proposals
+	// Sync holds the times of the logs' syncs to disk, Commit those from
+	// proposal to commit at a leader.
+	Sync   Histogram
+	Commit Histogram
 }
 
 // Usage is what one process used between two readings.
@@ -40,6 +44,10 @@
 	LogKB      float64 `json:"log_kb_per_second"`
 	Proposals  float64 `json:"proposals_per_second"`
 	Seconds    float64 `json:"seconds"`
+	// The latency of a request follows these times.
+	SyncP50MS   float64 `json:"sync_p50_ms"`
+	SyncP99MS   float64 `json:"sync_p99_ms"`
+	CommitP99MS float64 `json:"commit_p99_ms"`
 }
 
 // Between returns the use of a process between two readings.
@@ -49,10 +57,12 @@
 		return Usage{Host: b.Host}
 	}
 	const kb, mb = 1 << 10, 1 << 20
+	sync, commit := b.Sync.since(a.Sync), b.Commit.since(a.Commit)
 	return Usage{
 		Host: b.Host, CPUPercent: 100 * (b.CPU - a.CPU) / s, MemoryMB: b.Memory / mb,
 		SentKB: (b.Sent - a.Sent) / s / kb, ReceivedKB: (b.Receive - a.Receive) / s / kb,
 		LogKB: (b.Log - a.Log) / s / kb, Proposals: (b.Commits - a.Commits) / s, Seconds: s,
+		SyncP50MS: sync.quantileMS(0.5), SyncP99MS: sync.quantileMS(0.99), CommitP99MS: commit.quantileMS(0.99),
 	}
 }
 
@@ -60,9 +70,11 @@
 	if len(usage) == 0 {
 		return
 	}
-	t.row("host", "role", "CPU % of a core", "MB", "KB/s sent", "KB/s received", "log KB/s", "proposals/s")
+	t.row("host", "role", "CPU % of a core", "MB", "KB/s sent", "KB/s received", "log KB/s", "proposals/s",
+		"sync p50 ms", "p99", "commit p99 ms")
 	for _, u := range usage {
-		t.row(u.Host, u.Role, u.CPUPercent, u.MemoryMB, u.SentKB, u.ReceivedKB, u.LogKB, u.Proposals)
+		t.row(u.Host, u.Role, u.CPUPercent, u.MemoryMB, u.SentKB, u.ReceivedKB, u.LogKB, u.Proposals,
+			u.SyncP50MS, u.SyncP99MS, u.CommitP99MS)
 	}
 }
 
@@ -111,7 +123,10 @@
 
 // parseMetrics sums the meters over their labels.
 func parseMetrics(body io.Reader) (Reading, error) {
-	s := Reading{At: time.Now()}
+	s := Reading{At: time.Now(), Sync: Histogram{}, Commit: Histogram{}}
+	histograms := map[string]Histogram{
+		"agatehaven_replica_sync_seconds_bucket": s.Sync, "agatehaven_replica_commit_seconds_bucket": s.Commit,
+	}
 	lines := bufio.NewScanner(body)
 	for lines.Scan() {
 		name, text, ok := strings.Cut(lines.Text(), " ")
@@ -129,13 +144,18 @@
 			"agatehaven_replica_log_bytes_total":         &s.Log,
 			"agatehaven_replica_proposals_total":         &s.Commits,
 		}[metric]
-		if into == nil || strings.Contains(labels, `peer="diagnostics"`) {
+		histogram := histograms[metric]
+		if into == nil && histogram == nil || strings.Contains(labels, `peer="diagnostics"`) {
 			continue
 		}
 		value, err := strconv.ParseFloat(text, 64)
 		if err != nil {
 			return s, err
 		}
+		if histogram != nil {
+			histogram.add(labels, value)
+			continue
+		}
 		*into += value
 	}
 	return s, lines.Err()
