Take attempts back early from owners without an open pull

Cause: an attempt whose entry host is killed before it sends the start waited for that host's lease of 5 s; urgent work then started up to 5.9 s late. Change: the leader counts the open pulls of each owner; a pull ends with its connection. An owner without one for 0.5 s is suspected, and its attempts are read from their targets, but only where the target can revoke: if the owner lives after all, its start is refused, and the attempt still runs at most once. The resolve loop runs every 250 ms and reads one attempt at most once a second. Ruled out: a shorter lease, which would make outcomes unknown at targets that cannot revoke while a slow owner still works. The test failed with the suspicion always and with it never acted upon.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -117,6 +117,9 @@
 	waits     map[string]string    // last reason for which a policy waits
 	// repairMemory is used by the repair loop alone.
 	repairMemory repair.Memory
+	// resolved holds the last read of each orphaned attempt from its target;
+	// only the resolve loop uses it.
+	resolved map[peer.AttemptRef]time.Time
 	// turn spreads requests over owners; only the placement loop uses it.
 	turn int
 }
@@ -147,7 +150,7 @@
 		{"leases", c.cfg.Timing.Tick, c.expireLeases, false},
 		{"waves", c.cfg.Timing.Tick, c.runWaves, true},
 		{"repair", time.Second, c.repair, false},
-		{"resolve", time.Second, c.resolveOrphans, false},
+		{"resolve", resolveEvery, c.resolveOrphans, false},
 		{"retry", c.cfg.Timing.Tick, c.retryEnded, true},
 		{"ledger", time.Second, c.maintainLedger, false},
 		{"suspects", time.Second, c.judgeHosts, false},
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -79,6 +79,34 @@
 		Expect(string(w.request("o").Answer)).To(Equal("done"))
 	})
 
+	It("takes an attempt from a suspected owner only if its target can revoke it", func() {
+		// Guards against urgent work that waits for the lease of a killed entry
+		// host, and against an outcome that becomes unknown while the owner may
+		// still live.
+		w := newWorld(0, sampleRecords()...)
+		for name, capabilities := range map[string][]model.Capability{"host-1": {model.CapabilityRevoke}, "host-2": nil} {
+			w.hosts[name] = &model.HostInfo{
+				Name: name, DataCentre: "dc-a", Rack: name, Address: "127.0.0.1:1", Incarnation: "1", CPUMillis: 32_000,
+				MemoryMB: 64_000, Slots: 8, Connections: 64, Pool: "work", Capabilities: capabilities,
+			}
+		}
+		w.tick()
+		for i := range 4 {
+			w.submit(fmt.Sprintf("r-%d", i), "render")
+		}
+		var taken []string
+		w.resolver.answer = func(a ledger.OpenAttempt, _ bool) (model.AttemptReport, bool) {
+			taken = append(taken, a.Host)
+			return model.AttemptReport{Key: a.Key, Attempt: a.Attempt, State: model.AttemptNotBegun}, true
+		}
+		w.pass(2 * time.Second)
+		Expect(taken).To(BeEmpty(), "the owner pulls")
+		w.ownerDead = true
+		w.pass(1500 * time.Millisecond)
+		Expect(taken).NotTo(BeEmpty())
+		Expect(taken).To(HaveEach("host-1"))
+	})
+
 	It("tells the owner how long a stop waits and whether the target can revoke", func() {
 		// Guards against a graceful stop that cuts running attempts, and against
 		// outcomes that stay unknown although the target could prove them.
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -65,6 +66,7 @@
 
 // resolver answers for targets without a result.
 type resolver struct {
+	mu     sync.Mutex // the controller resolves attempts concurrently
 	answer func(a ledger.OpenAttempt, canRevoke bool) (model.AttemptReport, bool)
 }
 
@@ -72,6 +74,8 @@
 	if r.answer == nil {
 		return model.AttemptReport{}, false
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	return r.answer(a, canRevoke)
 }
 
--- a/internal/control/owners.go
+++ b/internal/control/owners.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"agatehaven.dev/agatehaven/internal/datacentre"
+	"agatehaven.dev/agatehaven/internal/ledger"
 	"agatehaven.dev/agatehaven/internal/model"
 	"agatehaven.dev/agatehaven/internal/peer"
 )
@@ -15,18 +16,42 @@
 // the next delivery.
 const updateRepeat = 500 * time.Millisecond
 
+// ownerGrace is how long an owner may be without an open pull before it is
+// suspected. A live one pulls again at once, also after a lost connection.
+const ownerGrace = 500 * time.Millisecond
+
+// ownerState tells how far the leader trusts that an owner executes its
+// attempts.
+type ownerState int
+
+const (
+	// ownerAlive has an open pull or had one within ownerGrace.
+	ownerAlive ownerState = iota
+	// ownerSuspected has no open pull, but its lease still runs.
+	ownerSuspected
+	// ownerGone has lost its lease or was replaced by another process.
+	ownerGone
+)
+
 // owner is an entry host that executes attempts.
 type owner struct {
 	incarnation string
-	at          time.Time
-	draining    bool
-	updatedAt   time.Time
+	// at is the last time at which a pull began, went on or ended.
+	at time.Time
+	// pulls counts the open pulls. A pull ends when its connection breaks.
+	pulls     int
+	draining  bool
+	updatedAt time.Time
 }
 
 // PullAssignments returns the attempts that the owner does not know yet, and
 // known ones that must stop or whose host drains. It waits up to r.WaitMS.
 func (c *Controller) PullAssignments(ctx context.Context, r *peer.PullAssignmentsRequest) (*peer.PullAssignmentsResponse, error) {
 	deadline := c.cfg.Clock.After(time.Duration(r.WaitMS) * time.Millisecond)
+	if err := c.requireLeading(); err != nil {
+		return nil, err
+	}
+	defer c.beginPull(r)()
 	for {
 		if err := c.requireLeading(); err != nil {
 			return nil, err
@@ -46,17 +71,38 @@
 	}
 }
 
-// recordOwner renews the owner's lease and reports whether updates of known
-// attempts are due.
-func (c *Controller) recordOwner(r *peer.PullAssignmentsRequest) bool {
-	now := c.cfg.Clock.Now()
+// beginPull counts an open pull of an owner. The result ends it.
+func (c *Controller) beginPull(r *peer.PullAssignmentsRequest) (end func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	o := c.ownerOf(r)
+	o.pulls++
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		o.pulls--
+		o.at = c.cfg.Clock.Now()
+	}
+}
+
+// ownerOf returns the owner's entry, a new one for a new process. The caller
+// holds the lock.
+func (c *Controller) ownerOf(r *peer.PullAssignmentsRequest) *owner {
 	o := c.owners[r.Owner]
 	if o == nil || o.incarnation != r.Incarnation {
-		o = &owner{incarnation: r.Incarnation}
+		o = &owner{incarnation: r.Incarnation, at: c.cfg.Clock.Now()}
 		c.owners[r.Owner] = o
 	}
+	return o
+}
+
+// recordOwner renews the owner's lease and reports whether updates of known
+// attempts are due.
+func (c *Controller) recordOwner(r *peer.PullAssignmentsRequest) bool {
+	now := c.cfg.Clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o := c.ownerOf(r)
 	o.at, o.draining = now, r.Draining
 	return now.Sub(o.updatedAt) >= updateRepeat
 }
@@ -102,16 +148,42 @@
 	}
 }
 
-// ownerAlive reports whether an owner's process still holds its lease.
-func (c *Controller) ownerAlive(host, incarnation string) bool {
+// ownerStateOf returns the state of the process that an attempt was assigned
+// to.
+func (c *Controller) ownerStateOf(host, incarnation string) ownerState {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	o := c.owners[host]
-	if o == nil {
-		// After a change of leader an owner has one lease to report.
-		return c.cfg.Clock.Now().Sub(c.termStart) <= c.cfg.Timing.OwnerLease
+	// After a change of leader an owner has one lease to report.
+	silence, pulls := c.cfg.Clock.Now().Sub(c.termStart), 0
+	if o := c.owners[host]; o != nil {
+		if o.incarnation != incarnation {
+			return ownerGone
+		}
+		silence, pulls = c.cfg.Clock.Now().Sub(o.at), o.pulls
+	}
+	switch {
+	case silence > c.cfg.Timing.OwnerLease:
+		return ownerGone
+	case pulls == 0 && silence > ownerGrace:
+		return ownerSuspected
+	}
+	return ownerAlive
+}
+
+// leaveToOwner reports whether the leader leaves an open attempt to its owner.
+// From a suspected owner it takes only attempts that the target can revoke:
+// if the owner lives after all, its start is then refused.
+func (c *Controller) leaveToOwner(a *ledger.OpenAttempt, canRevoke bool) bool {
+	if a.State != model.AttemptAssigned {
+		return false
+	}
+	switch c.ownerStateOf(a.Owner, a.OwnerIncarnation) {
+	case ownerAlive:
+		return true
+	case ownerSuspected:
+		return !canRevoke
 	}
-	return o.incarnation == incarnation && c.cfg.Clock.Now().Sub(o.at) <= c.cfg.Timing.OwnerLease
+	return false
 }
 
 // ownerFor chooses the entry host that executes a request: the one that took
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -17,6 +17,11 @@
 const (
 	// maxEntries bounds the memory of which entry host took which request.
 	maxEntries = 100_000
+	// resolveEvery is short beside ownerGrace, so that urgent work of a killed
+	// entry host starts elsewhere within 1.6 s.
+	resolveEvery = 250 * time.Millisecond
+	// resolveRepeat is the least time between two reads of one attempt.
+	resolveRepeat = time.Second
 	// resolveParallel bounds the orphaned attempts read from targets at once.
 	resolveParallel = 16
 )
@@ -183,8 +188,20 @@
 	// The owners are looked up outside the view: leading reads the view while
 	// it holds the controller's lock, and the opposite order could block both.
 	orphans = slices.DeleteFunc(orphans, func(o orphan) bool {
-		return o.attempt.State == model.AttemptAssigned && c.ownerAlive(o.attempt.Owner, o.attempt.OwnerIncarnation)
+		return c.leaveToOwner(&o.attempt, o.canRevoke)
 	})
+	now, resolved := c.cfg.Clock.Now(), make(map[peer.AttemptRef]time.Time, len(orphans))
+	orphans = slices.DeleteFunc(orphans, func(o orphan) bool {
+		ref := peer.AttemptRef{Key: o.attempt.Key, Attempt: o.attempt.Attempt}
+		last, known := c.resolved[ref]
+		recent := known && now.Sub(last) < resolveRepeat
+		if !recent {
+			last = now
+		}
+		resolved[ref] = last
+		return recent
+	})
+	c.resolved = resolved
 	var (
 		wg      sync.WaitGroup
 		limit   = make(chan struct{}, resolveParallel)
