--- a/internal/model/records.go
+++ b/internal/model/records.go
@@ -2,7 +2,10 @@
 // several packages share.
 package model
 
-import "encoding/json"
+import (
+	"cmp"
+	"encoding/json"
+)
 
 // RecordKind names the type of an operator's record.
 type RecordKind string
@@ -33,6 +36,23 @@
 	Deleted bool `cbor:"5,keyasint,omitempty" json:"deleted,omitempty"`
 }
 
+// RecordKey identifies a record among all records.
+type RecordKey struct {
+	Kind RecordKind `cbor:"1,keyasint"`
+	Name string     `cbor:"2,keyasint"`
+}
+
+// Compare orders keys by kind, then name.
+func (k RecordKey) Compare(o RecordKey) int {
+	return cmp.Or(cmp.Compare(k.Kind, o.Kind), cmp.Compare(k.Name, o.Name))
+}
+
+// Key returns the key of the record.
+func (r Record) Key() RecordKey { return RecordKey{r.Kind, r.Name} }
+
+// CompareRecords orders records by their keys.
+func CompareRecords(a, b Record) int { return a.Key().Compare(b.Key()) }
+
 // Records is the whole set of records at one revision.
 type Records struct {
 	Revision uint64   `cbor:"1,keyasint" json:"revision"`
