Keep a history of the records in the region group

Cause: the region group knows its current records alone, so it cannot tell what a caller at an earlier revision lacks. Change: the machine keeps its records as a delta.Set and answers what a holder of a state lacks. Changes of floors are steps of their own, since they come with and without changed records. Ruled out: history in memory alone; the state of a replica would then depend on the time of its last restart. Conclusion: the answers of the peer calls are still whole sets.

--- a/internal/region/apply.go
+++ b/internal/region/apply.go
@@ -1,7 +1,6 @@
 package region
 
 import (
-	"cmp"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -17,14 +16,14 @@
 // applyOnce answers a resend with the first answer, also if that was an error.
 func (m *Machine) applyOnce(e replica.Entry, r *peer.ApplyRecordsRequest) Result {
 	if r.RequestID == "" || len(r.RequestID) > maxRequestID {
-		return Result{Revision: m.records.Revision, Err: &fault.Invalid{Field: "request_id",
+		return Result{Revision: m.set.Records().Revision, Err: &fault.Invalid{Field: "request_id",
 			Reason: "missing or too long", Allowed: fmt.Sprintf("1 to %d bytes", maxRequestID)}}
 	}
 	digest := digestOf(r.Records)
 	m.answers.expire(e.Index)
 	if a, ok := m.answers.get(r.RequestID); ok {
 		if a.Digest != digest {
-			return Result{Revision: m.records.Revision, Err: &fault.KeyReused{Key: r.RequestID}}
+			return Result{Revision: m.set.Records().Revision, Err: &fault.KeyReused{Key: r.RequestID}}
 		}
 		return a.result()
 	}
@@ -36,13 +35,13 @@
 // draft is the set of records that a request would create. It replaces the
 // current set only if the whole request is valid.
 type draft struct {
-	items map[recordKey]model.Record
+	items map[model.RecordKey]model.Record
 	homes map[string][]string
 	pools map[string]*model.Pool // understood pools
 }
 
 func (m *Machine) apply(e replica.Entry, r *peer.ApplyRecordsRequest) Result {
-	current := m.records.Revision
+	current := m.set.Records().Revision
 	if r.ExpectedRevision != current {
 		return Result{Revision: current, Err: &fault.RevisionConflict{Expected: r.ExpectedRevision, Current: current}}
 	}
@@ -65,9 +64,9 @@
 			Allowed: fmt.Sprintf("1 to %d", MaxApply)}
 	}
 	d := &draft{items: maps.Clone(m.items), homes: maps.Clone(m.homes), pools: make(map[string]*model.Pool)}
-	seen := make(map[recordKey]bool)
+	seen := make(map[model.RecordKey]bool)
 	for _, rec := range records {
-		key := recordKey{rec.Kind, rec.Name}
+		key := rec.Key()
 		if err := model.ValidateRecord(rec); err != nil {
 			return nil, err
 		}
@@ -97,7 +96,7 @@
 // checkPools decodes the pools of the draft and settles their homes.
 func (m *Machine) checkPools(e replica.Entry, d *draft) error {
 	for name := range d.homes {
-		if _, ok := d.items[recordKey{model.KindPool, name}]; !ok {
+		if _, ok := d.items[model.RecordKey{Kind: model.KindPool, Name: name}]; !ok {
 			delete(d.homes, name)
 		}
 	}
@@ -161,7 +160,7 @@
 		if pool == "" {
 			continue
 		}
-		if _, ok := d.items[recordKey{model.KindPool, pool}]; ok {
+		if _, ok := d.items[model.RecordKey{Kind: model.KindPool, Name: pool}]; ok {
 			continue
 		}
 		if deleted[pool] {
@@ -236,10 +235,8 @@
 
 func (m *Machine) sortedItems() []model.Record { return sorted(m.items) }
 
-func sorted(items map[recordKey]model.Record) []model.Record {
+func sorted(items map[model.RecordKey]model.Record) []model.Record {
 	out := slices.Collect(maps.Values(items))
-	slices.SortFunc(out, func(a, b model.Record) int {
-		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
-	})
+	slices.SortFunc(out, model.CompareRecords)
 	return out
 }
--- a/internal/region/machine.go
+++ b/internal/region/machine.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"agatehaven.dev/agatehaven/internal/codec"
+	"agatehaven.dev/agatehaven/internal/delta"
 	"agatehaven.dev/agatehaven/internal/event"
 	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/floors"
@@ -53,24 +54,19 @@
 	Err      error
 }
 
-type recordKey struct {
-	Kind model.RecordKind
-	Name string
-}
-
 // Machine implements replica.StateMachine. Queries are safe for concurrent
 // use; Apply, Snapshot and Restore are called from one goroutine.
 type Machine struct {
 	dataCentres []string
 
 	mu      sync.RWMutex
-	items   map[recordKey]model.Record
+	items   map[model.RecordKey]model.Record
 	homes   map[string][]string
 	retired map[string]retiredPool
 	floors  *floors.Table
 	answers answers
 	events  []event.Event
-	records *model.Records // replaced as a whole, never changed
+	set     *delta.Set
 	changed chan struct{}
 }
 
@@ -87,14 +83,14 @@
 func New(dataCentres []string) *Machine {
 	m := &Machine{
 		dataCentres: slices.Sorted(slices.Values(dataCentres)),
-		items:       make(map[recordKey]model.Record),
+		items:       make(map[model.RecordKey]model.Record),
 		homes:       make(map[string][]string),
 		retired:     make(map[string]retiredPool),
 		floors:      floors.New(),
 		answers:     newAnswers(),
 		changed:     make(chan struct{}),
 	}
-	m.publish(0)
+	m.set = delta.NewSet(m.compose(0), nil)
 	return m
 }
 
@@ -112,12 +108,12 @@
 	case cmd.Ack != nil:
 		return m.ack(e, cmd.Ack)
 	}
-	return Result{Revision: m.records.Revision, Err: &fault.Invalid{Field: "command", Reason: "empty", Allowed: "apply, ack"}}
+	return Result{Revision: m.set.Records().Revision, Err: &fault.Invalid{Field: "command", Reason: "empty", Allowed: "apply, ack"}}
 }
 
 // ack records what a data centre has adopted.
 func (m *Machine) ack(e replica.Entry, r *peer.AckAdoptionRequest) Result {
-	res := Result{Revision: m.records.Revision}
+	res := Result{Revision: m.set.Records().Revision}
 	switch {
 	case !m.knowsDataCentre(r.DataCentre):
 		res.Err = &fault.NotFound{Kind: "data centre", Name: r.DataCentre}
@@ -126,15 +122,23 @@
 	default:
 		changed := m.floors.Ack(r.DataCentre, r.FloorRevision)
 		if len(changed) > 0 {
-			m.publish(m.records.Revision)
+			m.publish(m.set.Records().Revision)
 			m.addFloorEvents(e, 0, changed)
 		}
 	}
 	return res
 }
 
-// publish makes the current state visible to queries under a revision.
+// publish makes the current state visible to queries under a revision and
+// keeps the step to it. The caller has made the revision or the floor revision
+// rise.
 func (m *Machine) publish(revision uint64) {
+	_ = m.set.Replace(m.compose(revision)) // refuses only what is not newer
+	m.signal()
+}
+
+// compose returns the current records as one value.
+func (m *Machine) compose(revision uint64) *model.Records {
 	r := &model.Records{
 		Revision: revision, Items: m.sortedItems(), Floors: m.floors.Floors(),
 		FloorRevision: m.floors.Revision, Homes: make(map[string][]string, len(m.homes)),
@@ -142,7 +146,10 @@
 	for name, homes := range m.homes {
 		r.Homes[name] = homes
 	}
-	m.records = r
+	return r
+}
+
+func (m *Machine) signal() {
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
--- a/internal/region/queries.go
+++ b/internal/region/queries.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 
+	"agatehaven.dev/agatehaven/internal/delta"
 	"agatehaven.dev/agatehaven/internal/event"
 	"agatehaven.dev/agatehaven/internal/hlc"
 	"agatehaven.dev/agatehaven/internal/model"
@@ -26,7 +27,15 @@
 func (m *Machine) Records() *model.Records {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return m.records
+	return m.set.Records()
+}
+
+// RecordsSince returns what a holder of the state have lacks; see
+// delta.Set.Since.
+func (m *Machine) RecordsSince(have delta.State) (*model.Records, *delta.Delta) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.set.Since(have)
 }
 
 // Changed returns a channel that is closed when newer records are available.
@@ -57,7 +66,7 @@
 	for i, rec := range r.Records {
 		ev := event.Event{
 			ID: event.ID{Group: "region", Index: e.Index, Seq: i}, Time: e.Time, Kind: RecordApplied, Actor: r.Operator,
-			Reason: fmt.Sprintf("request %s set %s %q at revision %d", r.RequestID, rec.Kind, rec.Name, m.records.Revision),
+			Reason: fmt.Sprintf("request %s set %s %q at revision %d", r.RequestID, rec.Kind, rec.Name, m.set.Records().Revision),
 		}
 		if rec.Deleted {
 			ev.Kind = RecordDeleted
@@ -76,10 +85,10 @@
 	for i, pool := range pools {
 		ev := event.Event{
 			ID: event.ID{Group: "region", Index: e.Index, Seq: seq + i}, Time: e.Time, Kind: FloorsOffered, Pool: pool,
-			Reason: fmt.Sprintf("floors %v wait for data centres whose floor rises", m.records.Floors[pool]),
+			Reason: fmt.Sprintf("floors %v wait for data centres whose floor rises", m.set.Records().Floors[pool]),
 		}
 		if m.floors.Settled(pool) {
-			ev.Kind, ev.Reason = FloorsSettled, fmt.Sprintf("floors %v equal the record's", m.records.Floors[pool])
+			ev.Kind, ev.Reason = FloorsSettled, fmt.Sprintf("floors %v equal the record's", m.set.Records().Floors[pool])
 		}
 		m.addEvent(ev)
 	}
--- a/internal/region/snapshot.go
+++ b/internal/region/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"agatehaven.dev/agatehaven/internal/codec"
+	"agatehaven.dev/agatehaven/internal/delta"
 	"agatehaven.dev/agatehaven/internal/event"
 	"agatehaven.dev/agatehaven/internal/floors"
 	"agatehaven.dev/agatehaven/internal/model"
@@ -15,13 +16,16 @@
 	Answers []answer               `cbor:"3,keyasint"`
 	Retired map[string]retiredPool `cbor:"4,keyasint"`
 	Events  []event.Event          `cbor:"5,keyasint"`
+	// Steps is absent in snapshots of versions before deltas. Then the history
+	// starts anew, and callers that are behind get the whole set.
+	Steps []delta.Step `cbor:"6,keyasint,omitempty"`
 }
 
 // Snapshot implements replica.StateMachine.
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return codec.Marshal(snapshot{m.records, m.floors, m.answers.list, m.retired, m.events})
+	return codec.Marshal(snapshot{m.set.Records(), m.floors, m.answers.list, m.retired, m.events, m.set.Steps()})
 }
 
 // Restore implements replica.StateMachine. On an error the machine is left as
@@ -33,9 +37,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.items = make(map[recordKey]model.Record, len(s.Records.Items))
+	m.items = make(map[model.RecordKey]model.Record, len(s.Records.Items))
 	for _, rec := range s.Records.Items {
-		m.items[recordKey{rec.Kind, rec.Name}] = rec
+		m.items[rec.Key()] = rec
 	}
 	m.homes = s.Records.Homes
 	if m.homes == nil {
@@ -46,6 +50,7 @@
 	for _, a := range s.Answers {
 		m.answers.put(a)
 	}
-	m.publish(s.Records.Revision)
+	m.set = delta.NewSet(m.compose(s.Records.Revision), s.Steps)
+	m.signal()
 	return nil
 }
