Adopt records in a data centre by delta

Cause: an adoption writes every record to the log of the data centre group and sends it to each of its replicas. Change: a log entry may carry a delta instead. On apply it must start from the adopted state, so the later of two leaders that adopt at once is refused as a whole, and a refused entry leaves the state as it was, byte for byte.

Whole sets keep their encoding. Ruled out: a check of the revision alone; a damaged delta would then be adopted. Replicas of the version before ignore entries with a delta, so all replicas of a group are upgraded before the records change. Conclusion: the adopting leader still pulls whole sets.

--- /dev/null
+++ b/internal/datacentre/adoption_test.go
@@ -0,0 +1,163 @@
+package datacentre_test
+
+import (
+	"fmt"
+	"os"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatehaven.dev/agatehaven/internal/codec"
+	"agatehaven.dev/agatehaven/internal/datacentre"
+	"agatehaven.dev/agatehaven/internal/delta"
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/model"
+	"agatehaven.dev/agatehaven/internal/replica"
+)
+
+// revisions returns records with quotas whose values tell the revision, in the
+// order that the region group keeps.
+func revisions(revision uint64) *model.Records {
+	r := &model.Records{
+		Revision: revision, FloorRevision: 1,
+		Floors: map[string]map[string]int{"work": {"dc-a": 0}}, Homes: map[string][]string{"work": {"dc-a"}},
+		Items: []model.Record{{Schema: 2, Kind: model.KindPool, Name: "work", Spec: []byte(`{"min_available":0,"homes":["dc-a"]}`)}},
+	}
+	for i := range 4 {
+		value := uint64(1)
+		if i == 0 {
+			value = revision
+		}
+		r.Items = append(r.Items, model.Record{Schema: 1, Kind: model.KindQuota, Name: fmt.Sprintf("t%d", i),
+			Spec: fmt.Appendf(nil, `{"max_running":%d}`, value)})
+	}
+	return r
+}
+
+// source returns a set that knows the steps from the first revision to the last.
+func source(first, last uint64) *delta.Set {
+	GinkgoHelper()
+	s := delta.NewSet(revisions(first), nil)
+	for revision := first + 1; revision <= last; revision++ {
+		Expect(s.Replace(revisions(revision))).To(Succeed())
+	}
+	return s
+}
+
+// between returns the delta from one revision to another.
+func between(from, to uint64) *delta.Delta {
+	GinkgoHelper()
+	_, d := source(from, to).Since(delta.StateOf(revisions(from)))
+	Expect(d).NotTo(BeNil())
+	return d
+}
+
+func snapshotOf(m *datacentre.Machine) []byte {
+	GinkgoHelper()
+	data, err := m.Snapshot()
+	Expect(err).NotTo(HaveOccurred())
+	return data
+}
+
+func fixture(name string) []byte {
+	GinkgoHelper()
+	data, err := os.ReadFile("testdata/" + name)
+	Expect(err).NotTo(HaveOccurred())
+	return data
+}
+
+var _ = Describe("Adoption by delta", func() {
+	It("ends with the same state as the adoption of whole sets", func() {
+		// Guards against replicas or data centres that differ by the way in which
+		// they got the records.
+		byDelta, whole := &log{machine: datacentre.New("dc-a", nil)}, &log{machine: datacentre.New("dc-a", nil)}
+		for revision := uint64(1); revision <= 5; revision++ {
+			Expect(whole.apply(datacentre.Command{Adopt: revisions(revision)}).Err).NotTo(HaveOccurred())
+			if revision == 1 {
+				Expect(byDelta.apply(datacentre.Command{Adopt: revisions(1)}).Err).NotTo(HaveOccurred())
+				continue
+			}
+			Expect(byDelta.apply(datacentre.Command{AdoptDelta: between(revision-1, revision)}).Err).NotTo(HaveOccurred())
+		}
+		Expect(snapshotOf(byDelta.machine)).To(Equal(snapshotOf(whole.machine)))
+		byDelta.machine.View(func(v datacentre.View) {
+			Expect(v.Catalogue.Quotas["t0"].MaxRunning).To(Equal(5))
+			Expect(v.Catalogue.Revision).To(Equal(uint64(5)))
+		})
+	})
+
+	It("is refused when two leaders adopt at once", func() {
+		// Guards against the second of two deltas from the same revision, which
+		// an earlier leader proposed before it lost its term, taking effect on
+		// top of the first, going back or being applied in part.
+		for _, second := range []*delta.Delta{between(1, 2), between(1, 3), between(1, 4), between(2, 4), between(4, 5)} {
+			l := &log{machine: datacentre.New("dc-a", nil)}
+			Expect(l.apply(datacentre.Command{Adopt: revisions(1)}).Err).NotTo(HaveOccurred())
+			Expect(l.apply(datacentre.Command{AdoptDelta: between(1, 3)}).Err).NotTo(HaveOccurred())
+			before, changed := snapshotOf(l.machine), l.machine.RecordsChanged()
+			Expect(fault.CodeOf(l.apply(datacentre.Command{AdoptDelta: second}).Err)).To(Equal(fault.CodePrecondition))
+			Expect(snapshotOf(l.machine)).To(Equal(before))
+			Expect(changed).NotTo(BeClosed())
+			Expect(l.apply(datacentre.Command{Adopt: revisions(4)}).Err).NotTo(HaveOccurred())
+			Expect(l.machine.RecordsState()).To(Equal(delta.StateOf(revisions(4))))
+		}
+	})
+
+	It("is refused when the delta's result is not the state that it names", func() {
+		// Guards against a delta that was damaged or made from other records.
+		l := &log{machine: datacentre.New("dc-a", nil)}
+		Expect(l.apply(datacentre.Command{Adopt: revisions(1)}).Err).NotTo(HaveOccurred())
+		before := snapshotOf(l.machine)
+		d := between(1, 3)
+		d.Changed[0].Spec = []byte(`{"max_running":4}`)
+		Expect(fault.CodeOf(l.apply(datacentre.Command{AdoptDelta: d}).Err)).To(Equal(fault.CodeCorrupt))
+		Expect(snapshotOf(l.machine)).To(Equal(before))
+	})
+
+	It("keeps its history through a snapshot", func() {
+		// Guards against a restart after which every entry host pulls the whole
+		// set, and against replicas whose history depends on their restarts.
+		l := &log{machine: datacentre.New("dc-a", nil)}
+		Expect(l.apply(datacentre.Command{Adopt: revisions(1)}).Err).NotTo(HaveOccurred())
+		Expect(l.apply(datacentre.Command{AdoptDelta: between(1, 2)}).Err).NotTo(HaveOccurred())
+		restored := &log{machine: datacentre.New("dc-a", nil), index: l.index}
+		Expect(restored.machine.Restore(snapshotOf(l.machine))).To(Succeed())
+		for _, m := range []*log{l, restored} {
+			Expect(m.apply(datacentre.Command{AdoptDelta: between(2, 4)}).Err).NotTo(HaveOccurred())
+			whole, d := m.machine.RecordsSince(delta.StateOf(revisions(1)))
+			Expect(whole).To(BeNil())
+			Expect(d.To).To(Equal(delta.StateOf(revisions(4))))
+		}
+		Expect(snapshotOf(restored.machine)).To(Equal(snapshotOf(l.machine)))
+	})
+
+	It("follows a snapshot and a log entry of a version without deltas", func() {
+		// Guards against an upgrade that cannot read what the earlier version
+		// stored. The files were written by that version.
+		m := datacentre.New("dc-a", nil)
+		Expect(m.Restore(fixture("snapshot-without-history.cbor"))).To(Succeed())
+		Expect(m.Records()).To(Equal(records(2)))
+		r, ok := m.Request("k")
+		Expect(ok).To(BeTrue())
+		Expect(r.State).To(Equal(model.RequestDispatched))
+		before := m.RecordsState()
+		result := m.Apply(replica.Entry{Index: 9, Term: 1, Data: fixture("adopt-whole-set.cbor")}).(datacentre.Result)
+		Expect(result.Err).NotTo(HaveOccurred())
+		Expect(m.Records()).To(Equal(records(3)))
+
+		// The history starts with the restored state.
+		whole, _ := m.RecordsSince(delta.StateOf(records(1)))
+		Expect(whole).To(Equal(records(3)))
+		_, d := m.RecordsSince(before)
+		Expect(d).NotTo(BeNil())
+		Expect(d.From).To(Equal(before))
+	})
+
+	It("keeps the encoding of whole sets that the earlier version reads", func() {
+		// Guards against an encoding that changes with the new field, so that
+		// logs of both versions differ for equal commands.
+		data, err := codec.Marshal(datacentre.Command{Adopt: records(3)})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(data).To(Equal(fixture("adopt-whole-set.cbor")))
+	})
+})
--- a/internal/datacentre/commands.go
+++ b/internal/datacentre/commands.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"agatehaven.dev/agatehaven/internal/codec"
+	"agatehaven.dev/agatehaven/internal/delta"
 	"agatehaven.dev/agatehaven/internal/event"
 	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/inventory"
@@ -19,9 +20,12 @@
 
 // Command is one log entry of a data centre group. Exactly one field is set.
 type Command struct {
+	// Adopt is the whole of newer records.
 	Adopt     *model.Records     `cbor:"1,keyasint,omitempty"`
 	Inventory *inventory.Command `cbor:"2,keyasint,omitempty"`
 	Ledger    *ledger.Command    `cbor:"3,keyasint,omitempty"`
+	// AdoptDelta is the difference between the adopted records and newer ones.
+	AdoptDelta *delta.Delta `cbor:"4,keyasint,omitempty"`
 }
 
 // Result is what a proposer gets back. Err is set if the command was refused;
@@ -41,7 +45,7 @@
 	onEvent    func(event.Event)
 
 	mu        sync.RWMutex
-	records   *model.Records
+	records   *delta.Set
 	catalogue *model.Catalogue
 	hosts     *inventory.State
 	requests  *ledger.State
@@ -58,7 +62,7 @@
 		dataCentre:     dataCentre,
 		group:          dataCentre,
 		onEvent:        onEvent,
-		records:        &model.Records{},
+		records:        delta.NewSet(&model.Records{}, nil),
 		catalogue:      emptyCatalogue(),
 		hosts:          inventory.New(),
 		requests:       ledger.New(ledger.DefaultLimits()),
@@ -100,6 +104,8 @@
 	switch {
 	case cmd.Adopt != nil:
 		return m.applyAdopt(e, cmd.Adopt)
+	case cmd.AdoptDelta != nil:
+		return m.applyAdoptDelta(e, cmd.AdoptDelta)
 	case cmd.Inventory != nil:
 		return m.applyInventory(e, cmd.Inventory)
 	case cmd.Ledger != nil:
@@ -112,14 +118,17 @@
 // applyAdopt takes newer records into force. The revision never falls: older
 // or equal records are refused.
 func (m *Machine) applyAdopt(e replica.Entry, records *model.Records) (Result, []event.Event) {
-	if !records.Newer(m.records) {
-		return Result{Err: &fault.RevisionConflict{Expected: records.Revision, Current: m.records.Revision}}, nil
+	if current := m.records.Records(); !records.Newer(current) {
+		return Result{Err: &fault.RevisionConflict{Expected: records.Revision, Current: current.Revision}}, nil
 	}
 	catalogue, err := model.ParseCatalogue(records)
 	if err != nil {
 		return Result{Err: err}, nil
 	}
-	m.records, m.catalogue = records, catalogue
+	if err := m.records.Replace(records); err != nil {
+		return Result{Err: err}, nil
+	}
+	m.catalogue = catalogue
 	m.notifyRecords()
 	return Result{}, []event.Event{{
 		ID:         event.ID{Group: m.group, Index: e.Index},
@@ -131,6 +140,17 @@
 	}}
 }
 
+// applyAdoptDelta takes newer records into force by their difference from the
+// adopted ones. A delta from any other state is refused as a whole: another
+// leader may have adopted records since the delta was pulled.
+func (m *Machine) applyAdoptDelta(e replica.Entry, d *delta.Delta) (Result, []event.Event) {
+	records, err := delta.Patch(m.records.Records(), m.records.State(), d)
+	if err != nil {
+		return Result{Err: err}, nil
+	}
+	return m.applyAdopt(e, records)
+}
+
 // applyInventory applies a host command and tells the ledger which task
 // incarnations ended with it.
 func (m *Machine) applyInventory(e replica.Entry, cmd *inventory.Command) (Result, []event.Event) {
@@ -171,6 +191,9 @@
 	Records   *model.Records `cbor:"1,keyasint"`
 	Inventory []byte         `cbor:"2,keyasint"`
 	Ledger    []byte         `cbor:"3,keyasint"`
+	// Steps is absent in snapshots of versions before deltas. Then the history
+	// starts anew, and entry hosts that are behind get the whole set.
+	Steps []delta.Step `cbor:"4,keyasint,omitempty"`
 }
 
 // Snapshot implements replica.StateMachine.
@@ -185,7 +208,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return codec.Marshal(snapshot{Records: m.records, Inventory: hosts, Ledger: requests})
+	return codec.Marshal(snapshot{
+		Records: m.records.Records(), Inventory: hosts, Ledger: requests, Steps: m.records.Steps(),
+	})
 }
 
 // Restore implements replica.StateMachine.
@@ -207,7 +232,8 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.records, m.catalogue, m.hosts, m.requests = s.Records, catalogue, hosts, requests
+	m.records = delta.NewSet(s.Records, s.Steps)
+	m.catalogue, m.hosts, m.requests = catalogue, hosts, requests
 	m.notifyAll()
 	m.notifyRecords()
 	return nil
--- a/internal/datacentre/queries.go
+++ b/internal/datacentre/queries.go
@@ -1,6 +1,7 @@
 package datacentre
 
 import (
+	"agatehaven.dev/agatehaven/internal/delta"
 	"agatehaven.dev/agatehaven/internal/event"
 	"agatehaven.dev/agatehaven/internal/inventory"
 	"agatehaven.dev/agatehaven/internal/ledger"
@@ -20,14 +21,29 @@
 func (m *Machine) View(fn func(View)) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	fn(View{Records: m.records, Catalogue: m.catalogue, Hosts: m.hosts, Requests: m.requests})
+	fn(View{Records: m.records.Records(), Catalogue: m.catalogue, Hosts: m.hosts, Requests: m.requests})
 }
 
 // Records returns the adopted records. They are immutable.
 func (m *Machine) Records() *model.Records {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return m.records
+	return m.records.Records()
+}
+
+// RecordsState returns the state of the adopted records.
+func (m *Machine) RecordsState() delta.State {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.records.State()
+}
+
+// RecordsSince returns what a holder of the state have lacks; see
+// delta.Set.Since.
+func (m *Machine) RecordsSince(have delta.State) (*model.Records, *delta.Delta) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.records.Since(have)
 }
 
 // Request returns a request by its key.
