Let the restart test of the history depend on the stored steps

Cause: the test took its state from just before the restart, from which a history that starts anew gives a delta too. Change: a change lies between the state and the restart; without the stored steps the test now fails. The comment of the bound states the measured size of a step.

--- a/internal/delta/set.go
+++ b/internal/delta/set.go
@@ -12,7 +12,8 @@
 // Bounds of the history. The oldest step is dropped first.
 const (
 	// MaxSteps is four hours of changes at 5,700 a day, which exceeds the hour
-	// for which a partition lasts. A step takes about 90 bytes of a snapshot.
+	// for which a partition lasts. A step of one record takes about 70 bytes of
+	// a snapshot.
 	MaxSteps = 1024
 	// MaxKeys bounds the names in all steps together. A name has at most 63
 	// bytes, so a history stays below 1 MB.
--- a/internal/region/history_test.go
+++ b/internal/region/history_test.go
@@ -80,9 +80,9 @@
 		// of their last restart.
 		l := filled()
 		have := delta.StateOf(l.m.Records())
+		Expect(l.apply("r2", 1, record(1, model.KindQuota, "t1", `{"max_running":7}`)).Err).To(Succeed())
 		other := &log{m: restored(l.m), index: l.index}
 		for _, each := range []*log{l, other} {
-			Expect(each.apply("r2", 1, record(1, model.KindQuota, "t1", `{"max_running":7}`)).Err).To(Succeed())
 			Expect(each.apply("r3", 2, deleted(model.KindQuota, "t2")).Err).To(Succeed())
 			whole, d := each.m.RecordsSince(have)
 			Expect(whole).To(BeNil())
