Send the changed records only, with the whole set as fallback

Cause: PullRecords answered with every record, at both hops: from the region group to the leader of each data centre group, and from there to each entry host. The log of each data centre group carried them once more. Change: a pull names the digest of the caller's records beside its revisions and gets a delta, the whole set or nothing. The leader commits a delta as it came; an entry host applies it to the records in force. If a delta is refused, the next pull leaves the digest out and so gets the whole set. A caller or a callee of the version before gets and gives whole sets, since it knows no digest. An entry host decides by its own records until a pull succeeds, so the revision in force does not go back. Ruled out: a second try of the same pull after a refusal inside the call to the leader; its retries are for calls without an answer. Tests: the whole chain with random changes, acknowledgements, restarts, late adoptions and lost histories ends with exactly the region group's records. Seen failing without its mechanism: the pull of the whole set after a refusal in the leader and in the entry host, deltas asked for and given at each hop.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -117,6 +117,9 @@
 	waits     map[string]string    // last reason for which a policy waits
 	// repairMemory is used by the repair loop alone.
 	repairMemory repair.Memory
+	// pullWhole asks for the whole set of records after a refused delta; only
+	// the adoption loop uses it.
+	pullWhole bool
 	// turn spreads requests over owners; only the placement loop uses it.
 	turn int
 }
--- a/internal/control/export_test.go
+++ b/internal/control/export_test.go
@@ -34,3 +34,6 @@
 	c.resolveOrphans(ctx)
 	c.adopt(ctx)
 }
+
+// Adopt runs the adoption of records once.
+func (c *Controller) Adopt(ctx context.Context) { c.adopt(ctx) }
--- a/internal/daemon/inforce.go
+++ b/internal/daemon/inforce.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"sync"
 
+	"agatehaven.dev/agatehaven/internal/delta"
 	"agatehaven.dev/agatehaven/internal/event"
+	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/model"
 	"agatehaven.dev/agatehaven/internal/peer"
 )
@@ -19,7 +21,11 @@
 type inForce struct {
 	mu        sync.RWMutex
 	records   *model.Records
+	state     delta.State
 	catalogue *model.Catalogue
+	// refused is set by a delta that did not apply: the next pull is for the
+	// whole set.
+	refused bool
 }
 
 func newInForce() *inForce { return &inForce{} }
@@ -31,6 +37,23 @@
 	return f.records, f.catalogue
 }
 
+// request returns the pull for records newer than those in force, and whether
+// none are in force yet.
+func (f *inForce) request(dataCentre string) (r *peer.PullRecordsRequest, first bool) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	r = &peer.PullRecordsRequest{DataCentre: dataCentre}
+	if f.records == nil {
+		return r, true
+	}
+	r.Revision, r.FloorRevision = f.state.Revision, f.state.FloorRevision
+	if !f.refused {
+		digest := f.state.Digest
+		r.Digest = &digest
+	}
+	return r, false
+}
+
 // adopt takes records into force unless they are older than the current ones.
 func (f *inForce) adopt(records *model.Records) error {
 	catalogue, err := model.ParseCatalogue(records)
@@ -39,31 +62,40 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.refused = false
 	if f.records == nil || records.Newer(f.records) {
-		f.records, f.catalogue = records, catalogue
+		f.records, f.state, f.catalogue = records, delta.StateOf(records), catalogue
 	}
 	return nil
 }
 
+// patch takes the records into force that a delta makes of the current ones.
+// A delta that does not apply exactly is refused as a whole. Only one goroutine
+// changes the records in force, so they are the same at the end as at the start.
+func (f *inForce) patch(d *delta.Delta) error {
+	f.mu.RLock()
+	records, have := f.records, f.state
+	f.mu.RUnlock()
+	if records == nil {
+		return &fault.Precondition{What: "delta of the records", Reason: "no records are in force yet"}
+	}
+	next, err := delta.Patch(records, have, d)
+	if err == nil {
+		err = f.adopt(next)
+	}
+	if err != nil {
+		f.mu.Lock()
+		f.refused = true
+		f.mu.Unlock()
+	}
+	return err
+}
+
 // followRecords keeps the records in force up to date by long polls of the
 // data centre group's leader.
 func (d *Daemon) followRecords(ctx context.Context) {
-	leader := d.leaders[d.settings.DataCentre]
 	for ctx.Err() == nil {
-		request := &peer.PullRecordsRequest{DataCentre: d.settings.DataCentre}
-		records, _ := d.force.get()
-		if records != nil {
-			request.Revision, request.FloorRevision = records.Revision, records.FloorRevision
-			request.WaitMS = d.settings.Timing.PollWait.Milliseconds()
-		}
-		err := leader.DoIdempotent(ctx, func(h peer.Handler) error {
-			response, err := h.PullRecords(ctx, request)
-			if err != nil {
-				return err
-			}
-			return d.takeRecords(response.Records, records == nil)
-		})
-		if err != nil && ctx.Err() == nil {
+		if err := d.pullRecords(ctx); err != nil && ctx.Err() == nil {
 			d.log.Debug().Err(err).Msg("records in force not read")
 			select {
 			case <-d.clock.After(d.settings.Timing.Tick):
@@ -73,18 +105,39 @@
 	}
 }
 
+func (d *Daemon) pullRecords(ctx context.Context) error {
+	request, first := d.force.request(d.settings.DataCentre)
+	if !first {
+		request.WaitMS = d.settings.Timing.PollWait.Milliseconds()
+	}
+	response, err := peer.CallIdempotent(ctx, d.leaders[d.settings.DataCentre], peer.Handler.PullRecords, request)
+	if err != nil {
+		return err
+	}
+	return d.takeRecords(response, first)
+}
+
 // takeRecords adopts pulled records. The first read may find none: then the
 // empty set is in force.
-func (d *Daemon) takeRecords(records *model.Records, first bool) error {
-	if records == nil {
-		if !first {
-			return nil
+func (d *Daemon) takeRecords(response *peer.PullRecordsResponse, first bool) error {
+	switch {
+	case response.Delta != nil:
+		if err := d.force.patch(response.Delta); err != nil {
+			d.log.Warn().Err(err).Msg("delta of the records refused, the whole set is pulled")
+			return err
 		}
-		records = &model.Records{}
-	}
-	if err := d.force.adopt(records); err != nil {
-		return err
+	case response.Records != nil || first:
+		records := response.Records
+		if records == nil {
+			records = &model.Records{}
+		}
+		if err := d.force.adopt(records); err != nil {
+			return err
+		}
+	default:
+		return nil
 	}
+	records, _ := d.force.get()
 	recorder{d}.Record(event.Event{
 		Kind: eventRecordsInForce, DataCentre: d.settings.DataCentre, Actor: d.settings.Host,
 		Reason: fmt.Sprintf("revision %d, floor revision %d", records.Revision, records.FloorRevision),
--- a/internal/daemon/queries.go
+++ b/internal/daemon/queries.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"agatehaven.dev/agatehaven/internal/datacentre"
+	"agatehaven.dev/agatehaven/internal/delta"
 	"agatehaven.dev/agatehaven/internal/event"
 	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/model"
@@ -38,8 +39,8 @@
 	return c.PullAssignments(ctx, r)
 }
 
-// PullRecords returns records newer than those given, after a linearizable
-// read, and waits for them up to r.WaitMS.
+// PullRecords returns records newer than those given, as a delta if it can,
+// after a linearizable read, and waits for them up to r.WaitMS.
 func (h handler) PullRecords(ctx context.Context, r *peer.PullRecordsRequest) (*peer.PullRecordsResponse, error) {
 	source, err := h.recordSource(r.DataCentre)
 	if err != nil {
@@ -49,11 +50,10 @@
 		return nil, err
 	}
 	deadline := h.d.clock.After(time.Duration(r.WaitMS) * time.Millisecond)
-	have := model.Records{Revision: r.Revision, FloorRevision: r.FloorRevision}
 	for {
 		changed := source.changed()
-		if records := source.records(); records.Newer(&have) {
-			return &peer.PullRecordsResponse{Records: records}, nil
+		if records, d := source.since(r.State()); records != nil || d != nil {
+			return &peer.PullRecordsResponse{Records: records, Delta: d}, nil
 		}
 		select {
 		case <-changed:
@@ -68,7 +68,7 @@
 // recordSource is a group that holds records.
 type recordSource struct {
 	group   *replica.Replica
-	records func() *model.Records
+	since   func(have delta.State) (*model.Records, *delta.Delta)
 	changed func() <-chan struct{}
 }
 
@@ -77,13 +77,13 @@
 		if h.d.region == nil {
 			return recordSource{}, &fault.NotLeader{Group: settings.RegionGroup}
 		}
-		return recordSource{h.d.region.group, h.d.region.machine.Records, h.d.region.machine.Changed}, nil
+		return recordSource{h.d.region.group, h.d.region.machine.RecordsSince, h.d.region.machine.Changed}, nil
 	}
 	n, err := h.node(dataCentre)
 	if err != nil {
 		return recordSource{}, err
 	}
-	return recordSource{n.group, n.machine.Records, n.machine.RecordsChanged}, nil
+	return recordSource{n.group, n.machine.RecordsSince, n.machine.RecordsChanged}, nil
 }
 
 // DataCentre returns the state of a data centre by a linearizable read.
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -3,6 +3,7 @@
 package peer
 
 import (
+	"agatehaven.dev/agatehaven/internal/delta"
 	"agatehaven.dev/agatehaven/internal/event"
 	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/hlc"
@@ -131,11 +132,26 @@
 	Revision      uint64 `cbor:"2,keyasint"`
 	FloorRevision uint64 `cbor:"3,keyasint"`
 	WaitMS        int64  `cbor:"4,keyasint"`
+	// Digest is that of the caller's records. With it the caller takes a delta;
+	// without it, or if the callee's history does not know the caller's state,
+	// the answer is the whole set.
+	Digest *delta.Digest `cbor:"5,keyasint,omitempty"`
 }
 
-// PullRecordsResponse holds the records, or nil if none are newer.
+// State returns the caller's state; its digest is zero if none was given.
+func (r *PullRecordsRequest) State() delta.State {
+	s := delta.State{Revision: r.Revision, FloorRevision: r.FloorRevision}
+	if r.Digest != nil {
+		s.Digest = *r.Digest
+	}
+	return s
+}
+
+// PullRecordsResponse holds the whole set or a delta from the caller's state;
+// both are nil if no records are newer.
 type PullRecordsResponse struct {
 	Records *model.Records `cbor:"1,keyasint"`
+	Delta   *delta.Delta   `cbor:"2,keyasint,omitempty"`
 }
 
 // ApplyRecordsRequest is an operator's change of records.
