--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -120,6 +120,10 @@
 	// resolved holds the last read of each orphaned attempt from its target;
 	// only the resolve loop uses it.
 	resolved map[peer.AttemptRef]time.Time
+
+	// pullWhole asks for the whole set of records after a refused delta; only
+	// the adoption loop uses it.
+	pullWhole bool
 	// turn spreads requests over owners; only the placement loop uses it.
 	turn int
 }
