Wait in the probe test until the first call was sent

The test let the limit of the first call pass as soon as its timer ran; if its connection was not open by then, the call proved that nothing was sent, the host was in no doubt, and the second call was sent without a probe and waited for a limit that the test's clock never reached. Change: the test waits until the listener has received the first call. Ruled out: a slow machine alone, since the second call's wait depends on the manual clock.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -1,6 +1,7 @@
 package peer_test
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -104,6 +105,41 @@
 	return h
 }
 
+// receivedBytes collects what a listener that never answers receives.
+type receivedBytes struct {
+	mu   sync.Mutex
+	data []byte
+}
+
+func (r *receivedBytes) accept(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go r.read(conn)
+	}
+}
+
+func (r *receivedBytes) read(conn net.Conn) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := conn.Read(buffer)
+		r.mu.Lock()
+		r.data = append(r.data, buffer[:n]...)
+		r.mu.Unlock()
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (r *receivedBytes) contain(text string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return bytes.Contains(r.data, []byte(text))
+}
+
 var _ = Describe("Calls", func() {
 	ctx := context.Background()
 
@@ -278,18 +314,22 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(l.Close)
+		received := &receivedBytes{}
+		go received.accept(l)
 		manual := clock.NewManual(time.UnixMilli(0))
 		c := dial(peer.DialerConfig{Clock: manual}, l.Addr().String())
 		submit := func() chan error {
 			done := make(chan error, 1)
 			go func() {
-				_, err := c.Submit(ctx, &peer.SubmitRequest{Key: "k"})
+				_, err := c.Submit(ctx, &peer.SubmitRequest{Key: "key-of-the-call"})
 				done <- err
 			}()
 			return done
 		}
 		first := submit()
-		Eventually(manual.Waiters).Should(BeNumerically(">", 0))
+		// A call that ends before its connection is open proves that it was not
+		// sent, and puts the host in no doubt.
+		Eventually(func() bool { return received.contain("key-of-the-call") }).WithTimeout(10 * time.Second).Should(BeTrue())
 		Eventually(func() error {
 			manual.Advance(peer.DefaultCallTimeout)
 			select {
