--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -3,6 +3,8 @@
 package codec
 
 import (
+	"errors"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
@@ -11,7 +13,8 @@
 
 var (
 	encoder = mustEncoder()
-	decoder = mustDecoder()
+	decoder = mustDecoder(cbor.ExtraDecErrorNone)
+	strict  = mustDecoder(cbor.ExtraDecErrorUnknownField)
 )
 
 func mustEncoder() cbor.EncMode {
@@ -22,8 +25,10 @@
 	return mode
 }
 
-func mustDecoder() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20}.DecMode()
+func mustDecoder(extra cbor.ExtraDecErrorCond) cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20, ExtraReturnErrors: extra,
+	}.DecMode()
 	if err != nil {
 		panic(err)
 	}
@@ -44,3 +49,19 @@
 	}
 	return nil
 }
+
+// UnmarshalStrict is Unmarshal for replicated state: log entries and
+// snapshots. It returns *fault.Unsupported if data has fields that v's type
+// lacks, which a newer version has written. To ignore them would make this
+// replica's state differ from that of newer ones.
+func UnmarshalStrict(data []byte, v any) error {
+	err := strict.Unmarshal(data, v)
+	var unknown *cbor.UnknownFieldError
+	switch {
+	case errors.As(err, &unknown):
+		return &fault.Unsupported{What: "log entry or snapshot", Reason: err.Error()}
+	case err != nil:
+		return &fault.Corrupt{What: "CBOR message", Reason: err.Error()}
+	}
+	return nil
+}
--- a/internal/datacentre/commands.go
+++ b/internal/datacentre/commands.go
@@ -85,8 +85,8 @@
 // Apply implements replica.StateMachine. It returns a Result.
 func (m *Machine) Apply(e replica.Entry) any {
 	var cmd Command
-	if err := codec.Unmarshal(e.Data, &cmd); err != nil {
-		return Result{Err: err}
+	if err := codec.UnmarshalStrict(e.Data, &cmd); err != nil {
+		return replica.Refusal(err, Result{Err: err})
 	}
 	m.mu.Lock()
 	result, events := m.apply(e, &cmd)
@@ -216,7 +216,7 @@
 // Restore implements replica.StateMachine.
 func (m *Machine) Restore(data []byte) error {
 	var s snapshot
-	if err := codec.Unmarshal(data, &s); err != nil {
+	if err := codec.UnmarshalStrict(data, &s); err != nil {
 		return err
 	}
 	catalogue, err := model.ParseCatalogue(s.Records)
--- a/internal/datacentre/datacentre_test.go
+++ b/internal/datacentre/datacentre_test.go
@@ -67,6 +67,27 @@
 	return l
 }
 
+var _ = Describe("Entries and snapshots of a newer version", func() {
+	It("are refused as a whole", func() {
+		// Guards against a replica that ignores a field which other replicas
+		// act upon.
+		machine := datacentre.New("dc-a", nil)
+		before, err := machine.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		for _, entry := range []any{map[int]int{99: 1}, map[int]map[int]int{2: {99: 1}}} {
+			data, err := codec.Marshal(entry)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(machine.Apply(replica.Entry{Index: 1, Term: 1, Data: data})).To(BeAssignableToTypeOf(&fault.Unsupported{}))
+		}
+		data, err := codec.Marshal(map[int]int{99: 1})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(fault.CodeOf(machine.Restore(data))).To(Equal(fault.CodeUnsupported))
+		after, err := machine.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(after).To(Equal(before))
+	})
+})
+
 var _ = Describe("Machine", func() {
 	It("refuses records that are not newer", func() {
 		// Guards against a configuration that reverts.
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -29,6 +29,7 @@
 	CodeSilentConnection Code = "silent_connection"
 	CodeShuttingDown     Code = "shutting_down"
 	CodeInternal         Code = "internal"
+	CodeUnsupported      Code = "unsupported"
 )
 
 // Coded is implemented by every error type of this project.
@@ -181,6 +182,20 @@
 // Code implements Coded.
 func (e *Corrupt) Code() Code { return CodeCorrupt }
 
+// Unsupported reports data of a newer version that this build does not
+// understand.
+type Unsupported struct {
+	What   string
+	Reason string
+}
+
+func (e *Unsupported) Error() string {
+	return fmt.Sprintf("%s of a newer version: %s; upgrade this host", e.What, e.Reason)
+}
+
+// Code implements Coded.
+func (e *Unsupported) Code() Code { return CodeUnsupported }
+
 // SilentConnection reports a connection without progress within its limit.
 type SilentConnection struct {
 	Address string
--- a/internal/inventory/snapshot.go
+++ b/internal/inventory/snapshot.go
@@ -20,7 +20,7 @@
 // left as it was.
 func (s *State) Restore(data []byte) error {
 	var snap snapshot
-	if err := codec.Unmarshal(data, &snap); err != nil {
+	if err := codec.UnmarshalStrict(data, &snap); err != nil {
 		return err
 	}
 	fresh := New()
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -49,7 +49,7 @@
 // keeps the present state, if the snapshot is not valid.
 func (s *State) Restore(data []byte) error {
 	var snap snapshot
-	if err := codec.Unmarshal(data, &snap); err != nil {
+	if err := codec.UnmarshalStrict(data, &snap); err != nil {
 		return err
 	}
 	if snap.Version != snapshotVersion {
--- a/internal/region/machine.go
+++ b/internal/region/machine.go
@@ -97,8 +97,8 @@
 // Apply implements replica.StateMachine. It returns a Result.
 func (m *Machine) Apply(e replica.Entry) any {
 	var cmd Command
-	if err := codec.Unmarshal(e.Data, &cmd); err != nil {
-		return Result{Err: err}
+	if err := codec.UnmarshalStrict(e.Data, &cmd); err != nil {
+		return replica.Refusal(err, Result{Err: err})
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/region/snapshot.go
+++ b/internal/region/snapshot.go
@@ -32,7 +32,7 @@
 // it was.
 func (m *Machine) Restore(data []byte) error {
 	s := snapshot{Records: &model.Records{}, Floors: floors.New(), Retired: make(map[string]retiredPool)}
-	if err := codec.Unmarshal(data, &s); err != nil {
+	if err := codec.UnmarshalStrict(data, &s); err != nil {
 		return err
 	}
 	m.mu.Lock()
--- a/internal/replica/api.go
+++ b/internal/replica/api.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"errors"
 
+	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/hlc"
 )
 
@@ -21,13 +23,25 @@
 
 // StateMachine is the replicated state. The replica calls all methods from
 // one goroutine. Apply must be deterministic; it returns the result that the
-// proposer receives.
+// proposer receives. A result of type *fault.Unsupported stops the replica
+// before the entry counts as applied: a replica that went on without an entry
+// of a newer version would hold another state than the others.
 type StateMachine interface {
 	Apply(e Entry) any
 	Snapshot() ([]byte, error)
 	Restore(data []byte) error
 }
 
+// Refusal returns the result of Apply for an entry that cannot be decoded: the
+// error itself if it is *fault.Unsupported, otherwise result.
+func Refusal(err error, result any) any {
+	var unsupported *fault.Unsupported
+	if errors.As(err, &unsupported) {
+		return unsupported
+	}
+	return result
+}
+
 // Role is the role of a replica within its group.
 type Role string
 
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -75,6 +75,9 @@
 		}
 		a.time = t
 		value = a.r.cfg.Machine.Apply(Entry{Index: e.Index, Term: e.Term, Time: t, Data: data})
+		if unsupported, ok := value.(*fault.Unsupported); ok {
+			return unsupported
+		}
 	case raft.EntryConfig:
 		config, err := raft.DecodeConfiguration(e.Data)
 		if err != nil {
--- a/internal/replica/harness_test.go
+++ b/internal/replica/harness_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"agatehaven.dev/agatehaven/internal/clock"
+	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/hlc"
 	"agatehaven.dev/agatehaven/internal/replica"
 	"agatehaven.dev/agatehaven/internal/testsupport/faultfs"
@@ -34,10 +35,12 @@
 // journal is a state machine that remembers the entries in order.
 type journal struct {
 	// gate, if it is not nil, holds back Apply until it is closed.
-	gate  chan struct{}
-	mu    sync.Mutex
-	lines []string
-	times []hlc.Time
+	gate chan struct{}
+	// refuses is an entry that this state machine does not understand.
+	refuses string
+	mu      sync.Mutex
+	lines   []string
+	times   []hlc.Time
 }
 
 func (j *journal) Apply(e replica.Entry) any {
@@ -46,6 +49,9 @@
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if j.refuses != "" && j.refuses == string(e.Data) {
+		return &fault.Unsupported{What: "entry", Reason: j.refuses}
+	}
 	j.lines = append(j.lines, string(e.Data))
 	j.times = append(j.times, e.Time)
 	return len(j.lines)
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -304,6 +304,28 @@
 		Expect(fault.CodeOf(err)).To(Equal(fault.CodeProposalUnknown))
 	})
 
+	It("stops at an entry of a newer version, and the others go on", func() {
+		// Guards against a replica of an older version that skips what it does
+		// not understand and goes on with another state, also as a leader.
+		c := newCluster("a", "b", "c")
+		for _, h := range []string{"a", "b", "c"} {
+			c.start(h, "a", "b", "c")
+		}
+		l := c.leader("a", "b", "c")
+		Expect(c.propose(l, "one")).To(Succeed())
+		old := map[string]string{"a": "b", "b": "c", "c": "a"}[l]
+		c.states[old].mu.Lock()
+		c.states[old].refuses = "new"
+		c.states[old].mu.Unlock()
+		Expect(c.propose(l, "new")).To(Succeed())
+		c.until("the replica of the older version stops", func() bool {
+			return strings.Contains(c.running[old].Status().Reason, "newer version")
+		})
+		Eventually(c.running[old].Done()).WithTimeout(patient).Should(BeClosed())
+		Expect(c.states[old].content()).To(Equal([]string{"one"}))
+		Expect(c.propose(l, "two")).To(Succeed())
+	})
+
 	It("stops with the reason when its disk fails, and does not start from a corrupt log", func() {
 		// Guards against a replica that acknowledges what it cannot store.
 		c := newCluster("a")
