Reduce finished non-idempotent requests to their keys

Cause: the ledger keeps a finished non-idempotent request whole for 24 hours, so that its key never runs twice: 970 bytes a key in memory. 100,000 of them, 1.2 requests/s, fill the table and most of a node's 128 MB.

Claim, Cancel, Get and Recent answer from them with DetailsExpired and a reason; Park and Retry refuse them as finished. MaxKeys bounds the keys of open, finished and reduced non-idempotent requests together, so a finished request always finds its place; a claim beyond it gets LimitExceeded. MaxKeys 0 reduces nothing. A ledger starts with it, and the leader's SetLimits brings the setting into force.

Requests with the outcome unknown stay whole until they are resolved or their key expires. Late evidence needs nearly all of their fields: host, address and incarnation, owner, reserved size, cancellation. Lost and restarted hosts leave few of them, and ledger_requests still bounds them.

The random histories resend reduced keys with the same and another body, and check that no key is forgotten early and that keys stay within their bound.

--- a/internal/datacentre/commands.go
+++ b/internal/datacentre/commands.go
@@ -61,7 +61,7 @@
 		records:        &model.Records{},
 		catalogue:      emptyCatalogue(),
 		hosts:          inventory.New(),
-		requests:       ledger.New(ledger.DefaultLimits()),
+		requests:       ledger.New(ledger.InitialLimits()),
 		changed:        make(chan struct{}),
 		recordsChanged: make(chan struct{}),
 		watchers:       make(map[string]*watcher),
@@ -198,7 +198,7 @@
 	if err != nil {
 		return err
 	}
-	hosts, requests := inventory.New(), ledger.New(ledger.DefaultLimits())
+	hosts, requests := inventory.New(), ledger.New(ledger.InitialLimits())
 	if err := hosts.Restore(s.Inventory); err != nil {
 		return err
 	}
--- a/internal/datacentre/datacentre_test.go
+++ b/internal/datacentre/datacentre_test.go
@@ -106,6 +106,35 @@
 		Expect(second).To(Equal(first))
 	})
 
+	It("keeps the key of a finished request through reductions and snapshots", func() {
+		// Guards against a second run after the retention of the answer, and
+		// against a machine that reduces before the log tells it to.
+		l := dispatched()
+		Expect(l.apply(datacentre.Command{Ledger: &ledger.Command{Report: &ledger.Report{Reports: []model.AttemptReport{
+			{Key: "k", Attempt: 1, State: model.AttemptSucceeded, Answer: []byte("done")},
+		}}}}).Err).NotTo(HaveOccurred())
+		expire := datacentre.Command{Ledger: &ledger.Command{Expire: &ledger.Expire{}}}
+		l.index += 600
+		l.apply(expire)
+		r, _ := l.machine.Request("k")
+		Expect(r.DetailsExpired).To(BeFalse())
+		limits := ledger.DefaultLimits()
+		l.apply(datacentre.Command{Ledger: &ledger.Command{SetLimits: &limits}})
+		l.apply(expire)
+		data, err := l.machine.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		restored := &log{machine: datacentre.New("dc-a", nil), index: l.index}
+		Expect(restored.machine.Restore(data)).To(Succeed())
+		for _, l := range []*log{l, restored} {
+			r, _ := l.machine.Request("k")
+			Expect(r.DetailsExpired).To(BeTrue())
+			resent := l.apply(datacentre.Command{Ledger: &ledger.Command{Claim: &ledger.Claim{Key: "k", Kind: "order"}}})
+			Expect(resent.Request).To(Equal(r))
+			reused := l.apply(datacentre.Command{Ledger: &ledger.Command{Claim: &ledger.Claim{Key: "k", Kind: "order", Payload: []byte("x")}}})
+			Expect(fault.CodeOf(reused.Err)).To(Equal(fault.CodeKeyReused))
+		}
+	})
+
 	It("wakes those who wait for a request at its change", func() {
 		// Guards against a caller that waits out its time for an answer that is
 		// there.
--- a/internal/ledger/bench_test.go
+++ b/internal/ledger/bench_test.go
@@ -11,47 +11,54 @@
 	"agatehaven.dev/agatehaven/internal/model"
 )
 
-// BenchmarkKeys fills a ledger with finished non-idempotent requests. An
-// operation is one snapshot after the retention of the answers; the metrics
-// are the bytes of one request in memory before and after that retention, its
-// bytes in the snapshot, and the time of a restore. Guards against keys that
-// fill the memory of a node.
+// BenchmarkKeys runs a ledger for two and a half days at a constant rate of
+// non-idempotent requests, whose finished ones are kept whole or reduced, until
+// a day's keys fill it. An operation is one snapshot at the end; the metrics are the bytes of a key in
+// memory and in the snapshot, and the time of a restore. Guards against keys
+// that fill the memory of a node.
 func BenchmarkKeys(b *testing.B) {
-	for _, size := range []int{10_000, 50_000, 100_000, 200_000} {
-		b.Run(fmt.Sprintf("keys=%d", size), func(b *testing.B) {
-			limits := ledger.DefaultLimits()
-			limits.MaxRequests = 1 << 30
-			f := newFixture(limits)
-			empty := heapBytes()
-			for i := range size {
-				f.finishOrder(b, i)
-			}
-			f.events = nil
-			whole := heapBytes()
-			f.advance(limits.AnswerRetention + time.Minute)
-			f.expire()
-			kept := heapBytes()
-			var data []byte
-			for b.Loop() {
-				var err error
-				if data, err = f.state.Snapshot(); err != nil {
-					b.Fatal(err)
-				}
-			}
-			other := ledger.New(limits)
-			start := time.Now()
-			if err := other.Restore(data); err != nil {
-				b.Fatal(err)
-			}
-			b.ReportMetric(float64(time.Since(start).Microseconds())/1000, "restore-ms")
-			b.ReportMetric(float64(whole-empty)/float64(size), "whole-B/key")
-			b.ReportMetric(float64(kept-empty)/float64(size), "kept-B/key")
-			b.ReportMetric(float64(len(data))/float64(size), "snapshot-B/key")
-			runtime.KeepAlive(f)
-		})
+	for _, mode := range []struct {
+		name    string
+		maxKeys int
+	}{{"whole", 0}, {"reduced", 1 << 30}} {
+		for _, size := range []int{10_000, 50_000, 100_000, 200_000} {
+			b.Run(fmt.Sprintf("%s/keys=%d", mode.name, size), func(b *testing.B) {
+				limits := ledger.DefaultLimits()
+				limits.MaxRequests, limits.MaxKeys = 1<<30, mode.maxKeys
+				benchmarkKeys(b, limits, size)
+			})
+		}
 	}
 }
 
+func benchmarkKeys(b *testing.B, limits ledger.Limits, size int) {
+	f := newFixture(limits)
+	empty := heapBytes()
+	for i := range size * 5 / 2 {
+		f.finishOrder(b, i)
+		f.advance(limits.KeyRetention / time.Duration(size))
+		f.expire()
+		f.events = nil
+	}
+	kept := heapBytes()
+	var data []byte
+	for b.Loop() {
+		var err error
+		if data, err = f.state.Snapshot(); err != nil {
+			b.Fatal(err)
+		}
+	}
+	other := ledger.New(limits)
+	start := time.Now()
+	if err := other.Restore(data); err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(time.Since(start).Microseconds())/1000, "restore-ms")
+	b.ReportMetric(float64(kept-empty)/float64(size), "memory-B/key")
+	b.ReportMetric(float64(len(data))/float64(size), "snapshot-B/key")
+	runtime.KeepAlive(f)
+}
+
 // heapBytes returns the bytes of the live heap objects.
 func heapBytes() int64 {
 	runtime.GC()
@@ -72,7 +79,6 @@
 	f.applyDecoded(b, &ledger.Command{Report: &ledger.Report{Reports: []model.AttemptReport{{
 		Key: key, Attempt: 1, State: model.AttemptSucceeded, Reason: "finished in 180 ms",
 	}}}})
-	f.advance(time.Millisecond)
 }
 
 func (f *fixture) applyDecoded(b *testing.B, cmd *ledger.Command) {
--- a/internal/ledger/commands.go
+++ b/internal/ledger/commands.go
@@ -97,6 +97,12 @@
 		}
 		return Result{Request: rec.req}
 	}
+	if r, ok := s.retained(cl.Key); ok {
+		if r.Digest != sum {
+			return Result{Err: &fault.KeyReused{Key: cl.Key}}
+		}
+		return Result{Request: r}
+	}
 	kind, err := s.admit(l.ctx, cl)
 	if err != nil {
 		return Result{Err: err}
@@ -135,6 +141,9 @@
 	if len(s.requests) >= s.limits.MaxRequests {
 		return nil, &fault.LimitExceeded{What: "ledger in requests", Limit: int64(s.limits.MaxRequests)}
 	}
+	if !kind.Idempotent && s.limits.MaxKeys > 0 && s.KeyCount() >= s.limits.MaxKeys {
+		return nil, &fault.LimitExceeded{What: "keys of non-idempotent requests", Limit: int64(s.limits.MaxKeys)}
+	}
 	if s.waiting.pool[kind.Pool] >= s.limits.MaxQueuedPerPool {
 		return nil, &fault.LimitExceeded{What: "queue of pool " + kind.Pool, Limit: int64(s.limits.MaxQueuedPerPool)}
 	}
@@ -350,6 +359,9 @@
 func (s *State) cancel(l *eventLog, cn *Cancel) Result {
 	rec := s.requests[cn.Key]
 	if rec == nil {
+		if r, ok := s.retained(cn.Key); ok {
+			return Result{Request: r}
+		}
 		return Result{Err: &fault.NotFound{Kind: "request", Name: cn.Key}}
 	}
 	if rec.req.State == model.RequestFinished || rec.req.CancelRequested {
@@ -370,12 +382,12 @@
 }
 
 // expire handles every request whose due time has passed, in the order of
-// their due times.
+// their due times, then the retained keys.
 func (s *State) expire(l *eventLog) {
 	for {
-		at, ok := s.NextDeadline()
+		at, ok := s.nextDue()
 		if !ok || l.ctx.Time.Before(at) {
-			return
+			break
 		}
 		rec := s.due.items[0]
 		switch {
@@ -386,6 +398,8 @@
 			}
 			r := s.update(rec, func(r *model.Request) { finish(l.ctx, r, reason) })
 			l.add(EventFinished, r, "", 0, actorLedger, string(r.Outcome)+": "+reason)
+		case s.reducible(rec.req):
+			s.reduce(rec)
 		case len(rec.req.Answer) > 0:
 			s.update(rec, func(r *model.Request) {
 				r.Answer = nil
@@ -395,12 +409,28 @@
 			s.forget(rec)
 		}
 	}
+	for {
+		at, ok := s.nextKeyDue()
+		if !ok || l.ctx.Time.Before(at) {
+			return
+		}
+		s.keys.dropOldest()
+	}
+}
+
+// reduce replaces a finished request by its retained key.
+func (s *State) reduce(rec *record) {
+	// Claim and Restore admit only digests that can be retained. Another one
+	// would leave the zero digest, which refuses every resend.
+	k, _ := retain(rec.req)
+	s.keys.add(&k)
+	s.forget(rec)
 }
 
 func (s *State) park(l *eventLog, p *Park) Result {
 	rec := s.requests[p.Key]
 	if rec == nil {
-		return Result{Err: &fault.NotFound{Kind: "request", Name: p.Key}}
+		return Result{Err: s.absent(p.Key, "park of ")}
 	}
 	from, to, kind := model.RequestQueued, model.RequestParked, EventParked
 	if p.Reason == "" {
@@ -417,10 +447,19 @@
 	return Result{Request: r}
 }
 
+// absent returns the error of a command for an open request whose key is not
+// in the table of requests.
+func (s *State) absent(key, what string) error {
+	if _, ok := s.retained(key); ok {
+		return &fault.Precondition{What: what + key, Reason: "request is " + string(model.RequestFinished)}
+	}
+	return &fault.NotFound{Kind: "request", Name: key}
+}
+
 func (s *State) retry(l *eventLog, rt *Retry) Result {
 	rec := s.requests[rt.Key]
 	if rec == nil {
-		return Result{Err: &fault.NotFound{Kind: "request", Name: rt.Key}}
+		return Result{Err: s.absent(rt.Key, "retry of ")}
 	}
 	last := lastAttempt(rec.req)
 	if !awaitsRetry(rec.req) || last == nil || last.Number != rt.Attempt {
--- a/internal/ledger/queries.go
+++ b/internal/ledger/queries.go
@@ -28,15 +28,28 @@
 	Released bool
 }
 
-// Get returns the request of a key.
+// Get returns the request of a key. Of a reduced request only the fields that
+// model.Request.DetailsExpired names are set.
 func (s *State) Get(key string) (*model.Request, bool) {
 	rec, ok := s.requests[key]
 	if !ok {
-		return nil, false
+		return s.retained(key)
 	}
 	return rec.req, true
 }
 
+func (s *State) retained(key string) (*model.Request, bool) {
+	k, ok := s.keys.get(key)
+	if !ok {
+		return nil, false
+	}
+	return k.request(), true
+}
+
+// KeyCount returns the number of keys of non-idempotent requests, open,
+// finished and reduced ones, which Limits.MaxKeys bounds.
+func (s *State) KeyCount() int { return s.once + s.keys.count }
+
 // Queued returns up to limit queued requests of a pool by priority, deadline
 // and claim order, including those whose NotBefore has not passed.
 func (s *State) Queued(pool string, limit int) []*model.Request {
@@ -170,13 +183,14 @@
 	return refs
 }
 
-// Recent returns up to limit requests, latest claim first.
+// Recent returns up to limit requests, latest claim first, then reduced ones,
+// latest finished first.
 func (s *State) Recent(limit int) []*model.Request {
 	var out []*model.Request
 	for e := s.order.Back(); e != nil && len(out) < limit; e = e.Prev() {
 		out = append(out, e.Value.(*record).req)
 	}
-	return out
+	return append(out, s.keys.recent(limit-len(out))...)
 }
 
 // Limits returns the limits in force.
@@ -202,12 +216,31 @@
 
 // NextDeadline returns the earliest time at which Expire has work.
 func (s *State) NextDeadline() (hlc.Time, bool) {
+	due, ok := s.nextDue()
+	key, some := s.nextKeyDue()
+	if some && (!ok || key.Before(due)) {
+		return key, true
+	}
+	return due, ok
+}
+
+// nextDue returns the earliest due time of a request.
+func (s *State) nextDue() (hlc.Time, bool) {
 	if s.due.Len() == 0 {
 		return hlc.Time{}, false
 	}
 	return s.dueTime(s.due.items[0].req)
 }
 
+// nextKeyDue returns when the oldest retained key expires.
+func (s *State) nextKeyDue() (hlc.Time, bool) {
+	k, _, ok := s.keys.oldest()
+	if !ok {
+		return hlc.Time{}, false
+	}
+	return k.finished.Add(s.limits.KeyRetention), true
+}
+
 // Ended returns, in claim order, the idempotent requests whose last attempt
 // failed, was lost or did not begin and which await a Retry.
 func (s *State) Ended() []*model.Request {
--- a/internal/ledger/random_test.go
+++ b/internal/ledger/random_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"reflect"
@@ -10,6 +11,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/hlc"
 	"agatehaven.dev/agatehaven/internal/ledger"
 	"agatehaven.dev/agatehaven/internal/model"
 )
@@ -30,15 +33,26 @@
 	truth  map[string]map[int]*secret
 	proven map[string]*model.Request // done and not_run requests
 	ends   map[string]int            // outcomes reached, for the coverage of the run
+	bodies map[string]ledger.Claim   // accepted claims
+	until  map[string]hlc.Time       // when the key of a finished request may be forgotten
+	doubts map[string]hlc.Time       // finish times of requests that ended as unknown
 }
 
 func newHistory(seed uint64) *history {
 	limits := ledger.DefaultLimits()
 	limits.MaxRequests, limits.MaxQueuedPerPool = 40, 15
 	limits.AnswerRetention, limits.KeyRetention = 20*time.Second, 60*time.Second
+	limits.MaxKeys = 20
+	if seed%2 == 1 {
+		limits.AnswerRetention, limits.KeyRetention = 5*time.Second, 30*time.Second
+	}
+	if seed%8 == 7 {
+		limits.MaxKeys = 0
+	}
 	return &history{
 		fixture: newFixture(limits), rng: rand.New(rand.NewPCG(seed, 1)), copy: ledger.New(limits),
 		truth: map[string]map[int]*secret{}, proven: map[string]*model.Request{}, ends: map[string]int{},
+		bodies: map[string]ledger.Claim{}, until: map[string]hlc.Time{}, doubts: map[string]hlc.Time{},
 	}
 }
 
@@ -57,13 +71,13 @@
 
 func (h *history) step() {
 	key := h.key()
-	switch h.rng.IntN(20) {
+	switch h.rng.IntN(22) {
 	case 0, 1, 2, 3:
 		c := ledger.Claim{Key: key, Kind: pick(h, "order", "draw", "proof", "archive", "render", "huge"), Team: pick(h, "shop", "small"), Payload: []byte("p")}
 		if h.rng.IntN(4) > 0 {
 			c.Deadline = h.now.Add(time.Duration(h.rng.IntN(30)-1) * time.Second)
 		}
-		h.both(ledger.Command{Claim: &c})
+		h.claimBody(c)
 	case 4, 5, 6, 7:
 		h.dispatchSome()
 	case 8, 9, 10:
@@ -90,7 +104,53 @@
 		data, err := h.state.Snapshot()
 		Expect(err).NotTo(HaveOccurred())
 		h.copy = restored(data)
+	case 20, 21:
+		h.resend()
+	}
+}
+
+// claimBody claims a key and compares the answer with the accepted claims: a
+// known key gives its request for an equal body and key_reused for another.
+func (h *history) claimBody(c ledger.Claim) {
+	known, ok := h.state.Get(c.Key)
+	first := h.bodies[c.Key]
+	equal := first.Kind == c.Kind && first.Team == c.Team && bytes.Equal(first.Payload, c.Payload)
+	res := h.both(ledger.Command{Claim: &c})
+	switch {
+	case ok && equal:
+		must(res.Err == nil && reflect.DeepEqual(res.Request, known), "resend of %s gives %v", c.Key, res.Err)
+	case ok:
+		must(fault.CodeOf(res.Err) == fault.CodeKeyReused, "%s with another body gives %v", c.Key, res.Err)
+	case res.Err == nil:
+		must(res.Request.State == model.RequestQueued, "new request %s is %s", c.Key, res.Request.State)
+		h.bodies[c.Key] = c
+	default:
+		var full *fault.LimitExceeded
+		if errors.As(res.Err, &full) && full.What == "keys of non-idempotent requests" {
+			h.ends["keys full"]++
+		}
+		return
+	}
+	if ok && known.DetailsExpired {
+		h.ends[fmt.Sprintf("reduced resent, equal body %t", equal)]++
+	}
+}
+
+// resend claims the key of a reduced request again, in half of the cases with
+// another body.
+func (h *history) resend() {
+	var reduced []*model.Request
+	for _, r := range h.state.Recent(1000) {
+		if r.DetailsExpired {
+			reduced = append(reduced, r)
+		}
+	}
+	if len(reduced) == 0 {
+		return
 	}
+	c := h.bodies[pick(h, reduced...).Key]
+	c.Payload = []byte(pick(h, "p", "q"))
+	h.claimBody(c)
 }
 
 func restored(data []byte) *ledger.State {
@@ -196,7 +256,7 @@
 func (h *history) check() {
 	type use struct{ slots, cpu, memory, accelerators int }
 	queued, running, teams, hosts := 0, 0, map[string]int{}, map[string]use{}
-	ended := 0
+	ended, keys := 0, 0
 	for _, r := range h.state.Recent(1000) {
 		begun, assigned := 0, false
 		for _, a := range r.Attempts {
@@ -217,6 +277,9 @@
 			}
 		}
 		h.checkRequest(r, begun, ran)
+		if !r.Idempotent {
+			keys++
+		}
 		switch r.State {
 		case model.RequestQueued:
 			queued++
@@ -228,6 +291,8 @@
 			}
 		}
 	}
+	must(h.state.KeyCount() == keys, "%d keys, counted %d", h.state.KeyCount(), keys)
+	must(h.state.Limits().MaxKeys == 0 || keys <= h.state.Limits().MaxKeys, "%d keys", keys)
 	must(h.state.QueuedCount("plot") == queued && len(h.state.Queued("plot", 1000)) == queued, "queued count")
 	must(h.state.RunningCount("plot") == running, "running count")
 	must(len(h.state.Ended()) == ended, "requests that await a retry")
@@ -263,21 +328,50 @@
 		must(ran > 0, "%s finished as done but never ran", r.Key)
 	}
 	old := h.proven[r.Key]
+	must(r.Idempotent == h.cat.JobKinds[h.bodies[r.Key].Kind].Idempotent, "idempotence of %s changed", r.Key)
+	if r.State == model.RequestFinished {
+		h.until[r.Key] = r.Finished.Add(h.state.Limits().KeyRetention)
+	}
+	if r.Outcome == model.OutcomeUnknown {
+		must(!r.DetailsExpired && len(r.Attempts) > 0, "%s can not be resolved any more", r.Key)
+		h.doubts[r.Key] = r.Finished
+	}
+	if r.DetailsExpired {
+		must(old != nil && old.Claimed == r.Claimed && old.Digest == r.Digest && lastNumber(old) == lastNumber(r),
+			"the reduction of %s changed it", r.Key)
+	}
 	if old != nil && old.Claimed == r.Claimed {
 		must(r.State == old.State && r.Outcome == old.Outcome && r.Succeeded == old.Succeeded && r.Finished == old.Finished &&
 			(r.Answer == nil || bytes.Equal(r.Answer, old.Answer)), "proven outcome of %s changed", r.Key)
 	} else if r.Outcome == model.OutcomeDone || r.Outcome == model.OutcomeNotRun {
 		h.proven[r.Key] = r
 		h.ends[fmt.Sprintf("%s %t", r.Outcome, r.Succeeded)]++
+		if at, ok := h.doubts[r.Key]; ok && r.Finished.Sub(at) > h.state.Limits().AnswerRetention {
+			h.ends["resolved after the retention of answers"]++
+		}
+		delete(h.doubts, r.Key)
+	}
+}
+
+func lastNumber(r *model.Request) int {
+	if len(r.Attempts) == 0 {
+		return 0
 	}
+	return r.Attempts[len(r.Attempts)-1].Number
 }
 
-// forget drops the truth of keys whose retention has passed.
+// forget drops the truth of keys whose retention has passed. A key of a
+// non-idempotent request must be known until then.
 func (h *history) forget() {
-	for key := range h.truth {
+	for key, c := range h.bodies {
 		if _, ok := h.state.Get(key); !ok {
+			until, finished := h.until[key]
+			must(h.cat.JobKinds[c.Kind].Idempotent || (finished && !h.now.Before(until)), "key %s was forgotten early", key)
 			delete(h.truth, key)
 			delete(h.proven, key)
+			delete(h.bodies, key)
+			delete(h.until, key)
+			delete(h.doubts, key)
 		}
 	}
 }
@@ -285,9 +379,10 @@
 var _ = Describe("random histories", func() {
 	It("keeps the invariants of the ledger on every step", func() {
 		// Guards against any order of commands, faults and late reports that
-		// runs work twice, reports not_run for work that ran, or overbooks.
+		// runs work twice, reports not_run for work that ran, or overbooks, and
+		// against a reduction that changes the answer to a resend.
 		ends := map[string]int{}
-		for seed := range uint64(30) {
+		for seed := range uint64(40) {
 			h := newHistory(seed)
 			for range 1000 {
 				h.step()
@@ -305,7 +400,10 @@
 			}
 		}
 		AddReportEntry("outcomes reached", ends)
-		for _, end := range []string{"done true", "done false", "not_run false"} {
+		for _, end := range []string{
+			"done true", "done false", "not_run false", "keys full", "resolved after the retention of answers",
+			"reduced resent, equal body true", "reduced resent, equal body false",
+		} {
 			Expect(ends[end]).To(BeNumerically(">", 50), "the histories must reach the outcome %q", end)
 		}
 	})
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -8,8 +8,9 @@
 	"agatehaven.dev/agatehaven/internal/model"
 )
 
-// snapshotVersion is the version of the snapshot's format.
-const snapshotVersion = 1
+// snapshotVersion is the version of the snapshot's format. Version 1 has no
+// retained keys; it is still read.
+const snapshotVersion = 2
 
 type snapshot struct {
 	Version  int              `cbor:"1,keyasint"`
@@ -17,6 +18,8 @@
 	Requests []snapshotRecord `cbor:"3,keyasint"` // in claim order
 	Hosts    []snapshotHost   `cbor:"4,keyasint"` // by name
 	Limits   Limits           `cbor:"5,keyasint"`
+	// Keys are the retained keys as keyTable.encode returns them.
+	Keys []byte `cbor:"6,keyasint,omitempty"`
 }
 
 type snapshotRecord struct {
@@ -33,7 +36,7 @@
 
 // Snapshot encodes the ledger. Equal states give equal bytes.
 func (s *State) Snapshot() ([]byte, error) {
-	snap := snapshot{Version: snapshotVersion, Seq: s.seq, Limits: s.limits}
+	snap := snapshot{Version: snapshotVersion, Seq: s.seq, Limits: s.limits, Keys: s.keys.encode()}
 	for e := s.order.Front(); e != nil; e = e.Next() {
 		rec := e.Value.(*record)
 		snap.Requests = append(snap.Requests, snapshotRecord{Seq: rec.seq, Request: rec.req})
@@ -52,16 +55,28 @@
 	if err := codec.Unmarshal(data, &snap); err != nil {
 		return err
 	}
-	if snap.Version != snapshotVersion {
+	if snap.Version < 1 || snap.Version > snapshotVersion {
 		return &fault.Corrupt{What: "ledger snapshot", Reason: "unknown version"}
 	}
 	for i, r := range snap.Requests {
 		if r.Request == nil || r.Seq > snap.Seq || (i > 0 && r.Seq <= snap.Requests[i-1].Seq) {
 			return &fault.Corrupt{What: "ledger snapshot", Reason: "requests are not in claim order"}
 		}
+		if _, err := retain(r.Request); err != nil {
+			return err
+		}
+	}
+	keys, err := decodeKeys(snap.Keys)
+	if err != nil {
+		return err
+	}
+	for _, r := range snap.Requests {
+		if _, ok := keys.get(r.Request.Key); ok {
+			return &fault.Corrupt{What: "ledger snapshot", Reason: "a retained key is also a request"}
+		}
 	}
 	s.clear()
-	s.seq, s.limits = snap.Seq, snap.Limits
+	s.seq, s.limits, s.keys = snap.Seq, snap.Limits, keys
 	for _, r := range snap.Requests {
 		s.insert(&record{seq: r.Seq, req: r.Request})
 	}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -42,6 +42,11 @@
 	// MaxStoredBytes bounds the payloads and answers held together; claims
 	// beyond it are refused. Answers of running requests may exceed it.
 	MaxStoredBytes int64 `cbor:"7,keyasint"`
+	// MaxKeys bounds the keys of non-idempotent requests, open and finished
+	// ones together, so that each finished one has its place among the retained
+	// keys; new non-idempotent claims beyond it are refused. 0 keeps finished
+	// requests whole for KeyRetention and does not bound their keys.
+	MaxKeys int `cbor:"8,keyasint,omitempty"`
 }
 
 // DefaultLimits returns the limits of the design page.
@@ -54,9 +59,19 @@
 		AnswerRetention:  10 * time.Minute,
 		KeyRetention:     24 * time.Hour,
 		MaxStoredBytes:   48 << 20,
+		MaxKeys:          200_000,
 	}
 }
 
+// InitialLimits returns the limits of a ledger before its first SetLimits.
+// They reduce no requests: a log that a build without MaxKeys wrote must give
+// the same state when it is replayed.
+func InitialLimits() Limits {
+	l := DefaultLimits()
+	l.MaxKeys = 0
+	return l
+}
+
 // State is the ledger of one data centre. It is not safe for concurrent use;
 // the requests that it returns are immutable and may outlive a lock.
 type State struct {
@@ -64,6 +79,8 @@
 	seq      uint64
 	stored   int64 // bytes of payloads and answers
 	requests map[string]*record
+	once     int        // requests that are not idempotent
+	keys     *keyTable  // reduced requests
 	order    *list.List // records in claim order
 	elements map[*record]*list.Element
 	queues   map[class]*orderedQueue
@@ -132,8 +149,9 @@
 }
 
 func (s *State) clear() {
-	s.seq, s.stored = 0, 0
+	s.seq, s.stored, s.once = 0, 0, 0
 	s.requests = map[string]*record{}
+	s.keys = &keyTable{}
 	s.order = list.New()
 	s.elements = map[*record]*list.Element{}
 	s.queues = map[class]*orderedQueue{}
@@ -152,6 +170,9 @@
 	rec.queue, rec.due = -1, -1
 	s.requests[rec.req.Key] = rec
 	s.elements[rec] = s.order.PushBack(rec)
+	if !rec.req.Idempotent {
+		s.once++
+	}
 	s.link(rec)
 }
 
@@ -161,6 +182,9 @@
 	delete(s.requests, rec.req.Key)
 	s.order.Remove(s.elements[rec])
 	delete(s.elements, rec)
+	if !rec.req.Idempotent {
+		s.once--
+	}
 	s.dropIdleHosts(rec.req)
 }
 
@@ -331,6 +355,15 @@
 	return a.seq < b.seq
 }
 
+// reducible reports whether only the key of a finished request is retained
+// once the retention of its answer is over. An outcome without proof may still
+// change, so it keeps the request whole.
+func (s *State) reducible(r *model.Request) bool {
+	return s.limits.MaxKeys > 0 && !r.Idempotent && r.State == model.RequestFinished &&
+		(r.Outcome == model.OutcomeDone || r.Outcome == model.OutcomeNotRun) &&
+		!hasAttempt(r, model.AttemptAssigned) && !hasAttempt(r, model.AttemptUnknown)
+}
+
 // dueTime returns when Expire next changes the request: at its deadline, at
 // the end of its answer's retention or at the end of its key's. A request with
 // an assigned attempt is kept until the attempt is decided or lost.
@@ -341,7 +374,7 @@
 	if r.State != model.RequestFinished {
 		return r.Deadline, !r.Deadline.IsZero()
 	}
-	if len(r.Answer) > 0 {
+	if len(r.Answer) > 0 || s.reducible(r) {
 		return r.Finished.Add(s.limits.AnswerRetention), true
 	}
 	if r.Idempotent {
@@ -352,8 +385,8 @@
 	return r.Finished.Add(s.limits.KeyRetention), true
 }
 
-// setLimits takes new limits into force. Retention times order the heap of due
-// times, so it is built again.
+// setLimits takes new limits into force. Retention times and the choice of
+// what is reduced order the heap of due times, so it is built again.
 func (s *State) setLimits(l Limits) {
 	records := s.due.items
 	s.due.items = nil
--- a/internal/model/request.go
+++ b/internal/model/request.go
@@ -85,6 +85,9 @@
 	MemoryMB  int      `cbor:"22,keyasint" json:"memory_mb"`
 	// Accelerators is the declared number of accelerators.
 	Accelerators int `cbor:"23,keyasint,omitempty" json:"accelerators,omitempty"`
+	// DetailsExpired is set if only key, digest, times, outcome and the number
+	// of the last attempt are left; all other fields are empty.
+	DetailsExpired bool `cbor:"24,keyasint,omitempty" json:"details_expired,omitempty"`
 }
 
 // WithoutContent returns a copy without payload and answer, which belong to
