Set the bound of retained keys and show reduced requests to operators

Cause: the ledger reduces finished non-idempotent requests to their keys, but no setting bounds them, and an explanation would name an empty team and host.

Change: the setting limits.retained_keys, 200,000 by default (2.3 requests/s over 24 hours), goes into the replicated limits. The gauge agatehaven_retained_keys shows the keys against it. An explanation of a reduced request gives its times, its outcome and the number of its last attempt, and says that the details have expired; the tables of agatehavenctl show that number under ATTEMPTS.

Ruled out: a bound in bytes, which no operator can compare with a rate of requests.

--- a/internal/ctl/region_test.go
+++ b/internal/ctl/region_test.go
@@ -12,6 +12,7 @@
 	"agatehaven.dev/agatehaven/internal/event"
 	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/hlc"
+	"agatehaven.dev/agatehaven/internal/ledger"
 	"agatehaven.dev/agatehaven/internal/model"
 	"agatehaven.dev/agatehaven/internal/operator/command"
 	"agatehaven.dev/agatehaven/internal/operator/query"
@@ -60,6 +61,10 @@
 		Attempts: []model.Attempt{{Number: 1, Host: "exec-2", Owner: "entry-a1", State: model.AttemptUnknown, At: at(100)}},
 	}
 	queued := model.Request{Key: "fee/7", Kind: "fee_charge", Team: "markets", Pool: "ledger", Claimed: at(50), State: model.RequestQueued}
+	reduced := model.Request{
+		Key: "order-9", Claimed: at(-3_600_000), Finished: at(-3_500_000), State: model.RequestFinished, Outcome: model.OutcomeDone, Succeeded: true,
+		Reason: ledger.ReasonDetailsExpired, DetailsExpired: true, Attempts: []model.Attempt{{Number: 3, State: model.AttemptSucceeded}},
+	}
 	r := &region{answers: map[string]uint64{}}
 	r.records = model.Records{
 		Revision: 12, Floors: map[string]map[string]int{"proofs": {"dc-a": 1, "dc-b": 1}},
@@ -78,7 +83,7 @@
 				host("spare-1", "dc-a", "spare", model.HostReady, ""),
 			},
 			Waves:    []model.WaveProgress{{Wave: "spring", DataCentre: "dc-a", Done: []string{"exec-1"}, Current: []string{"exec-2"}, Started: at(0)}},
-			Requests: []model.Request{request, queued},
+			Requests: []model.Request{request, queued, reduced},
 		},
 		{DataCentre: "dc-b", Revision: 12, Hosts: []model.Host{host("exec-3", "dc-b", "proofs", model.HostReady, "")}},
 	}
--- a/internal/ctl/requests.go
+++ b/internal/ctl/requests.go
@@ -53,7 +53,11 @@
 		if r.Outcome == model.OutcomeDone && !r.Succeeded {
 			outcome = "done (failed)"
 		}
-		t.row(r.Key, r.Kind, r.Team, r.Pool, event.Format(r.Claimed), r.State, outcome, len(r.Attempts), r.Reason)
+		attempts := len(r.Attempts)
+		if r.DetailsExpired && attempts > 0 {
+			attempts = r.Attempts[attempts-1].Number
+		}
+		t.row(r.Key, r.Kind, r.Team, r.Pool, event.Format(r.Claimed), r.State, outcome, attempts, r.Reason)
 	}
 }
 
--- a/internal/daemon/glue.go
+++ b/internal/daemon/glue.go
@@ -66,7 +66,7 @@
 		MaxRequests: l.LedgerRequests, MaxQueuedPerPool: l.QueueRequests,
 		MaxPayloadBytes: l.PayloadBytes, MaxAnswerBytes: l.AnswerBytes,
 		AnswerRetention: l.AnswerRetention, KeyRetention: l.KeyRetention,
-		MaxStoredBytes: int64(l.StoredBytes),
+		MaxStoredBytes: int64(l.StoredBytes), MaxKeys: l.RetainedKeys,
 	}
 }
 
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -46,6 +46,7 @@
 	gauge("agatehaven_requests_queued", func(v datacentre.View) int { return sumPools(v, v.Requests.QueuedCount) })
 	gauge("agatehaven_requests_running", func(v datacentre.View) int { return sumPools(v, v.Requests.RunningCount) })
 	gauge("agatehaven_requests_parked", func(v datacentre.View) int { return len(v.Requests.Parked()) })
+	gauge("agatehaven_retained_keys", func(v datacentre.View) int { return v.Requests.KeyCount() })
 	gauge("agatehaven_hosts", func(v datacentre.View) int { return len(v.Hosts.Hosts()) })
 	gauge("agatehaven_hosts_available", func(v datacentre.View) int { return sumPools(v, v.Hosts.Available) })
 }
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -141,6 +141,10 @@
 		lines = append(lines, event.ExplainRequest("r-1", with(model.RequestFinished, model.OutcomeNotRun, "deadline passed"), nil)...)
 		lines = append(lines, event.ExplainRequest("r-1", with(model.RequestParked, "", "needs 9 accelerators"), nil)...)
 		lines = append(lines, event.ExplainRequest("r-9", nil, nil)...)
+		lines = append(lines, event.ExplainRequest("r-8", &model.Request{
+			Key: "r-8", Claimed: at(1000, 0), Finished: at(4000, 0), State: model.RequestFinished, Outcome: model.OutcomeDone,
+			Reason: "details have expired", DetailsExpired: true, Attempts: []model.Attempt{{Number: 3, State: model.AttemptFailed}},
+		}, nil)...)
 		text := strings.Join(lines, "\n") + "\n"
 		if *update {
 			Expect(os.WriteFile("testdata/explain.golden", []byte(text), 0o600)).To(Succeed())
--- a/internal/event/explain.go
+++ b/internal/event/explain.go
@@ -90,6 +90,9 @@
 	if state == nil {
 		return append([]string{fmt.Sprintf("Request %s is not in its home ledger, or that ledger was not reached.", key)}, history(events)...)
 	}
+	if state.DetailsExpired {
+		return append([]string{reducedState(state)}, history(events)...)
+	}
 	out := []string{requestState(state)}
 	for i := range state.Attempts {
 		a := &state.Attempts[i]
@@ -99,13 +102,28 @@
 	return append(out, history(events)...)
 }
 
+// reducedState describes a request of which only the key and the outcome are
+// left.
+func reducedState(r *model.Request) string {
+	text := fmt.Sprintf("Request %s was claimed at %s", r.Key, Format(r.Claimed)) + finished(r)
+	if n := len(r.Attempts); n > 0 {
+		text += fmt.Sprintf("; the last attempt was number %d", r.Attempts[n-1].Number)
+	}
+	return text + ". Its " + r.Reason + "."
+}
+
 func requestState(r *model.Request) string {
 	text := fmt.Sprintf("Request %s of team %s (%s, pool %s) was claimed at %s",
 		r.Key, r.Team, r.Kind, r.Pool, Format(r.Claimed))
 	if r.State != model.RequestFinished {
 		return text + fmt.Sprintf(" and is %s%s.", r.State, because(r.Reason))
 	}
-	text += fmt.Sprintf(" and finished at %s as %s", Format(r.Finished), r.Outcome)
+	return text + finished(r) + because(r.Reason) + "."
+}
+
+// finished returns the end and the outcome of a request.
+func finished(r *model.Request) string {
+	text := fmt.Sprintf(" and finished at %s as %s", Format(r.Finished), r.Outcome)
 	switch r.Outcome {
 	case model.OutcomeDone:
 		if !r.Succeeded {
@@ -116,7 +134,7 @@
 	case model.OutcomeUnknown:
 		text += ", since there is no proof whether it ran"
 	}
-	return text + because(r.Reason) + "."
+	return text
 }
 
 func history(events []Event) []string {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -124,6 +124,7 @@
 		StoredBytes:       t.integer("stored_bytes", 48<<20, 1<<20, 1<<30),
 		QueueRequests:     t.integer("queue_requests", 10_000, 1, 100_000),
 		LedgerRequests:    t.integer("ledger_requests", 100_000, 10, 1_000_000),
+		RetainedKeys:      t.integer("retained_keys", 200_000, 10, 1_000_000),
 		AnswerRetention:   t.duration("answer_retention", 10*time.Minute, time.Minute, 24*time.Hour),
 		KeyRetention:      t.duration("key_retention", 24*time.Hour, time.Hour, 7*24*time.Hour),
 		Events:            t.integer("events", 65_536, 1_024, 1<<20),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -75,6 +75,9 @@
 	StoredBytes    int
 	QueueRequests  int // per pool
 	LedgerRequests int
+	// RetainedKeys bounds the keys of non-idempotent requests that are open or
+	// within KeyRetention.
+	RetainedKeys int
 	// AnswerRetention is how long a finished answer is kept, KeyRetention how
 	// long its key is.
 	AnswerRetention   time.Duration
