Bound how far a remote clock may be ahead

Cause: hybrid timestamps of peers and of log entries were merged without a bound, so one host with a clock an hour ahead moved the time of every host, and a leader with such a clock committed times that ended all deadlines.

Change: hlc.MaxSkew (1 s). Clock.Observe refuses a later timestamp with *fault.ClockSkew; peers count it and go on. Each peer call measures the other side's wall clock between its sending and its answer; a host contradicted by a majority of those measured in the last 10 s takes no proposals, hands its leaderships over on each tick and is not ready. Followers refuse uncommitted entries more than 1 s ahead and ignore their leader for three election timeouts, so that it loses its quorum. Committed entries are applied as they are; the leader's next time continues after the last one in its log. Metrics agatehaven_clock_refused_timestamps_total, agatehaven_clock_skewed, agatehaven_replica_refused_times_total; events clock_skewed, clock_back, entry_time_refused.

Ruled out: refusing entries with an old time, since resent entries have one; comparing hybrid timestamps to measure a clock, since a peer's may have been moved by a third host; the arrival time alone, since a process that was frozen during a call would take its own clock for wrong.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -152,7 +152,7 @@
 		return true
 	}
 	switch fault.CodeOf(err) {
-	case fault.CodeUnavailable, fault.CodeNotLeader, fault.CodeShuttingDown:
+	case fault.CodeUnavailable, fault.CodeNotLeader, fault.CodeShuttingDown, fault.CodeClockSkew:
 		return true
 	}
 	return false
--- a/internal/ctl/errors.go
+++ b/internal/ctl/errors.go
@@ -116,7 +116,7 @@
 // with the same request id: it has no answer yet.
 func mayContinue(err error) bool {
 	switch fault.CodeOf(err) {
-	case codeLostAnswer, codeUnreachable, fault.CodeUnavailable, fault.CodeNotLeader, fault.CodeShuttingDown:
+	case codeLostAnswer, codeUnreachable, fault.CodeUnavailable, fault.CodeNotLeader, fault.CodeShuttingDown, fault.CodeClockSkew:
 		return true
 	}
 	return errors.Is(err, context.Canceled)
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -36,6 +36,9 @@
 	if d.stopping.Load() {
 		return &fault.ShuttingDown{}
 	}
+	if err := d.hlc.Skew(); err != nil {
+		return err // deadlines that this host computes would be wrong
+	}
 	if records, _ := d.force.get(); records == nil {
 		return &fault.Unavailable{What: "data centre " + d.settings.DataCentre, Reason: "its current state has not been read yet"}
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -209,6 +209,7 @@
 		MaxInflight:     d.settings.Limits.ProposalsInFlight,
 		Seed:            seedOf(d.settings.Host, group),
 		Clock:           d.clock, HLC: d.hlc, Transport: d.sender, Logger: d.log,
+		OnRefusedTime: func(leader string, reason error) { d.recordPeer(eventTimeRefused, leader, reason.Error()) },
 	}
 	if d.settings.Bootstrap {
 		cfg.Bootstrap = members
@@ -260,6 +261,7 @@
 		wg.Go(func() { a.run(ctx) })
 	}
 	wg.Go(func() { d.monitorPeers(ctx) })
+	wg.Go(func() { d.monitorClock(ctx) })
 	wg.Go(func() { d.dispatcher.Run(ctx) })
 	for _, n := range d.dataCentres {
 		wg.Go(func() { n.controller.Run(ctx) })
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -25,6 +25,12 @@
 		}
 		return 0
 	})
+	set.NewGauge("agatehaven_clock_skewed", func() float64 {
+		if d.hlc.Skew() != nil {
+			return 1
+		}
+		return 0
+	})
 	set.NewGauge("agatehaven_attempts_in_hand", func() float64 { return float64(d.dispatcher.InHand()) })
 	set.NewGauge("agatehaven_events_dropped_total", func() float64 { return float64(d.events.Dropped()) })
 	for name, n := range d.dataCentres {
--- a/internal/daemon/monitor.go
+++ b/internal/daemon/monitor.go
@@ -18,6 +18,11 @@
 const (
 	eventPeerSilent event.Kind = "peer_silent"
 	eventPeerBack   event.Kind = "peer_back"
+	// The clock of this host is far from the majority's, or close again.
+	eventClockSkewed event.Kind = "clock_skewed"
+	eventClockBack   event.Kind = "clock_back"
+	// A leader's entries were refused for their time.
+	eventTimeRefused event.Kind = "entry_time_refused"
 )
 
 // monitorPeers probes every other entry host until ctx ends.
@@ -52,6 +57,33 @@
 	}
 }
 
+// monitorClock tells when the clock of this host, compared with those that the
+// probes measure, cannot be relied on.
+func (d *Daemon) monitorClock(ctx context.Context) {
+	skewed := false
+	for ctx.Err() == nil {
+		err := d.hlc.Skew()
+		switch {
+		case err != nil && !skewed:
+			d.recordClock(eventClockSkewed, err.Error())
+		case err == nil && skewed:
+			d.recordClock(eventClockBack, "it agrees with the majority again")
+		}
+		skewed = err != nil
+		select {
+		case <-d.clock.After(peerProbeInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (d *Daemon) recordClock(kind event.Kind, reason string) {
+	recorder{d}.Record(event.Event{
+		Kind: kind, Host: d.settings.Host, DataCentre: d.settings.DataCentre, Actor: d.settings.Host, Reason: reason,
+	})
+	d.log.Warn().Str("event", string(kind)).Str("reason", reason).Msg("clock of this host")
+}
+
 func (d *Daemon) probe(ctx context.Context, host string) error {
 	h, err := d.dialer.Dial(host)
 	if err != nil {
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -28,6 +28,7 @@
 	CodeCorrupt          Code = "corrupt"
 	CodeSilentConnection Code = "silent_connection"
 	CodeShuttingDown     Code = "shutting_down"
+	CodeClockSkew        Code = "clock_skew"
 	CodeInternal         Code = "internal"
 )
 
@@ -203,6 +204,27 @@
 // Code implements Coded.
 func (e *ShuttingDown) Code() Code { return CodeShuttingDown }
 
+// ClockSkew reports a clock or a timestamp that is further from the clock it
+// is compared with than Limit. The operation had no effect.
+type ClockSkew struct {
+	// What names the clock or the timestamp.
+	What string
+	// Skew is positive if it is ahead and negative if it is behind.
+	Skew  time.Duration
+	Limit time.Duration
+}
+
+func (e *ClockSkew) Error() string {
+	side := "ahead"
+	if e.Skew < 0 {
+		side = "behind"
+	}
+	return fmt.Sprintf("%s is %s %s, the limit is %s", e.What, e.Skew.Abs(), side, e.Limit)
+}
+
+// Code implements Coded.
+func (e *ClockSkew) Code() Code { return CodeClockSkew }
+
 // Remote carries a failure of another process: its code and text, as received.
 type Remote struct {
 	RemoteCode Code
--- a/internal/hlc/hlc.go
+++ b/internal/hlc/hlc.go
@@ -9,6 +9,17 @@
 	"time"
 
 	"agatehaven.dev/agatehaven/internal/clock"
+	"agatehaven.dev/agatehaven/internal/fault"
+)
+
+const (
+	// MaxSkew is the largest accepted difference between a remote timestamp
+	// and the local wall clock. It is a fifth of the host lease of 5 s, so that
+	// no lease or deadline of seconds passes early because of another clock.
+	MaxSkew = time.Second
+	// sampleAge is how long a measurement of a peer's clock counts: ten times
+	// the interval of the probes between entry hosts.
+	sampleAge = 10 * time.Second
 )
 
 // Time is a hybrid timestamp: wall-clock milliseconds since the Unix epoch
@@ -55,10 +66,25 @@
 	source clock.Clock
 	mu     sync.Mutex
 	last   Time
+	// peers holds the latest measurement of each peer's clock.
+	peers map[string]sample
+}
+
+// sample is one measurement of a peer's clock.
+type sample struct {
+	// skew is how far the local clock is ahead of the peer's at least, or
+	// behind it if negative. It is 0 if the measurement proves no difference.
+	skew time.Duration
+	at   time.Time
 }
 
 // NewClock returns a clock that reads wall-clock time from source.
-func NewClock(source clock.Clock) *Clock { return &Clock{source: source} }
+func NewClock(source clock.Clock) *Clock {
+	return &Clock{source: source, peers: make(map[string]sample)}
+}
+
+// Wall returns the local wall-clock time.
+func (c *Clock) Wall() time.Time { return c.source.Now() }
 
 // Now returns a timestamp after every timestamp issued or observed before.
 func (c *Clock) Now() Time {
@@ -73,12 +99,78 @@
 	return c.last
 }
 
+// Check returns *fault.ClockSkew if t is more than MaxSkew ahead of the local
+// wall clock. A timestamp in the past is never refused, since it may be old.
+func (c *Clock) Check(t Time) error {
+	if ahead := time.Duration(t.WallMillis-c.source.Now().UnixMilli()) * time.Millisecond; ahead > MaxSkew {
+		return &fault.ClockSkew{What: "a received timestamp", Skew: ahead, Limit: MaxSkew}
+	}
+	return nil
+}
+
 // Observe merges a timestamp received from another process, so that later
-// calls of Now return timestamps after it.
-func (c *Clock) Observe(t Time) {
+// calls of Now return timestamps after it. It returns *fault.ClockSkew,
+// without effect, for one that Check refuses: otherwise one process whose
+// clock is far ahead would move the time of all others.
+func (c *Clock) Observe(t Time) error {
+	if err := c.Check(t); err != nil {
+		return err
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.last.Before(t) {
 		c.last = t
 	}
+	return nil
+}
+
+// Measure records the wall clock of a peer, which it read between two moments
+// of the local clock: when the call was sent and when its response arrived.
+// Only a reading outside this interval proves a difference, so a slow call
+// does not look like one.
+func (c *Clock) Measure(peer string, remote, sent, received time.Time) {
+	skew := time.Duration(0)
+	switch {
+	case remote.Before(sent):
+		skew = sent.Sub(remote)
+	case remote.After(received):
+		skew = received.Sub(remote)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.peers[peer] = sample{skew: skew, at: received}
+}
+
+// Skew returns *fault.ClockSkew if the local clock is more than MaxSkew ahead
+// of, or behind, the clocks of a majority of the processes that were measured
+// lately, this one included.
+func (c *Clock) Skew() error {
+	now := c.source.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	processes, ahead, behind := 1, 0, 0
+	var least, most time.Duration // the smallest differences beyond the limit
+	for _, s := range c.peers {
+		if now.Sub(s.at).Abs() > sampleAge {
+			continue
+		}
+		processes++
+		switch {
+		case s.skew > MaxSkew:
+			if ahead++; least == 0 || s.skew < least {
+				least = s.skew
+			}
+		case s.skew < -MaxSkew:
+			if behind++; most == 0 || s.skew > most {
+				most = s.skew
+			}
+		}
+	}
+	switch {
+	case 2*ahead > processes:
+		return &fault.ClockSkew{What: "the clock of this host", Skew: least, Limit: MaxSkew}
+	case 2*behind > processes:
+		return &fault.ClockSkew{What: "the clock of this host", Skew: most, Limit: MaxSkew}
+	}
+	return nil
 }
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -118,7 +118,7 @@
 		return http.StatusConflict
 	case fault.CodeLimitExceeded:
 		return http.StatusTooManyRequests
-	case fault.CodeUnavailable, fault.CodeShuttingDown, fault.CodeNotLeader:
+	case fault.CodeUnavailable, fault.CodeShuttingDown, fault.CodeNotLeader, fault.CodeClockSkew:
 		return http.StatusServiceUnavailable
 	case fault.CodeProposalUnknown, fault.CodeTimeout, fault.CodeSilentConnection, fault.CodeConnectionLost:
 		return http.StatusGatewayTimeout
--- a/internal/operator/query/compose.go
+++ b/internal/operator/query/compose.go
@@ -328,7 +328,8 @@
 // reached.
 func absent(err error) bool {
 	switch fault.CodeOf(err) {
-	case fault.CodeNotFound, fault.CodeUnavailable, fault.CodeNotLeader, fault.CodeTimeout, fault.CodeSilentConnection:
+	case fault.CodeNotFound, fault.CodeUnavailable, fault.CodeNotLeader, fault.CodeTimeout, fault.CodeSilentConnection,
+		fault.CodeClockSkew:
 		return true
 	}
 	return false
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -93,7 +93,7 @@
 		c.options = append(c.options, o)
 	}
 	if cfg.HLC != nil {
-		c.options = append(c.options, connect.WithInterceptors(timestamps(cfg.HLC)))
+		c.options = append(c.options, connect.WithInterceptors(timestamps(cfg.HLC, host)))
 	}
 	return c
 }
--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 	"unicode/utf8"
 
 	"connectrpc.com/connect"
@@ -64,6 +65,8 @@
 		w.A = e.Key
 	case *fault.Precondition:
 		w.A, w.B = e.What, bound(e.Reason)
+	case *fault.ClockSkew:
+		w.A, w.N, w.M = e.What, uint64(e.Skew), uint64(e.Limit)
 	}
 	return w
 }
@@ -91,6 +94,8 @@
 		return &fault.Precondition{What: w.A, Reason: w.B}
 	case fault.CodeShuttingDown:
 		return &fault.ShuttingDown{}
+	case fault.CodeClockSkew:
+		return &fault.ClockSkew{What: w.A, Skew: time.Duration(w.N), Limit: time.Duration(w.M)}
 	}
 	return &fault.Remote{RemoteCode: w.Code, Text: w.Text}
 }
@@ -117,7 +122,7 @@
 	switch c {
 	case fault.CodeNotLeader, fault.CodePrecondition, fault.CodeRevisionConflict:
 		return connect.CodeFailedPrecondition
-	case fault.CodeUnavailable, fault.CodeShuttingDown:
+	case fault.CodeUnavailable, fault.CodeShuttingDown, fault.CodeClockSkew:
 		return connect.CodeUnavailable
 	case fault.CodeLimitExceeded:
 		return connect.CodeResourceExhausted
--- a/internal/peer/hlc.go
+++ b/internal/peer/hlc.go
@@ -6,18 +6,29 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"connectrpc.com/connect"
+	"github.com/VictoriaMetrics/metrics"
 
 	"agatehaven.dev/agatehaven/internal/hlc"
 )
 
-// hlcHeader carries the sender's timestamp as "<wall ms>.<logical>".
-const hlcHeader = "Agatehaven-Hlc"
+const (
+	// hlcHeader carries the sender's timestamp as "<wall ms>.<logical>".
+	hlcHeader = "Agatehaven-Hlc"
+	// wallHeader carries the sender's wall clock in ms since the Unix epoch.
+	// Unlike its timestamp, it does not depend on what the sender observed.
+	wallHeader = "Agatehaven-Wall"
+)
+
+// refusedTimestamps counts timestamps of peers too far ahead of the local clock.
+var refusedTimestamps = metrics.GetOrCreateCounter("agatehaven_clock_refused_timestamps_total")
 
 // timestamps returns an interceptor that sends the local timestamp and
-// observes the other side's, on clients and handlers alike.
-func timestamps(c *hlc.Clock) connect.UnaryInterceptorFunc {
+// observes the other side's, on clients and handlers alike. A client measures
+// the clock of host with each response.
+func timestamps(c *hlc.Clock, host string) connect.UnaryInterceptorFunc {
 	return func(next connect.UnaryFunc) connect.UnaryFunc {
 		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
 			if req.Spec().IsClient {
@@ -25,6 +36,7 @@
 			} else {
 				observe(c, req.Header())
 			}
+			sent := c.Wall()
 			resp, err := next(ctx, req)
 			header := http.Header{}
 			var ce *connect.Error
@@ -36,6 +48,7 @@
 			}
 			if req.Spec().IsClient {
 				observe(c, header)
+				measure(c, host, header, sent)
 			} else {
 				stamp(c, header)
 			}
@@ -44,10 +57,20 @@
 	}
 }
 
-func stamp(c *hlc.Clock, h http.Header) { h.Set(hlcHeader, c.Now().String()) }
+func stamp(c *hlc.Clock, h http.Header) {
+	h.Set(hlcHeader, c.Now().String())
+	h.Set(wallHeader, strconv.FormatInt(c.Wall().UnixMilli(), 10))
+}
 
-// observe ignores a missing or malformed timestamp: it orders events for
-// operators and no decision depends on it.
+// measure ignores a response without a wall clock, such as one of a proxy.
+func measure(c *hlc.Clock, host string, h http.Header, sent time.Time) {
+	if ms, err := strconv.ParseInt(h.Get(wallHeader), 10, 64); err == nil {
+		c.Measure(host, time.UnixMilli(ms), sent.Truncate(time.Millisecond), c.Wall())
+	}
+}
+
+// observe ignores a missing or malformed timestamp, and one too far ahead: it
+// orders events for operators and no decision depends on it.
 func observe(c *hlc.Clock, h http.Header) {
 	wall, logical, ok := strings.Cut(h.Get(hlcHeader), ".")
 	if !ok {
@@ -61,5 +84,7 @@
 	if err != nil {
 		return
 	}
-	c.Observe(hlc.Time{WallMillis: w, Logical: uint32(l)})
+	if c.Observe(hlc.Time{WallMillis: w, Logical: uint32(l)}) != nil {
+		refusedTimestamps.Inc()
+	}
 }
--- a/internal/peer/leader.go
+++ b/internal/peer/leader.go
@@ -164,7 +164,7 @@
 // another host may serve it.
 func noEffect(err error) bool {
 	switch fault.CodeOf(err) {
-	case fault.CodeNotLeader, fault.CodeUnavailable, fault.CodeShuttingDown:
+	case fault.CodeNotLeader, fault.CodeUnavailable, fault.CodeShuttingDown, fault.CodeClockSkew:
 		return true
 	}
 	return false
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -35,7 +35,7 @@
 		options = append(options, o)
 	}
 	if opts.HLC != nil {
-		options = append(options, connect.WithInterceptors(timestamps(opts.HLC)))
+		options = append(options, connect.WithInterceptors(timestamps(opts.HLC, "")))
 	}
 	mux := http.NewServeMux()
 	handle(mux, "Step", h.Step, options)
--- a/internal/replica/api.go
+++ b/internal/replica/api.go
@@ -68,7 +68,9 @@
 type Group interface {
 	// Propose appends data to the log and returns the state machine's result
 	// after it has been applied here. Errors: *fault.NotLeader (no effect),
-	// *fault.LimitExceeded (no effect), *fault.ProposalUnknown (may commit).
+	// *fault.LimitExceeded (no effect), *fault.ClockSkew for a leader whose
+	// clock is far from the majority's (no effect), *fault.ProposalUnknown (may
+	// commit).
 	Propose(ctx context.Context, data []byte) (any, error)
 	// ReadBarrier returns once the local state machine reflects every entry
 	// committed before the call. Only the leader serves it; others return
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -104,7 +104,7 @@
 	if err := a.r.cfg.Machine.Restore(data); err != nil {
 		return err
 	}
-	a.r.cfg.HLC.Observe(t)
+	_ = a.r.cfg.HLC.Observe(t) // the timeline of the core covers a refused one
 	a.time, a.config, a.index, a.term = t, s.Meta.Config, s.Meta.Index, s.Meta.Term
 	a.entries, a.bytes = 0, 0
 	a.r.applied.Store(a.index)
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -75,10 +75,13 @@
 	// Seed determines the election timeouts together with the group and host.
 	Seed uint64
 
-	Clock     clock.Clock
-	HLC       *hlc.Clock
-	Transport Transport
-	Machine   StateMachine
+	Clock clock.Clock
+	HLC   *hlc.Clock
+	// OnRefusedTime, if set, is told of a leader whose entries are refused for
+	// their time. It must not block.
+	OnRefusedTime func(leader string, reason error)
+	Transport     Transport
+	Machine       StateMachine
 
 	// FS defaults to the operating system's file system.
 	FS wal.FS
@@ -119,6 +122,9 @@
 	if c.HLC == nil {
 		c.HLC = hlc.NewClock(c.Clock)
 	}
+	if c.OnRefusedTime == nil {
+		c.OnRefusedTime = func(string, error) {}
+	}
 	if c.FS == nil {
 		c.FS = wal.OSFS{}
 	}
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -24,6 +24,13 @@
 	// the log, which holds the same entries.
 	backlog []applyTask
 
+	times timeline
+	// skew is why this host's clock cannot be relied on, as of the last tick.
+	skew error
+	// ticks counts since the start. Until refusedUntil the leader of
+	// refusedTerm is ignored.
+	ticks, refusedTerm, refusedUntil uint64
+
 	// published is what Status shows.
 	published raft.Status
 	wasLeader bool
@@ -39,6 +46,8 @@
 		case <-ctx.Done():
 			return nil
 		case <-tick:
+			c.ticks++
+			c.checkClock()
 			c.node.Tick()
 			tick = r.cfg.Clock.After(r.cfg.TickInterval)
 		case messages := <-r.inbox.Items():
@@ -75,16 +84,25 @@
 
 func (c *core) step(messages []raft.Message) {
 	for _, m := range messages {
-		c.node.Step(m)
+		if !c.refuses(&m) {
+			c.node.Step(m)
+		}
 	}
 }
 
 func (c *core) propose(p *proposal) {
-	index, term, err := c.node.Propose(sealEnvelope(c.r.cfg.HLC.Now(), p.data))
+	if c.skew != nil {
+		c.r.finish(p, outcome{err: c.skew})
+		return
+	}
+	entry := raft.Entry{Type: raft.EntryNormal, Data: sealEnvelope(c.times.next(c.r.cfg.HLC.Now()), p.data)}
+	index, term, err := c.node.Propose(entry.Data)
 	if err != nil {
 		c.r.finish(p, outcome{err: err})
 		return
 	}
+	entry.Index = index
+	c.times.add(entry)
 	c.r.metrics.proposals.Inc()
 	c.r.results.add(index, waiter{term: term, proposal: p})
 }
@@ -150,6 +168,9 @@
 		}
 		c.r.metrics.installed.Inc()
 		c.backlog = append(c.backlog, applyTask{snapshot: rd.Snapshot})
+		if t, _, err := openEnvelope(rd.Snapshot.Data); err == nil {
+			c.times.install(t)
+		}
 	}
 	if rd.MustSync {
 		started := c.r.cfg.Clock.Now()
@@ -160,8 +181,10 @@
 		c.r.metrics.syncSeconds.Update(c.r.cfg.Clock.Now().Sub(started).Seconds())
 	}
 	c.r.observe(rd.Entries)
+	c.times.append(rd.Entries)
 	c.send(later)
 	if len(rd.Committed) > 0 {
+		c.times.commit(rd.Committed[len(rd.Committed)-1].Index)
 		c.backlog = append(c.backlog, applyTask{entries: rd.Committed})
 		c.handBacklog()
 	}
--- a/internal/replica/meters.go
+++ b/internal/replica/meters.go
@@ -13,6 +13,7 @@
 	leaderChanges  *metrics.Counter
 	dropped        *metrics.Counter
 	installed      *metrics.Counter
+	refusedTimes   *metrics.Counter
 	sentBytes      *metrics.Counter
 	logBytes       *metrics.Counter
 	snapshotBytes  *metrics.Gauge
@@ -31,6 +32,7 @@
 		leaderChanges:  set.GetOrCreateCounter(name("role_changes_total")),
 		dropped:        set.GetOrCreateCounter(name("dropped_messages_total")),
 		installed:      set.GetOrCreateCounter(name("installed_snapshots_total")),
+		refusedTimes:   set.GetOrCreateCounter(name("refused_times_total")),
 		sentBytes:      set.GetOrCreateCounter(name("sent_bytes_total")),
 		logBytes:       set.GetOrCreateCounter(name("log_bytes_total")),
 		snapshotBytes:  set.GetOrCreateGauge(name("snapshot_bytes"), nil),
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -116,6 +116,8 @@
 	}
 	r.observe(state.Entries)
 	c := &core{r: r, reads: map[uint64]chan outcome{}, identity: identity}
+	c.times.install(a.time)
+	c.times.append(state.Entries)
 	c.options = raft.Options{
 		Group: r.cfg.Group, ID: identity.MemberID(), ElectionTicks: r.cfg.ElectionTicks, Seed: r.cfg.seed(),
 		HardState: state.HardState, Snapshot: state.Snapshot, Entries: state.Entries,
@@ -336,15 +338,12 @@
 	r.changed = make(chan struct{})
 }
 
-// observe keeps the hybrid clock after the time of every stored entry, so
-// that a new leader's entries are later than those of its predecessor.
+// observe keeps the hybrid clock after the time of every stored entry. The
+// timeline of the core covers those that it refuses.
 func (r *Replica) observe(entries []raft.Entry) {
 	for _, e := range entries {
-		if e.Type != raft.EntryNormal {
-			continue
-		}
-		if t, _, err := openEnvelope(e.Data); err == nil {
-			r.cfg.HLC.Observe(t)
+		if t, ok := timeOf(e); ok {
+			_ = r.cfg.HLC.Observe(t)
 		}
 	}
 }
