Begin a new wave for a record that is created again

Cause: a data centre keeps a wave's progress by its name. A record that was deleted and created again took over the earlier progress, and a finished wave never ran again. A data centre may adopt both changes at once, so it cannot find out by itself.

Change: the region group keeps the revision at which each wave's record was created (Records.WaveCreated, empty for records older than the field). On adoption, a data centre whose progress belongs to another creation begins a new wave. Hosts whose reboot was ordered end their step as carried: they count as open, their failure counts towards the pause, but they are not maintained by the new wave. Hosts without a reboot order return to service. FinishWave and PauseWave carry the creation revision and are refused for another record.

Ruled out: carrying all open steps over, since a host drained for a record that is gone would wait for the new wave's limits; dropping ordered ones, since the reboot cannot be taken back.

The random test of the inventory now also renews its wave and compares open steps with the hosts; it fails if a dropped step stays open.

--- a/internal/datacentre/commands.go
+++ b/internal/datacentre/commands.go
@@ -121,7 +121,7 @@
 	}
 	m.records, m.catalogue = records, catalogue
 	m.notifyRecords()
-	return Result{}, []event.Event{{
+	events := []event.Event{{
 		ID:         event.ID{Group: m.group, Index: e.Index},
 		Time:       e.Time,
 		Kind:       eventRecordsAdopted,
@@ -129,6 +129,17 @@
 		Actor:      "adoption",
 		Reason:     "newer records from the region group",
 	}}
+	events = append(events, m.hosts.RenewWaves(m.inventoryContext(e))...)
+	return Result{}, numbered(events)
+}
+
+// numbered gives the events of one entry distinct IDs, since each part of the
+// machine numbers its own from 0.
+func numbered(events []event.Event) []event.Event {
+	for i := range events {
+		events[i].ID.Seq = i
+	}
+	return events
 }
 
 // applyInventory applies a host command and tells the ledger which task
@@ -138,11 +149,7 @@
 	for _, lost := range r.Lost {
 		events = append(events, m.requests.HostLost(m.ledgerContext(e), lost.Name, lost.Incarnation, lost.Reason)...)
 	}
-	// Both parts number their events from 0; one entry needs distinct IDs.
-	for i := range events {
-		events[i].ID.Seq = i
-	}
-	return Result{Err: r.Err, Host: r.Host}, events
+	return Result{Err: r.Err, Host: r.Host}, numbered(events)
 }
 
 func (m *Machine) ledgerContext(e replica.Entry) ledger.Context {
--- a/internal/datacentre/datacentre_test.go
+++ b/internal/datacentre/datacentre_test.go
@@ -78,6 +78,33 @@
 		Expect(l.machine.Records().Revision).To(Equal(uint64(5)))
 	})
 
+	It("begins a wave anew when its record was created again between two adoptions", func() {
+		// Guards against a new wave with the progress of an earlier one, since
+		// a data centre may never adopt the revision without the record.
+		l := &log{machine: datacentre.New("dc-a", nil)}
+		adopt := func(revision, created uint64) {
+			r := records(revision)
+			r.Items = append(r.Items, model.Record{Schema: 2, Kind: model.KindWave, Name: "w", Spec: []byte(`{"pool":"work"}`)})
+			r.WaveCreated = map[string]uint64{"w": created}
+			Expect(l.apply(datacentre.Command{Adopt: r}).Err).NotTo(HaveOccurred())
+		}
+		finished := func() bool {
+			done := false
+			l.machine.View(func(v datacentre.View) {
+				p, _ := v.Hosts.Wave("w")
+				done = !p.Finished.IsZero()
+			})
+			return done
+		}
+		adopt(2, 2)
+		Expect(l.apply(datacentre.Command{Inventory: &inventory.Command{
+			FinishWave: &inventory.FinishWave{Wave: "w", Created: 2}}}).Err).NotTo(HaveOccurred())
+		adopt(3, 2)
+		Expect(finished()).To(BeTrue())
+		adopt(5, 5)
+		Expect(finished()).To(BeFalse())
+	})
+
 	It("makes the attempts on a restarted host unknown in the same entry", func() {
 		// Guards against an attempt that stays assigned to tasks that ended.
 		l := dispatched()
--- a/internal/inventory/command.go
+++ b/internal/inventory/command.go
@@ -103,6 +103,8 @@
 type PauseWave struct {
 	Wave   string `cbor:"1,keyasint"`
 	Reason string `cbor:"2,keyasint"`
+	// Created names the wave's record by model.Wave.Created.
+	Created uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // ResumeWave ends a pause after the operator raised model.Wave.Resume.
@@ -114,6 +116,8 @@
 // FinishWave records that no host of the wave remains in this data centre.
 type FinishWave struct {
 	Wave string `cbor:"1,keyasint"`
+	// Created names the wave's record by model.Wave.Created.
+	Created uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // SetAside takes a suspect host out of service within the floor.
--- a/internal/inventory/commands.go
+++ b/internal/inventory/commands.go
@@ -57,7 +57,7 @@
 	case cmd.ResumeWave != nil:
 		return "", c.resumeWave(cmd.ResumeWave)
 	case cmd.FinishWave != nil:
-		return "", c.finishWave(cmd.FinishWave.Wave)
+		return "", c.finishWave(cmd.FinishWave)
 	}
 	return "", &fault.Invalid{Field: "command", Reason: "empty", Allowed: "one inventory command"}
 }
@@ -240,6 +240,7 @@
 		p := c.progress(d.Wave)
 		if step != "" {
 			p.Current = append(p.Current, h.Info.Name)
+			p.Carried = slices.DeleteFunc(p.Carried, func(name string) bool { return name == h.Info.Name })
 		} else if !slices.Contains(p.Skipped, h.Info.Name) {
 			p.Skipped = append(p.Skipped, h.Info.Name)
 		}
@@ -341,7 +342,9 @@
 	}
 	c.emit(StepFinished, h, "", "verified after its reboot")
 	p := c.endStep(h)
-	p.Done = append(p.Done, h.Info.Name)
+	if !slices.Contains(p.Carried, h.Info.Name) {
+		p.Done = append(p.Done, h.Info.Name)
+	}
 	c.makeReady(h, "maintained by wave "+p.Wave)
 	return nil
 }
@@ -358,8 +361,7 @@
 	c.emit(StepFailed, h, "", reason)
 	state := h.State
 	p := c.endStep(h)
-	p.Failed = append(p.Failed, h.Info.Name)
-	p.Lost = slices.DeleteFunc(p.Lost, func(name string) bool { return name == h.Info.Name }) // counted once
+	c.countFailure(p, h.Info.Name)
 	reason = "step of wave " + p.Wave + " failed: " + reason
 	switch state {
 	case model.HostMaintenance:
@@ -373,12 +375,28 @@
 	return nil
 }
 
+// countFailure counts a failed step once. A carried one counts as a loss: it
+// brings the pause nearer, and the host may still have a step of this wave.
+func (c *change) countFailure(p *model.WaveProgress, host string) {
+	if !slices.Contains(p.Carried, host) {
+		p.Failed = append(p.Failed, host)
+		p.Lost = slices.DeleteFunc(p.Lost, func(name string) bool { return name == host })
+		return
+	}
+	if !slices.Contains(p.Lost, host) {
+		p.Lost = append(p.Lost, host)
+	}
+}
+
 // stepped reports whether a step of the host has ended, in failure or not.
 func (c *change) stepped(host string, failed bool) bool {
 	for _, p := range c.waves {
 		if failed && slices.Contains(p.Failed, host) || !failed && slices.Contains(p.Done, host) {
 			return true
 		}
+		if _, ended := p.Steps[host]; ended && slices.Contains(p.Carried, host) {
+			return true
+		}
 	}
 	return false
 }
@@ -467,6 +485,9 @@
 	if err != nil {
 		return err
 	}
+	if err := c.sameRecord("pause of wave "+r.Wave, r.Wave, r.Created); err != nil {
+		return err
+	}
 	p := c.progress(r.Wave)
 	if p.Paused {
 		return nil
@@ -496,7 +517,11 @@
 	return nil
 }
 
-func (c *change) finishWave(wave string) error {
+func (c *change) finishWave(f *FinishWave) error {
+	wave := f.Wave
+	if err := c.sameRecord("end of wave "+wave, wave, f.Created); err != nil {
+		return err
+	}
 	p := c.waves[wave]
 	if p == nil {
 		if _, err := c.wave(wave); err != nil {
--- a/internal/inventory/queries.go
+++ b/internal/inventory/queries.go
@@ -88,7 +88,7 @@
 	out := *p
 	out.Done, out.Failed = slices.Clone(p.Done), slices.Clone(p.Failed)
 	out.Current, out.Lost = slices.Clone(p.Current), slices.Clone(p.Lost)
-	out.Skipped = slices.Clone(p.Skipped)
+	out.Skipped, out.Carried = slices.Clone(p.Skipped), slices.Clone(p.Carried)
 	out.Steps = maps.Clone(p.Steps)
 	return out
 }
--- a/internal/inventory/random_test.go
+++ b/internal/inventory/random_test.go
@@ -7,6 +7,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"agatehaven.dev/agatehaven/internal/event"
+	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/hlc"
 	"agatehaven.dev/agatehaven/internal/inventory"
 	"agatehaven.dev/agatehaven/internal/model"
@@ -71,6 +73,9 @@
 				if rng.IntN(40) == 0 {
 					f.cat.Floors["render"]["a"] = rng.IntN(6)
 				}
+				if rng.IntN(50) == 0 {
+					f.renew("w")
+				}
 				cmd := randomCommand(rng)
 				before, hosts := snapshotOf(f.State), f.Hosts()
 				res, _ := f.do(cmd)
@@ -91,6 +96,7 @@
 				Expect(again.Lost).To(BeEmpty(), where)
 				Expect(snapshotOf(f.State)).To(Equal(after), where)
 				f.checkPools(hosts, cmd, where)
+				f.checkSteps("w", where)
 				restored := inventory.New()
 				Expect(restored.Restore(after)).To(Succeed())
 				Expect(snapshotOf(restored)).To(Equal(after), where)
@@ -197,3 +203,121 @@
 		}
 	}
 }
+
+// checkSteps checks that the open steps of a wave are those of its hosts, and
+// that a host's order belongs to a step.
+func (f *fleet) checkSteps(wave, where string) {
+	p, _ := f.Wave(wave)
+	var open []string
+	for _, h := range f.Hosts() {
+		if h.Wave == wave {
+			open = append(open, h.Info.Name)
+		} else {
+			Expect(h.OrderID).To(BeEmpty(), where)
+		}
+	}
+	Expect(p.Current).To(ConsistOf(open), where)
+}
+
+// context is what the next command sees.
+func (f *fleet) context() inventory.Context {
+	return inventory.Context{DataCentre: "a", Group: "a", Index: f.n, Time: hlc.Time{WallMillis: f.now}, Catalogue: f.cat}
+}
+
+// renew deletes a wave's record and creates it again.
+func (f *fleet) renew(wave string) []event.Event {
+	f.cat.Waves[wave].Created++
+	return f.RenewWaves(f.context())
+}
+
+var _ = Describe("A wave whose record is created again", func() {
+	finishWave := func(created uint64) inventory.Command {
+		return inventory.Command{FinishWave: &inventory.FinishWave{Wave: "w", Created: created}}
+	}
+	// underWay returns a fleet with h1 maintained, h2 in maintenance, h3
+	// drained and h4 untouched.
+	underWay := func() *fleet {
+		f := newFleet(0)
+		f.cat.Waves["w"].Created = 3
+		for i, h := range []string{"h1", "h2", "h3", "h4"} {
+			f.do(register(h, "i1", "render"))
+			if i < 3 {
+				f.do(drain(h, "w", ""))
+			}
+			if i < 2 {
+				f.do(maintain(h, "o-"+h))
+			}
+		}
+		f.do(register("h1", "i2", "render"))
+		f.do(finish("h1"))
+		return f
+	}
+	It("begins anew, finishes ordered reboots and drops other steps", func() {
+		// Guards against hosts that the new wave takes for maintained, and
+		// against hosts that stay out of service for a wave that is gone.
+		f := underWay()
+		events := f.renew("w")
+		Expect(events).To(HaveExactElements(
+			And(HaveField("Kind", inventory.StepDropped), HaveField("Host", "h3")),
+			And(HaveField("Kind", inventory.WaveRenewed), HaveField("Wave", "w"))))
+		p, _ := f.Wave("w")
+		Expect(p).To(And(HaveField("Done", BeEmpty()), HaveField("Current", Equal([]string{"h2"})),
+			HaveField("Started", hlc.Time{WallMillis: f.now})))
+		h3, _ := f.Host("h3")
+		Expect(h3).To(And(HaveField("State", model.HostReady), HaveField("Wave", "")))
+		f.do(register("h2", "i2", "render"))
+		for range 2 { // also a resend
+			res, _ := f.do(finish("h2"))
+			Expect(res.Err).NotTo(HaveOccurred())
+			Expect(res.Host.State).To(Equal(model.HostReady))
+		}
+		for _, h := range []string{"h1", "h2"} {
+			res, _ := f.do(drain(h, "w", ""))
+			Expect(res.Err).NotTo(HaveOccurred())
+			f.do(maintain(h, "again-"+h))
+			f.do(register(h, "i3", "render"))
+			f.do(finish(h))
+		}
+		p, _ = f.Wave("w")
+		Expect(p.Done).To(Equal([]string{"h1", "h2"}))
+	})
+
+	It("counts the failure of an ordered reboot once, without a step of its own", func() {
+		// Guards against a new wave that goes on while reboots ordered just
+		// before it fail, and against a host that it never maintains.
+		f := underWay()
+		f.renew("w")
+		for range 2 {
+			res, _ := f.do(fail("h2"))
+			Expect(res.Err).NotTo(HaveOccurred())
+		}
+		p, _ := f.Wave("w")
+		Expect(p).To(And(HaveField("Lost", Equal([]string{"h2"})), HaveField("Failed", BeEmpty()), HaveField("Current", BeEmpty())))
+	})
+
+	It("takes no end or pause that was decided for the earlier record", func() {
+		// Guards against a new wave that ends or pauses at once because a
+		// proposal met the new record.
+		f := underWay()
+		f.renew("w")
+		f.do(fail("h2"))
+		for _, cmd := range []inventory.Command{
+			finishWave(3), {PauseWave: &inventory.PauseWave{Wave: "w", Reason: "2 failures", Created: 3}},
+		} {
+			res, _ := f.do(cmd)
+			Expect(fault.CodeOf(res.Err)).To(Equal(fault.CodePrecondition))
+		}
+		res, _ := f.do(finishWave(4))
+		Expect(res.Err).NotTo(HaveOccurred())
+	})
+
+	It("keeps its progress over a change or a resend of the same record", func() {
+		// Guards against a wave that maintains its hosts again because an
+		// operator resumed it or sent its record twice.
+		f := underWay()
+		before := snapshotOf(f.State)
+		f.cat.Waves["w"].Resume++
+		Expect(f.RenewWaves(f.context())).To(BeEmpty())
+		Expect(snapshotOf(f.State)).To(Equal(before))
+	})
+})
--- a/internal/inventory/state.go
+++ b/internal/inventory/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	"agatehaven.dev/agatehaven/internal/event"
@@ -65,6 +66,7 @@
 	WavePaused      event.Kind = "wave_paused"
 	WaveResumed     event.Kind = "wave_resumed"
 	WaveFinished    event.Kind = "wave_finished"
+	WaveRenewed     event.Kind = "wave_renewed"
 )
 
 // State is the inventory of one data centre. It is not safe for concurrent
@@ -142,6 +144,9 @@
 	p := c.waves[wave]
 	if p == nil {
 		p = &model.WaveProgress{Wave: wave, DataCentre: c.DataCentre, Started: c.Time}
+		if w, err := c.wave(wave); err == nil {
+			p.Created = w.Created
+		}
 		c.waves[wave] = p
 	}
 	return p
@@ -185,6 +190,54 @@
 	}
 }
 
+// RenewWaves begins a new wave for each record that was deleted and created
+// again since the last records. It is called when records are adopted.
+func (s *State) RenewWaves(ctx Context) []event.Event {
+	c := &change{State: s, Context: ctx}
+	c.forgetWaves()
+	for _, name := range slices.Sorted(maps.Keys(c.waves)) {
+		if w, err := c.wave(name); err == nil && w.Created != c.waves[name].Created {
+			c.renewWave(w)
+		}
+	}
+	return c.events
+}
+
+// renewWave replaces the progress of an earlier record. A host whose reboot
+// was ordered ends its step as a carried one, since the order cannot be taken
+// back; another one goes back into service, so that the new wave decides.
+func (c *change) renewWave(w *model.Wave) {
+	fresh := &model.WaveProgress{Wave: w.Name, DataCentre: c.DataCentre, Started: c.Time, Created: w.Created}
+	for _, host := range slices.Sorted(slices.Values(c.waves[w.Name].Current)) {
+		h := c.hosts[host]
+		if h.OrderID != "" {
+			fresh.Current, fresh.Carried = append(fresh.Current, host), append(fresh.Carried, host)
+			continue
+		}
+		c.emit(StepDropped, h, "", "the wave's record was deleted and created again")
+		c.endStep(h)
+		c.makeReady(h, "step of an earlier wave "+w.Name+" dropped before its reboot was ordered")
+	}
+	c.waves[w.Name] = fresh
+	c.emitWave(WaveRenewed, w.Name, fmt.Sprintf("its record was created again at revision %d; %d ordered reboots of the earlier one are open",
+		w.Created, len(fresh.Current)))
+}
+
+// sameRecord refuses a command that was decided for an earlier or later
+// record of a wave.
+func (c *change) sameRecord(what, wave string, created uint64) error {
+	have := uint64(0)
+	if p := c.waves[wave]; p != nil {
+		have = p.Created
+	} else if w, err := c.wave(wave); err == nil {
+		have = w.Created
+	}
+	if created != have {
+		return refused(what, fmt.Sprintf("it was decided for the record created at revision %d, not %d", created, have))
+	}
+	return nil
+}
+
 // skipped reports whether a wave's record exists in a newer schema.
 func skipped(c *model.Catalogue, wave string) bool {
 	return slices.ContainsFunc(c.Skipped, func(r model.Record) bool { return r.Kind == model.KindWave && r.Name == wave })
--- a/internal/model/catalogue.go
+++ b/internal/model/catalogue.go
@@ -75,6 +75,7 @@
 		if err != nil {
 			return err
 		}
+		w.Created = r.WaveCreated[rec.Name]
 		c.Waves[rec.Name] = w
 	case KindQuota:
 		q, err := decodeQuota(rec, false)
--- a/internal/model/records.go
+++ b/internal/model/records.go
@@ -45,6 +45,9 @@
 	// Homes are the homes of each pool as fixed when the pool was created. They
 	// are kept beside the documents because a pool record may leave them out.
 	Homes map[string][]string `cbor:"5,keyasint,omitempty" json:"homes,omitempty"`
+	// WaveCreated is the revision at which each wave's record was created. It
+	// tells a record that was deleted and created again from a changed one.
+	WaveCreated map[string]uint64 `cbor:"6,keyasint,omitempty" json:"wave_created,omitempty"`
 }
 
 // Newer reports whether r is newer than o.
@@ -129,6 +132,9 @@
 	// Resume counts the operator's resumptions: a pause by the system itself
 	// ends when Resume rises.
 	Resume int `json:"resume,omitempty"`
+	// Created is the revision at which the record was created, from
+	// Records.WaveCreated; 0 for records older than that field.
+	Created uint64 `json:"-"`
 }
 
 // Quota is the spec of a team's quota record; the record's name is the team.
--- a/internal/model/wave.go
+++ b/internal/model/wave.go
@@ -30,4 +30,9 @@
 	// FailuresSeen is the number of failures and losses at the last
 	// resumption; only later ones count towards the next pause.
 	FailuresSeen int `cbor:"13,keyasint,omitempty" json:"failures_seen,omitempty"`
+	// Created is Wave.Created of the record that this progress belongs to.
+	Created uint64 `cbor:"15,keyasint,omitempty" json:"created,omitempty"`
+	// Carried lists the hosts whose last step belongs to an earlier record of
+	// the same name. Such a step ends normally but is none of this wave.
+	Carried []string `cbor:"16,keyasint,omitempty" json:"carried,omitempty"`
 }
--- a/internal/region/apply.go
+++ b/internal/region/apply.go
@@ -38,7 +38,9 @@
 type draft struct {
 	items map[recordKey]model.Record
 	homes map[string][]string
-	pools map[string]*model.Pool // understood pools
+	// created holds the revisions at which the waves' records were created.
+	created map[string]uint64
+	pools   map[string]*model.Pool // understood pools
 }
 
 func (m *Machine) apply(e replica.Entry, r *peer.ApplyRecordsRequest) Result {
@@ -51,7 +53,7 @@
 		return Result{Revision: current, Err: err}
 	}
 	m.retire(e, d)
-	m.items, m.homes = d.items, d.homes
+	m.items, m.homes, m.created = d.items, d.homes, d.created
 	changed := m.floors.SetTargets(m.targets(d))
 	m.publish(current + 1)
 	m.addRecordEvents(e, r)
@@ -64,7 +66,10 @@
 		return nil, &fault.Invalid{Field: "records", Reason: fmt.Sprintf("%d records", len(records)),
 			Allowed: fmt.Sprintf("1 to %d", MaxApply)}
 	}
-	d := &draft{items: maps.Clone(m.items), homes: maps.Clone(m.homes), pools: make(map[string]*model.Pool)}
+	d := &draft{
+		items: maps.Clone(m.items), homes: maps.Clone(m.homes), created: maps.Clone(m.created),
+		pools: make(map[string]*model.Pool),
+	}
 	seen := make(map[recordKey]bool)
 	for _, rec := range records {
 		key := recordKey{rec.Kind, rec.Name}
@@ -76,14 +81,9 @@
 				Allowed: "each record once"}
 		}
 		seen[key] = true
-		if !rec.Deleted {
-			d.items[key] = rec
-			continue
-		}
-		if _, ok := d.items[key]; !ok {
-			return nil, &fault.NotFound{Kind: string(rec.Kind), Name: rec.Name}
+		if err := d.take(key, rec, m.records.Revision+1); err != nil {
+			return nil, err
 		}
-		delete(d.items, key)
 	}
 	if len(d.items) > MaxRecords {
 		return nil, &fault.LimitExceeded{What: "records", Limit: MaxRecords}
@@ -94,6 +94,28 @@
 	return d, checkReferences(d, records)
 }
 
+// take adds, changes or deletes one record at a revision.
+func (d *draft) take(key recordKey, rec model.Record, revision uint64) error {
+	_, known := d.items[key]
+	switch {
+	case rec.Deleted && !known:
+		return &fault.NotFound{Kind: string(rec.Kind), Name: rec.Name}
+	case rec.Deleted:
+		delete(d.items, key)
+	default:
+		d.items[key] = rec
+	}
+	if rec.Kind == model.KindWave {
+		switch {
+		case rec.Deleted:
+			delete(d.created, rec.Name)
+		case !known:
+			d.created[rec.Name] = revision
+		}
+	}
+	return nil
+}
+
 // checkPools decodes the pools of the draft and settles their homes.
 func (m *Machine) checkPools(e replica.Entry, d *draft) error {
 	for name := range d.homes {
--- a/internal/region/machine.go
+++ b/internal/region/machine.go
@@ -4,6 +4,7 @@
 package region
 
 import (
+	"maps"
 	"slices"
 	"sync"
 
@@ -66,6 +67,7 @@
 	mu      sync.RWMutex
 	items   map[recordKey]model.Record
 	homes   map[string][]string
+	created map[string]uint64 // of waves, see model.Records.WaveCreated
 	retired map[string]retiredPool
 	floors  *floors.Table
 	answers answers
@@ -89,6 +91,7 @@
 		dataCentres: slices.Sorted(slices.Values(dataCentres)),
 		items:       make(map[recordKey]model.Record),
 		homes:       make(map[string][]string),
+		created:     make(map[string]uint64),
 		retired:     make(map[string]retiredPool),
 		floors:      floors.New(),
 		answers:     newAnswers(),
@@ -138,6 +141,7 @@
 	r := &model.Records{
 		Revision: revision, Items: m.sortedItems(), Floors: m.floors.Floors(),
 		FloorRevision: m.floors.Revision, Homes: make(map[string][]string, len(m.homes)),
+		WaveCreated: maps.Clone(m.created),
 	}
 	for name, homes := range m.homes {
 		r.Homes[name] = homes
--- a/internal/region/region_test.go
+++ b/internal/region/region_test.go
@@ -148,6 +148,28 @@
 		}
 	})
 
+	It("tells a wave's record that is created again from one that is changed or resent", func() {
+		// Guards against a wave that keeps the progress of an earlier one of the
+		// same name, also where a data centre never sees the deletion.
+		l := newLog()
+		wave := record(1, model.KindWave, "w", `{"pool":"p"}`)
+		Expect(l.apply("r1", 0, record(1, model.KindPool, "p", `{"min_available":1}`), wave).Err).NotTo(HaveOccurred())
+		Expect(l.m.Records().WaveCreated).To(Equal(map[string]uint64{"w": 1}))
+		Expect(l.apply("r2", 1, record(1, model.KindWave, "w", `{"pool":"p","resume":1}`)).Err).NotTo(HaveOccurred())
+		Expect(l.apply("r2", 1, record(1, model.KindWave, "w", `{"pool":"p","resume":1}`)).Err).NotTo(HaveOccurred())
+		Expect(l.apply("r3", 2, wave).Err).NotTo(HaveOccurred())
+		Expect(l.m.Records().WaveCreated).To(Equal(map[string]uint64{"w": 1}))
+		Expect(l.apply("r4", 3, deleted(model.KindWave, "w")).Err).NotTo(HaveOccurred())
+		Expect(l.m.Records().WaveCreated).To(BeEmpty())
+		Expect(l.apply("r5", 4, wave).Err).NotTo(HaveOccurred())
+		data, err := l.m.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		restored := newLog()
+		Expect(restored.m.Restore(data)).To(Succeed())
+		Expect(restored.apply("r6", 5, wave).Err).NotTo(HaveOccurred())
+		Expect(restored.m.Records().WaveCreated).To(Equal(map[string]uint64{"w": 5}))
+	})
+
 	It("refuses a resend whose answer has expired", func() {
 		// Guards against a very late resend that takes effect a second time.
 		l := newLog()
--- a/internal/region/snapshot.go
+++ b/internal/region/snapshot.go
@@ -41,6 +41,10 @@
 	if m.homes == nil {
 		m.homes = make(map[string][]string)
 	}
+	m.created = s.Records.WaveCreated
+	if m.created == nil {
+		m.created = make(map[string]uint64)
+	}
 	m.floors, m.retired, m.events = s.Floors, s.Retired, s.Events
 	m.answers = newAnswers()
 	for _, a := range s.Answers {
--- a/internal/wave/action.go
+++ b/internal/wave/action.go
@@ -53,6 +53,8 @@
 	Pool string
 	// Resume is the resume count that Resume answers.
 	Resume int
+	// Created names the wave's record that the action was decided for.
+	Created uint64
 }
 
 // Actor is the name under which the policy's commands appear in events.
@@ -75,11 +77,11 @@
 	case Release:
 		return &inventory.Command{Resume: &inventory.Resume{Host: a.Host, Actor: Actor, Reason: a.Reason}}
 	case Pause:
-		return &inventory.Command{PauseWave: &inventory.PauseWave{Wave: a.Wave, Reason: a.Reason}}
+		return &inventory.Command{PauseWave: &inventory.PauseWave{Wave: a.Wave, Reason: a.Reason, Created: a.Created}}
 	case Resume:
 		return &inventory.Command{ResumeWave: &inventory.ResumeWave{Wave: a.Wave, Resume: a.Resume}}
 	case End:
-		return &inventory.Command{FinishWave: &inventory.FinishWave{Wave: a.Wave}}
+		return &inventory.Command{FinishWave: &inventory.FinishWave{Wave: a.Wave, Created: a.Created}}
 	}
 	return nil
 }
--- a/internal/wave/decide.go
+++ b/internal/wave/decide.go
@@ -93,7 +93,15 @@
 }
 
 func (d *decision) add(kind Kind, host, reason string) {
-	d.actions = append(d.actions, Action{Kind: kind, Wave: d.Wave.Name, Host: host, Reason: reason})
+	d.actions = append(d.actions, Action{Kind: kind, Wave: d.Wave.Name, Host: host, Reason: reason, Created: d.created()})
+}
+
+// created names the record by the progress seen, since the record may be gone.
+func (d *decision) created() uint64 {
+	if d.Progress.Wave != "" {
+		return d.Progress.Created
+	}
+	return d.Wave.Created
 }
 
 // available reports whether a host counts as available on fresh evidence. A
