Refuse a pause that was decided before the resumption

Cause: PauseWave named only its wave. One that was proposed before and committed after an operator's resumption, for example by a former leader, paused the wave again and swallowed the raised resume count.

Change: the command carries the resume count of the progress and the number of failures on which it was decided. On apply it is refused if the count differs or if the failures were answered by a resumption. A resend of a pause in force still succeeds, and later failures pause the wave again. Entries of earlier versions carry no failures and are applied as before.

--- a/internal/inventory/command.go
+++ b/internal/inventory/command.go
@@ -105,6 +105,12 @@
 	Reason string `cbor:"2,keyasint"`
 	// Created names the wave's record by model.Wave.Created.
 	Created uint64 `cbor:"3,keyasint,omitempty"`
+	// ResumeSeen and Failures are the resume count of the wave's progress and
+	// the number of its failures and losses on which the pause was decided. It
+	// is refused if a resumption has been applied since. Entries of earlier
+	// versions have no number of failures and are not checked.
+	ResumeSeen int `cbor:"4,keyasint,omitempty"`
+	Failures   int `cbor:"5,keyasint,omitempty"`
 }
 
 // ResumeWave ends a pause after the operator raised model.Wave.Resume.
--- a/internal/inventory/commands.go
+++ b/internal/inventory/commands.go
@@ -489,8 +489,12 @@
 		return err
 	}
 	p := c.progress(r.Wave)
-	if p.Paused {
+	switch {
+	case p.Paused:
 		return nil
+	case r.Failures > 0 && (r.ResumeSeen != p.ResumeSeen || r.Failures <= p.FailuresSeen):
+		return refused("pause of wave "+r.Wave, fmt.Sprintf("it was decided on %d failures at resume count %d, and the wave was resumed at %d with %d failures",
+			r.Failures, r.ResumeSeen, p.ResumeSeen, p.FailuresSeen))
 	}
 	p.Paused, p.Reason, p.ResumeSeen = true, r.Reason, w.Resume
 	c.emitWave(WavePaused, r.Wave, r.Reason)
--- a/internal/inventory/random_test.go
+++ b/internal/inventory/random_test.go
@@ -129,6 +129,31 @@
 		Expect(p.Lost).To(Equal([]string{"h1"}))
 	})
 
+	It("refuses a pause whose failures a resumption has answered", func() {
+		// Guards against a late pause also where the resume count alone does not
+		// tell, since it was raised before the first pause.
+		f := newFleet(0)
+		f.do(register("h1", "i1", "render"))
+		f.do(drain("h1", "w", ""))
+		f.do(maintain("h1", "o"))
+		f.do(fail("h1"))
+		pause := func(seen, failures int) inventory.Command {
+			return inventory.Command{PauseWave: &inventory.PauseWave{Wave: "w", Reason: "test", ResumeSeen: seen, Failures: failures}}
+		}
+		resumed := inventory.Command{ResumeWave: &inventory.ResumeWave{Wave: "w", Resume: 1}}
+		res, _ := f.do(pause(0, 1))
+		Expect(res.Err).NotTo(HaveOccurred())
+		f.cat.Waves["w"].Resume = 1
+		res, _ = f.do(resumed)
+		Expect(res.Err).NotTo(HaveOccurred())
+		for _, late := range []inventory.Command{pause(0, 1), pause(0, 2), pause(1, 1)} {
+			res, _ = f.do(late)
+			Expect(fault.CodeOf(res.Err)).To(Equal(fault.CodePrecondition))
+		}
+		res, _ = f.do(pause(1, 2))
+		Expect(res.Err).NotTo(HaveOccurred())
+	})
+
 	It("keeps a host in its pool when the pool it moves to is gone", func() {
 		// Guards against a host that ends up in a pool without a record.
 		f := newFleet(0)
--- a/internal/wave/action.go
+++ b/internal/wave/action.go
@@ -53,6 +53,9 @@
 	Pool string
 	// Resume is the resume count that Resume answers.
 	Resume int
+	// ResumeSeen and Failures are what Pause was decided on, see
+	// inventory.PauseWave.
+	ResumeSeen, Failures int
 	// Created names the wave's record that the action was decided for.
 	Created uint64
 }
@@ -77,7 +80,9 @@
 	case Release:
 		return &inventory.Command{Resume: &inventory.Resume{Host: a.Host, Actor: Actor, Reason: a.Reason}}
 	case Pause:
-		return &inventory.Command{PauseWave: &inventory.PauseWave{Wave: a.Wave, Reason: a.Reason, Created: a.Created}}
+		return &inventory.Command{PauseWave: &inventory.PauseWave{
+			Wave: a.Wave, Reason: a.Reason, Created: a.Created, ResumeSeen: a.ResumeSeen, Failures: a.Failures,
+		}}
 	case Resume:
 		return &inventory.Command{ResumeWave: &inventory.ResumeWave{Wave: a.Wave, Resume: a.Resume}}
 	case End:
--- a/internal/wave/decide.go
+++ b/internal/wave/decide.go
@@ -168,6 +168,8 @@
 	}
 	d.add(Pause, "", fmt.Sprintf("%d hosts failed to return or were lost within their step or 60 s after it, the threshold is %d",
 		d.failures, d.Wave.FailureThreshold))
+	pause := &d.actions[len(d.actions)-1]
+	pause.ResumeSeen, pause.Failures = d.Progress.ResumeSeen, d.failures+d.Progress.FailuresSeen
 	return true
 }
 
--- a/internal/wave/wave_test.go
+++ b/internal/wave/wave_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/inventory"
 	"agatehaven.dev/agatehaven/internal/liveness"
 	"agatehaven.dev/agatehaven/internal/model"
@@ -186,6 +187,39 @@
 		}
 	})
 
+	It("is not paused by a pause that was decided before the resumption", func() {
+		// Guards against an operator whose resumption has no effect because a
+		// proposal of the former leader is committed after it.
+		s := newSession(20, 15, 0, wave.RolloutFirst())
+		s.Reboot = func(*fleet.Host) (int64, bool, int64) { return 60_000, true, 30_000 }
+		pause := func() *inventory.Command {
+			var decided *inventory.Command
+			for decided == nil {
+				s.Tick()
+				Expect(s.Now).To(BeNumerically("<", 10_000_000), "never paused")
+				for _, a := range s.decide() {
+					if cmd := a.Command(); cmd != nil {
+						Expect(s.Do(cmd).Err).NotTo(HaveOccurred())
+						if a.Kind == wave.Pause {
+							decided = cmd
+						}
+					}
+				}
+			}
+			return decided
+		}
+		for count := 1; count <= 2; count++ { // later failures pause it again
+			late := pause()
+			Expect(s.progress().Paused).To(BeTrue())
+			Expect(s.Do(late).Err).NotTo(HaveOccurred(), "a resend")
+			s.wave.Resume = count
+			s.step()
+			Expect(s.progress().Paused).To(BeFalse())
+			Expect(fault.CodeOf(s.Do(late).Err)).To(Equal(fault.CodePrecondition))
+			Expect(s.progress().Paused).To(BeFalse())
+		}
+	})
+
 	It("pauses on correlated failures, stops reboots, and goes on after a resumption", func() {
 		// Guards against a broken image that is rolled out to the whole pool.
 		for seed := range uint64(12) {
