Test that a second SIGTERM ends the daemon and logs what it cuts

Cause: nothing proved the second signal. Callers' requests that were cut were not logged at all, although a comment said so, and attempts got one of two reasons by chance, since the same context ends the drain and the dispatcher.

Change: the daemon logs how many requests of callers have no answer when the wait for them ends; an attempt that is cut by the second signal always has the reason "the stop was forced". A process test stops the host with most attempts in hand, sees that the first signal waits, that the second ends the process within 2 s, that each attempt and the number of callers are logged, and that all requests end as done after one run.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -294,7 +294,9 @@
 	ctx, cancel := context.WithTimeout(cut, d.settings.Timing.DrainBound)
 	defer cancel()
 	d.handOver(ctx)
-	servers.drainCallers(ctx)
+	if left := servers.drainCallers(ctx); left > 0 {
+		d.log.Warn().Int64("requests", left).Str("reason", stopReason(cut)).Msg("requests of callers left without an answer")
+	}
 	for _, c := range d.dispatcher.Drain(ctx) {
 		a := &c.Assignment
 		d.log.Warn().Str("request", a.Key).Int("attempt", a.Attempt).Str("target", a.Host).Str("reason", c.Reason).Msg("attempt left without a result")
@@ -303,6 +305,14 @@
 	d.handOver(ctx)
 }
 
+// stopReason tells why a graceful stop ended before its work.
+func stopReason(cut context.Context) string {
+	if cut.Err() != nil {
+		return "the stop was forced"
+	}
+	return "the drain bound has passed"
+}
+
 // handOver transfers the leadership of every group that this host leads.
 func (d *Daemon) handOver(ctx context.Context) {
 	for _, r := range d.replicas() {
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/pprof"
+	"sync/atomic"
 	"time"
 
 	"agatehaven.dev/agatehaven/internal/caller"
@@ -34,6 +35,8 @@
 type servers struct {
 	callers *listener
 	all     []*listener
+	// open counts the requests of callers that have no answer yet.
+	open atomic.Int64
 }
 
 // listen opens all listeners, so that a clash of addresses is found before
@@ -52,7 +55,9 @@
 		return nil, err
 	}
 	addresses := d.settings.Listen
-	callers := &listener{name: "caller", server: caller.NewHTTPServer(caller.NewHandler(d, d.callerOptions()))}
+	s := &servers{}
+	callers := &listener{name: "caller", server: caller.NewHTTPServer(s.counted(caller.NewHandler(d, d.callerOptions())))}
+	s.callers = callers
 	plan := []struct {
 		l       *listener
 		address string
@@ -64,7 +69,6 @@
 		{&listener{name: "peer", server: peer.NewHTTPServer(peer.NewServer(handler{d}, peer.ServerOptions{HLC: d.hlc}), peerTLS)}, addresses.Peer, peerTLS},
 		{&listener{name: "diagnostics", server: plainServer(d.diagnosticsHandler())}, addresses.Diagnostics, nil},
 	}
-	s := &servers{callers: callers}
 	for _, p := range plan {
 		socket, err := net.Listen("tcp", p.address)
 		if err != nil {
@@ -80,6 +84,15 @@
 	return s, nil
 }
 
+// counted counts the requests in progress.
+func (s *servers) counted(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.open.Add(1)
+		defer s.open.Add(-1)
+		h.ServeHTTP(w, r)
+	})
+}
+
 func plainServer(h http.Handler) *http.Server {
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
 }
@@ -104,9 +117,12 @@
 }
 
 // drainCallers closes the callers' listener and waits for requests in
-// progress until ctx ends.
-func (s *servers) drainCallers(ctx context.Context) {
-	_ = s.callers.server.Shutdown(ctx) // an end of ctx is logged by the caller
+// progress until ctx ends. It returns the number of those that are left.
+func (s *servers) drainCallers(ctx context.Context) int64 {
+	if s.callers.server.Shutdown(ctx) == nil {
+		return 0
+	}
+	return s.open.Load()
 }
 
 func (s *servers) close() {
--- a/internal/dispatch/drain.go
+++ b/internal/dispatch/drain.go
@@ -40,6 +40,9 @@
 		case <-ctx.Done():
 			return d.cut("the stop was forced")
 		case <-d.stopped:
+			if ctx.Err() != nil { // it ends the loops as well
+				return d.cut("the stop was forced")
+			}
 			return d.cut("the dispatcher has stopped")
 		}
 	}
--- a/internal/e2e/failures_test.go
+++ b/internal/e2e/failures_test.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -288,6 +292,84 @@
 	})
 })
 
+var _ = Describe("A second SIGTERM", func() {
+	It("ends a planned stop at once and logs what it cuts", func() {
+		// Guards against a stop that an operator cannot force, and against one
+		// that leaves no trace of the work it interrupted.
+		r := startRegion(nil)
+		const requests = 40
+		b := body("plotter_order", 8*time.Second)
+		var stopped *host
+		list := r.sendMany(requests, "force", b, r.callers(), func() {
+			Eventually(r.totalRuns).WithTimeout(settleLimit).Should(Equal(requests))
+			stopped = r.busiest()
+			r.signal(stopped, syscall.SIGTERM)
+			Eventually(func() int { return r.logged(stopped, `msg="graceful stop started"`) }).WithTimeout(settleLimit).Should(Equal(1))
+			Consistently(stopped.exited).WithTimeout(time.Second).ShouldNot(BeClosed(), "the first signal waits for the work")
+			r.signal(stopped, syscall.SIGTERM)
+			Eventually(stopped.exited).WithTimeout(2 * time.Second).Should(BeClosed())
+		})
+		Expect(r.logged(stopped, "msg=stopped")).To(Equal(1))
+		attempts := r.loggedNumber(stopped, `msg="graceful stop started" attempts=(\d+)`)
+		Expect(attempts).To(BeNumerically(">", 0))
+		Expect(r.logged(stopped, `reason="the stop was forced" request=force-`)).To(Equal(attempts))
+		cut := 0
+		for _, s := range list {
+			if s.err != nil {
+				cut++
+			}
+		}
+		Expect(cut).To(BeNumerically(">", 0))
+		Expect(r.loggedNumber(stopped, `msg="requests of callers left without an answer" host=\S+ reason="the stop was forced" requests=(\d+)`)).To(Equal(cut))
+		others := r.callers(stopped.name)
+		for _, s := range list {
+			Eventually(func() model.Outcome {
+				again, _, err := r.client.Send(context.Background(), others[0], s.key, b)
+				if err != nil {
+					return ""
+				}
+				return again.Outcome
+			}).WithTimeout(settleLimit).WithPolling(pollEvery).Should(Equal(model.OutcomeDone), s.key)
+			Expect(r.runs(s.key)).To(Equal(1), s.key)
+		}
+	})
+})
+
+// busiest returns the host with most attempts in hand.
+func (r *region) busiest() *host {
+	GinkgoHelper()
+	var best *host
+	most := 0.0
+	for _, h := range r.hosts {
+		response, err := http.Get("http://" + h.diagnostics + "/metrics")
+		Expect(err).NotTo(HaveOccurred())
+		page, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Body.Close()).To(Succeed())
+		found := regexp.MustCompile(`(?m)^agatehaven_attempts_in_hand (\S+)$`).FindSubmatch(page)
+		Expect(found).NotTo(BeNil(), h.name)
+		n, err := strconv.ParseFloat(string(found[1]), 64)
+		Expect(err).NotTo(HaveOccurred())
+		if n > most {
+			best, most = h, n
+		}
+	}
+	Expect(best).NotTo(BeNil(), "no host has attempts in hand")
+	return best
+}
+
+// loggedNumber returns the number in the only log line of a host that matches.
+func (r *region) loggedNumber(h *host, pattern string) int {
+	GinkgoHelper()
+	log, err := os.ReadFile(filepath.Join(r.folder, h.name+".log"))
+	Expect(err).NotTo(HaveOccurred())
+	found := regexp.MustCompile(pattern).FindAllSubmatch(log, -1)
+	Expect(found).To(HaveLen(1), pattern)
+	n, err := strconv.Atoi(string(found[0][1]))
+	Expect(err).NotTo(HaveOccurred())
+	return n
+}
+
 var _ = Describe("Leaving targets", func() {
 	It("receive no new work 2 s after they say so", func() {
 		// Guards against dispatch to a target that is about to stop.
