Test a region of processes with TLS on all listeners that support it

Cause: TLS was covered by tests of clients and settings only.

Change: a process test makes an authority and certificates, runs the region with mutual TLS on the peer, target and operator listeners, serves requests through every entry host, and sees the common name of the operator's certificate in the timeline. On every host, each listener refuses clients without a certificate, with one of another authority, with an expired one, and without TLS, and serves a client with a valid one. A daemon with a certificate of another authority never becomes ready and is reported as unreachable; with a valid one it joins again. The stand-in announces over TLS if it is told to.

--- a/internal/e2e/region_test.go
+++ b/internal/e2e/region_test.go
@@ -63,6 +63,9 @@
 	caller, target, operator, peer, diagnostics string
 	process                                     *exec.Cmd
 	exited                                      chan struct{}
+	// operators calls the operator listener, at operatorScheme.
+	operators      *http.Client
+	operatorScheme string
 }
 
 // region is a region of today's shape: three data centres with 3, 2 and 2
@@ -74,6 +77,8 @@
 	fleets map[string]*standin.Fleet
 	client *load.Client
 	peers  peer.Dialer
+	// authority signs the certificates of a region with TLS; nil without.
+	authority *authority
 }
 
 var regionShape = []struct{ name, dataCentre string }{
@@ -90,16 +95,29 @@
 // until every host is ready. change may adapt the stand-in fleets.
 func startRegion(change func(*standin.Config)) *region {
 	GinkgoHelper()
+	return newRegion(nil).run(change)
+}
+
+// newRegion returns a region without processes, with TLS if a is not nil.
+func newRegion(a *authority) *region {
 	r := &region{
-		folder: GinkgoT().TempDir(), links: map[[2]string]*link{}, fleets: map[string]*standin.Fleet{},
+		folder: GinkgoT().TempDir(), links: map[[2]string]*link{}, fleets: map[string]*standin.Fleet{}, authority: a,
 	}
 	DeferCleanup(r.close)
 	for _, s := range regionShape {
 		r.hosts = append(r.hosts, &host{
-			name: s.name, dataCentre: s.dataCentre,
+			name: s.name, dataCentre: s.dataCentre, operators: http.DefaultClient, operatorScheme: "http://",
 			caller: freeAddress(), target: freeAddress(), operator: freeAddress(), peer: freeAddress(), diagnostics: freeAddress(),
 		})
 	}
+	if a != nil {
+		r.secure()
+	}
+	return r
+}
+
+func (r *region) run(change func(*standin.Config)) *region {
+	GinkgoHelper()
 	r.peers = r.directPeers()
 	r.startFleets(change)
 	r.startLinks()
@@ -158,6 +176,9 @@
 				cfg.EntryHosts = append(cfg.EntryHosts, h.target)
 			}
 		}
+		if r.authority != nil {
+			cfg.TLS = r.authority.client("target")
+		}
 		if change != nil {
 			change(&cfg)
 		}
@@ -199,6 +220,12 @@
 	line("[[groups]]\nname = \"dc-c\"\nvoters = [\"entry-c1\", \"entry-c2\"]\nwitnesses = [\"entry-a1\"]")
 	line("[platform]\naddress = %q", r.fleets[h.dataCentre].Control())
 	line("[timing]\nsnapshot_entries = 100")
+	if r.authority != nil {
+		for _, listener := range []string{"peer", "target", "operator"} {
+			line("[tls.%s]\ncertificate = %q\nkey = %q\nca = %q\nmutual = true", listener,
+				r.certificateFile(h.name), r.keyFile(h.name), r.authorityFile())
+		}
+	}
 	Expect(os.WriteFile(r.settingsFile(h), []byte(b.String()), 0o600)).To(Succeed())
 }
 
@@ -332,7 +359,11 @@
 	for _, h := range r.hosts {
 		servers = append(servers, h.operator)
 	}
-	return runCtl(append([]string{"-operator", "test", "-server", strings.Join(servers, ",")}, args...)...)
+	flags := []string{"-operator", "test", "-server", strings.Join(servers, ",")}
+	if r.authority != nil {
+		flags = append(flags, "-tls-ca", r.authorityFile(), "-tls-cert", r.certificateFile(operatorName), "-tls-key", r.keyFile(operatorName))
+	}
+	return runCtl(append(flags, args...)...)
 }
 
 func runCtl(args ...string) (string, error) {
@@ -344,11 +375,11 @@
 func get[T any](h *host, path string) (*T, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.operator+path, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, h.operatorScheme+h.operator+path, nil)
 	if err != nil {
 		return nil, err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := h.operators.Do(request)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/e2e/sampler_test.go
+++ b/internal/e2e/sampler_test.go
@@ -93,7 +93,11 @@
 	for _, h := range r.hosts {
 		addresses[h.name] = h.peer
 	}
-	return peer.NewDialer(peer.DialerConfig{Addresses: addresses, Clock: clock.System{}})
+	cfg := peer.DialerConfig{Addresses: addresses, Clock: clock.System{}}
+	if r.authority != nil {
+		cfg.TLS = r.authority.client("test")
+	}
+	return peer.NewDialer(cfg)
 }
 
 // sampleRevisions observes on every host, also across its restarts, that the
--- a/internal/testsupport/standin/fleet.go
+++ b/internal/testsupport/standin/fleet.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -68,7 +69,9 @@
 	Separate bool
 	// UsageLag is the age of reported usage.
 	UsageLag time.Duration
-	Clock    clock.Clock
+	// TLS is used for announcements if it is not nil.
+	TLS   *tls.Config
+	Clock clock.Clock
 }
 
 // Fleet is a running stand-in.
@@ -104,7 +107,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Fleet{
 		cfg: cfg, log: newRunLog(), ctx: ctx, cancel: cancel, orders: map[string]bool{},
-		client: newClient(),
+		client: newClient(cfg.TLS),
 	}
 	for i := range cfg.Targets {
 		t := f.newTarget(i)
@@ -131,8 +134,8 @@
 	return f, nil
 }
 
-func newClient() *http.Client {
-	return &http.Client{Timeout: announceTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
+func newClient(config *tls.Config) *http.Client {
+	return &http.Client{Timeout: announceTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 2, TLSClientConfig: config}}
 }
 
 func (c Config) withDefaults() Config {
@@ -278,7 +281,7 @@
 func (f *Fleet) announce(ctx context.Context, t *Target, first int) {
 	at, client := first, f.client
 	if f.cfg.Separate {
-		client = newClient()
+		client = newClient(f.cfg.TLS)
 		defer client.CloseIdleConnections()
 		if !f.wait(ctx, f.cfg.AnnounceEvery*time.Duration(first)/time.Duration(len(f.targets))) {
 			return
@@ -299,7 +302,11 @@
 	if err != nil {
 		return false
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entryHost+"/v1/announce", bytes.NewReader(body))
+	scheme := "http://"
+	if f.cfg.TLS != nil {
+		scheme = "https://"
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, scheme+entryHost+"/v1/announce", bytes.NewReader(body))
 	if err != nil {
 		return false
 	}
