Test that a follower with a wrong clock relies on the others

Cause: nothing proved that a follower which knows its own clock to be behind takes the entries of others; docs/replication.md said nothing of entry times.

--- a/internal/replica/timing_test.go
+++ b/internal/replica/timing_test.go
@@ -139,6 +139,24 @@
 		Expect(fault.CodeOf(c.propose("a", "wrong"))).To(Equal(fault.CodeClockSkew))
 	})
 
+	It("takes the entries of others while its own clock is known to be behind", func() {
+		// Guards against a wrong clock of a follower that stops its group.
+		c, walls, clocks, seen := shiftedCluster(three...)
+		l := c.leader(three...)
+		for _, h := range without(three, l) {
+			walls[h].by.Store(int64(-time.Hour))
+			now := walls[h].Now()
+			for _, peer := range []string{"x", "y"} {
+				clocks[h].Measure(peer, c.clock.Now(), now, now)
+			}
+		}
+		c.clock.Advance(tick)
+		c.settle(time.Now().Add(patient))
+		Expect(c.propose(l, "taken")).To(Succeed())
+		c.holds("taken", three...)
+		Expect(seen.blame(l)).To(BeFalse())
+	})
+
 	It("keeps the times of the log ascending over a leader whose clock is behind", func() {
 		// Guards against a state machine whose time goes back: the follower's
 		// hybrid clock does not follow committed times beyond its bound.
