--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -209,6 +209,7 @@
 		MaxInflight:     d.settings.Limits.ProposalsInFlight,
 		Seed:            seedOf(d.settings.Host, group),
 		Clock:           d.clock, HLC: d.hlc, Transport: d.sender, Logger: d.log,
+		OnRefusedTime: func(leader string, reason error) { d.recordPeer(eventTimeRefused, leader, reason.Error()) },
 	}
 	if d.settings.Bootstrap {
 		cfg.Bootstrap = members
@@ -260,6 +261,7 @@
 		wg.Go(func() { a.run(ctx) })
 	}
 	wg.Go(func() { d.monitorPeers(ctx) })
+	wg.Go(func() { d.monitorClock(ctx) })
 	wg.Go(func() { d.dispatcher.Run(ctx) })
 	for _, n := range d.dataCentres {
 		wg.Go(func() { n.controller.Run(ctx) })
@@ -292,7 +294,9 @@
 	ctx, cancel := context.WithTimeout(cut, d.settings.Timing.DrainBound)
 	defer cancel()
 	d.handOver(ctx)
-	servers.drainCallers(ctx)
+	if left := servers.drainCallers(ctx); left > 0 {
+		d.log.Warn().Int64("requests", left).Str("reason", stopReason(cut)).Msg("requests of callers left without an answer")
+	}
 	for _, c := range d.dispatcher.Drain(ctx) {
 		a := &c.Assignment
 		d.log.Warn().Str("request", a.Key).Int("attempt", a.Attempt).Str("target", a.Host).Str("reason", c.Reason).Msg("attempt left without a result")
@@ -301,6 +305,14 @@
 	d.handOver(ctx)
 }
 
+// stopReason tells why a graceful stop ended before its work.
+func stopReason(cut context.Context) string {
+	if cut.Err() != nil {
+		return "the stop was forced"
+	}
+	return "the drain bound has passed"
+}
+
 // handOver transfers the leadership of every group that this host leads.
 func (d *Daemon) handOver(ctx context.Context) {
 	for _, r := range d.replicas() {
--- a/internal/delta/delta.go
+++ b/internal/delta/delta.go
@@ -70,6 +70,9 @@
 	Deleted []model.RecordKey `cbor:"4,keyasint,omitempty"`
 	// Pools are those whose floors or homes changed.
 	Pools []Pool `cbor:"5,keyasint,omitempty"`
+	// WaveCreated holds the creation of the waves in Changed, see
+	// model.Records.WaveCreated. A wave without one has none there either.
+	WaveCreated map[string]uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Pool holds the floors and homes of one pool after a delta. Nil means that
@@ -117,6 +120,7 @@
 		Items:  slices.SortedFunc(maps.Values(items), model.CompareRecords),
 		Floors: make(map[string]map[string]int, len(r.Floors)), Homes: make(map[string][]string, len(r.Homes)),
 	}
+	next.WaveCreated = d.mergeCreated(r.WaveCreated)
 	maps.Copy(next.Floors, r.Floors)
 	maps.Copy(next.Homes, r.Homes)
 	for _, p := range d.Pools {
@@ -131,3 +135,23 @@
 	}
 	return next
 }
+
+// mergeCreated returns the creations of the waves after the delta.
+func (d *Delta) mergeCreated(before map[string]uint64) map[string]uint64 {
+	created := maps.Clone(before)
+	for _, key := range d.Deleted {
+		if key.Kind == model.KindWave {
+			delete(created, key.Name)
+		}
+	}
+	for _, rec := range d.Changed {
+		if rec.Kind == model.KindWave {
+			delete(created, rec.Name)
+		}
+	}
+	if created == nil {
+		created = make(map[string]uint64, len(d.WaveCreated))
+	}
+	maps.Copy(created, d.WaveCreated)
+	return created
+}
--- a/internal/delta/delta_test.go
+++ b/internal/delta/delta_test.go
@@ -108,6 +108,26 @@
 		r.expectSameAs(s)
 	})
 
+	It("gives a wave that was deleted and created again with the same content", func() {
+		// Guards against a data centre that takes the new wave for the old one,
+		// and against deltas of waves that are refused each time.
+		wave := model.Record{Schema: 1, Kind: model.KindWave, Name: "w", Spec: []byte(`{}`)}
+		first := at(1, append(five(), wave)...)
+		first.WaveCreated = map[string]uint64{"w": 1}
+		s := delta.NewSet(first, nil)
+		r := holding(first)
+		second := at(3, append(five(), wave)...)
+		second.WaveCreated = map[string]uint64{"w": 3}
+		replace(s, second)
+		Expect(r.take(s)).To(BeTrue())
+		r.expectSameAs(s)
+		Expect(r.records.WaveCreated).To(Equal(second.WaveCreated))
+		replace(s, at(4, five()...))
+		Expect(r.take(s)).To(BeTrue())
+		r.expectSameAs(s)
+		Expect(r.records.WaveCreated).To(BeEmpty())
+	})
+
 	It("gives floors that changed without a record", func() {
 		// Guards against a lowered floor that never reaches a data centre.
 		s := delta.NewSet(at(1, five()...), nil)
--- a/internal/delta/random_test.go
+++ b/internal/delta/random_test.go
@@ -26,9 +26,11 @@
 		next.FloorRevision++
 	} else {
 		next.Revision++
+		next.WaveCreated = maps.Clone(next.WaveCreated)
 		for range 1 + a.rng.IntN(3) {
 			rec := a.record()
-			if a.rng.IntN(3) == 0 {
+			a.note(&rec, next.WaveCreated, next.Revision)
+			if rec.Deleted {
 				delete(a.items, rec.Key())
 			} else {
 				a.items[rec.Key()] = rec
@@ -57,6 +59,21 @@
 	return &next
 }
 
+// note keeps the creations of waves. Records of earlier versions have none.
+func (a *author) note(rec *model.Record, created map[string]uint64, revision uint64) {
+	rec.Deleted = a.rng.IntN(3) == 0
+	if rec.Kind != model.KindWave {
+		return
+	}
+	_, known := a.items[rec.Key()]
+	switch {
+	case rec.Deleted:
+		delete(created, rec.Name)
+	case !known && a.rng.IntN(4) > 0:
+		created[rec.Name] = revision
+	}
+}
+
 func (a *author) record() model.Record {
 	kinds := []model.RecordKind{model.KindQuota, model.KindWave, "forecast"}
 	return model.Record{
@@ -74,7 +91,7 @@
 		for seed := range uint64(60) {
 			rng := rand.New(rand.NewPCG(seed, 11))
 			a := &author{rng: rng, items: map[model.RecordKey]model.Record{}, last: &model.Records{
-				Floors: map[string]map[string]int{}, Homes: map[string][]string{}}}
+				Floors: map[string]map[string]int{}, Homes: map[string][]string{}, WaveCreated: map[string]uint64{}}}
 			source := delta.NewSet(a.last, nil)
 			relay := delta.NewSet(&model.Records{}, nil)
 			receivers := make([]receiver, 4)
--- a/internal/delta/set.go
+++ b/internal/delta/set.go
@@ -115,6 +115,7 @@
 	for _, rec := range s.records.Items {
 		if records[rec.Key()] {
 			d.Changed = append(d.Changed, rec)
+			s.addCreated(d, &rec)
 			delete(records, rec.Key())
 		}
 	}
@@ -125,6 +126,18 @@
 	return d
 }
 
+// addCreated adds the creation of a changed wave.
+func (s *Set) addCreated(d *Delta, rec *model.Record) {
+	created, ok := s.records.WaveCreated[rec.Name]
+	if rec.Kind != model.KindWave || !ok {
+		return
+	}
+	if d.WaveCreated == nil {
+		d.WaveCreated = make(map[string]uint64)
+	}
+	d.WaveCreated[rec.Name] = created
+}
+
 func (s *Set) add(step Step) {
 	s.steps = append(s.steps, step)
 	s.keys += step.keys()
@@ -148,7 +161,8 @@
 	for _, rec := range to.Items {
 		before, ok := old[rec.Key()]
 		delete(old, rec.Key())
-		if !ok || before.Schema != rec.Schema || before.Deleted != rec.Deleted || !bytes.Equal(before.Spec, rec.Spec) {
+		if !ok || before.Schema != rec.Schema || before.Deleted != rec.Deleted || !bytes.Equal(before.Spec, rec.Spec) ||
+			createdOf(from, &rec) != createdOf(to, &rec) {
 			step.Records = append(step.Records, rec.Key())
 		}
 	}
@@ -158,6 +172,15 @@
 	return step
 }
 
+// createdOf returns the creation of a wave, or 0. A wave that was deleted and
+// created again with the same content has changed by this alone.
+func createdOf(r *model.Records, rec *model.Record) uint64 {
+	if rec.Kind != model.KindWave {
+		return 0
+	}
+	return r.WaveCreated[rec.Name]
+}
+
 func changedPools(from, to *model.Records) []string {
 	names := make(map[string]bool)
 	for _, r := range []*model.Records{from, to} {
--- a/internal/region/machine.go
+++ b/internal/region/machine.go
@@ -4,6 +4,7 @@
 package region
 
 import (
+	"maps"
 	"slices"
 	"sync"
 
@@ -62,6 +63,7 @@
 	mu      sync.RWMutex
 	items   map[model.RecordKey]model.Record
 	homes   map[string][]string
+	created map[string]uint64 // of waves, see model.Records.WaveCreated
 	retired map[string]retiredPool
 	floors  *floors.Table
 	answers answers
@@ -85,6 +87,7 @@
 		dataCentres: slices.Sorted(slices.Values(dataCentres)),
 		items:       make(map[model.RecordKey]model.Record),
 		homes:       make(map[string][]string),
+		created:     make(map[string]uint64),
 		retired:     make(map[string]retiredPool),
 		floors:      floors.New(),
 		answers:     newAnswers(),
@@ -142,6 +145,7 @@
 	r := &model.Records{
 		Revision: revision, Items: m.sortedItems(), Floors: m.floors.Floors(),
 		FloorRevision: m.floors.Revision, Homes: make(map[string][]string, len(m.homes)),
+		WaveCreated: maps.Clone(m.created),
 	}
 	for name, homes := range m.homes {
 		r.Homes[name] = homes
