Add the checkpoint call of targets and its HTTP adapter

Targets can end a task at a checkpoint, but the interface had no call for it. Client.Checkpoint posts to /v1/tasks/{request}/{attempt}/checkpoint. The task ends as "stopped" with an opaque reference of at most 1 KiB, which the state repeats, so a lost response costs nothing; a start carries the reference. Job kinds declare "checkpointable" in schema 2, only together with idempotent.

A missing or oversize reference is dropped and the stopped state is kept: refusing the whole response, as for a broken answer, would read the same response for ever. The reference is bytes, not text, since JSON decoding replaces invalid UTF-8.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -145,6 +145,11 @@
 	status  target.TaskStatus
 	pollErr error
 	revoked target.TaskStatus
+	// checkpoints counts calls; each answers with checkpoint or checkpointErr.
+	checkpoints   int
+	checkpoint    target.TaskStatus
+	checkpointErr error
+	last          target.Task
 }
 
 func newFakeTarget(state target.TaskState) *fakeTarget {
@@ -158,6 +163,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.starts[k.Key]++
+	t.last = k
 	return t.start
 }
 
@@ -185,6 +191,17 @@
 	return t.revoked, nil
 }
 
+func (t *fakeTarget) Checkpoint(context.Context, string, string, int) (target.TaskStatus, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.checkpoints++
+	if t.checkpointErr != nil {
+		return target.TaskStatus{}, t.checkpointErr
+	}
+	t.status = t.checkpoint
+	return t.checkpoint, nil
+}
+
 func (t *fakeTarget) set(change func(t *fakeTarget)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/model/host.go
+++ b/internal/model/host.go
@@ -22,7 +22,9 @@
 const (
 	// CapabilityRevoke: the target can refuse an attempt for ever and tell
 	// whether it had begun.
-	CapabilityRevoke     Capability = "revoke"
+	CapabilityRevoke Capability = "revoke"
+	// CapabilityCheckpoint: the target can end a task at a checkpoint and start
+	// one from the reference of a checkpoint.
 	CapabilityCheckpoint Capability = "checkpoint"
 	CapabilityThrottle   Capability = "throttle"
 )
--- a/internal/model/records.go
+++ b/internal/model/records.go
@@ -98,6 +98,9 @@
 	StopLimitMS int `json:"stop_limit_ms"`
 	// MaxAttempts bounds the attempts of an idempotent request.
 	MaxAttempts int `json:"max_attempts"`
+	// Checkpointable allows a run to be ended at a checkpoint and continued on
+	// another host (schema 2). Only idempotent job kinds may be.
+	Checkpointable bool `json:"checkpointable,omitempty"`
 }
 
 // WaveState is the operator's desired state of a wave.
--- a/internal/model/request.go
+++ b/internal/model/request.go
@@ -34,8 +34,15 @@
 	AttemptFailed    AttemptState = "failed" // ran and failed
 	AttemptNotBegun  AttemptState = "not_begun"
 	AttemptUnknown   AttemptState = "unknown" // no proof either way
+	// AttemptCheckpointed: it ran and was stopped at a checkpoint, from which
+	// the next attempt continues.
+	AttemptCheckpointed AttemptState = "checkpointed"
 )
 
+// MaxCheckpointBytes bounds the reference of a checkpoint. The reference names
+// the state, which targets keep, so it is small; the ledger stores it.
+const MaxCheckpointBytes = 1 << 10
+
 // Attempt is one dispatch of a request to one target.
 type Attempt struct {
 	Number            int          `cbor:"1,keyasint" json:"number"`
@@ -52,6 +59,12 @@
 	MemoryMB  int `cbor:"11,keyasint,omitempty" json:"memory_mb,omitempty"`
 	// Released is set when an unknown attempt holds no slot any more.
 	Released bool `cbor:"12,keyasint,omitempty" json:"released,omitempty"`
+	// CheckpointOrdered is set once the attempt is to end at a checkpoint, so
+	// that its work moves to another host.
+	CheckpointOrdered bool `cbor:"13,keyasint,omitempty" json:"checkpoint_ordered,omitempty"`
+	// FromCheckpoint is set if the attempt was started with the reference of a
+	// checkpoint.
+	FromCheckpoint bool `cbor:"14,keyasint,omitempty" json:"from_checkpoint,omitempty"`
 }
 
 // Request is a request as its home ledger knows it.
@@ -60,8 +73,9 @@
 	Digest string `cbor:"2,keyasint" json:"digest"` // SHA-256 of kind, team and payload
 	Kind   string `cbor:"3,keyasint" json:"kind"`
 	Team   string `cbor:"4,keyasint" json:"team"`
-	// Pool, Priority, Idempotent and MaxAttempts are copied from the job kind
-	// when the key is claimed, so that a later record cannot change them.
+	// Pool, Priority, Idempotent, MaxAttempts and Checkpointable are copied from
+	// the job kind when the key is claimed, so that a later record cannot change
+	// them.
 	Pool        string       `cbor:"5,keyasint" json:"pool"`
 	Priority    Priority     `cbor:"6,keyasint" json:"priority"`
 	Idempotent  bool         `cbor:"7,keyasint" json:"idempotent"`
@@ -84,14 +98,18 @@
 	CPUMillis int      `cbor:"21,keyasint" json:"cpu_millis"`
 	MemoryMB  int      `cbor:"22,keyasint" json:"memory_mb"`
 	// Accelerators is the declared number of accelerators.
-	Accelerators int `cbor:"23,keyasint,omitempty" json:"accelerators,omitempty"`
+	Accelerators   int  `cbor:"23,keyasint,omitempty" json:"accelerators,omitempty"`
+	Checkpointable bool `cbor:"24,keyasint,omitempty" json:"checkpointable,omitempty"`
+	// Checkpoint is the opaque reference from which the next attempt continues,
+	// or empty.
+	Checkpoint []byte `cbor:"25,keyasint,omitempty" json:"checkpoint,omitempty"`
 }
 
-// WithoutContent returns a copy without payload and answer, which belong to
-// the caller.
+// WithoutContent returns a copy without payload, answer and checkpoint, which
+// belong to the caller and the targets.
 func (r *Request) WithoutContent() Request {
 	out := *r
-	out.Payload, out.Answer = nil, nil
+	out.Payload, out.Answer, out.Checkpoint = nil, nil, nil
 	return out
 }
 
@@ -115,6 +133,12 @@
 	// OwnerIncarnation is the process that may start the attempt. Another
 	// process refuses it; empty leaves the check to the leader.
 	OwnerIncarnation string `cbor:"16,keyasint,omitempty"`
+	// Checkpoint is the reference from which the attempt continues, or empty.
+	Checkpoint []byte `cbor:"17,keyasint,omitempty"`
+	// CheckpointRequested asks to end the attempt at a checkpoint. It is
+	// repeated while it holds; the owner asks its target at most once for each
+	// repetition.
+	CheckpointRequested bool `cbor:"18,keyasint,omitempty"`
 }
 
 // AttemptReport is a result that the owner or the resolver brings back.
@@ -130,4 +154,7 @@
 	// attempt and no start can still be on its way: it holds no slot any more.
 	// It is no proof that the attempt never ran.
 	Released bool `cbor:"7,keyasint,omitempty"`
+	// Checkpoint, with AttemptCheckpointed, is the reference of the checkpoint.
+	// Empty means that the target gave none that can be used.
+	Checkpoint []byte `cbor:"8,keyasint,omitempty"`
 }
--- a/internal/model/validate.go
+++ b/internal/model/validate.go
@@ -145,6 +145,14 @@
 		return &fault.Invalid{Field: "priority", Reason: fmt.Sprintf("%q is unknown", k.Priority),
 			Allowed: "urgent, normal, patient"}
 	}
+	if rec.Schema == 1 {
+		if err := refuseFields(rec.Spec, "checkpointable"); err != nil {
+			return err
+		}
+	}
+	if k.Checkpointable && !k.Idempotent {
+		return &fault.Invalid{Field: "checkpointable", Reason: "the job kind is not idempotent", Allowed: "false"}
+	}
 	if !k.Idempotent && k.MaxAttempts != 1 {
 		return &fault.Invalid{Field: "max_attempts", Reason: "the job kind is not idempotent", Allowed: "1"}
 	}
--- a/internal/target/errors.go
+++ b/internal/target/errors.go
@@ -13,12 +13,12 @@
 	CodeStatus  fault.Code = "target_status"
 )
 
-// RefusedError reports that the target refused an attempt: it has not begun
-// and never will.
+// RefusedError reports that the target refused a call. A refused start has not
+// begun and never will; a refused checkpoint leaves the task running.
 type RefusedError struct{ Address, Reason string }
 
 func (e *RefusedError) Error() string {
-	return fmt.Sprintf("target %s refused the attempt: %s", e.Address, e.Reason)
+	return fmt.Sprintf("target %s refused: %s", e.Address, e.Reason)
 }
 
 // Code implements fault.Coded.
--- a/internal/target/http.go
+++ b/internal/target/http.go
@@ -21,6 +21,7 @@
 
 	"agatehaven.dev/agatehaven/internal/clock"
 	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/model"
 	"agatehaven.dev/agatehaven/internal/transport"
 )
 
@@ -202,6 +203,18 @@
 	return checkStatus(address, key, attempt, resp)
 }
 
+// Checkpoint implements Client.
+func (c *httpClient) Checkpoint(ctx context.Context, address, key string, attempt int) (TaskStatus, error) {
+	resp, err := c.post(ctx, address, taskPath(key, attempt)+"/checkpoint", nil)
+	if err != nil {
+		return TaskStatus{}, err
+	}
+	if resp.status == http.StatusConflict {
+		return TaskStatus{}, &RefusedError{Address: address, Reason: resp.reason()}
+	}
+	return checkStatus(address, key, attempt, resp)
+}
+
 func (c *httpClient) post(ctx context.Context, address, path string, body []byte) (*response, error) {
 	e := c.enter(address)
 	defer c.leave(e)
@@ -359,10 +372,27 @@
 		resp.lease.Discard()
 		return TaskStatus{}, &fault.Corrupt{What: "answer of target " + address, Reason: problem}
 	}
-	return TaskStatus{
+	st := TaskStatus{
 		Key: m.Request, Attempt: m.Attempt, State: m.State, Progress: m.Progress,
 		Answer: m.Answer, Reason: m.Reason, RunMS: m.RunMS, Incarnation: m.Incarnation,
-	}, nil
+	}
+	if st.State == TaskStopped {
+		st.Checkpoint, st.Reason = usableCheckpoint(&m)
+	}
+	return st, nil
+}
+
+// usableCheckpoint returns the reference of a stopped task, or nil and why
+// there is none. The response is not refused: the task has ended, and reading
+// its state again would give the same reference.
+func usableCheckpoint(m *StatusMessage) (checkpoint []byte, reason string) {
+	switch n := len(m.Checkpoint); {
+	case n == 0:
+		return nil, "stopped without the reference of a checkpoint"
+	case n > model.MaxCheckpointBytes:
+		return nil, fmt.Sprintf("stopped, its checkpoint reference of %d bytes exceeds %d", n, model.MaxCheckpointBytes)
+	}
+	return m.Checkpoint, m.Reason
 }
 
 // mismatch returns why a status message must not be used, or "".
@@ -371,7 +401,7 @@
 		return fmt.Sprintf("it belongs to request %q attempt %d", m.Request, m.Attempt)
 	}
 	switch m.State {
-	case TaskRunning, TaskAbsent, TaskRevoked:
+	case TaskRunning, TaskAbsent, TaskRevoked, TaskStopped:
 		return ""
 	case TaskSucceeded, TaskFailed:
 	default:
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -17,6 +17,10 @@
 	MemoryMB     int    `json:"memory_mb"`
 	Accelerators int    `json:"accelerators,omitempty"`
 	LeaseMS      int64  `json:"lease_ms"`
+	// Checkpoint is the reference from which the task continues, or empty. Only
+	// for targets with model.CapabilityCheckpoint. A target that cannot use it
+	// begins anew, refuses the start or fails the task.
+	Checkpoint []byte `json:"checkpoint,omitempty"`
 }
 
 // TaskState is the state of an attempt at its target.
@@ -32,6 +36,8 @@
 	TaskAbsent TaskState = "absent"
 	// TaskRevoked: the attempt had not begun and never will.
 	TaskRevoked TaskState = "revoked"
+	// TaskStopped: the task ended at a checkpoint, without a result.
+	TaskStopped TaskState = "stopped"
 )
 
 // TaskStatus is a target's answer about one attempt. Answer has been checked
@@ -48,6 +54,10 @@
 	// not tell. TaskAbsent and TaskRevoked prove nothing about an attempt that
 	// an earlier incarnation was given.
 	Incarnation string
+	// Checkpoint is the reference of a stopped task's checkpoint. It is empty if
+	// the target gave none or one above model.MaxCheckpointBytes: the task has
+	// ended all the same, so its work begins anew.
+	Checkpoint []byte
 }
 
 // Client calls targets. Every method returns *fault.SilentConnection if the
@@ -65,6 +75,11 @@
 	// Revoke asks the target to refuse an attempt for ever, if it has not
 	// begun. Only for targets with model.CapabilityRevoke.
 	Revoke(ctx context.Context, address, key string, attempt int) (TaskStatus, error)
+	// Checkpoint asks the target to save a task's progress and to end the task
+	// as stopped. Only for targets with model.CapabilityCheckpoint. A task that
+	// has ended keeps its state. *RefusedError means that the task goes on. It
+	// may be repeated without harm.
+	Checkpoint(ctx context.Context, address, key string, attempt int) (TaskStatus, error)
 }
 
 // Platform orders reboots.
--- a/internal/target/wire.go
+++ b/internal/target/wire.go
@@ -22,6 +22,10 @@
 	Answer       []byte `json:"answer,omitempty"`
 	AnswerLength int    `json:"answer_length,omitempty"`
 	AnswerSHA256 string `json:"answer_sha256,omitempty"`
+	// Checkpoint is the reference of a stopped task's checkpoint. It stays
+	// present for as long as the target remembers the task, so that it can be
+	// read again after a lost response.
+	Checkpoint []byte `json:"checkpoint,omitempty"`
 }
 
 // ReasonMessage is the JSON body of a refusal.
