Let the stand-in target checkpoint its tasks

The stand-in announced the capability but answered a checkpoint with the task's state. It now stops the task, remembers how far its run went under a new reference that all targets of the fleet share, and continues a run from it; the run log tells from where. A run from an unknown reference fails, the costlier of the permitted reactions. Switches: refused, silent and lost checkpoints, and a fleet without the capability.

--- a/internal/testsupport/standin/faults.go
+++ b/internal/testsupport/standin/faults.go
@@ -26,6 +26,13 @@
 	// MismatchAnswers sends answers under the number of another attempt.
 	MismatchAnswers bool       `json:"mismatch_answers,omitempty"`
 	Start           StartFault `json:"start,omitempty"`
+	// RefuseCheckpoints refuses every checkpoint with 409.
+	RefuseCheckpoints bool `json:"refuse_checkpoints,omitempty"`
+	// SilentCheckpoints ends the task at its checkpoint, but the connection goes
+	// silent.
+	SilentCheckpoints bool `json:"silent_checkpoints,omitempty"`
+	// LoseCheckpoints gives references that no target can continue from.
+	LoseCheckpoints bool `json:"lose_checkpoints,omitempty"`
 	// DelayMS delays every response, in milliseconds.
 	DelayMS int64 `json:"delay_ms,omitempty"`
 	// Mute stops the announcements.
--- a/internal/testsupport/standin/fleet.go
+++ b/internal/testsupport/standin/fleet.go
@@ -14,6 +14,8 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
+
 	"agatehaven.dev/agatehaven/internal/clock"
 	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/model"
@@ -55,6 +57,8 @@
 	EntryHosts []string
 	// NoRevoke leaves out the capability to revoke.
 	NoRevoke bool
+	// NoCheckpoint leaves out the capability to checkpoint.
+	NoCheckpoint bool
 	// Slots per target; 0 is 8.
 	Slots int
 	// RunTime is the run time of tasks whose payload names none.
@@ -87,6 +91,9 @@
 	mu     sync.Mutex
 	orders map[string]bool
 	closed bool
+	// checkpoints holds how far runs went, by reference. All targets share it,
+	// as targets share a store.
+	checkpoints map[string]time.Duration
 }
 
 // TargetStats are counters of one target.
@@ -104,6 +111,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Fleet{
 		cfg: cfg, log: newRunLog(), ctx: ctx, cancel: cancel, orders: map[string]bool{},
+		checkpoints: map[string]time.Duration{},
 		client: newClient(),
 	}
 	for i := range cfg.Targets {
@@ -177,7 +185,9 @@
 		Address:   net.JoinHostPort(f.cfg.IP, strconv.Itoa(port)),
 		CPUMillis: defaultCPUMillis, MemoryMB: defaultMemoryMB,
 		Slots: f.cfg.Slots, Connections: defaultConnections, Pool: f.cfg.Pools[i%pools],
-		Capabilities: []model.Capability{model.CapabilityCheckpoint},
+	}
+	if !f.cfg.NoCheckpoint {
+		info.Capabilities = append(info.Capabilities, model.CapabilityCheckpoint)
 	}
 	if !f.cfg.NoRevoke {
 		info.Capabilities = append(info.Capabilities, model.CapabilityRevoke)
@@ -218,6 +228,23 @@
 	return nil
 }
 
+// saveCheckpoint returns a reference to how far a run went.
+func (f *Fleet) saveCheckpoint(done time.Duration) string {
+	reference := uuid.NewString()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.checkpoints[reference] = done
+	return reference
+}
+
+// checkpoint returns how far the run of a reference went.
+func (f *Fleet) checkpoint(reference []byte) (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	done, ok := f.checkpoints[string(reference)]
+	return done, ok
+}
+
 // Close stops all targets and waits for their goroutines.
 func (f *Fleet) Close() {
 	f.mu.Lock()
--- a/internal/testsupport/standin/serve.go
+++ b/internal/testsupport/standin/serve.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"agatehaven.dev/agatehaven/internal/model"
 	"agatehaven.dev/agatehaven/internal/target"
 	"agatehaven.dev/agatehaven/internal/testsupport/silent"
 )
@@ -107,8 +108,32 @@
 	t.writeState(w, at)
 }
 
+func (t *Target) serveCheckpoint(w http.ResponseWriter, r *http.Request) {
+	if !t.can(model.CapabilityCheckpoint) {
+		writeJSON(w, http.StatusNotFound, target.ReasonMessage{Reason: "checkpoint is not supported"})
+		return
+	}
+	at, ok := requestRef(w, r)
+	if !ok {
+		return
+	}
+	faults := t.currentFaults()
+	if faults.RefuseCheckpoints {
+		writeJSON(w, http.StatusConflict, target.ReasonMessage{Reason: "checkpoints are refused"})
+		return
+	}
+	if k := t.find(at); k != nil {
+		k.stop(t.fleet, faults.LoseCheckpoints)
+	}
+	if faults.SilentCheckpoints {
+		silence(r)
+		return
+	}
+	t.writeState(w, at)
+}
+
 func (t *Target) serveRevoke(w http.ResponseWriter, r *http.Request) {
-	if !t.canRevoke() {
+	if !t.can(model.CapabilityRevoke) {
 		writeJSON(w, http.StatusNotFound, target.ReasonMessage{Reason: "revoke is not supported"})
 		return
 	}
--- a/internal/testsupport/standin/target.go
+++ b/internal/testsupport/standin/target.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -134,7 +135,7 @@
 	mux.HandleFunc("POST /v1/tasks", t.serveStart)
 	mux.HandleFunc("GET /v1/tasks/{request}/{attempt}", t.serveState)
 	mux.HandleFunc("POST /v1/tasks/{request}/{attempt}/stop", t.serveStop)
-	mux.HandleFunc("POST /v1/tasks/{request}/{attempt}/checkpoint", t.serveState)
+	mux.HandleFunc("POST /v1/tasks/{request}/{attempt}/checkpoint", t.serveCheckpoint)
 	mux.HandleFunc("POST /v1/tasks/{request}/{attempt}/revoke", t.serveRevoke)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d := t.currentFaults().DelayMS; d > 0 && !t.fleet.wait(r.Context(), time.Duration(d)*time.Millisecond) {
@@ -203,7 +204,10 @@
 		run.Leaving = true
 		run.LeavingForMS = t.fleet.cfg.Clock.Now().Sub(t.leavingSince).Milliseconds()
 	}
+	from, known := t.fleet.checkpoint(body.Checkpoint)
+	run.FromMS = from.Milliseconds()
 	k := newTask(body, t.fleet.cfg.Clock.Now(), t.fleet.log.add(run))
+	k.from, k.lost = from, len(body.Checkpoint) > 0 && !known
 	k.failing = t.faults.FailTasks
 	t.tasks[r] = k
 	t.fleet.spawn(func(ctx context.Context) { k.run(ctx, t.fleet) })
@@ -226,14 +230,7 @@
 	return t.tasks[r]
 }
 
-func (t *Target) canRevoke() bool {
-	for _, c := range t.info.Capabilities {
-		if c == model.CapabilityRevoke {
-			return true
-		}
-	}
-	return false
-}
+func (t *Target) can(want model.Capability) bool { return slices.Contains(t.info.Capabilities, want) }
 
 func (t *Target) stats() TargetStats {
 	t.mu.Lock()
--- a/internal/testsupport/standin/task.go
+++ b/internal/testsupport/standin/task.go
@@ -40,6 +40,8 @@
 	// LeavingForMS milliseconds before.
 	Leaving      bool  `json:"leaving,omitempty"`
 	LeavingForMS int64 `json:"leaving_for_ms,omitempty"`
+	// FromMS is how far the run had come at the checkpoint that it continues.
+	FromMS int64 `json:"from_ms,omitempty"`
 }
 
 // runLog survives reboots of targets, so that tests count all runs.
@@ -72,12 +74,17 @@
 	began   time.Time
 	number  int
 	failing bool
-	done    chan struct{}
-
-	mu     sync.Mutex
-	state  target.TaskState
-	reason string
-	answer []byte
+	// from is how far the run had come at the checkpoint that it continues.
+	from time.Duration
+	// lost is set if it was started from a reference that is not known.
+	lost bool
+	done chan struct{}
+
+	mu         sync.Mutex
+	state      target.TaskState
+	reason     string
+	answer     []byte
+	checkpoint []byte
 }
 
 func newTask(t target.Task, began time.Time, number int) *task {
@@ -87,8 +94,12 @@
 func (k *task) run(ctx context.Context, f *Fleet) {
 	p := Payload{RunMS: f.cfg.RunTime.Milliseconds()}
 	_ = json.Unmarshal(k.task.Payload, &p)
+	if k.lost {
+		k.finish(target.TaskFailed, "the checkpoint is lost", nil)
+		return
+	}
 	select {
-	case <-f.cfg.Clock.After(time.Duration(p.RunMS) * time.Millisecond):
+	case <-f.cfg.Clock.After(time.Duration(p.RunMS)*time.Millisecond - k.from):
 	case <-k.done:
 		return
 	case <-ctx.Done():
@@ -119,6 +130,23 @@
 	close(k.done)
 }
 
+// stop ends a running task at a checkpoint.
+func (k *task) stop(f *Fleet, lose bool) {
+	if k.ended() {
+		return
+	}
+	reference := "lost"
+	if !lose {
+		reference = f.saveCheckpoint(k.from + f.cfg.Clock.Now().Sub(k.began))
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.state == target.TaskRunning {
+		k.state, k.reason, k.checkpoint = target.TaskStopped, "stopped at a checkpoint", []byte(reference)
+		close(k.done)
+	}
+}
+
 func (k *task) ended() bool {
 	select {
 	case <-k.done:
@@ -131,7 +159,7 @@
 func (k *task) describe(m *target.StatusMessage, now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	m.State, m.Reason, m.Answer = k.state, k.reason, k.answer
+	m.State, m.Reason, m.Answer, m.Checkpoint = k.state, k.reason, k.answer, k.checkpoint
 	m.RunMS = now.Sub(k.began).Milliseconds()
 	m.Progress = m.RunMS
 }
