Move requests by checkpoint in the ledger

The wave policy can choose to move patient work, but the ledger had no transition for an attempt that ends at a checkpoint. A committed order marks the attempt: its job kind is idempotent and declared checkpointable, its target announces the capability, its host is draining. Being part of the state, the mark outlasts the leader and the owner. An ordered end puts the request back into the queue with the reference, without a retry and without counting towards its attempts; its deadline does not end it there, since without the move its run would have gone on.

The next attempt gets the reference if its target announces the capability. An oversize reference is dropped. A stop without an order counts as a failure, so that a target which stops tasks by itself stays within the limits of retries. A moved request that is cancelled is done without success, never "not run".

An order kept in the leader's memory was ruled out: a report could then not be told from a stop without an order after a change of leader.

--- a/internal/ledger/command.go
+++ b/internal/ledger/command.go
@@ -19,6 +19,8 @@
 	Retry    *Retry    `cbor:"7,keyasint,omitempty"`
 	// SetLimits replaces the limits by those of the leader's settings.
 	SetLimits *Limits `cbor:"8,keyasint,omitempty"`
+	// Checkpoint orders attempts to end at a checkpoint.
+	Checkpoint *Checkpoint `cbor:"9,keyasint,omitempty"`
 }
 
 // Claim creates a request under its key. A known key with the same digest
@@ -70,6 +72,21 @@
 	Actor string `cbor:"2,keyasint"`
 }
 
+// Checkpoint orders attempts to end at a checkpoint, so that their requests go
+// back to the queue and continue elsewhere. Each attempt is checked again on
+// apply; those that may not be moved are skipped.
+type Checkpoint struct {
+	Attempts []CheckpointItem `cbor:"1,keyasint"`
+	Reason   string           `cbor:"2,keyasint"`
+	Actor    string           `cbor:"3,keyasint"`
+}
+
+// CheckpointItem names one attempt.
+type CheckpointItem struct {
+	Key     string `cbor:"1,keyasint"`
+	Attempt int    `cbor:"2,keyasint"`
+}
+
 // Expire finishes queued and parked requests whose deadline has passed as
 // not_run, drops answers after their retention and forgets keys after theirs.
 type Expire struct{}
--- a/internal/ledger/commands.go
+++ b/internal/ledger/commands.go
@@ -23,6 +23,8 @@
 	EventCancelRequested event.Kind = "request_cancel_requested"
 	EventAttemptDecided  event.Kind = "attempt_decided"
 	EventAttemptLost     event.Kind = "attempt_lost"
+	// EventCheckpointOrdered records that an attempt is to end at a checkpoint.
+	EventCheckpointOrdered event.Kind = "checkpoint_ordered"
 )
 
 // Actors of events: the ledger's own rules, and the policy that chose a host.
@@ -72,6 +74,8 @@
 		res = s.retry(l, cmd.Retry)
 	case cmd.SetLimits != nil:
 		s.setLimits(*cmd.SetLimits)
+	case cmd.Checkpoint != nil:
+		s.orderCheckpoints(l, cmd.Checkpoint)
 	default:
 		res.Err = &fault.Invalid{Field: "command", Reason: "no field is set"}
 	}
@@ -106,6 +110,7 @@
 		Priority: kind.Priority, Idempotent: kind.Idempotent, MaxAttempts: kind.MaxAttempts,
 		Payload: cl.Payload, Claimed: l.ctx.Time, Deadline: cl.Deadline, State: model.RequestQueued,
 		CPUMillis: kind.CPUMillis, MemoryMB: kind.MemoryMB, Accelerators: kind.Accelerators,
+		Checkpointable: kind.Checkpointable && kind.Idempotent,
 	}
 	if r.Priority != model.Urgent && r.Priority != model.Patient {
 		r.Priority = model.Normal
@@ -173,6 +178,7 @@
 				Owner:             item.Owner, OwnerIncarnation: item.OwnerIncarnation,
 				State: model.AttemptAssigned, At: l.ctx.Time, Reason: item.Reason,
 				CPUMillis: item.CPUMillis, MemoryMB: item.MemoryMB,
+				FromCheckpoint: len(r.Checkpoint) > 0 && host.Info.Can(model.CapabilityCheckpoint),
 			})
 			trimAttempts(r)
 		})
@@ -189,7 +195,7 @@
 	if r.State != model.RequestQueued || item.Attempt != nextAttempt(r) || item.Owner == "" || !mayRetry(r) {
 		return model.Host{}, false
 	}
-	if c.Time.Before(r.NotBefore) || (!r.Deadline.IsZero() && r.Deadline.Compare(c.Time) <= 0) {
+	if c.Time.Before(r.NotBefore) || (!moved(r) && !r.Deadline.IsZero() && r.Deadline.Compare(c.Time) <= 0) {
 		return model.Host{}, false
 	}
 	host, ok := c.Hosts.Host(item.Host)
@@ -246,6 +252,12 @@
 	state, reason, answer := rep.State, rep.Reason, rep.Answer
 	switch state {
 	case model.AttemptSucceeded, model.AttemptFailed, model.AttemptNotBegun, model.AttemptUnknown:
+	case model.AttemptCheckpointed:
+		if !a.CheckpointOrdered {
+			// A target that stops tasks by itself must not get them back without
+			// the limits of retries.
+			state, reason = model.AttemptFailed, "the target stopped it without an order: "+rep.Reason
+		}
 	default:
 		return
 	}
@@ -261,16 +273,21 @@
 			state = model.AttemptFailed
 		}
 	}
-	s.decide(l, rec, rep.Attempt, decision{EventAttemptDecided, state, reason, answer, oversized})
+	checkpoint := rep.Checkpoint
+	if state != model.AttemptCheckpointed || len(checkpoint) > model.MaxCheckpointBytes {
+		checkpoint = nil
+	}
+	s.decide(l, rec, rep.Attempt, decision{EventAttemptDecided, state, reason, answer, oversized, checkpoint})
 }
 
 // decision is the evidence about one attempt. Final forbids another attempt.
 type decision struct {
-	kind   event.Kind
-	state  model.AttemptState
-	reason string
-	answer []byte
-	final  bool
+	kind       event.Kind
+	state      model.AttemptState
+	reason     string
+	answer     []byte
+	final      bool
+	checkpoint []byte
 }
 
 func (s *State) decide(l *eventLog, rec *record, number int, d decision) {
@@ -278,6 +295,7 @@
 	r := s.update(rec, func(r *model.Request) {
 		a := findAttempt(r, number)
 		a.State, a.Reason = d.state, d.reason
+		keepCheckpoint(r, a, d.checkpoint)
 		settle(l.ctx, r, a, d.answer, d.final)
 	})
 	l.add(d.kind, r, findAttempt(r, number).Host, number, actorLedger, string(d.state)+": "+d.reason)
@@ -310,6 +328,8 @@
 		r.Answer = answer
 	case r.State != model.RequestDispatched || hasAttempt(r, model.AttemptAssigned):
 		// Another attempt is queued or under way; it decides.
+	case resumes(r, a) && !final && mayRetry(r):
+		r.State, r.Reason, r.Answer = model.RequestQueued, a.Reason, nil
 	case outcome == model.OutcomeDone && (final || !mayRetry(r)):
 		finish(c, r, a.Reason)
 		r.Answer = answer
@@ -344,7 +364,7 @@
 	r.Outcome, r.Succeeded = outcomeOf(r)
 	r.Reason = reason
 	r.Finished = c.Time
-	r.Payload = nil
+	r.Payload, r.Checkpoint = nil, nil
 }
 
 func (s *State) cancel(l *eventLog, cn *Cancel) Result {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -69,6 +69,7 @@
 				"proof":   {Pool: "plot", Priority: model.Urgent, Idempotent: true, MaxAttempts: 3, CPUMillis: 1000, MemoryMB: 1000},
 				"archive": {Pool: "plot", Priority: model.Patient, Idempotent: true, MaxAttempts: 2, CPUMillis: 1000, MemoryMB: 1000},
 				"render":  {Pool: "plot", Priority: model.Normal, Idempotent: true, MaxAttempts: 2, CPUMillis: 1000, MemoryMB: 1000, Accelerators: 1},
+				"convert": {Pool: "plot", Priority: model.Patient, Idempotent: true, Checkpointable: true, MaxAttempts: 2, CPUMillis: 1000, MemoryMB: 1000},
 				"huge":    {Pool: "plot", Priority: model.Normal, CPUMillis: 5000, MemoryMB: 5000},
 			},
 			Quotas: map[string]*model.Quota{"small": {MaxRunning: 1, MaxQueued: 2}},
--- a/internal/ledger/outcome.go
+++ b/internal/ledger/outcome.go
@@ -3,8 +3,10 @@
 import "agatehaven.dev/agatehaven/internal/model"
 
 // maxKeptAttempts bounds the attempts kept in a request. Only attempts that
-// did not begin are dropped: a target that refuses every start must not make
-// the request grow, and the others are evidence for the outcome.
+// did not begin, and those ended by a checkpoint except the last, are dropped:
+// a target that refuses every start and a request that waves move again and
+// again must not make the request grow, and the others are evidence for the
+// outcome.
 const maxKeptAttempts = 16
 
 // undecided reports whether an attempt may still run.
@@ -69,7 +71,7 @@
 		return model.OutcomeDone, true
 	case hasAttempt(r, model.AttemptUnknown), hasAttempt(r, model.AttemptAssigned):
 		return model.OutcomeUnknown, false
-	case hasAttempt(r, model.AttemptFailed):
+	case hasAttempt(r, model.AttemptFailed), hasAttempt(r, model.AttemptCheckpointed):
 		return model.OutcomeDone, false
 	}
 	return model.OutcomeNotRun, false
@@ -81,14 +83,35 @@
 	if r.CancelRequested {
 		return false
 	}
-	begun := mayHaveBegun(r)
-	return begun == 0 || (r.Idempotent && begun < max(r.MaxAttempts, 1))
+	return mayHaveBegun(r) == 0 || (r.Idempotent && Tried(r) < max(r.MaxAttempts, 1))
 }
 
-// trimAttempts drops the oldest attempts that did not begin.
+// Tried counts the attempts of a request that count towards its MaxAttempts. A
+// move that the system ordered does not: neither the attempt that a checkpoint
+// ended nor a failure to continue from a checkpoint.
+func Tried(r *model.Request) int {
+	n := 0
+	for i := range r.Attempts {
+		a := &r.Attempts[i]
+		if a.State != model.AttemptNotBegun && a.State != model.AttemptCheckpointed && !a.CheckpointLost {
+			n++
+		}
+	}
+	return n
+}
+
+// trimAttempts drops the oldest attempts that are no evidence for the outcome.
 func trimAttempts(r *model.Request) {
+	last := 0 // the last attempt that a checkpoint ended proves that it ran
+	for i := range r.Attempts {
+		if r.Attempts[i].State == model.AttemptCheckpointed {
+			last = r.Attempts[i].Number
+		}
+	}
 	for i := 0; len(r.Attempts) > maxKeptAttempts && i < len(r.Attempts)-1; {
-		if r.Attempts[i].State != model.AttemptNotBegun {
+		a := &r.Attempts[i]
+		moves := a.State == model.AttemptCheckpointed || a.CheckpointLost
+		if a.State != model.AttemptNotBegun && (!moves || a.Number == last) {
 			i++
 			continue
 		}
--- a/internal/ledger/queries.go
+++ b/internal/ledger/queries.go
@@ -26,6 +26,10 @@
 	StopRequested bool
 	// Released is set if the attempt holds no slot any more.
 	Released bool
+	// Checkpointable is set if the run may be ended at a checkpoint,
+	// CheckpointOrdered once that is ordered.
+	Checkpointable    bool
+	CheckpointOrdered bool
 }
 
 // Get returns the request of a key.
@@ -117,19 +121,25 @@
 
 // Assignments returns the assigned attempts of one incarnation of an owner in
 // claim order. CanRevoke, HostDraining and StopLimitMS come from the inventory
-// and the records and are left to the caller.
+// and the records and are left to the caller, who also decides whether a
+// checkpoint that was ordered is still wanted.
 func (s *State) Assignments(host, incarnation string) []model.Assignment {
 	refs := refsOf(s.owners[owner{host, incarnation}])
 	out := make([]model.Assignment, 0, len(refs))
 	for _, ref := range refs {
 		r := ref.rec.req
 		a := findAttempt(r, ref.number)
-		out = append(out, model.Assignment{
+		assignment := model.Assignment{
 			Key: r.Key, Attempt: a.Number, Kind: r.Kind, Payload: r.Payload,
 			Host: a.Host, Address: a.Address, TargetIncarnation: a.TargetIncarnation,
 			CPUMillis: a.CPUMillis, MemoryMB: a.MemoryMB, Accelerators: r.Accelerators,
 			StopRequested: stopRequested(r), At: a.At, OwnerIncarnation: a.OwnerIncarnation,
-		})
+			CheckpointRequested: a.CheckpointOrdered,
+		}
+		if a.FromCheckpoint {
+			assignment.Checkpoint = r.Checkpoint
+		}
+		out = append(out, assignment)
 	}
 	return out
 }
@@ -156,6 +166,7 @@
 			Host: a.Host, Address: a.Address, TargetIncarnation: a.TargetIncarnation,
 			Owner: a.Owner, OwnerIncarnation: a.OwnerIncarnation,
 			State: a.State, At: a.At, StopRequested: stopRequested(r), Released: a.Released,
+			Checkpointable: r.Checkpointable, CheckpointOrdered: a.CheckpointOrdered,
 		})
 	}
 	return out
--- a/internal/ledger/random_test.go
+++ b/internal/ledger/random_test.go
@@ -18,6 +18,7 @@
 type secret struct {
 	host, incarnation string
 	ran, notBegun     bool
+	stopped           bool // at a checkpoint, with or without an order
 }
 
 // history drives a ledger with random commands against fake targets. A target
@@ -30,6 +31,7 @@
 	truth  map[string]map[int]*secret
 	proven map[string]*model.Request // done and not_run requests
 	ends   map[string]int            // outcomes reached, for the coverage of the run
+	refs   map[string]bool           // references that targets gave
 }
 
 func newHistory(seed uint64) *history {
@@ -38,10 +40,21 @@
 	limits.AnswerRetention, limits.KeyRetention = 20*time.Second, 60*time.Second
 	return &history{
 		fixture: newFixture(limits), rng: rand.New(rand.NewPCG(seed, 1)), copy: ledger.New(limits),
-		truth: map[string]map[int]*secret{}, proven: map[string]*model.Request{}, ends: map[string]int{},
+		truth: map[string]map[int]*secret{}, proven: map[string]*model.Request{}, ends: map[string]int{}, refs: map[string]bool{},
 	}
 }
 
+// newRandomHistory returns a history in which all hosts but h2 can checkpoint.
+func newRandomHistory(seed uint64) *history {
+	h := newHistory(seed)
+	for _, name := range []string{"h1", "s1"} {
+		host := h.hosts[name]
+		host.Info.Capabilities = []model.Capability{model.CapabilityCheckpoint}
+		h.hosts[name] = host
+	}
+	return h
+}
+
 func pick[T any](h *history, values ...T) T { return values[h.rng.IntN(len(values))] }
 
 func (h *history) key() string { return fmt.Sprintf("k%d", h.rng.IntN(60)) }
@@ -57,14 +70,19 @@
 
 func (h *history) step() {
 	key := h.key()
-	switch h.rng.IntN(20) {
+	switch h.rng.IntN(22) {
+	case 20, 21:
+		h.orderCheckpoints()
 	case 0, 1, 2, 3:
-		c := ledger.Claim{Key: key, Kind: pick(h, "order", "draw", "proof", "archive", "render", "huge"), Team: pick(h, "shop", "small"), Payload: []byte("p")}
+		c := ledger.Claim{Key: key, Kind: pick(h, "order", "draw", "proof", "archive", "convert", "convert", "render", "huge"), Team: pick(h, "shop", "small"), Payload: []byte("p")}
 		if h.rng.IntN(4) > 0 {
 			c.Deadline = h.now.Add(time.Duration(h.rng.IntN(30)-1) * time.Second)
 		}
 		h.both(ledger.Command{Claim: &c})
 	case 4, 5, 6, 7:
+		if h.rng.IntN(4) == 0 {
+			h.readyHosts()
+		}
 		h.dispatchSome()
 	case 8, 9, 10:
 		h.secretRun()
@@ -109,6 +127,11 @@
 		if queued := h.state.Queued("plot", 1000); len(queued) > 0 && h.rng.IntN(4) > 0 {
 			items[i].Key = pick(h, queued...).Key
 		}
+		for _, r := range h.state.Queued("plot", 1000) {
+			if len(r.Checkpoint) > 0 && h.rng.IntN(2) == 0 {
+				items[i].Key = r.Key // moved requests are few, and their continuation is what matters
+			}
+		}
 		if r, ok := h.state.Get(items[i].Key); ok && h.rng.IntN(8) > 0 {
 			items[i].Attempt = 1
 			if n := len(r.Attempts); n > 0 {
@@ -124,6 +147,31 @@
 	}
 }
 
+// orderCheckpoints drains a host, as a wave does, and orders the checkpoints of
+// random attempts, movable or not.
+func (h *history) orderCheckpoints() {
+	name := pick(h, "h1", "h2", "s1")
+	if host := h.hosts[name]; host.State == model.HostReady && h.rng.IntN(2) == 0 {
+		host.State = model.HostDraining
+		h.hosts[name] = host
+	}
+	c := ledger.Checkpoint{Reason: "wave", Actor: "wave", Attempts: []ledger.CheckpointItem{{Key: h.key(), Attempt: 1}}}
+	for _, a := range h.state.OpenAttempts() {
+		if h.rng.IntN(4) > 0 {
+			c.Attempts = append(c.Attempts, ledger.CheckpointItem{Key: a.Key, Attempt: a.Attempt})
+		}
+	}
+	h.both(ledger.Command{Checkpoint: &c})
+}
+
+// stop lets a running attempt end at a checkpoint and returns the report of it.
+func (h *history) stop(key string, n int, s *secret) model.AttemptReport {
+	s.stopped = true
+	ref := pick(h, nil, []byte(fmt.Sprintf("%s/%d", key, n)), []byte(fmt.Sprintf("%s/%d", key, n)), make([]byte, model.MaxCheckpointBytes+1))
+	h.refs[string(ref)] = true
+	return model.AttemptReport{Key: key, Attempt: n, State: model.AttemptCheckpointed, Checkpoint: ref}
+}
+
 // attempt returns a random attempt of the model.
 func (h *history) attempt() (string, int, *secret) {
 	var tried []*model.Request
@@ -137,6 +185,13 @@
 	}
 	r := pick(h, tried...)
 	n := pick(h, r.Attempts...).Number
+	for _, open := range tried {
+		// Continued attempts are few among all, and their ends matter here.
+		last := &open.Attempts[len(open.Attempts)-1]
+		if last.FromCheckpoint && last.State == model.AttemptAssigned && h.rng.IntN(2) == 0 {
+			r, n = open, last.Number
+		}
+	}
 	return r.Key, n, h.truth[r.Key][n]
 }
 
@@ -164,9 +219,28 @@
 		state, s.notBegun = model.AttemptNotBegun, true
 	}
 	rep := model.AttemptReport{Key: key, Attempt: n, State: state, Answer: []byte("answer")}
+	ordered := false
+	if r, ok := h.state.Get(key); ok {
+		for i := range r.Attempts {
+			ordered = ordered || r.Attempts[i].Number == n && r.Attempts[i].CheckpointOrdered
+		}
+	}
+	if s.ran && state != model.AttemptUnknown && (s.stopped || ordered && h.rng.IntN(4) > 0 || h.rng.IntN(20) == 0) {
+		rep = h.stop(key, n, s)
+	}
 	h.both(ledger.Command{Report: &ledger.Report{Reports: []model.AttemptReport{rep}}})
 }
 
+// readyHosts takes draining hosts back into service, as the end of a step does.
+func (h *history) readyHosts() {
+	for _, name := range []string{"h1", "h2", "s1"} {
+		if host := h.hosts[name]; host.State == model.HostDraining && h.rng.IntN(2) == 0 {
+			host.State = model.HostReady
+			h.hosts[name] = host
+		}
+	}
+}
+
 func (h *history) changeHost() {
 	name := pick(h, "h1", "h2", "s1")
 	host := h.hosts[name]
@@ -217,6 +291,7 @@
 			}
 		}
 		h.checkRequest(r, begun, ran)
+		h.checkMoves(r)
 		switch r.State {
 		case model.RequestQueued:
 			queued++
@@ -272,6 +347,31 @@
 	}
 }
 
+// checkMoves checks that only permitted attempts were moved and that a moved
+// request keeps at most a reference that a target gave.
+func (h *history) checkMoves(r *model.Request) {
+	may := r.Kind == "convert"
+	must(may || len(r.Checkpoint) == 0, "%s holds a checkpoint", r.Key)
+	must(len(r.Checkpoint) <= model.MaxCheckpointBytes, "the reference of %s is too large", r.Key)
+	must(len(r.Checkpoint) == 0 || h.refs[string(r.Checkpoint)], "the reference of %s was never given", r.Key)
+	must(r.State != model.RequestFinished || len(r.Checkpoint) == 0, "finished %s keeps its checkpoint", r.Key)
+	must(!r.Idempotent || ledger.Tried(r) <= r.MaxAttempts, "%s was tried %d times", r.Key, ledger.Tried(r))
+	must(len(r.Attempts) <= 20, "%s keeps %d attempts", r.Key, len(r.Attempts))
+	for i := range r.Attempts {
+		a := &r.Attempts[i]
+		must(!a.CheckpointOrdered || may && a.Host != "h2", "attempt %d of %s must not be moved", a.Number, r.Key)
+		must(!a.FromCheckpoint || may && a.Host != "h2", "attempt %d of %s must not get a reference", a.Number, r.Key)
+		must(a.State != model.AttemptCheckpointed || a.CheckpointOrdered, "attempt %d of %s was moved without an order", a.Number, r.Key)
+		must(a.State != model.AttemptCheckpointed || h.truth[r.Key][a.Number].stopped, "attempt %d of %s did not stop", a.Number, r.Key)
+		if a.State == model.AttemptCheckpointed {
+			h.ends["moved"]++
+		}
+		if a.FromCheckpoint {
+			h.ends["continued "+string(a.State)]++
+		}
+	}
+}
+
 // forget drops the truth of keys whose retention has passed.
 func (h *history) forget() {
 	for key := range h.truth {
@@ -288,7 +388,7 @@
 		// runs work twice, reports not_run for work that ran, or overbooks.
 		ends := map[string]int{}
 		for seed := range uint64(30) {
-			h := newHistory(seed)
+			h := newRandomHistory(seed)
 			for range 1000 {
 				h.step()
 				h.forget()
@@ -305,7 +405,9 @@
 			}
 		}
 		AddReportEntry("outcomes reached", ends)
-		for _, end := range []string{"done true", "done false", "not_run false"} {
+		for _, end := range []string{
+			"done true", "done false", "not_run false", "moved", "continued succeeded", "continued failed", "continued checkpointed",
+		} {
 			Expect(ends[end]).To(BeNumerically(">", 50), "the histories must reach the outcome %q", end)
 		}
 	})
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -62,7 +62,7 @@
 type State struct {
 	limits   Limits
 	seq      uint64
-	stored   int64 // bytes of payloads and answers
+	stored   int64 // bytes of payloads, answers and checkpoint references
 	requests map[string]*record
 	order    *list.List // records in claim order
 	elements map[*record]*list.Element
@@ -189,7 +189,9 @@
 	}
 }
 
-func storedBytes(r *model.Request) int64 { return int64(len(r.Payload) + len(r.Answer)) }
+func storedBytes(r *model.Request) int64 {
+	return int64(len(r.Payload) + len(r.Answer) + len(r.Checkpoint))
+}
 
 func (s *State) link(rec *record) {
 	r := rec.req
@@ -333,9 +335,10 @@
 
 // dueTime returns when Expire next changes the request: at its deadline, at
 // the end of its answer's retention or at the end of its key's. A request with
-// an assigned attempt is kept until the attempt is decided or lost.
+// an assigned attempt is kept until the attempt is decided or lost, and so is
+// one in the queue after a move: without it, its run would have gone on.
 func (s *State) dueTime(r *model.Request) (hlc.Time, bool) {
-	if hasAttempt(r, model.AttemptAssigned) {
+	if hasAttempt(r, model.AttemptAssigned) || (r.State == model.RequestQueued && moved(r)) {
 		return hlc.Time{}, false
 	}
 	if r.State != model.RequestFinished {
--- a/internal/model/host.go
+++ b/internal/model/host.go
@@ -1,6 +1,10 @@
 package model
 
-import "agatehaven.dev/agatehaven/internal/hlc"
+import (
+	"slices"
+
+	"agatehaven.dev/agatehaven/internal/hlc"
+)
 
 // HostState is the lifecycle state of a host.
 type HostState string
@@ -47,6 +51,9 @@
 	Leaving bool `cbor:"13,keyasint,omitempty" json:"leaving,omitempty"`
 }
 
+// Can reports whether the target has announced a capability.
+func (h *HostInfo) Can(c Capability) bool { return slices.Contains(h.Capabilities, c) }
+
 // Usage is a target's report of one running task. It lags behind by up to
 // several seconds.
 type Usage struct {
--- a/internal/model/request.go
+++ b/internal/model/request.go
@@ -65,6 +65,9 @@
 	// FromCheckpoint is set if the attempt was started with the reference of a
 	// checkpoint.
 	FromCheckpoint bool `cbor:"14,keyasint,omitempty" json:"from_checkpoint,omitempty"`
+	// CheckpointLost is set if the attempt failed to continue from the request's
+	// checkpoint, which was then dropped.
+	CheckpointLost bool `cbor:"15,keyasint,omitempty" json:"checkpoint_lost,omitempty"`
 }
 
 // Request is a request as its home ledger knows it.
