--- a/internal/testsupport/standin/fleet.go
+++ b/internal/testsupport/standin/fleet.go
@@ -112,7 +112,7 @@
 	f := &Fleet{
 		cfg: cfg, log: newRunLog(), ctx: ctx, cancel: cancel, orders: map[string]bool{},
 		checkpoints: map[string]time.Duration{},
-		client: newClient(),
+		client:      newClient(),
 	}
 	for i := range cfg.Targets {
 		t := f.newTarget(i)
