Let owners and the resolver carry out checkpoints

Nothing asked a target for a checkpoint. The order reaches the owner as a field of the assignment, which every pull repeats while it holds. The owner asks the target once for each repetition and at most every 5 s, so that an order which is withdrawn ends the calls and a refusing target is not loaded. The end is reported as "checkpointed" with the reference, from the answer or from the state, whichever is seen: one covers a lost answer, the other a target that forgets the task. A refusal, an unknown call and silence leave the attempt running. The resolver does the same for attempts whose owner is gone.

Asking until the target confirms, as for a stop, was ruled out: an order of a wave that was paused would still move the work.

Seen failing without: the call, the reference in the start and in the report, the use of the answer, the pause, the condition on the order (owner and resolver), the resolver's call.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -40,6 +40,9 @@
 	retryPause = 200 * time.Millisecond
 	// latePause separates polls of attempts that were reported as unknown.
 	latePause = time.Second
+	// checkpointPause separates the checkpoints asked of a target for one
+	// attempt. A refusal may pass, but must not become a load on the target.
+	checkpointPause = 5 * time.Second
 	// idlePause separates pulls that bring nothing new, in case the leader
 	// answers at once.
 	idlePause = 100 * time.Millisecond
@@ -62,6 +65,7 @@
 	EventEnded            event.Kind = "attempt_ended"
 	EventCut              event.Kind = "attempt_cut"
 	EventStartUnconfirmed event.Kind = "start_unconfirmed"
+	EventCheckpointFailed event.Kind = "checkpoint_failed"
 	EventPullFailed       event.Kind = "pull_failed"
 	EventReportFailed     event.Kind = "report_failed"
 	EventForeign          event.Kind = "assignment_refused"
@@ -312,7 +316,7 @@
 }
 
 func size(o outgoing) int {
-	return reportOverhead + len(o.report.Key) + len(o.report.Reason) + len(o.report.Answer)
+	return reportOverhead + len(o.report.Key) + len(o.report.Reason) + len(o.report.Answer) + len(o.report.Checkpoint)
 }
 
 // deliver sends a batch until the leader confirms it. Reports are idempotent,
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -149,6 +149,8 @@
 	checkpoints   int
 	checkpoint    target.TaskStatus
 	checkpointErr error
+	// forgets is set if the target forgets a task that a checkpoint ended.
+	forgets bool
 	last          target.Task
 }
 
@@ -199,6 +201,9 @@
 		return target.TaskStatus{}, t.checkpointErr
 	}
 	t.status = t.checkpoint
+	if t.forgets {
+		t.status = target.TaskStatus{State: target.TaskAbsent, Incarnation: "t1"}
+	}
 	return t.checkpoint, nil
 }
 
--- a/internal/dispatch/execute.go
+++ b/internal/dispatch/execute.go
@@ -23,6 +23,7 @@
 	err := d.cfg.Targets.Start(ctx, a.Address, target.Task{
 		Key: a.Key, Attempt: a.Attempt, Kind: a.Kind, Payload: a.Payload, CPUMillis: a.CPUMillis,
 		MemoryMB: a.MemoryMB, Accelerators: a.Accelerators, LeaseMS: d.cfg.TaskLease.Milliseconds(),
+		Checkpoint: a.Checkpoint,
 	})
 	var refused *target.RefusedError
 	var notSent *target.NotSentError
@@ -48,6 +49,7 @@
 	followCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go d.stopOnRequest(followCtx, e)
+	go d.checkpointOnRequest(followCtx, e)
 	go func() {
 		select {
 		case <-e.dropped:
@@ -88,6 +90,13 @@
 	if ctx.Err() != nil {
 		return true
 	}
+	select {
+	case st := <-f.e.stopped:
+		// The answer to a checkpoint counts even if the target has forgotten the
+		// task since.
+		o, err = conclude(st, openAttempt(a), f.begun), nil
+	default:
+	}
 	now := f.d.cfg.Clock.Now()
 	if err == nil {
 		f.contact = now
@@ -141,6 +150,32 @@
 	}
 }
 
+// checkpointOnRequest asks the target to end the attempt at a checkpoint, once
+// for each request of the leader and at most every checkpointPause. A target
+// that refuses or gives no answer leaves the attempt running, and it is asked
+// again only if the leader still wants it. The follower reports the end.
+func (d *Dispatcher) checkpointOnRequest(ctx context.Context, e *entry) {
+	for {
+		select {
+		case <-e.checkpoint:
+		case <-ctx.Done():
+			return
+		}
+		a := e.assignment
+		st, err := d.cfg.Targets.Checkpoint(ctx, a.Address, a.Key, a.Attempt)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil:
+			d.recordAttempt(EventCheckpointFailed, a, err.Error())
+		case st.State == target.TaskStopped:
+			e.stopped <- st
+			return
+		}
+		d.wait(ctx, checkpointPause)
+	}
+}
+
 func notBegun(a model.Assignment, reason string) model.AttemptReport {
 	return model.AttemptReport{Key: a.Key, Attempt: a.Attempt, State: model.AttemptNotBegun, Reason: reason}
 }
--- a/internal/dispatch/resolve.go
+++ b/internal/dispatch/resolve.go
@@ -18,6 +18,8 @@
 	TargetIncarnation string
 	// CanRevoke is set if the target has announced model.CapabilityRevoke.
 	CanRevoke bool
+	// CheckpointRequested asks to end the attempt at a checkpoint.
+	CheckpointRequested bool
 }
 
 func openAttempt(a model.Assignment) OpenAttempt {
@@ -37,10 +39,17 @@
 // Resolve reads the state of an attempt from its target. It returns nil while
 // the attempt is running. An attempt that the target does not know is revoked
 // if the target can do that, which proves that it never ran; otherwise the
-// report says that the outcome is unknown. An error means that the target
+// report says that the outcome is unknown. A running attempt is ended at a
+// checkpoint if that is requested. An error means that the target
 // gave no usable answer, and the caller may try again.
 func (r *Resolver) Resolve(ctx context.Context, a OpenAttempt) (*model.AttemptReport, error) {
 	o, err := observe(ctx, r.targets, a, false, 0)
+	if err == nil && o.running && a.CheckpointRequested {
+		// A refusal or no answer leaves the attempt running.
+		if st, failed := r.targets.Checkpoint(ctx, a.Address, a.Key, a.Attempt); failed == nil {
+			o = conclude(st, a, true)
+		}
+	}
 	if err != nil || o.running {
 		return nil, err
 	}
@@ -82,6 +91,8 @@
 		report.State = model.AttemptSucceeded
 	case st.State == target.TaskFailed:
 		report.State = model.AttemptFailed
+	case st.State == target.TaskStopped:
+		report.State, report.Answer, report.Checkpoint = model.AttemptCheckpointed, nil, st.Checkpoint
 	case st.State == target.TaskRevoked && !begun && sameIncarnation(st, a):
 		report = model.AttemptReport{Key: a.Key, Attempt: a.Attempt, State: model.AttemptNotBegun, Reason: "revoked before it began"}
 	case st.Incarnation == "":
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -6,6 +6,7 @@
 	"agatehaven.dev/agatehaven/internal/hlc"
 	"agatehaven.dev/agatehaven/internal/model"
 	"agatehaven.dev/agatehaven/internal/peer"
+	"agatehaven.dev/agatehaven/internal/target"
 )
 
 // verdict is what the table says about an assignment.
@@ -28,8 +29,12 @@
 	readOnly bool
 	// stop is closed when the attempt is to be stopped, dropped when it is no
 	// longer followed.
-	stop         chan struct{}
-	dropped      chan struct{}
+	stop    chan struct{}
+	dropped chan struct{}
+	// checkpoint holds a request to end the attempt at a checkpoint that the
+	// target has not been asked for yet. stopped holds its answer.
+	checkpoint   chan struct{}
+	stopped      chan target.TaskStatus
 	stopping     bool
 	hostDraining bool
 	sent         bool
@@ -103,7 +108,10 @@
 		// that would count as proof that it never ran.
 		a.CanRevoke = false
 	}
-	e := &entry{assignment: a, readOnly: readOnly, sent: readOnly, stop: make(chan struct{}), dropped: make(chan struct{})}
+	e := &entry{
+		assignment: a, readOnly: readOnly, sent: readOnly, stop: make(chan struct{}), dropped: make(chan struct{}),
+		checkpoint: make(chan struct{}, 1), stopped: make(chan target.TaskStatus, 1),
+	}
 	e.update(a)
 	t.active[ref] = e
 	return e, verdictStart
@@ -135,6 +143,13 @@
 		e.hostDraining = true
 		v = verdictUpdated
 	}
+	if a.CheckpointRequested {
+		// Not an update: the request is repeated for as long as it holds.
+		select {
+		case e.checkpoint <- struct{}{}:
+		default:
+		}
+	}
 	return v
 }
 
