Carry out the wave policy's checkpoints and measure its steps

The controller passed Checkpointable as false and StepMS as 0, so the policy never moved work and planned with a step of five minutes. Checkpointable is now set if all patient tasks of a host are movable: assigned, wanted, of a checkpointable kind, on a target that announces the capability. The action commits one order for each attempt; the assignment repeats it while the host drains, so a released host (paused wave) withdraws it, and a new leader finds it in the state. The resolver gets it for attempts whose owner is gone. Moves spend no retry token, teach no run time, count against no host, and a host whose work was moved is not avoided later. Callers see no reference.

A step is measured on apply from its reboot order to the end of its verification and summed in the wave's progress, so it survives a change of leader; the wait for running work is not part of it. Until a step of the wave has ended, the last wave of its pool serves.

Seen failing without: the order, the condition on all tasks, on kind and on capability, the check for orders already given (the log grew), the limit to draining hosts, the order for the resolver, the hidden reference, the requeue without retries, the measured step, the choice of the wave it comes from. Not covered by a test: that a failed continuation is no evidence against its host, and that a host whose work was moved is not avoided.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -37,7 +37,8 @@
 }
 
 // Resolver reads the state of an orphaned attempt from its target. The second
-// result is false if there is nothing to report yet.
+// result is false if there is nothing to report yet. If a checkpoint of the
+// attempt is ordered, a running one is ended at it.
 type Resolver interface {
 	Resolve(ctx context.Context, a ledger.OpenAttempt, canRevoke bool) (model.AttemptReport, bool)
 }
--- a/internal/control/evidence.go
+++ b/internal/control/evidence.go
@@ -80,7 +80,8 @@
 }
 
 // finished takes the result of an attempt that is still open in the ledger.
-// Attempts that did not begin, were stopped or ended unknown teach nothing.
+// Attempts that did not begin, were stopped or moved, or ended unknown teach
+// nothing.
 func (e *evidence) finished(r *model.Request, a *model.Attempt, report *model.AttemptReport, setAside bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -90,7 +91,15 @@
 		return
 	}
 	now := e.clock.Now()
-	e.learner.Finished(r.Kind, r.Key, a.Number, time.Duration(report.RunMS)*time.Millisecond)
+	if a.FromCheckpoint {
+		// It ran only for the rest, and the checkpoint may be why it failed.
+		e.learner.Gone(r.Key, a.Number)
+		if failed {
+			return
+		}
+	} else {
+		e.learner.Finished(r.Kind, r.Key, a.Number, time.Duration(report.RunMS)*time.Millisecond)
+	}
 	if setAside {
 		e.hosts.ProbeFinished(a.Host, failed, now)
 	} else {
@@ -114,13 +123,7 @@
 	if reason := e.faulty[r.Kind]; reason != "" {
 		return 0, retry.Verdict{Reason: "job kind " + r.Kind + " fails everywhere: " + reason}
 	}
-	begun := 0
-	for i := range r.Attempts {
-		if r.Attempts[i].State != model.AttemptNotBegun {
-			begun++
-		}
-	}
-	return delay, e.retries.Decide(retry.Attempt{Key: r.Key, Begun: begun, MaxAttempts: r.MaxAttempts, Instance: last.Owner})
+	return delay, e.retries.Decide(retry.Attempt{Key: r.Key, Begun: ledger.Tried(r), MaxAttempts: r.MaxAttempts, Instance: last.Owner})
 }
 
 // judge returns the decisions about hosts and the job kinds that became
--- a/internal/control/export_test.go
+++ b/internal/control/export_test.go
@@ -18,6 +18,12 @@
 	c.evidence.usage(list, kindOf)
 }
 
+// StepMS returns the measured time of a step that the policy of a wave gets.
+func (c *Controller) StepMS(wave string) int64 {
+	f := c.snapshot()
+	return c.waveInput(&f, f.catalogue.Waves[wave], model.WaveProgress{}, nil).StepMS
+}
+
 // Step runs every responsibility once, in a fixed order, so that tests do not
 // depend on the scheduling of the loops.
 func (c *Controller) Step(ctx context.Context) {
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -98,6 +98,8 @@
 	known      []peer.AttemptRef
 	ownerDead  bool
 	limits     ledger.Limits
+	policy     control.Policy
+	pulled     []model.Assignment // by the last pull
 }
 
 func newWorld(hosts int, recs ...model.Record) *world {
@@ -105,6 +107,7 @@
 	w := &world{
 		clock: source, hosts: map[string]*model.HostInfo{}, running: map[string][]peer.AttemptRef{}, muted: map[string]bool{},
 		resolver: &resolver{}, platform: &platform{}, limits: ledger.DefaultLimits(),
+		policy: control.DefaultPolicy(),
 	}
 	w.machine = datacentre.New("dc-a", nil)
 	w.group = &group{machine: w.machine, clock: hlc.NewClock(source), role: replica.RoleLeader, term: 1}
@@ -129,7 +132,7 @@
 	w.controller = control.New(control.Config{
 		DataCentre: "dc-a", Host: "entry-a1", Group: w.group, Machine: w.machine, Records: w.records,
 		Resolver: w.resolver, Platform: w.platform, Clock: w.clock, Log: zerolog.Nop(),
-		Timing: control.DefaultTiming(), Policy: control.DefaultPolicy(), Limits: w.limits,
+		Timing: control.DefaultTiming(), Policy: w.policy, Limits: w.limits,
 	})
 }
 
@@ -180,6 +183,7 @@
 		DataCentre: "dc-a", Owner: "entry-a1", Incarnation: "p1", Known: w.known,
 	})
 	Expect(err).NotTo(HaveOccurred())
+	w.pulled = response.Assignments
 	return response.Assignments
 }
 
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -8,6 +8,7 @@
 	"agatehaven.dev/agatehaven/internal/datacentre"
 	"agatehaven.dev/agatehaven/internal/event"
 	"agatehaven.dev/agatehaven/internal/hlc"
+	"agatehaven.dev/agatehaven/internal/ledger"
 	"agatehaven.dev/agatehaven/internal/liveness"
 	"agatehaven.dev/agatehaven/internal/model"
 	"agatehaven.dev/agatehaven/internal/repair"
@@ -33,6 +34,22 @@
 type patientWork struct {
 	tasks int
 	leftS float64
+	// fixed is the number of tasks that cannot be moved by checkpoint.
+	fixed int
+	// movable lists the tasks whose checkpoint is not yet ordered.
+	movable []ledger.CheckpointItem
+}
+
+// add counts an open attempt on a host.
+func (w *patientWork) add(a *ledger.OpenAttempt, host *model.Host, left time.Duration) {
+	w.tasks++
+	w.leftS = max(w.leftS, left.Seconds())
+	switch {
+	case !a.Checkpointable || !host.Info.Can(model.CapabilityCheckpoint) || a.State != model.AttemptAssigned || a.StopRequested:
+		w.fixed++
+	case !a.CheckpointOrdered && host.State == model.HostDraining:
+		w.movable = append(w.movable, ledger.CheckpointItem{Key: a.Key, Attempt: a.Attempt})
+	}
 }
 
 // snapshot joins the committed state of hosts with the leader's contacts.
@@ -46,9 +63,9 @@
 		}
 		for _, a := range v.Requests.OpenAttempts() {
 			if k := v.Catalogue.JobKinds[a.Kind]; k != nil && k.Priority == model.Patient {
+				host, _ := v.Hosts.Host(a.Host)
 				work := f.patient[a.Host]
-				work.tasks++
-				work.leftS = max(work.leftS, c.remaining(a.Kind, a.At, v.Catalogue).Seconds())
+				work.add(&a, &host, c.remaining(a.Kind, a.At, v.Catalogue))
 				f.patient[a.Host] = work
 			}
 		}
@@ -92,30 +109,20 @@
 	}
 	f := c.snapshot()
 	floors := c.floorsHere(f.catalogue)
-	spare := make(map[string]int)
-	for name, pool := range f.catalogue.Pools {
-		if pool.Spare {
-			spare[name] = floors[name]
-		}
-	}
 	progress := make(map[string]model.WaveProgress, len(f.waves))
 	for _, p := range f.waves {
 		progress[p.Wave] = p
 	}
 	for _, w := range wavesToRun(&f, progress) {
-		pool := f.catalogue.Pools[w.Pool]
-		in := wave.Input{
-			Now: c.now(), Wave: w, Progress: progress[w.Name], Hosts: f.hostViews(),
-			Floor: floors[w.Pool], SpareFloors: spare, Settings: c.cfg.Policy.Waves,
-		}
-		if pool != nil {
-			in.Desired = pool.Desired[c.cfg.DataCentre]
-		}
-		for _, a := range wave.Decide(in) {
+		for _, a := range wave.Decide(c.waveInput(&f, w, progress[w.Name], floors)) {
 			if a.Kind == wave.Wait {
 				c.recordWait(event.Event{Wave: a.Wave, Host: a.Host, Pool: w.Pool, Actor: wave.Actor, Reason: a.Reason})
 				continue
 			}
+			if a.Kind == wave.Checkpoint {
+				c.orderCheckpoints(ctx, &a, f.patient[a.Host].movable)
+				continue
+			}
 			if cmd := a.Command(); cmd != nil && c.proposeHost(ctx, *cmd) != nil {
 				break // the plan met a newer state; decide again from it
 			}
@@ -124,6 +131,52 @@
 	c.orderReboots(ctx, f.views)
 }
 
+// waveInput returns what the policy decides about a wave from.
+func (c *Controller) waveInput(f *fleet, w *model.Wave, progress model.WaveProgress, floors map[string]int) wave.Input {
+	in := wave.Input{
+		Now: c.now(), Wave: w, Progress: progress, Hosts: f.hostViews(), Floor: floors[w.Pool],
+		SpareFloors: make(map[string]int), StepMS: f.stepMS(w), Settings: c.cfg.Policy.Waves,
+	}
+	for name, pool := range f.catalogue.Pools {
+		if pool.Spare {
+			in.SpareFloors[name] = floors[name]
+		}
+	}
+	if pool := f.catalogue.Pools[w.Pool]; pool != nil {
+		in.Desired = pool.Desired[c.cfg.DataCentre]
+	}
+	return in
+}
+
+// orderCheckpoints commits the order to move the patient work of a draining
+// host. Each attempt is ordered once; the order reaches its owner with its
+// assignments for as long as the host drains.
+func (c *Controller) orderCheckpoints(ctx context.Context, a *wave.Action, attempts []ledger.CheckpointItem) {
+	if len(attempts) == 0 {
+		return
+	}
+	_, _ = c.proposeRequest(ctx, ledger.Command{Checkpoint: &ledger.Checkpoint{
+		Attempts: attempts, Actor: wave.Actor, Reason: "wave " + a.Wave + ": " + a.Reason,
+	}})
+}
+
+// stepMS returns the measured time of a step of a wave, or of the latest wave
+// of the same pool as long as no step of this one has ended well, or 0.
+func (f *fleet) stepMS(w *model.Wave) int64 {
+	var latest model.WaveProgress
+	for _, p := range f.waves {
+		known := f.catalogue.Waves[p.Wave]
+		switch {
+		case p.Timed == 0:
+		case p.Wave == w.Name:
+			return p.MeanStepMS()
+		case known != nil && known.Pool == w.Pool && latest.Started.Before(p.Started):
+			latest = p
+		}
+	}
+	return latest.MeanStepMS()
+}
+
 // wavesIdle reports whether no wave is under way and no host is out for one.
 // The loop runs after every applied entry, so it must not copy the state of
 // all hosts when there is nothing to decide.
@@ -166,7 +219,10 @@
 	out := make([]wave.HostView, len(f.views))
 	for i, v := range f.views {
 		work := f.patient[v.Host.Info.Name]
-		out[i] = wave.HostView{View: v, PatientTasks: work.tasks, PatientMS: int64(work.leftS * 1000)}
+		out[i] = wave.HostView{
+			View: v, PatientTasks: work.tasks, PatientMS: int64(work.leftS * 1000),
+			Checkpointable: work.tasks > 0 && work.fixed == 0,
+		}
 	}
 	return out
 }
--- a/internal/control/owners.go
+++ b/internal/control/owners.go
@@ -24,7 +24,7 @@
 }
 
 // PullAssignments returns the attempts that the owner does not know yet, and
-// known ones that must stop or whose host drains. It waits up to r.WaitMS.
+// known ones that must stop, or whose host drains and may want a checkpoint. It waits up to r.WaitMS.
 func (c *Controller) PullAssignments(ctx context.Context, r *peer.PullAssignmentsRequest) (*peer.PullAssignmentsResponse, error) {
 	deadline := c.cfg.Clock.After(time.Duration(r.WaitMS) * time.Millisecond)
 	for {
@@ -94,7 +94,8 @@
 	if h, ok := v.Hosts.Host(a.Host); ok {
 		// A host that is set aside gets only probes, which have to run.
 		a.HostDraining = h.State != model.HostReady && h.State != model.HostSetAside
-		a.CanRevoke = hasCapability(&h.Info, model.CapabilityRevoke)
+		a.CanRevoke = h.Info.Can(model.CapabilityRevoke)
+		a.CheckpointRequested = a.CheckpointRequested && h.State == model.HostDraining
 	}
 	a.StopLimitMS = model.DefaultStopLimitMS
 	if k := v.Catalogue.JobKinds[a.Kind]; k != nil {
--- a/internal/control/placement.go
+++ b/internal/control/placement.go
@@ -131,7 +131,10 @@
 				q.Slack = time.Duration(r.Deadline.WallMillis-now.UnixMilli()) * time.Millisecond
 			}
 			for i := range r.Attempts {
-				q.Avoid = append(q.Avoid, r.Attempts[i].Host)
+				// A host whose work was moved did not fail it.
+				if r.Attempts[i].State != model.AttemptCheckpointed {
+					q.Avoid = append(q.Avoid, r.Attempts[i].Host)
+				}
 			}
 			in.Queued = append(in.Queued, q)
 		}
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -95,7 +95,7 @@
 // response copies a request without its payload, which the caller knows.
 func response(r *model.Request) *peer.RequestResponse {
 	out := *r
-	out.Payload = nil
+	out.Payload, out.Checkpoint = nil, nil
 	return &peer.RequestResponse{Request: out}
 }
 
@@ -177,7 +177,8 @@
 			if !ok || h.State == model.HostLost || h.Info.Incarnation != a.TargetIncarnation {
 				continue
 			}
-			orphans = append(orphans, orphan{a, hasCapability(&h.Info, model.CapabilityRevoke)})
+			a.CheckpointOrdered = a.CheckpointOrdered && h.State == model.HostDraining
+			orphans = append(orphans, orphan{a, h.Info.Can(model.CapabilityRevoke)})
 		}
 	})
 	// The owners are looked up outside the view: leading reads the view while
@@ -233,10 +234,6 @@
 	return true
 }
 
-func hasCapability(info *model.HostInfo, want model.Capability) bool {
-	return slices.Contains(info.Capabilities, want)
-}
-
 // adopt pulls newer records from the region group into this data centre's
 // group and acknowledges them, so that floors may be lowered elsewhere.
 func (c *Controller) adopt(ctx context.Context) {
--- a/internal/daemon/glue.go
+++ b/internal/daemon/glue.go
@@ -39,6 +39,7 @@
 	report, err := r.inner.Resolve(ctx, dispatch.OpenAttempt{
 		Key: a.Key, Attempt: a.Attempt, Host: a.Host, Address: a.Address,
 		TargetIncarnation: a.TargetIncarnation, CanRevoke: canRevoke,
+		CheckpointRequested: a.CheckpointOrdered,
 	})
 	if err != nil || report == nil {
 		return model.AttemptReport{}, false
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -151,7 +151,7 @@
 	checkpointErr error
 	// forgets is set if the target forgets a task that a checkpoint ended.
 	forgets bool
-	last          target.Task
+	last    target.Task
 }
 
 func newFakeTarget(state target.TaskState) *fakeTarget {
--- a/internal/inventory/commands.go
+++ b/internal/inventory/commands.go
@@ -340,7 +340,10 @@
 		return refusedState("end of the step", h)
 	}
 	c.emit(StepFinished, h, "", "verified after its reboot")
+	tookMS := c.Time.WallMillis - h.Ordered.WallMillis
 	p := c.endStep(h)
+	p.StepsMS += tookMS
+	p.Timed++
 	p.Done = append(p.Done, h.Info.Name)
 	c.makeReady(h, "maintained by wave "+p.Wave)
 	return nil
