Test and measure waves that move long conversions by checkpoint

The wave experiment gets a table of its own for patient work with and without checkpoints, apart from the existing one, whose scenarios stay as they were.

--- a/internal/e2e/region_test.go
+++ b/internal/e2e/region_test.go
@@ -74,6 +74,8 @@
 	fleets map[string]*standin.Fleet
 	client *load.Client
 	peers  peer.Dialer
+	// extra is added to the settings of every daemon.
+	extra string
 }
 
 var regionShape = []struct{ name, dataCentre string }{
@@ -89,9 +91,15 @@
 // startRegion starts all processes, applies the sample records and waits
 // until every host is ready. change may adapt the stand-in fleets.
 func startRegion(change func(*standin.Config)) *region {
+	GinkgoHelper()
+	return startRegionWith("", change)
+}
+
+// startRegionWith is startRegion with more settings for the daemons.
+func startRegionWith(extra string, change func(*standin.Config)) *region {
 	GinkgoHelper()
 	r := &region{
-		folder: GinkgoT().TempDir(), links: map[[2]string]*link{}, fleets: map[string]*standin.Fleet{},
+		folder: GinkgoT().TempDir(), links: map[[2]string]*link{}, fleets: map[string]*standin.Fleet{}, extra: extra,
 	}
 	DeferCleanup(r.close)
 	for _, s := range regionShape {
@@ -199,6 +207,7 @@
 	line("[[groups]]\nname = \"dc-c\"\nvoters = [\"entry-c1\", \"entry-c2\"]\nwitnesses = [\"entry-a1\"]")
 	line("[platform]\naddress = %q", r.fleets[h.dataCentre].Control())
 	line("[timing]\nsnapshot_entries = 100")
+	line("%s", r.extra)
 	Expect(os.WriteFile(r.settingsFile(h), []byte(b.String()), 0o600)).To(Succeed())
 }
 
--- a/internal/wave/experiment_test.go
+++ b/internal/wave/experiment_test.go
@@ -21,6 +21,8 @@
 	seeds    int
 	spares   int
 	patient  bool // a third of the hosts run patient work of 5 to 30 minutes
+	long     bool // that work takes 1 to 3 hours
+	fixed    bool // that work cannot be checkpointed
 	failures bool // reboots that fail and unplanned losses
 	within   float64
 }
@@ -53,7 +55,7 @@
 func newExperiment(sc scenario, settings wave.Settings, seed uint64) *experiment {
 	e := &experiment{session: newSession(50, floorOf50, sc.spares, settings), rng: rand.New(rand.NewPCG(seed, 8)),
 		drained: map[string]int64{}, moved: map[string]bool{}, scenario: sc}
-	e.desired = 50
+	e.desired, e.fixed = 50, sc.fixed
 	e.Reboot = func(*fleet.Host) (int64, bool, int64) {
 		takes := 180_000 + e.rng.Int64N(120_000)
 		e.inherent += takes + int64(e.wave.VerifyMS)
@@ -69,7 +71,11 @@
 	}
 	for _, h := range e.Hosts {
 		if sc.patient && e.rng.IntN(3) == 0 {
-			h.PatientUntil = e.Now + 300_000 + e.rng.Int64N(1_500_000)
+			left := 300_000 + e.rng.Int64N(1_500_000)
+			if sc.long {
+				left = 3_600_000 + e.rng.Int64N(7_200_000)
+			}
+			h.PatientUntil = e.Now + left
 		}
 	}
 	e.unplanned = e.Now + e.rng.Int64N(600_000)
@@ -150,23 +156,45 @@
 	return o
 }
 
+// weights are the settings that a scenario is run with.
+type weights struct {
+	name     string
+	settings wave.Settings
+}
+
 func TestExperiment(t *testing.T) {
-	g := NewWithT(t)
-	var table strings.Builder
-	fmt.Fprintf(&table, "\n50 hosts, floor %d, racks of 4, reboot 180 to 300 s, verification 10 s; times in seconds, means unless marked max\n", floorOf50)
-	fmt.Fprintf(&table, "%-24s %-14s %5s %8s %8s %8s %6s %6s %6s %6s %6s %6s %6s %9s %10s\n", "scenario", "weights", "seeds", "roll-out", "max",
-		"bound", "ratio", "max", "moves", "tasks", "pauses", "done", "failed", "host-s out", "violations")
-	for _, sc := range []scenario{
+	runScenarios(t, 10_000, []weights{{"moves first", wave.MovesFirst()}, {"roll-out first", wave.RolloutFirst()}}, []scenario{
 		{name: "no faults, no spares", seeds: 100, within: 1.10},
 		{name: "no faults, 8 spares", seeds: 100, spares: 8},
 		{name: "patient work, no spares", seeds: 20, patient: true},
 		{name: "patient work, 8 spares", seeds: 20, spares: 8, patient: true},
 		{name: "failures, 8 spares", seeds: 100, spares: 8, failures: true},
-	} {
-		for _, w := range []struct {
-			name     string
-			settings wave.Settings
-		}{{"moves first", wave.MovesFirst()}, {"roll-out first", wave.RolloutFirst()}} {
+	})
+}
+
+// TestCheckpointExperiment compares waves with and without checkpoints under
+// weights that let a wave move patient work.
+func TestCheckpointExperiment(t *testing.T) {
+	scenarios := []scenario{
+		{name: "5 to 30 min, checkpoints", seeds: 10, patient: true},
+		{name: "5 to 30 min, none", seeds: 10, patient: true, fixed: true},
+	}
+	if testing.Verbose() { // hours of simulated time
+		scenarios = append(scenarios,
+			scenario{name: "1 to 3 h, checkpoints", seeds: 10, patient: true, long: true},
+			scenario{name: "1 to 3 h, none", seeds: 10, patient: true, long: true, fixed: true})
+	}
+	runScenarios(t, 20_000, []weights{{"roll-out first", wave.RolloutFirst()}}, scenarios)
+}
+
+func runScenarios(t *testing.T, limit int, choices []weights, scenarios []scenario) {
+	g := NewWithT(t)
+	var table strings.Builder
+	fmt.Fprintf(&table, "\n50 hosts, floor %d, racks of 4, reboot 180 to 300 s, verification 10 s; times in seconds, means unless marked max\n", floorOf50)
+	fmt.Fprintf(&table, "%-24s %-14s %5s %8s %8s %8s %6s %6s %6s %6s %6s %6s %6s %9s %10s\n", "scenario", "weights", "seeds", "roll-out", "max",
+		"bound", "ratio", "max", "moves", "tasks", "pauses", "done", "failed", "host-s out", "violations")
+	for _, sc := range scenarios {
+		for _, w := range choices {
 			seeds := sc.seeds
 			if !testing.Verbose() {
 				seeds = 2 // the whole table takes minutes
@@ -178,7 +206,7 @@
 				group.Go(func() {
 					slots <- struct{}{}
 					defer func() { <-slots }()
-					all[seed] = newExperiment(sc, w.settings, uint64(seed)).run(10_000)
+					all[seed] = newExperiment(sc, w.settings, uint64(seed)).run(limit)
 				})
 			}
 			group.Wait()
--- a/internal/wave/wave_test.go
+++ b/internal/wave/wave_test.go
@@ -30,8 +30,10 @@
 	wave     *model.Wave
 	settings wave.Settings
 	desired  int
-	errors   []error
-	maxRack  int // most hosts of one rack in steps at once
+	// fixed is set if no target announces checkpoints.
+	fixed   bool
+	errors  []error
+	maxRack int // most hosts of one rack in steps at once
 }
 
 func newSession(hosts, floor, spares int, settings wave.Settings) *session {
@@ -53,7 +55,7 @@
 	for _, v := range views {
 		h := wave.HostView{View: v}
 		if left := s.Host(v.Host.Info.Name).PatientUntil - s.Now; left > 0 {
-			h.PatientTasks, h.PatientMS, h.Checkpointable = 1, left, true
+			h.PatientTasks, h.PatientMS, h.Checkpointable = 1, left, !s.fixed
 		}
 		in.Hosts = append(in.Hosts, h)
 	}
