Count no failure of a moved attempt against its host or job kind

A failure after an order or from a checkpoint may be caused by the move. The evidence already left out failed continuations, without a test; it now leaves out failures after an order as well. The test with lost checkpoints checks that the job kind is not branded as faulty; seen failing without the rule.

--- a/internal/control/checkpoint_test.go
+++ b/internal/control/checkpoint_test.go
@@ -158,7 +158,7 @@
 
 	It("cost only the work since the start when they are lost", func() {
 		// Guards against a lost checkpoint that ends the request, spends its
-		// attempts or sets a good host aside.
+		// attempts, sets a good host aside or brands the job kind.
 		c := newConversions(wave.RolloutFirst(), convertKind(true), model.CapabilityCheckpoint)
 		c.loseAll = true
 		c.setWave(model.WaveRunning)
@@ -170,6 +170,7 @@
 		for name := range c.hosts {
 			Expect(c.host(name).State).To(Equal(model.HostReady))
 		}
+		Expect(c.controller.Faulty("convert")).To(BeFalse())
 	})
 
 	It("that are refused leave the work and the wave waiting", func() {
--- a/internal/control/evidence.go
+++ b/internal/control/evidence.go
@@ -91,12 +91,12 @@
 		return
 	}
 	now := e.clock.Now()
+	if failed && (a.FromCheckpoint || a.CheckpointOrdered) {
+		e.learner.Gone(r.Key, a.Number) // its move may be why it failed
+		return
+	}
 	if a.FromCheckpoint {
-		// It ran only for the rest, and the checkpoint may be why it failed.
-		e.learner.Gone(r.Key, a.Number)
-		if failed {
-			return
-		}
+		e.learner.Gone(r.Key, a.Number) // it ran only for the rest
 	} else {
 		e.learner.Finished(r.Kind, r.Key, a.Number, time.Duration(report.RunMS)*time.Millisecond)
 	}
--- a/internal/control/export_test.go
+++ b/internal/control/export_test.go
@@ -24,6 +24,13 @@
 	return c.waveInput(&f, f.catalogue.Waves[wave], model.WaveProgress{}, nil).StepMS
 }
 
+// Faulty reports whether a job kind counts as failing on every host.
+func (c *Controller) Faulty(kind string) bool {
+	c.evidence.mu.Lock()
+	defer c.evidence.mu.Unlock()
+	return c.evidence.faulty[kind] != ""
+}
+
 // Step runs every responsibility once, in a fixed order, so that tests do not
 // depend on the scheduling of the loops.
 func (c *Controller) Step(ctx context.Context) {
