--- a/internal/e2e/region_test.go
+++ b/internal/e2e/region_test.go
@@ -79,6 +79,8 @@
 	peers  peer.Dialer
 	// authority signs the certificates of a region with TLS; nil without.
 	authority *authority
+	// extra is added to the settings of every daemon.
+	extra string
 }
 
 var regionShape = []struct{ name, dataCentre string }{
@@ -98,6 +100,14 @@
 	return newRegion(nil).run(change)
 }
 
+// startRegionWith is startRegion with more settings for the daemons.
+func startRegionWith(extra string, change func(*standin.Config)) *region {
+	GinkgoHelper()
+	r := newRegion(nil)
+	r.extra = extra
+	return r.run(change)
+}
+
 // newRegion returns a region without processes, with TLS if a is not nil.
 func newRegion(a *authority) *region {
 	r := &region{
@@ -226,6 +236,7 @@
 				r.certificateFile(h.name), r.keyFile(h.name), r.authorityFile())
 		}
 	}
+	line("%s", r.extra)
 	Expect(os.WriteFile(r.settingsFile(h), []byte(b.String()), 0o600)).To(Succeed())
 }
 
--- a/internal/inventory/commands.go
+++ b/internal/inventory/commands.go
@@ -341,7 +341,10 @@
 		return refusedState("end of the step", h)
 	}
 	c.emit(StepFinished, h, "", "verified after its reboot")
+	tookMS := c.Time.WallMillis - h.Ordered.WallMillis
 	p := c.endStep(h)
+	p.StepsMS += tookMS
+	p.Timed++
 	if !slices.Contains(p.Carried, h.Info.Name) {
 		p.Done = append(p.Done, h.Info.Name)
 	}
--- a/internal/ledger/random_test.go
+++ b/internal/ledger/random_test.go
@@ -21,6 +21,7 @@
 type secret struct {
 	host, incarnation string
 	ran, notBegun     bool
+	stopped           bool // at a checkpoint, with or without an order
 }
 
 // history drives a ledger with random commands against fake targets. A target
@@ -36,13 +37,18 @@
 	bodies map[string]ledger.Claim   // accepted claims
 	until  map[string]hlc.Time       // when the key of a finished request may be forgotten
 	doubts map[string]hlc.Time       // finish times of requests that ended as unknown
+	refs   map[string]bool           // references that targets gave
+	// moving makes most claims long work that is moved again and again.
+	moving bool
+	// reached holds what reach has counted.
+	reached map[string]bool
 }
 
 func newHistory(seed uint64) *history {
 	limits := ledger.DefaultLimits()
 	limits.MaxRequests, limits.MaxQueuedPerPool = 40, 15
 	limits.AnswerRetention, limits.KeyRetention = 20*time.Second, 60*time.Second
-	limits.MaxKeys = 20
+	limits.MaxKeys = 15
 	if seed%2 == 1 {
 		limits.AnswerRetention, limits.KeyRetention = 5*time.Second, 30*time.Second
 	}
@@ -53,9 +59,22 @@
 		fixture: newFixture(limits), rng: rand.New(rand.NewPCG(seed, 1)), copy: ledger.New(limits),
 		truth: map[string]map[int]*secret{}, proven: map[string]*model.Request{}, ends: map[string]int{},
 		bodies: map[string]ledger.Claim{}, until: map[string]hlc.Time{}, doubts: map[string]hlc.Time{},
+		refs: map[string]bool{}, reached: map[string]bool{},
 	}
 }
 
+// newRandomHistory returns a history in which all hosts but h2 can checkpoint.
+func newRandomHistory(seed uint64) *history {
+	h := newHistory(seed)
+	h.moving = seed%2 == 1
+	for _, name := range []string{"h1", "s1"} {
+		host := h.hosts[name]
+		host.Info.Capabilities = []model.Capability{model.CapabilityCheckpoint}
+		h.hosts[name] = host
+	}
+	return h
+}
+
 func pick[T any](h *history, values ...T) T { return values[h.rng.IntN(len(values))] }
 
 func (h *history) key() string { return fmt.Sprintf("k%d", h.rng.IntN(60)) }
@@ -71,14 +90,22 @@
 
 func (h *history) step() {
 	key := h.key()
-	switch h.rng.IntN(22) {
+	switch h.rng.IntN(26) {
+	case 22, 23, 24, 25:
+		h.orderCheckpoints()
 	case 0, 1, 2, 3:
-		c := ledger.Claim{Key: key, Kind: pick(h, "order", "draw", "proof", "archive", "render", "huge"), Team: pick(h, "shop", "small"), Payload: []byte("p")}
-		if h.rng.IntN(4) > 0 {
+		c := ledger.Claim{Key: key, Kind: pick(h, "order", "draw", "proof", "archive", "convert", "convert", "render", "huge"), Team: pick(h, "shop", "small"), Payload: []byte("p")}
+		if h.moving && h.rng.IntN(4) > 0 {
+			c.Kind = "convert"
+		}
+		if h.rng.IntN(4) > 0 && (!h.moving || c.Kind != "convert") {
 			c.Deadline = h.now.Add(time.Duration(h.rng.IntN(30)-1) * time.Second)
 		}
 		h.claimBody(c)
 	case 4, 5, 6, 7:
+		if h.rng.IntN(2) == 0 {
+			h.readyHosts()
+		}
 		h.dispatchSome()
 	case 8, 9, 10:
 		h.secretRun()
@@ -169,6 +196,12 @@
 		if queued := h.state.Queued("plot", 1000); len(queued) > 0 && h.rng.IntN(4) > 0 {
 			items[i].Key = pick(h, queued...).Key
 		}
+		for _, r := range h.state.Queued("plot", 1000) {
+			if len(r.Checkpoint) > 0 && h.rng.IntN(2) == 0 {
+				// Moved requests are few, and their continuation is what matters.
+				items[i].Key, items[i].Host, items[i].LentBy = r.Key, "h1", ""
+			}
+		}
 		if r, ok := h.state.Get(items[i].Key); ok && h.rng.IntN(8) > 0 {
 			items[i].Attempt = 1
 			if n := len(r.Attempts); n > 0 {
@@ -184,6 +217,36 @@
 	}
 }
 
+// orderCheckpoints drains a host, as a wave does, and orders the checkpoints of
+// random attempts, movable or not.
+func (h *history) orderCheckpoints() {
+	name := pick(h, "h1", "h2", "s1")
+	for _, a := range h.state.OpenAttempts() {
+		if a.Checkpointable && h.rng.IntN(2) == 0 {
+			name = a.Host
+		}
+	}
+	if host := h.hosts[name]; host.State == model.HostReady && h.rng.IntN(4) > 0 {
+		host.State = model.HostDraining
+		h.hosts[name] = host
+	}
+	c := ledger.Checkpoint{Reason: "wave", Actor: "wave", Attempts: []ledger.CheckpointItem{{Key: h.key(), Attempt: 1}}}
+	for _, a := range h.state.OpenAttempts() {
+		if h.rng.IntN(4) > 0 {
+			c.Attempts = append(c.Attempts, ledger.CheckpointItem{Key: a.Key, Attempt: a.Attempt})
+		}
+	}
+	h.both(ledger.Command{Checkpoint: &c})
+}
+
+// stop lets a running attempt end at a checkpoint and returns the report of it.
+func (h *history) stop(key string, n int, s *secret) model.AttemptReport {
+	s.stopped = true
+	ref := pick(h, nil, []byte(fmt.Sprintf("%s/%d", key, n)), []byte(fmt.Sprintf("%s/%d", key, n)), make([]byte, model.MaxCheckpointBytes+1))
+	h.refs[string(ref)] = true
+	return model.AttemptReport{Key: key, Attempt: n, State: model.AttemptCheckpointed, Checkpoint: ref}
+}
+
 // attempt returns a random attempt of the model.
 func (h *history) attempt() (string, int, *secret) {
 	var tried []*model.Request
@@ -197,6 +260,13 @@
 	}
 	r := pick(h, tried...)
 	n := pick(h, r.Attempts...).Number
+	for _, open := range tried {
+		// Continued attempts are few among all, and their ends matter here.
+		last := &open.Attempts[len(open.Attempts)-1]
+		if (last.FromCheckpoint || last.CheckpointOrdered) && last.State == model.AttemptAssigned && h.rng.IntN(2) == 0 {
+			r, n = open, last.Number
+		}
+	}
 	return r.Key, n, h.truth[r.Key][n]
 }
 
@@ -216,6 +286,9 @@
 		h.both(ledger.Command{Report: &ledger.Report{Reports: []model.AttemptReport{{Key: key, Attempt: n, State: model.AttemptSucceeded}}}})
 		return
 	}
+	if h.moving && !s.notBegun && h.hosts[s.host].Info.Incarnation == s.incarnation && h.rng.IntN(4) > 0 {
+		s.ran = true
+	}
 	state := pick(h, model.AttemptSucceeded, model.AttemptFailed)
 	switch {
 	case h.rng.IntN(4) == 0:
@@ -224,9 +297,28 @@
 		state, s.notBegun = model.AttemptNotBegun, true
 	}
 	rep := model.AttemptReport{Key: key, Attempt: n, State: state, Answer: []byte("answer")}
+	ordered := false
+	if r, ok := h.state.Get(key); ok {
+		for i := range r.Attempts {
+			ordered = ordered || r.Attempts[i].Number == n && r.Attempts[i].CheckpointOrdered
+		}
+	}
+	if s.ran && state != model.AttemptUnknown && (s.stopped || ordered && h.rng.IntN(4) > 0 || h.rng.IntN(20) == 0) {
+		rep = h.stop(key, n, s)
+	}
 	h.both(ledger.Command{Report: &ledger.Report{Reports: []model.AttemptReport{rep}}})
 }
 
+// readyHosts takes draining hosts back into service, as the end of a step does.
+func (h *history) readyHosts() {
+	for _, name := range []string{"h1", "h2", "s1"} {
+		if host := h.hosts[name]; host.State == model.HostDraining && h.rng.IntN(2) == 0 {
+			host.State = model.HostReady
+			h.hosts[name] = host
+		}
+	}
+}
+
 func (h *history) changeHost() {
 	name := pick(h, "h1", "h2", "s1")
 	host := h.hosts[name]
@@ -280,6 +372,7 @@
 		if !r.Idempotent {
 			keys++
 		}
+		h.checkMoves(r)
 		switch r.State {
 		case model.RequestQueued:
 			queued++
@@ -353,6 +446,40 @@
 	}
 }
 
+// checkMoves checks that only permitted attempts were moved and that a moved
+// request keeps at most a reference that a target gave.
+func (h *history) checkMoves(r *model.Request) {
+	may := r.Kind == "convert"
+	must(may || len(r.Checkpoint) == 0, "%s holds a checkpoint", r.Key)
+	must(len(r.Checkpoint) <= model.MaxCheckpointBytes, "the reference of %s is too large", r.Key)
+	must(len(r.Checkpoint) == 0 || h.refs[string(r.Checkpoint)], "the reference of %s was never given", r.Key)
+	must(r.State != model.RequestFinished || len(r.Checkpoint) == 0, "finished %s keeps its checkpoint", r.Key)
+	must(!r.Idempotent || ledger.Tried(r) <= r.MaxAttempts, "%s was tried %d times", r.Key, ledger.Tried(r))
+	must(len(r.Attempts) <= 20, "%s keeps %d attempts", r.Key, len(r.Attempts))
+	for i := range r.Attempts {
+		a := &r.Attempts[i]
+		must(!a.CheckpointOrdered || may && a.Host != "h2", "attempt %d of %s must not be moved", a.Number, r.Key)
+		must(!a.FromCheckpoint || may && a.Host != "h2", "attempt %d of %s must not get a reference", a.Number, r.Key)
+		must(a.State != model.AttemptCheckpointed || a.CheckpointOrdered, "attempt %d of %s was moved without an order", a.Number, r.Key)
+		must(a.State != model.AttemptCheckpointed || h.truth[r.Key][a.Number].stopped, "attempt %d of %s did not stop", a.Number, r.Key)
+		if a.State == model.AttemptCheckpointed {
+			h.reach("moved", r, a)
+		}
+		if a.FromCheckpoint {
+			h.reach("continued "+string(a.State), r, a)
+		}
+	}
+}
+
+// reach counts once for each attempt that it reached a state.
+func (h *history) reach(state string, r *model.Request, a *model.Attempt) {
+	id := fmt.Sprintf("%s %s/%d %v", state, r.Key, a.Number, r.Claimed)
+	if !h.reached[id] {
+		h.reached[id] = true
+		h.ends[state]++
+	}
+}
+
 func lastNumber(r *model.Request) int {
 	if len(r.Attempts) == 0 {
 		return 0
@@ -382,8 +509,8 @@
 		// runs work twice, reports not_run for work that ran, or overbooks, and
 		// against a reduction that changes the answer to a resend.
 		ends := map[string]int{}
-		for seed := range uint64(40) {
-			h := newHistory(seed)
+		for seed := range uint64(180) {
+			h := newRandomHistory(seed)
 			for range 1000 {
 				h.step()
 				h.forget()
@@ -401,10 +528,13 @@
 		}
 		AddReportEntry("outcomes reached", ends)
 		for _, end := range []string{
-			"done true", "done false", "not_run false", "keys full", "resolved after the retention of answers",
+			"done true", "done false", "not_run false", "moved", "keys full", "resolved after the retention of answers",
 			"reduced resent, equal body true", "reduced resent, equal body false",
 		} {
 			Expect(ends[end]).To(BeNumerically(">", 50), "the histories must reach the outcome %q", end)
 		}
+		for _, end := range []string{"succeeded", "failed", "not_begun", "unknown", "checkpointed"} {
+			Expect(ends["continued "+end]).To(BeNumerically(">=", 10), "the histories must reach continued attempts that end as %q", end)
+		}
 	})
 })
--- a/internal/model/host.go
+++ b/internal/model/host.go
@@ -1,6 +1,10 @@
 package model
 
-import "agatehaven.dev/agatehaven/internal/hlc"
+import (
+	"slices"
+
+	"agatehaven.dev/agatehaven/internal/hlc"
+)
 
 // HostState is the lifecycle state of a host.
 type HostState string
@@ -22,7 +26,9 @@
 const (
 	// CapabilityRevoke: the target can refuse an attempt for ever and tell
 	// whether it had begun.
-	CapabilityRevoke     Capability = "revoke"
+	CapabilityRevoke Capability = "revoke"
+	// CapabilityCheckpoint: the target can end a task at a checkpoint and start
+	// one from the reference of a checkpoint.
 	CapabilityCheckpoint Capability = "checkpoint"
 	CapabilityThrottle   Capability = "throttle"
 )
@@ -45,6 +51,9 @@
 	Leaving bool `cbor:"13,keyasint,omitempty" json:"leaving,omitempty"`
 }
 
+// Can reports whether the target has announced a capability.
+func (h *HostInfo) Can(c Capability) bool { return slices.Contains(h.Capabilities, c) }
+
 // Usage is a target's report of one running task. It lags behind by up to
 // several seconds.
 type Usage struct {
