Compare spill between data centres in the placement experiment

Cause: the placement experiment runs each data centre on its own, so it cannot show whether requests that wait in one data centre should use slots that idle in another one.

Change: the three data centres advance in step and exchange messages with the delay of their link. A spilled request is an attempt in its home's ledger on a host that stands for the other data centre, which claims and dispatches it at once in its own ledger or proves that it did not begin. SteerOnly chooses the home before the claim instead. Both decide by what the others were told about free slots and queues some time ago. Demand can be skewed, also with another heavy data centre in each cycle, and a variant loses a third of the hosts of one data centre. After every step an audit checks, from the fake executors and the messages and not from the ledgers' own accounts, that no slot is used twice, no request is started twice without the loss of its run, and every open request is in exactly one place.

Ruled out: a spill that queues in the other data centre. Stale knowledge would then leave requests in two queues or in the longer one; a refusal costs one round trip.

--- a/internal/experiment/demand.go
+++ b/internal/experiment/demand.go
@@ -1,7 +1,8 @@
 // Package experiment compares placement policies. Recorded demand drives the
 // real ledger, estimates and placement with simple fake executors, so that the
 // figures come from the code that decides in production. It is not a cluster
-// simulator: there is no network, and no host fails.
+// simulator: the network is a fixed delay between data centres, and hosts fail
+// only where a variant asks for it.
 package experiment
 
 import (
@@ -38,12 +39,15 @@
 	// limit is the longest start latency (urgent) or response time (others)
 	// that counts as in time.
 	limit time.Duration
+	// parts is the size in variants with unequal sizes, in halves of one
+	// slot's part of a host.
+	parts int
 }
 
 var classes = []class{
-	{model.Urgent, 0.3, 500 * time.Millisecond, time.Second, 1600 * time.Millisecond},
-	{model.Normal, 0.55, 2 * time.Second, 4 * time.Second, 10 * time.Second},
-	{model.Patient, 0.15, 20 * time.Second, 5 * time.Second, 2 * time.Minute},
+	{model.Urgent, 0.3, 500 * time.Millisecond, time.Second, 1600 * time.Millisecond, 1},
+	{model.Normal, 0.55, 2 * time.Second, 4 * time.Second, 10 * time.Second, 2},
+	{model.Patient, 0.15, 20 * time.Second, 5 * time.Second, 2 * time.Minute, 4},
 }
 
 // Demand is the recorded demand of all queues.
@@ -72,6 +76,20 @@
 	Burst time.Duration
 	// Peak is the load of a burst as a multiple of the pool's slots.
 	Peak float64
+	// HeavyShare is the share of one data centre in the demand, the others
+	// share the rest evenly; 0 spreads the demand evenly.
+	HeavyShare float64
+	// Rotate makes another data centre the heavy one in each cycle; otherwise
+	// it is always the first.
+	Rotate bool
+}
+
+// heavy returns the data centre with the heavy share at a time.
+func (s DemandSettings) heavy(at time.Duration) int {
+	if !s.Rotate {
+		return 0
+	}
+	return int(at/(s.Burst*time.Duration(len(services)))) % dataCentres
 }
 
 // burstFactor is the demand of a burst and calmFactor the demand in between,
@@ -111,7 +129,7 @@
 				at = boundary
 			} else {
 				at += gap
-				d.arrivals = append(d.arrivals, drawArrival(rng, at, svc.name))
+				d.arrivals = append(d.arrivals, drawArrival(rng, at, svc.name, s))
 			}
 			if at >= d.length {
 				break
@@ -124,8 +142,14 @@
 
 // drawArrival draws the class, place and run time of a request. Run times are
 // log-normal with the mean of their class and a long tail.
-func drawArrival(rng *rand.Rand, at time.Duration, pool string) arrival {
+func drawArrival(rng *rand.Rand, at time.Duration, pool string, s DemandSettings) arrival {
 	a := arrival{at: at, pool: pool, dataCentre: rng.IntN(dataCentres)}
+	if s.HeavyShare > 0 {
+		a.dataCentre = s.heavy(at)
+		if rng.Float64() >= s.HeavyShare {
+			a.dataCentre = (a.dataCentre + 1 + rng.IntN(dataCentres-1)) % dataCentres
+		}
+	}
 	u := rng.Float64()
 	for u >= classes[a.class].share && a.class < len(classes)-1 {
 		u -= classes[a.class].share
@@ -139,8 +163,22 @@
 
 func kindName(pool string, c int) string { return fmt.Sprintf("%s_%s", pool, classes[c].priority) }
 
+// The size of one slot's part of a host.
+const (
+	slotCPUMillis = 4000
+	slotMemoryMB  = 8000
+)
+
+// sizeOf returns what a run of a class really uses at its peak.
+func (v Variant) sizeOf(c int) (cpuMillis, memoryMB int) {
+	if !v.UnequalSizes {
+		return slotCPUMillis, slotMemoryMB
+	}
+	return slotCPUMillis * classes[c].parts / 2, slotMemoryMB * classes[c].parts / 2
+}
+
 // catalogue declares one job kind for each service and class.
-func catalogue() *model.Catalogue {
+func catalogue(v Variant) *model.Catalogue {
 	cat := &model.Catalogue{
 		Pools:    map[string]*model.Pool{sparePool: {Name: sparePool, Spare: true}},
 		JobKinds: map[string]*model.JobKind{},
@@ -148,9 +186,17 @@
 	for _, svc := range services {
 		cat.Pools[svc.name] = &model.Pool{Name: svc.name}
 		for i, c := range classes {
+			cpu, memory := v.sizeOf(i)
+			if v.DeclaredSize > 0 {
+				cpu, memory = int(float64(cpu)*v.DeclaredSize), int(float64(memory)*v.DeclaredSize)
+			}
+			run := c.declared
+			if v.DeclaredRun > 0 {
+				run = time.Duration(float64(c.mean) * v.DeclaredRun)
+			}
 			cat.JobKinds[kindName(svc.name, i)] = &model.JobKind{
-				Pool: svc.name, Priority: c.priority, CPUMillis: 4000, MemoryMB: 8000,
-				RunTimeMS: int(c.declared.Milliseconds()),
+				Pool: svc.name, Priority: c.priority, CPUMillis: cpu, MemoryMB: memory,
+				RunTimeMS: int(run.Milliseconds()), Idempotent: v.LoseHosts, MaxAttempts: maxAttempts,
 			}
 		}
 	}
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -2,7 +2,7 @@
 
 import (
 	"container/heap"
-	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -23,8 +23,30 @@
 	// MoveSpares moves idle spare hosts to a pool whose oldest request has
 	// waited for moveAfter, and back after idleFor, each move taking moveTime.
 	MoveSpares bool
+	// Spill sends waiting requests to other data centres, whose free slots are
+	// known as they were SpillLag ago.
+	Spill    *SpillPolicy
+	SpillLag time.Duration
+	// SteerOnly chooses the data centre before the claim instead, by the same
+	// policy: the chosen one is the request's home, and a claimed request never
+	// leaves.
+	SteerOnly bool
+	// LoseHosts loses every third host of the first data centre when a third
+	// of the demand has passed. Its job kinds are idempotent, so that lost
+	// runs are repeated.
+	LoseHosts bool
+	// DeclaredRun and DeclaredSize are the declared run times and sizes as
+	// multiples of the real means; 0 declares the values of the classes.
+	DeclaredRun, DeclaredSize float64
+	// UnequalSizes gives the classes different real sizes.
+	UnequalSizes bool
+	// IgnoreRuns plans with the declared values instead of the learned ones.
+	IgnoreRuns bool
 }
 
+// maxAttempts allows a repetition of lost runs.
+const maxAttempts = 5
+
 // Settings of the moving of hosts that lending is compared with.
 const (
 	moveAfter = time.Second
@@ -37,30 +59,41 @@
 	// Buffer is the idle slot-seconds held back: slots that stayed idle while
 	// a request waited in the same data centre.
 	Buffer float64
+	// RegionBuffer is the same for slots and requests in any data centre.
+	RegionBuffer float64
 	// Moves counts changes of a host's pool, Lent starts on lent hosts.
 	Moves, Lent int
+	// Spilled counts requests sent to another data centre, SpillRefused those
+	// that it sent back.
+	Spilled, SpillRefused int
 	// InTime is the share of requests in time, by class.
 	InTime map[model.Priority]float64
 	// All is the share of all requests in time.
 	All float64
-	// UrgentP99 is the 99th percentile of the time from claim to start.
-	UrgentP99 time.Duration
+	// UrgentP99 is the 99th percentile of the time from claim to start of
+	// urgent requests, WaitP50 and WaitP99 are percentiles of all requests.
+	UrgentP99, WaitP50, WaitP99 time.Duration
 	// Longest is the longest time from claim to start of a patient request.
 	Longest time.Duration
 	// Lost counts requests that did not finish as done.
 	Lost int
+	// LostRuns counts runs that ended with the loss of their host.
+	LostRuns int
+	// Overcommitted is the time, summed over hosts, in which runs together used
+	// more memory than their host has.
+	Overcommitted time.Duration
 	// Refused counts dispatch decisions that the ledger skipped on apply.
 	Refused int
 }
 
-// Run replays the demand under one variant.
+// Run replays the demand under one variant. It returns a *Violation if a
+// step breaks an invariant.
 func Run(d *Demand, v Variant) (Result, error) {
 	r := &Result{InTime: map[model.Priority]float64{}}
 	t := &tally{classes: map[model.Priority][2]int{}}
-	for i := range dataCentres {
-		if err := newCentre(i, d, v, r, t).run(); err != nil {
-			return Result{}, err
-		}
+	reg := newRegion(d, v, r, t)
+	if err := reg.run(); err != nil {
+		return Result{}, err
 	}
 	total := [2]int{}
 	for p, n := range t.classes {
@@ -70,23 +103,53 @@
 	}
 	r.All = float64(total[0]) / float64(total[1])
 	r.Lost = len(d.arrivals) - t.done
-	sort.Slice(t.urgent, func(i, j int) bool { return t.urgent[i] < t.urgent[j] })
-	r.UrgentP99 = t.urgent[len(t.urgent)*99/100]
+	r.UrgentP99 = percentile(t.urgent, 99)
+	r.WaitP50, r.WaitP99 = percentile(t.waits, 50), percentile(t.waits, 99)
 	return *r, nil
 }
 
+func percentile(values []time.Duration, percent int) time.Duration {
+	slices.Sort(values)
+	return values[len(values)*percent/100]
+}
+
 type tally struct {
 	classes map[model.Priority][2]int // in time, all
-	urgent  []time.Duration
+	urgent  []time.Duration           // from claim to start
+	waits   []time.Duration
 	done    int
 }
 
+// add counts a finished request.
+func (t *tally) add(r *Result, a *arrival, started, answered time.Duration) {
+	cl := classes[a.class]
+	wait, latency := started-a.at, answered-a.at
+	t.waits = append(t.waits, wait)
+	switch cl.priority {
+	case model.Urgent:
+		latency = wait
+		t.urgent = append(t.urgent, wait)
+	case model.Patient:
+		r.Longest = max(r.Longest, wait)
+	}
+	count := t.classes[cl.priority]
+	count[1]++
+	if latency <= cl.limit {
+		count[0]++
+	}
+	t.classes[cl.priority] = count
+}
+
 // running is a request on a fake executor.
 type running struct {
 	ends    time.Duration
 	request *arrival
 	key     string
+	attempt int
+	host    string
 	started time.Duration
+	// spilled names the home's attempt if the home is another data centre.
+	spilled *handover
 }
 
 type executors []running
@@ -114,29 +177,38 @@
 // centre is one data centre with its own ledger, as in production.
 type centre struct {
 	number    int
+	region    *region
 	demand    *Demand
 	variant   Variant
 	result    *Result
-	tally     *tally
 	ledger    *ledger.State
 	learner   *estimate.Learner
 	catalogue *model.Catalogue
 	hosts     map[string]*model.Host
 	names     []string
-	requests  map[string]*arrival
+	requests  map[string]*arrival  // by key of this ledger
+	guests    map[string]*handover // spilled from other data centres, by key of this ledger
 	executors executors
 	moving    map[string]time.Duration // arrival in the new pool
 	idleSince map[string]time.Duration
+	failed    map[string]bool // hosts that no longer run anything
+	cut       []running       // runs that ended with their host, until the ledger knows
+	left      []placement.Request
+	views     []Load // what the others were told, by step
+	sent      []sentSpill
+	tries     map[string]int
+	steering  *steering
 	now       time.Duration
 	index     uint64
 }
 
-func newCentre(number int, d *Demand, v Variant, r *Result, t *tally) *centre {
+func newCentre(number int, reg *region) *centre {
 	c := &centre{
-		number: number, demand: d, variant: v, result: r, tally: t,
-		ledger: ledger.New(ledger.DefaultLimits()), learner: estimate.New(), catalogue: catalogue(),
-		hosts: hostsOf(number), requests: map[string]*arrival{},
+		number: number, region: reg, demand: reg.demand, variant: reg.variant, result: reg.result,
+		ledger: ledger.New(ledger.DefaultLimits()), learner: estimate.New(), catalogue: catalogue(reg.variant),
+		hosts: hostsOf(number), requests: map[string]*arrival{}, guests: map[string]*handover{},
 		moving: map[string]time.Duration{}, idleSince: map[string]time.Duration{},
+		failed: map[string]bool{}, tries: map[string]int{},
 	}
 	for name := range c.hosts {
 		c.names = append(c.names, name)
@@ -147,6 +219,9 @@
 
 // Host implements ledger.Hosts.
 func (c *centre) Host(name string) (model.Host, bool) {
+	if h, ok := otherAsHost(name); ok {
+		return h, true
+	}
 	h := c.hosts[name]
 	if h == nil {
 		return model.Host{}, false
@@ -156,139 +231,188 @@
 
 func (c *centre) time() hlc.Time { return hlc.Time{WallMillis: 1 + c.now.Milliseconds()} }
 
-func (c *centre) apply(cmd ledger.Command) ledger.Result {
+func (c *centre) context() ledger.Context {
 	c.index++
-	res, _ := c.ledger.Apply(ledger.Context{
+	return ledger.Context{
 		DataCentre: "dc", Group: "dc", Index: c.index, Time: c.time(), Catalogue: c.catalogue, Hosts: c,
-	}, &cmd)
+	}
+}
+
+func (c *centre) apply(cmd ledger.Command) ledger.Result {
+	res, _ := c.ledger.Apply(c.context(), &cmd)
 	return res
 }
 
-// run replays the demand until nothing is open.
-func (c *centre) run() error {
-	next, open := 0, 0
-	for ; open > 0 || next < len(c.demand.arrivals); c.now += step {
-		for ; next < len(c.demand.arrivals) && c.demand.arrivals[next].at <= c.now; next++ {
-			a := &c.demand.arrivals[next]
-			if a.dataCentre != c.number {
-				continue
-			}
-			key := fmt.Sprintf("%d", next)
-			c.requests[key] = a
-			res := c.apply(ledger.Command{Claim: &ledger.Claim{Key: key, Kind: kindName(a.pool, a.class)}})
-			if res.Err != nil {
-				return res.Err
-			}
-			open++
-		}
-		open -= c.finish()
-		if c.variant.MoveSpares {
-			c.move()
-		}
-		c.plan()
-	}
-	return nil
+func (c *centre) claim(key string, a *arrival) error {
+	c.requests[key] = a
+	return c.apply(ledger.Command{Claim: &ledger.Claim{Key: key, Kind: kindName(a.pool, a.class)}}).Err
 }
 
-// finish reports the runs that have ended and returns their number.
-func (c *centre) finish() int {
-	n := 0
+func (c *centre) report(key string, attempt int, state model.AttemptState, run time.Duration) {
+	c.apply(ledger.Command{Report: &ledger.Report{Reports: []model.AttemptReport{
+		{Key: key, Attempt: attempt, State: state, RunMS: run.Milliseconds()},
+	}}})
+}
+
+// finish reports the runs that have ended.
+func (c *centre) finish() {
 	for len(c.executors) > 0 && c.executors[0].ends <= c.now {
 		e := heap.Pop(&c.executors).(running)
 		a := e.request
-		c.apply(ledger.Command{Report: &ledger.Report{Reports: []model.AttemptReport{
-			{Key: e.key, Attempt: 1, State: model.AttemptSucceeded, RunMS: a.run.Milliseconds()},
-		}}})
-		c.learner.Finished(kindName(a.pool, a.class), e.key, 1, a.run)
-		n++
-		r, _ := c.ledger.Get(e.key)
-		if r.Outcome == model.OutcomeDone && r.Succeeded {
-			c.tally.done++
-		}
-		cl := classes[a.class]
-		latency := e.ends - a.at
-		if cl.priority == model.Urgent {
-			latency = e.started - a.at
-			c.tally.urgent = append(c.tally.urgent, latency)
-		}
-		if cl.priority == model.Patient {
-			c.result.Longest = max(c.result.Longest, e.started-a.at)
-		}
-		count := c.tally.classes[cl.priority]
-		count[1]++
-		if latency <= cl.limit {
-			count[0]++
+		c.report(e.key, e.attempt, model.AttemptSucceeded, a.run)
+		kind := kindName(a.pool, a.class)
+		cpu, memory := c.variant.sizeOf(a.class)
+		c.learner.Usage(kind, model.Usage{Request: e.key, Attempt: e.attempt, CPUMillis: cpu, MemoryMB: memory})
+		c.learner.Finished(kind, e.key, e.attempt, a.run)
+		if e.spilled != nil {
+			c.answer(e)
+			continue
 		}
-		c.tally.classes[cl.priority] = count
+		c.region.finished(c, e.key, a, e.started, e.ends)
 	}
-	return n
 }
 
-// input translates the state into the input of placement.
-func (c *centre) input() placement.Input {
-	in := placement.Input{Pools: map[string]placement.Pool{sparePool: {Spare: true}}}
+func (c *centre) estimates() map[string]estimate.Estimate {
+	out := make(map[string]estimate.Estimate, len(c.catalogue.JobKinds))
+	learner := c.learner
+	if c.variant.IgnoreRuns {
+		learner = estimate.New()
+	}
+	for name, kind := range c.catalogue.JobKinds {
+		out[name] = learner.Estimate(name, estimate.Declared{
+			Run: time.Duration(kind.RunTimeMS) * time.Millisecond, CPUMillis: kind.CPUMillis, MemoryMB: kind.MemoryMB,
+		})
+	}
+	return out
+}
+
+func (c *centre) placementHosts() []placement.Host {
+	out := make([]placement.Host, 0, len(c.names))
 	for _, name := range c.names {
 		h := c.hosts[name]
 		cpu, memory, accelerators := c.ledger.Reserved(name)
-		in.Hosts = append(in.Hosts, placement.Host{
-			Name: name, Pool: h.Pool, Rack: h.Info.Rack, Available: h.State == model.HostReady,
+		out = append(out, placement.Host{
+			Name: name, Pool: h.Pool, Rack: h.Info.Rack, Available: h.State == model.HostReady && !c.failed[name],
 			Slots: h.Info.Slots, CPUMillis: h.Info.CPUMillis, MemoryMB: h.Info.MemoryMB,
 			UsedSlots: c.ledger.Running(name), UsedCPUMillis: cpu, UsedMemoryMB: memory, UsedAccelerators: accelerators,
 		})
 	}
-	runTimes := map[string]time.Duration{}
-	for name, kind := range c.catalogue.JobKinds {
-		declared := estimate.Declared{Run: time.Duration(kind.RunTimeMS) * time.Millisecond}
-		runTimes[name] = c.learner.Estimate(name, declared).RunP95
-	}
+	return out
+}
+
+// input translates the state into the input of placement.
+func (c *centre) input(estimates map[string]estimate.Estimate) placement.Input {
+	in := placement.Input{Pools: map[string]placement.Pool{sparePool: {Spare: true}}, Hosts: c.placementHosts()}
 	count := map[string]map[model.Priority]int{}
 	for _, svc := range services {
 		count[svc.name] = map[model.Priority]int{}
 		in.Pools[svc.name] = placement.Pool{ServesUrgent: true, Running: count[svc.name]}
 		for _, r := range c.ledger.Queued(svc.name, 10_000) {
+			if c.time().Before(r.NotBefore) {
+				continue
+			}
+			e := estimates[r.Kind]
 			in.Queued = append(in.Queued, placement.Request{
-				Key: r.Key, Pool: r.Pool, Priority: r.Priority, Waiting: c.time().Sub(r.Claimed), Run: runTimes[r.Kind],
-				CPUMillis: r.CPUMillis, MemoryMB: r.MemoryMB,
+				Key: r.Key, Pool: r.Pool, Priority: r.Priority, Waiting: c.time().Sub(r.Claimed), Run: e.RunP95,
+				CPUMillis: e.CPUMillis, MemoryMB: e.MemoryMB,
 			})
 		}
 	}
-	for _, e := range c.executors {
-		count[e.request.pool][classes[e.request.class].priority]++
+	for i := range c.executors {
+		a := c.executors[i].request
+		count[a.pool][classes[a.class].priority]++
 	}
 	return in
 }
 
-// plan places requests and starts them on the fake executors.
-func (c *centre) plan() {
-	queued := 0
+// queued returns the number of queued requests.
+func (c *centre) queued() int {
+	n := 0
 	for _, svc := range services {
-		queued += c.ledger.QueuedCount(svc.name)
+		n += c.ledger.QueuedCount(svc.name)
 	}
-	if queued == 0 {
+	return n
+}
+
+// plan places requests and starts them on the fake executors.
+func (c *centre) plan() {
+	c.left = nil
+	if c.queued() == 0 {
 		return
 	}
-	in := c.input()
+	estimates := c.estimates()
+	in := c.input(estimates)
 	plan := c.variant.Policy.Plan(in)
-	items := make([]ledger.DispatchItem, len(plan.Decisions))
-	for i, d := range plan.Decisions {
-		items[i] = ledger.DispatchItem{Key: d.Key, Attempt: 1, Host: d.Host, Owner: "entry", LentBy: d.LentBy, Reason: d.Reason}
+	items := make([]ledger.DispatchItem, 0, len(plan.Decisions))
+	for _, d := range plan.Decisions {
+		items = append(items, c.item(d, estimates))
+	}
+	started := c.start(items)
+	c.result.Refused += len(items) - len(started)
+	placed := make(map[string]bool, len(started))
+	for _, item := range started {
+		placed[item.Key] = true
+	}
+	for _, r := range in.Queued {
+		if !placed[r.Key] {
+			c.left = append(c.left, r)
+		}
 	}
+}
+
+// item makes a dispatch item that reserves the estimated size.
+func (c *centre) item(d placement.Decision, estimates map[string]estimate.Estimate) ledger.DispatchItem {
+	r, _ := c.ledger.Get(d.Key)
+	e := estimates[r.Kind]
+	return ledger.DispatchItem{
+		Key: d.Key, Attempt: ledger.NextAttempt(r), Host: d.Host, Owner: "entry", LentBy: d.LentBy, Reason: d.Reason,
+		CPUMillis: e.CPUMillis, MemoryMB: e.MemoryMB,
+	}
+}
+
+// start commits dispatch decisions and starts those that the ledger accepts.
+func (c *centre) start(items []ledger.DispatchItem) []ledger.DispatchItem {
 	started := c.apply(ledger.Command{Dispatch: &ledger.Dispatch{Items: items}}).Dispatched
 	for _, item := range started {
 		a := c.requests[item.Key]
-		heap.Push(&c.executors, running{ends: c.now + a.run, request: a, key: item.Key, started: c.now})
+		e := running{
+			ends: c.now + a.run, request: a, key: item.Key, attempt: item.Attempt, host: item.Host, started: c.now,
+			spilled: c.guests[item.Key],
+		}
+		heap.Push(&c.executors, e)
+		c.region.audit.started(c.homeKey(item.Key))
 		if item.LentBy != "" {
 			c.result.Lent++
 		}
 	}
-	c.result.Refused += len(items) - len(started)
-	idle := 0
+	return started
+}
+
+// idle returns the number of idle slots.
+func (c *centre) idle() int {
+	n := 0
 	for _, name := range c.names {
-		if c.hosts[name].State == model.HostReady {
-			idle += slotsPerHost - c.ledger.Running(name)
+		if c.hosts[name].State == model.HostReady && !c.failed[name] {
+			n += slotsPerHost - c.ledger.Running(name)
 		}
 	}
-	c.result.Buffer += float64(min(idle, queued-len(started))) * step.Seconds()
+	return n
+}
+
+// overcommitted counts the hosts whose runs use more memory than they have.
+func (c *centre) overcommitted() int {
+	used := map[string]int{}
+	for i := range c.executors {
+		_, memory := c.variant.sizeOf(c.executors[i].request.class)
+		used[c.executors[i].host] += memory
+	}
+	n := 0
+	for host, memory := range used {
+		if memory > c.hosts[host].Info.MemoryMB {
+			n++
+		}
+	}
+	return n
 }
 
 // move is the alternative to lending: it changes the pool of idle spare hosts.
