Plan the placement experiment with the learned median run time

Cause: the experiment passed the learned 95th percentile of run times to placement, the product passes the learned median, so the bound on lent work applied to different values.

Change: the experiment passes the median as well.

--- a/internal/experiment/region.go
+++ b/internal/experiment/region.go
@@ -328,7 +328,7 @@
 		st.own, st.lent = own.FreeForSpill(hosts, waiting), lent.FreeForSpill(hosts, waiting)
 		c.steering = st
 	}
-	r := SpillRequest{Key: key, Pool: a.pool, Run: st.estimates[kindName(a.pool, a.class)].RunP95}
+	r := SpillRequest{Key: key, Pool: a.pool, Run: st.estimates[kindName(a.pool, a.class)].RunP50}
 	if st.own[a.pool] > 0 {
 		st.own[a.pool]--
 		st.lent[a.pool]--
@@ -440,7 +440,7 @@
 	a := h.request
 	estimates := c.estimates()
 	e := estimates[kindName(a.pool, a.class)]
-	pool, ok := c.variant.Spill.Accept(c.freeForSpillWithout(a.pool), SpillRequest{Key: key, Pool: a.pool, Run: e.RunP95})
+	pool, ok := c.variant.Spill.Accept(c.freeForSpillWithout(a.pool), SpillRequest{Key: key, Pool: a.pool, Run: e.RunP50})
 	if !ok {
 		return false
 	}
