Check spill of requests that run at most once under lost hosts

Cause: the variants that lose hosts use idempotent kinds, so they do not show that a spilled request whose run was lost is never repeated by its home.

Change: AtMostOnce makes the kinds non-idempotent. The other data centre tells the home that the run was lost, and the home's attempt becomes unknown. The demand can be heavy in the last data centre, so that spilled requests run on the hosts that are lost.

Conclusion: at most once holds across a spill with the ledger's own rules.

--- a/internal/experiment/demand.go
+++ b/internal/experiment/demand.go
@@ -80,13 +80,16 @@
 	// share the rest evenly; 0 spreads the demand evenly.
 	HeavyShare float64
 	// Rotate makes another data centre the heavy one in each cycle; otherwise
-	// it is always the first.
-	Rotate bool
+	// it is always the first, or the last with HeavyLast.
+	Rotate, HeavyLast bool
 }
 
 // heavy returns the data centre with the heavy share at a time.
 func (s DemandSettings) heavy(at time.Duration) int {
-	if !s.Rotate {
+	switch {
+	case s.HeavyLast:
+		return dataCentres - 1
+	case !s.Rotate:
 		return 0
 	}
 	return int(at/(s.Burst*time.Duration(len(services)))) % dataCentres
@@ -196,7 +199,7 @@
 			}
 			cat.JobKinds[kindName(svc.name, i)] = &model.JobKind{
 				Pool: svc.name, Priority: c.priority, CPUMillis: cpu, MemoryMB: memory,
-				RunTimeMS: int(run.Milliseconds()), Idempotent: v.LoseHosts, MaxAttempts: maxAttempts,
+				RunTimeMS: int(run.Milliseconds()), Idempotent: v.LoseHosts && !v.AtMostOnce, MaxAttempts: maxAttempts,
 			}
 		}
 	}
--- a/internal/experiment/region.go
+++ b/internal/experiment/region.go
@@ -53,6 +53,8 @@
 	// messageClaim brings a request to the data centre that was chosen as its
 	// home before it was claimed.
 	messageClaim
+	// messageLost tells the home that the run of a spilled request was lost.
+	messageLost
 )
 
 type message struct {
@@ -202,6 +204,9 @@
 		case messageAnswer:
 			c.report(m.h.key, m.h.attempt, model.AttemptSucceeded, m.h.request.run)
 			reg.finished(c, m.h.key, m.h.request, m.h.started, m.answered)
+		case messageLost:
+			c.report(m.h.key, m.h.attempt, model.AttemptUnknown, 0)
+			reg.unknown(c, m.h.key)
 		case messageClaim:
 			if err := c.claim(m.h.key, m.h.request); err != nil {
 				return err
@@ -221,6 +226,14 @@
 	reg.tally.add(reg.result, a, started, answered)
 }
 
+// unknown counts a request whose only run was lost.
+func (reg *region) unknown(home *centre, key string) {
+	if r, ok := home.ledger.Get(key); ok && r.Outcome == model.OutcomeUnknown {
+		reg.result.Unknown++
+	}
+	delete(reg.open, key)
+}
+
 // otherPool is the pool of the hosts that stand for other data centres in the
 // home's ledger: a spilled request is an attempt on such a host, so that the
 // ledger's rules for attempts hold for it.
@@ -508,7 +521,12 @@
 			}
 			c.cut = append(c.cut, e)
 			c.result.LostRuns++
-			c.region.audit.cut(c.homeKey(e.key))
+			if e.spilled != nil {
+				c.result.LostSpilled++
+			}
+			if !c.variant.AtMostOnce {
+				c.region.audit.cut(c.homeKey(e.key))
+			}
 		}
 		c.executors = kept
 		heap.Init(&c.executors)
@@ -517,10 +535,27 @@
 			c.hosts[name].State = model.HostLost
 			c.ledger.HostLost(c.context(), name, "1", "lease expired")
 		}
+		if c.variant.AtMostOnce {
+			c.closeCut()
+		}
 		c.cut = nil
 	}
 }
 
+// closeCut tells the homes of the lost runs that will not be repeated.
+func (c *centre) closeCut() {
+	for _, e := range c.cut {
+		if e.spilled == nil {
+			c.region.unknown(c, e.key)
+			continue
+		}
+		delete(c.guests, e.key)
+		c.region.send(message{
+			at: c.now + networkDelay(c.number, e.spilled.home), kind: messageLost, to: e.spilled.home, from: c.number, h: e.spilled,
+		})
+	}
+}
+
 // retry queues requests again whose attempt was lost, or was refused by
 // another data centre.
 func (c *centre) retry() {
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -33,8 +33,9 @@
 	SteerOnly bool
 	// LoseHosts loses every third host of the first data centre when a third
 	// of the demand has passed. Its job kinds are idempotent, so that lost
-	// runs are repeated.
-	LoseHosts bool
+	// runs are repeated, unless AtMostOnce is set: then the outcome of their
+	// requests is unknown.
+	LoseHosts, AtMostOnce bool
 	// DeclaredRun and DeclaredSize are the declared run times and sizes as
 	// multiples of the real means; 0 declares the values of the classes.
 	DeclaredRun, DeclaredSize float64
@@ -75,10 +76,14 @@
 	UrgentP99, WaitP50, WaitP99 time.Duration
 	// Longest is the longest time from claim to start of a patient request.
 	Longest time.Duration
-	// Lost counts requests that did not finish as done.
+	// Lost counts requests that finished neither as done nor as unknown.
 	Lost int
-	// LostRuns counts runs that ended with the loss of their host.
-	LostRuns int
+	// Unknown counts requests that may run at most once and whose run was
+	// lost.
+	Unknown int
+	// LostRuns counts runs that ended with the loss of their host, LostSpilled
+	// those of them that were spilled there.
+	LostRuns, LostSpilled int
 	// Overcommitted is the time, summed over hosts, in which runs together used
 	// more memory than their host has.
 	Overcommitted time.Duration
@@ -102,7 +107,7 @@
 		total[1] += n[1]
 	}
 	r.All = float64(total[0]) / float64(total[1])
-	r.Lost = len(d.arrivals) - t.done
+	r.Lost = len(d.arrivals) - t.done - r.Unknown
 	r.UrgentP99 = percentile(t.urgent, 99)
 	r.WaitP50, r.WaitP99 = percentile(t.waits, 50), percentile(t.waits, 99)
 	return *r, nil
--- a/internal/experiment/spill_test.go
+++ b/internal/experiment/spill_test.go
@@ -213,6 +213,30 @@
 		}
 	})
 
+	It("never repeats the lost run of a request that may run at most once", func() {
+		// Guards against a spilled request that its home runs again after the
+		// other data centre lost it, and against one that is forgotten.
+		var trials []trial
+		for _, heavyFirst := range []bool{true, false} {
+			for _, v := range spillVariants() {
+				v.LoseHosts, v.AtMostOnce = true, true
+				d := demand(3, 0.6, false)
+				d.HeavyLast = !heavyFirst // the hosts are lost in the first data centre
+				trials = append(trials, trial{fmt.Sprintf("heavy first %t", heavyFirst), d, v})
+			}
+		}
+		spilledLost := 0
+		for i, rs := range runTrials(trials, 3) {
+			for _, r := range rs {
+				Expect(r.Lost).To(BeZero(), "%s, %s", trials[i].scenario, trials[i].variant.Name)
+				Expect(r.LostRuns).To(BeNumerically(">", 0))
+				Expect(r.Unknown).To(Equal(r.LostRuns), "%s, %s", trials[i].scenario, trials[i].variant.Name)
+				spilledLost += r.LostSpilled
+			}
+		}
+		Expect(spilledLost).To(BeNumerically(">", 0), "spilled requests are among the lost runs")
+	})
+
 	It("compares the age of the knowledge of the other data centres", func() {
 		// Guards against stale knowledge that sends requests back and forth.
 		var trials []trial
