--- a/internal/control/owners.go
+++ b/internal/control/owners.go
@@ -45,7 +45,8 @@
 }
 
 // PullAssignments returns the attempts that the owner does not know yet, and
-// known ones that must stop, or whose host drains and may want a checkpoint. It waits up to r.WaitMS.
+// known ones that must stop, or whose host drains and may want a checkpoint. It
+// waits up to r.WaitMS.
 func (c *Controller) PullAssignments(ctx context.Context, r *peer.PullAssignmentsRequest) (*peer.PullAssignmentsResponse, error) {
 	deadline := c.cfg.Clock.After(time.Duration(r.WaitMS) * time.Millisecond)
 	if err := c.requireLeading(); err != nil {
--- a/internal/ledger/checkpoint.go
+++ b/internal/ledger/checkpoint.go
@@ -49,8 +49,8 @@
 // resumes reports whether the request goes back to the queue at once after the
 // attempt: it was moved, or the move may have cost it its end. Neither is a
 // retry: the first was ordered, and the second happens at most twice for each
-// order, to the attempt that it ends and to the one that continues. Late evidence about an earlier attempt
-// must not spare a later one its retry.
+// order, to the attempt that it ends and to the one that continues. Late
+// evidence about an earlier attempt must not spare a later one its retry.
 func resumes(r *model.Request, a *model.Attempt) bool {
 	return r.Idempotent && lastAttempt(r).Number == a.Number && (a.State == model.AttemptCheckpointed || a.CheckpointLost)
 }
