--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -150,6 +150,51 @@
 		Expect(n.Commit()).To(Equal(index))
 	})
 
+	It("promotes a learner in an idle group whose snapshot covers the whole log", func() {
+		// Guards against a learner that has caught up by a snapshot but stays a
+		// learner until the next entry, since nothing was left to send to it.
+		leader, err := raft.New(raft.Options{ID: "a#1", Snapshot: raft.SnapshotMeta{
+			Config: raft.Configuration{Members: []raft.Member{{ID: "a#1", Host: "a"}}},
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		learner, err := raft.New(raft.Options{ID: "d#1"})
+		Expect(err).NotTo(HaveOccurred())
+		cut := true
+		work := func(n, other *raft.Node) {
+			for rd, ok := n.Ready(); ok; rd, ok = n.Ready() {
+				n.Advance(rd)
+				for _, m := range rd.Messages {
+					if m.Type == raft.MsgSnapshot {
+						m.Chunk = []byte("s")
+					}
+					if !cut {
+						other.Step(m)
+					}
+				}
+			}
+		}
+		pass := func(ticks int) {
+			for range ticks {
+				leader.Tick()
+				for range 4 {
+					work(leader, learner)
+					work(learner, leader)
+				}
+			}
+		}
+		pass(40)
+		Expect(leader.Status().Role).To(Equal(raft.Leader))
+		_, _, err = leader.ProposeAdd(raft.Member{ID: "d#1", Host: "d"})
+		Expect(err).NotTo(HaveOccurred())
+		pass(1)
+		index := leader.Commit()
+		leader.Compact(raft.SnapshotMeta{Index: index, Term: leader.Status().Term, Config: leader.ConfigAt(index), Size: 1}, raft.Retention{})
+		cut = false
+		pass(40)
+		Expect(learner.Commit()).To(BeNumerically(">", index))
+		Expect(leader.Status().Config.Voters()).To(Equal([]string{"a#1", "d#1"}))
+	})
+
 	It("undoes a change of members together with its entry", func() {
 		// Guards against a quorum that counts members of a change that was
 		// never committed.
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -202,8 +202,10 @@
 			n.sendChunk(m.From, p)
 		}
 		p.stalled = true
-	case p.match < n.log.last():
-		// An append may have been lost; an empty one makes the member tell.
+	case p.state == stateProbe || p.match < n.log.last():
+		// An append may have been lost; an empty one makes the member tell. A
+		// member that holds the whole log by a snapshot is probed too, since a
+		// learner is promoted only in stateReplicate.
 		p.paused = false
 		if len(p.inflight) >= n.opts.MaxInflight {
 			p.inflight = p.inflight[1:]
