Compute the digest of the records once for each delta

Cause: applying a delta encodes and hashes all records to check the result against the state that it names. The data centre's state machine and the records in force then did the same again for the state that had just been proved. Change: Set.ReplaceAs and inForce.take accept the state that the delta names; Replace and adopt, for whole sets, compute it as before. Ruled out: leaving out the check, which refuses damaged deltas.

--- a/internal/daemon/inforce.go
+++ b/internal/daemon/inforce.go
@@ -55,7 +55,10 @@
 }
 
 // adopt takes records into force unless they are older than the current ones.
-func (f *inForce) adopt(records *model.Records) error {
+func (f *inForce) adopt(records *model.Records) error { return f.take(records, delta.StateOf(records)) }
+
+// take is adopt for records whose state is known.
+func (f *inForce) take(records *model.Records, state delta.State) error {
 	catalogue, err := model.ParseCatalogue(records)
 	if err != nil {
 		return err
@@ -64,7 +67,7 @@
 	defer f.mu.Unlock()
 	f.refused = false
 	if f.records == nil || records.Newer(f.records) {
-		f.records, f.state, f.catalogue = records, delta.StateOf(records), catalogue
+		f.records, f.state, f.catalogue = records, state, catalogue
 	}
 	return nil
 }
@@ -81,7 +84,7 @@
 	}
 	next, err := delta.Patch(records, have, d)
 	if err == nil {
-		err = f.adopt(next)
+		err = f.take(next, d.To)
 	}
 	if err != nil {
 		f.mu.Lock()
--- a/internal/datacentre/commands.go
+++ b/internal/datacentre/commands.go
@@ -103,7 +103,7 @@
 func (m *Machine) apply(e replica.Entry, cmd *Command) (Result, []event.Event) {
 	switch {
 	case cmd.Adopt != nil:
-		return m.applyAdopt(e, cmd.Adopt)
+		return m.applyAdopt(e, cmd.Adopt, delta.StateOf(cmd.Adopt))
 	case cmd.AdoptDelta != nil:
 		return m.applyAdoptDelta(e, cmd.AdoptDelta)
 	case cmd.Inventory != nil:
@@ -117,7 +117,7 @@
 
 // applyAdopt takes newer records into force. The revision never falls: older
 // or equal records are refused.
-func (m *Machine) applyAdopt(e replica.Entry, records *model.Records) (Result, []event.Event) {
+func (m *Machine) applyAdopt(e replica.Entry, records *model.Records, to delta.State) (Result, []event.Event) {
 	if current := m.records.Records(); !records.Newer(current) {
 		return Result{Err: &fault.RevisionConflict{Expected: records.Revision, Current: current.Revision}}, nil
 	}
@@ -125,7 +125,7 @@
 	if err != nil {
 		return Result{Err: err}, nil
 	}
-	if err := m.records.Replace(records); err != nil {
+	if err := m.records.ReplaceAs(records, to); err != nil {
 		return Result{Err: err}, nil
 	}
 	m.catalogue = catalogue
@@ -159,7 +159,7 @@
 	if err != nil {
 		return Result{Err: err}, nil
 	}
-	return m.applyAdopt(e, records)
+	return m.applyAdopt(e, records, d.To)
 }
 
 // applyInventory applies a host command and tells the ledger which task
--- a/internal/delta/set.go
+++ b/internal/delta/set.go
@@ -63,14 +63,18 @@
 
 // Replace takes the whole of newer records. It returns *fault.RevisionConflict
 // if they are not newer; then the set is unchanged.
-func (s *Set) Replace(next *model.Records) error {
+func (s *Set) Replace(next *model.Records) error { return s.ReplaceAs(next, StateOf(next)) }
+
+// ReplaceAs is Replace for records whose state is known, as that of a patch:
+// to compute it encodes all records.
+func (s *Set) ReplaceAs(next *model.Records, to State) error {
 	if !next.Newer(s.records) {
 		return &fault.RevisionConflict{Expected: next.Revision, Current: s.records.Revision}
 	}
 	step := difference(s.records, next)
 	step.From = s.state
 	s.add(step)
-	s.records, s.state = next, StateOf(next)
+	s.records, s.state = next, to
 	return nil
 }
 
