Serve equal steps by one piece of code

The two monitors of the daemon share one loop that reports each change; the operators' queries take the gathered answers as values instead of copying them in three loops; the two decoders of CBOR and the two readers of varints have one body each; the load tool builds its table of counters once for a page of metrics instead of once for each line. Behaviour is the same, and no test was changed.

--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -43,19 +43,16 @@
 
 // Unmarshal decodes data into v. It returns *fault.Corrupt if data is not a
 // valid encoding of v's type.
-func Unmarshal(data []byte, v any) error {
-	if err := decoder.Unmarshal(data, v); err != nil {
-		return &fault.Corrupt{What: "CBOR message", Reason: err.Error()}
-	}
-	return nil
-}
+func Unmarshal(data []byte, v any) error { return unmarshal(decoder, data, v) }
 
 // UnmarshalStrict is Unmarshal for replicated state: log entries and
 // snapshots. It returns *fault.Unsupported if data has fields that v's type
 // lacks, which a newer version has written. To ignore them would make this
 // replica's state differ from that of newer ones.
-func UnmarshalStrict(data []byte, v any) error {
-	err := strict.Unmarshal(data, v)
+func UnmarshalStrict(data []byte, v any) error { return unmarshal(strict, data, v) }
+
+func unmarshal(mode cbor.DecMode, data []byte, v any) error {
+	err := mode.Unmarshal(data, v)
 	var unknown *cbor.UnknownFieldError
 	switch {
 	case errors.As(err, &unknown):
--- a/internal/daemon/monitor.go
+++ b/internal/daemon/monitor.go
@@ -37,39 +37,40 @@
 }
 
 func (d *Daemon) monitorPeer(ctx context.Context, host string) {
-	silent := false
-	for ctx.Err() == nil {
-		err := d.probe(ctx, host)
-		if ctx.Err() != nil {
-			return
-		}
-		switch {
-		case err != nil && !silent:
+	d.monitor(ctx, func() error { return d.probe(ctx, host) }, func(err error) {
+		if err != nil {
 			d.recordPeer(eventPeerSilent, host, err.Error())
-		case err == nil && silent:
+		} else {
 			d.recordPeer(eventPeerBack, host, "it answers probes again")
 		}
-		silent = err != nil
-		select {
-		case <-d.clock.After(peerProbeInterval):
-		case <-ctx.Done():
-		}
-	}
+	})
 }
 
 // monitorClock tells when the clock of this host, compared with those that the
 // probes measure, cannot be relied on.
 func (d *Daemon) monitorClock(ctx context.Context) {
-	skewed := false
-	for ctx.Err() == nil {
-		err := d.hlc.Skew()
-		switch {
-		case err != nil && !skewed:
+	d.monitor(ctx, d.hlc.Skew, func(err error) {
+		if err != nil {
 			d.recordClock(eventClockSkewed, err.Error())
-		case err == nil && skewed:
+		} else {
 			d.recordClock(eventClockBack, "it agrees with the majority again")
 		}
-		skewed = err != nil
+	})
+}
+
+// monitor repeats a check until ctx ends and reports each change between
+// success and failure. Before the first check success is assumed.
+func (d *Daemon) monitor(ctx context.Context, check func() error, report func(err error)) {
+	failed := false
+	for ctx.Err() == nil {
+		err := check()
+		if ctx.Err() != nil {
+			return
+		}
+		if (err != nil) != failed {
+			report(err)
+		}
+		failed = err != nil
 		select {
 		case <-d.clock.After(peerProbeInterval):
 		case <-ctx.Done():
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -121,12 +121,8 @@
 	if len(states) == 0 {
 		return nil, &fault.Unavailable{What: "data centres", Reason: "none was reached"}
 	}
-	out := &query.DataCentres{Unreachable: unreachable}
-	for _, s := range states {
-		out.DataCentres = append(out.DataCentres, *s)
-	}
-	sort.Slice(out.DataCentres, func(i, j int) bool { return out.DataCentres[i].DataCentre < out.DataCentres[j].DataCentre })
-	return out, nil
+	sort.Slice(states, func(i, j int) bool { return states[i].DataCentre < states[j].DataCentre })
+	return &query.DataCentres{DataCentres: states, Unreachable: unreachable}, nil
 }
 
 // Request implements query.Backend.
@@ -143,11 +139,7 @@
 	states, unreachable := askHosts(ctx, o.d, func(ctx context.Context, h peer.Handler) (*peer.GroupStatusResponse, error) {
 		return h.GroupStatus(ctx, &peer.GroupStatusRequest{})
 	})
-	out := &query.GroupStatuses{Unreachable: unreachable}
-	for _, s := range states {
-		out.Processes = append(out.Processes, *s)
-	}
-	return out, nil
+	return &query.GroupStatuses{Processes: states, Unreachable: unreachable}, nil
 }
 
 // InForce implements query.Backend.
@@ -155,11 +147,7 @@
 	states, unreachable := askHosts(ctx, o.d, func(ctx context.Context, h peer.Handler) (*peer.InForceResponse, error) {
 		return h.InForce(ctx, &peer.InForceRequest{})
 	})
-	out := &query.InForce{Unreachable: unreachable}
-	for _, s := range states {
-		out.Processes = append(out.Processes, *s)
-	}
-	return out, nil
+	return &query.InForce{Processes: states, Unreachable: unreachable}, nil
 }
 
 // Events implements query.Backend.
@@ -184,7 +172,7 @@
 }
 
 // askHosts calls every entry host of the region.
-func askHosts[T any](ctx context.Context, d *Daemon, call func(context.Context, peer.Handler) (*T, error)) ([]*T, []string) {
+func askHosts[T any](ctx context.Context, d *Daemon, call func(context.Context, peer.Handler) (*T, error)) ([]T, []string) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	names := make([]string, 0, len(d.settings.Hosts))
@@ -202,7 +190,7 @@
 
 // gather calls ask for all names at once and returns the answers and the
 // names without one.
-func gather[T any](names []string, ask func(name string) (*T, error)) (answers []*T, unreachable []string) {
+func gather[T any](names []string, ask func(name string) (*T, error)) (answers []T, unreachable []string) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for _, name := range names {
@@ -214,7 +202,7 @@
 				unreachable = append(unreachable, name)
 				return
 			}
-			answers = append(answers, answer)
+			answers = append(answers, *answer)
 		})
 	}
 	wg.Wait()
--- a/internal/ledger/keys.go
+++ b/internal/ledger/keys.go
@@ -112,19 +112,10 @@
 	return out
 }
 
-func (r *keyReader) uvarint() uint64 {
-	v, n := binary.Uvarint(r.data)
-	if n <= 0 {
-		r.bad = true
-		return 0
-	}
-	r.data = r.data[n:]
-	return v
-}
-
-func (r *keyReader) varint() int64 {
-	v, n := binary.Varint(r.data)
-	if n <= 0 {
+// number decodes one varint with binary.Uvarint or binary.Varint.
+func number[T int64 | uint64](r *keyReader, decode func([]byte) (T, int)) T {
+	v, n := decode(r.data)
+	if r.bad || n <= 0 {
 		r.bad = true
 		return 0
 	}
@@ -136,15 +127,15 @@
 // follow it.
 func decodeKey(data []byte) (k retainedKey, rest []byte, ok bool) {
 	r := &keyReader{data: data}
-	k.key = string(r.bytes(r.uvarint()))
+	k.key = string(r.bytes(number(r, binary.Uvarint)))
 	copy(k.digest[:], r.bytes(sha256.Size))
 	if wall := r.bytes(8); wall != nil {
 		k.finished.WallMillis = int64(binary.BigEndian.Uint64(wall))
 	}
-	k.finished.Logical = uint32(r.uvarint())
-	k.claimed.WallMillis = k.finished.WallMillis - r.varint()
-	k.claimed.Logical = uint32(r.uvarint())
-	k.attempt = int(r.uvarint())
+	k.finished.Logical = uint32(number(r, binary.Uvarint))
+	k.claimed.WallMillis = k.finished.WallMillis - number(r, binary.Varint)
+	k.claimed.Logical = uint32(number(r, binary.Uvarint))
+	k.attempt = int(number(r, binary.Uvarint))
 	if flags := r.bytes(1); flags != nil {
 		k.done, k.succeeded = flags[0]&flagDone != 0, flags[0]&flagSucceeded != 0
 		r.bad = r.bad || flags[0]&^(flagDone|flagSucceeded) != 0 || (k.succeeded && !k.done)
--- a/internal/load/usage.go
+++ b/internal/load/usage.go
@@ -127,6 +127,13 @@
 	histograms := map[string]Histogram{
 		"agatehaven_replica_sync_seconds_bucket": s.Sync, "agatehaven_replica_commit_seconds_bucket": s.Commit,
 	}
+	counters := map[string]*float64{
+		"process_cpu_seconds_total": &s.CPU, "process_resident_memory_bytes": &s.Memory,
+		"agatehaven_connection_sent_bytes_total":     &s.Sent,
+		"agatehaven_connection_received_bytes_total": &s.Receive,
+		"agatehaven_replica_log_bytes_total":         &s.Log,
+		"agatehaven_replica_proposals_total":         &s.Commits,
+	}
 	lines := bufio.NewScanner(body)
 	for lines.Scan() {
 		name, text, ok := strings.Cut(lines.Text(), " ")
@@ -137,13 +144,7 @@
 		if m := hostLabel.FindStringSubmatch(labels); m != nil {
 			s.Host = m[1]
 		}
-		into := map[string]*float64{
-			"process_cpu_seconds_total": &s.CPU, "process_resident_memory_bytes": &s.Memory,
-			"agatehaven_connection_sent_bytes_total":     &s.Sent,
-			"agatehaven_connection_received_bytes_total": &s.Receive,
-			"agatehaven_replica_log_bytes_total":         &s.Log,
-			"agatehaven_replica_proposals_total":         &s.Commits,
-		}[metric]
+		into := counters[metric]
 		histogram := histograms[metric]
 		if into == nil && histogram == nil || strings.Contains(labels, `peer="diagnostics"`) {
 			continue
