Check the leadership once at the start of a pull

PullAssignments checked it before it counted the pull and again at once in its loop. The loop now checks after each wake-up, which is the same order of steps without the repetition.

--- a/internal/control/owners.go
+++ b/internal/control/owners.go
@@ -54,9 +54,6 @@
 	}
 	defer c.beginPull(r)()
 	for {
-		if err := c.requireLeading(); err != nil {
-			return nil, err
-		}
 		changed := c.cfg.Machine.Changed()
 		updatesDue := c.recordOwner(r)
 		if list := c.assignments(r, updatesDue); len(list) > 0 {
@@ -69,6 +66,9 @@
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
+		if err := c.requireLeading(); err != nil {
+			return nil, err
+		}
 	}
 }
 
