Build the steering of a step in a function of its own

The sum of the queued run times by pool stood in two places, and steer built its state inline. Both are functions now; the experiment does the same steps.

--- a/internal/experiment/handover.go
+++ b/internal/experiment/handover.go
@@ -21,14 +21,20 @@
 
 // load is what the data centre tells the others.
 func (c *centre) load() Load {
-	l := Load{
+	return Load{
 		Free:  c.variant.Spill.FreeForSpill(c.placementHosts(), c.waiting()),
-		Slots: c.slots(), Ahead: map[string]time.Duration{},
+		Slots: c.slots(), Ahead: c.ahead(),
 	}
+}
+
+// ahead returns the expected run time of the requests that the plan left
+// queued, by pool.
+func (c *centre) ahead() map[string]time.Duration {
+	ahead := map[string]time.Duration{}
 	for _, r := range c.left {
-		l.Ahead[r.Pool] += r.Run
+		ahead[r.Pool] += r.Run
 	}
-	return l
+	return ahead
 }
 
 // slots returns the available slots by pool.
@@ -76,6 +82,18 @@
 	in        SpillInput
 }
 
+// newSteering returns the state of this step before its arrivals.
+func (c *centre) newSteering() *steering {
+	st := &steering{estimates: c.estimates()}
+	st.in = c.spillInput(st.estimates)
+	st.in.Waiting, st.in.Ahead = nil, c.ahead()
+	hosts, waiting := c.placementHosts(), c.waiting()
+	own, lent := *c.variant.Spill, *c.variant.Spill
+	own.Reserve, lent.Reserve = c.variant.Policy.UrgentReserve, c.variant.Policy.LendReserve
+	st.own, st.lent = own.FreeForSpill(hosts, waiting), lent.FreeForSpill(hosts, waiting)
+	return st
+}
+
 // steer sends an arrival to another data centre, which becomes its home, if
 // its own one has no free slot for it and the expected wait is above the
 // threshold.
@@ -83,21 +101,10 @@
 	if len(c.views) == 0 {
 		return false
 	}
-	p := *c.variant.Spill
-	st := c.steering
-	if st == nil {
-		st = &steering{estimates: c.estimates()}
-		st.in = c.spillInput(st.estimates)
-		st.in.Waiting, st.in.Ahead = nil, map[string]time.Duration{}
-		for _, r := range c.left {
-			st.in.Ahead[r.Pool] += r.Run
-		}
-		hosts, waiting := c.placementHosts(), c.waiting()
-		own, lent := p, p
-		own.Reserve, lent.Reserve = c.variant.Policy.UrgentReserve, c.variant.Policy.LendReserve
-		st.own, st.lent = own.FreeForSpill(hosts, waiting), lent.FreeForSpill(hosts, waiting)
-		c.steering = st
+	if c.steering == nil {
+		c.steering = c.newSteering()
 	}
+	p, st := c.variant.Spill, c.steering
 	r := SpillRequest{Key: key, Pool: a.pool, Run: st.estimates[kindName(a.pool, a.class)].RunP50}
 	if st.own[a.pool] > 0 {
 		st.own[a.pool]--
