Resume a paused wave in its test once no step is open

Cause: the case of a wave under a killed leader failed in one of two complete runs on a quiet machine. In its log two hosts of dc-a were rebooted 157 ms apart, since a spare host had joined the pool, and both did not return. The step of the first failed and paused the wave; the test resumed it 0.1 s later, just before the step of the second failed, which rightly paused it again. Change: the test resumes once the paused wave has no open step, as an operator should; docs/operations.md says so. Everything that it checks is unchanged. Ruled out: the deadlock that failed this case before (all processes went on and adopted the resumption), and a resumption that was lost.

--- a/internal/e2e/wave_test.go
+++ b/internal/e2e/wave_test.go
@@ -132,6 +132,12 @@
 		for _, t := range r.fleets["dc-a"].Targets() {
 			t.SetFaults(standin.Faults{})
 		}
+		// A second host may have been rebooted before the pause. If its step fails
+		// after the resumption, the wave rightly pauses again.
+		Eventually(func() bool {
+			p := r.progress("second")["dc-a"]
+			return p.Paused && len(p.Current) == 0
+		}).WithTimeout(readyLimit).WithPolling(pollEvery).Should(BeTrue())
 		r.ctl("waves", "resume", "second")
 		Eventually(func() []string { return r.unfinished("second") }).
 			WithTimeout(readyLimit).WithPolling(pollEvery).Should(BeEmpty())
