--- a/cmd/agatehavend/main.go
+++ b/cmd/agatehavend/main.go
@@ -16,12 +16,15 @@
 	"agatehaven.dev/agatehaven/internal/daemon"
 	"agatehaven.dev/agatehaven/internal/logging"
 	"agatehaven.dev/agatehaven/internal/settings"
+	"agatehaven.dev/agatehaven/platform"
 )
 
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&runCommand{}, "")
 	subcommands.Register(&checkCommand{}, "")
+	subcommands.Register(&roleCommand{"entry", "serve callers on the users' platform", platform.RunEntry}, "")
+	subcommands.Register(&roleCommand{"core", "serve targets and operators on the users' platform", platform.RunCore}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
@@ -107,3 +110,23 @@
 	}
 	return subcommands.ExitSuccess
 }
+
+// roleCommand serves one role on the users' platform, whose settings file the
+// environment names.
+type roleCommand struct {
+	name, synopsis string
+	serve          func() error
+}
+
+func (c *roleCommand) Name() string         { return c.name }
+func (c *roleCommand) Synopsis() string     { return c.synopsis }
+func (c *roleCommand) Usage() string        { return c.name + "\n\nSIGTERM stops gracefully.\n" }
+func (*roleCommand) SetFlags(*flag.FlagSet) {}
+
+func (c *roleCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	if err := c.serve(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/internal/core/commands.go
@@ -0,0 +1,190 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"slices"
+
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/leader"
+	"agatehaven.dev/agatehaven/internal/link"
+	"agatehaven.dev/agatehaven/internal/replica"
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+// retryAfterMS is when a caller may try again while no leader serves: about
+// the time of an election.
+const retryAfterMS = 1000
+
+// leaderHere returns the leader of this process while it can serve. Errors:
+// *fault.NotLeader, or *fault.Unavailable before it has proved that it leads.
+func (c *Core) leaderHere() (*leader.Leader, error) {
+	c.mu.Lock()
+	l := c.leading
+	c.mu.Unlock()
+	if l == nil {
+		return nil, &fault.NotLeader{Group: group, Leader: c.knownLeader()}
+	}
+	if !l.Confirmed() {
+		return nil, &fault.Unavailable{What: "leader", Reason: "it has no quorum yet"}
+	}
+	return l, nil
+}
+
+// knownLeader returns the host of the leader, if it is another host.
+func (c *Core) knownLeader() string {
+	if h := c.replica.Status().Leader; h != c.cfg.Host {
+		return h
+	}
+	return ""
+}
+
+// answerOf turns an error of a command into an answer.
+func (c *Core) answerOf(err error) *link.Answer {
+	var notLeader *fault.NotLeader
+	var notFound *fault.NotFound
+	var limit *fault.LimitExceeded
+	var unavailable *fault.Unavailable
+	switch {
+	case errors.As(err, &notLeader):
+		return &link.Answer{Code: link.NotLeader, Leader: notLeader.Leader, RetryAfterMS: retryAfterMS}
+	case errors.As(err, &notFound) && notFound.Kind == "queue":
+		return &link.Answer{Code: link.NoQueue, Reason: err.Error()}
+	case errors.As(err, &notFound):
+		return &link.Answer{Code: link.NoJob, Reason: err.Error()}
+	case errors.As(err, &limit):
+		return &link.Answer{Code: link.Refused, RetryAfterMS: retryAfterMS, Reason: err.Error()}
+	case errors.As(err, &unavailable):
+		return &link.Answer{Code: link.NotReady, RetryAfterMS: retryAfterMS, Reason: err.Error()}
+	}
+	return &link.Answer{Code: link.Unknown, Reason: err.Error()}
+}
+
+// Submit implements link.Handler.
+func (c *Core) Submit(ctx context.Context, r *link.SubmitRequest) (*link.Answer, error) {
+	l, err := c.leaderHere()
+	if err != nil {
+		return c.answerOf(err), nil
+	}
+	result, err := l.Propose(ctx, &work.Command{Submit: &work.Submission{
+		ID: r.Subject.Job, Domain: r.Subject.Domain, Path: r.Subject.Path, Spec: r.Spec,
+	}})
+	if err == nil {
+		err = result.Err
+	}
+	if err != nil {
+		a := c.answerOf(err)
+		c.cfg.Log.Info().Str("job", r.Subject.Job).Str("code", string(a.Code)).Err(err).Msg("job not accepted")
+		return a, nil
+	}
+	c.cfg.Log.Info().Str("job", r.Subject.Job).Str("path", r.Subject.Path).Int("steps", len(r.Spec.Steps)).Msg("job accepted")
+	return &link.Answer{Code: link.Done}, nil
+}
+
+// Cancel implements link.Handler.
+func (c *Core) Cancel(ctx context.Context, s *link.Subject) (*link.Answer, error) {
+	l, err := c.leaderHere()
+	if err != nil {
+		return c.answerOf(err), nil
+	}
+	if _, ok := c.machine.JobState(s.Job); !ok {
+		return &link.Answer{Code: link.NoJob}, nil
+	}
+	result, err := l.Propose(ctx, &work.Command{Cancel: s.Job})
+	if err == nil {
+		err = result.Err
+	}
+	if err != nil {
+		return c.answerOf(err), nil
+	}
+	c.cfg.Log.Info().Str("job", s.Job).Msg("job cancelled")
+	return &link.Answer{Code: link.Done}, nil
+}
+
+// Configure accepts a configuration. Errors: those of leaderHere, or of
+// replica.Group.
+func (c *Core) Configure(ctx context.Context, cfg *work.Configuration) error {
+	l, err := c.leaderHere()
+	if err != nil {
+		return err
+	}
+	result, err := l.Propose(ctx, &work.Command{Configure: cfg})
+	if err != nil {
+		return err
+	}
+	return result.Err
+}
+
+// Announce takes an announcement of a target.
+func (c *Core) Announce(ctx context.Context, a *leader.Announcement) error {
+	l, err := c.leaderHere()
+	if err != nil {
+		return err
+	}
+	return l.Announce(ctx, a)
+}
+
+// Leave takes the last message of a target.
+func (c *Core) Leave(ctx context.Context, id string) error {
+	l, err := c.leaderHere()
+	if err != nil {
+		return err
+	}
+	return l.Leave(ctx, id)
+}
+
+// StartWave records a maintenance wave.
+func (c *Core) StartWave(ctx context.Context, w *work.Wave) error {
+	l, err := c.leaderHere()
+	if err != nil {
+		return err
+	}
+	return l.StartWave(ctx, w)
+}
+
+// Step implements link.Handler.
+func (c *Core) Step(_ context.Context, r *link.StepRequest) (*link.Empty, error) {
+	for _, m := range r.Messages {
+		if err := c.replica.Step(m); err != nil {
+			return nil, err
+		}
+	}
+	return &link.Empty{}, nil
+}
+
+// Join implements link.Handler. A host has one replica, so a new identity of
+// a member proves that its former one is lost.
+func (c *Core) Join(ctx context.Context, r *link.JoinRequest) (*link.Answer, error) {
+	if _, err := c.leaderHere(); err != nil {
+		return c.answerOf(err), nil
+	}
+	for _, m := range c.replica.Status().Members {
+		if m.ID == r.ID {
+			return &link.Answer{Code: link.Done}, nil
+		}
+		if m.Host != r.Host {
+			continue
+		}
+		if err := c.replica.RemoveReplica(ctx, m.ID); err != nil {
+			c.cfg.Log.Warn().Err(err).Str("replica", m.ID).Msg("former replica not removed")
+			return &link.Answer{Code: link.NotReady, Reason: err.Error()}, nil
+		}
+		c.cfg.Log.Info().Str("replica", m.ID).Str("successor", r.ID).Msg("former replica removed")
+	}
+	if err := c.replica.AddReplica(ctx, replica.Member{ID: r.ID, Host: r.Host}); err != nil {
+		c.cfg.Log.Warn().Err(err).Str("replica", r.ID).Msg("replica not added")
+		return &link.Answer{Code: link.NotReady, Reason: err.Error()}, nil
+	}
+	c.cfg.Log.Info().Str("replica", r.ID).Msg("replica added")
+	return &link.Answer{Code: link.Done}, nil
+}
+
+// memberHosts returns the hosts of all members.
+func (c *Core) memberHosts() []string {
+	var hosts []string
+	for _, m := range c.replica.Status().Members {
+		hosts = append(hosts, m.Host)
+	}
+	slices.Sort(hosts)
+	return slices.Compact(hosts)
+}
--- /dev/null
+++ b/internal/core/queries.go
@@ -0,0 +1,68 @@
+package core
+
+import (
+	"context"
+
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/link"
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+// Look implements link.Handler.
+func (c *Core) Look(_ context.Context, s *link.Subject) (*link.Answer, error) {
+	if _, err := c.leaderHere(); err != nil {
+		return c.answerOf(err), nil
+	}
+	state, ok := c.machine.JobState(s.Job)
+	if !ok {
+		return &link.Answer{Code: link.NoJob}, nil
+	}
+	return &link.Answer{Code: link.Done, State: state}, nil
+}
+
+// Count implements link.Handler.
+func (c *Core) Count(_ context.Context, s *link.Subject) (*link.Answer, error) {
+	if _, err := c.leaderHere(); err != nil {
+		return c.answerOf(err), nil
+	}
+	cfg := c.machine.Configuration()
+	if cfg == nil {
+		return c.answerOf(&fault.Unavailable{What: "configuration", Reason: "none was accepted yet"}), nil
+	}
+	queue, ok := cfg.Route(s.Domain, s.Path)
+	if !ok {
+		return &link.Answer{Code: link.NoQueue}, nil
+	}
+	return &link.Answer{Code: link.Done, Waiting: c.machine.Waiting(queue.Name)}, nil
+}
+
+// Members implements link.Handler.
+func (c *Core) Members(context.Context, *link.Empty) (*link.Members, error) {
+	return &link.Members{Leader: c.replica.Status().Leader, Hosts: c.memberHosts()}, nil
+}
+
+// Configuration returns the newest acknowledged configuration, nil before the
+// first one. It is linearizable. Errors: those of leaderHere, or of
+// replica.Group.
+func (c *Core) Configuration(ctx context.Context) (*work.Configuration, error) {
+	if _, err := c.leaderHere(); err != nil {
+		return nil, err
+	}
+	if err := c.replica.ReadBarrier(ctx); err != nil {
+		return nil, err
+	}
+	return c.machine.Configuration(), nil
+}
+
+// WaveComplete reports whether the maintenance of all hosts of a wave has
+// begun. It returns *fault.NotFound for an unknown wave.
+func (c *Core) WaveComplete(id int64) (bool, error) {
+	if _, err := c.leaderHere(); err != nil {
+		return false, err
+	}
+	complete, found := c.machine.WaveComplete(id)
+	if !found {
+		return false, &fault.NotFound{Kind: "wave", Name: "wave"}
+	}
+	return complete, nil
+}
--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -41,7 +41,7 @@
 	}), zerolog.Nop())
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan struct{})
-	go func() { defer close(stopped); s.run(ctx) }()
+	go func() { defer close(stopped); s.Run(ctx) }()
 	defer func() { cancel(); <-stopped }()
 	data := make([]byte, 1024)
 	var q *ring.Ring[[]byte]
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"agatehaven.dev/agatehaven/internal/event"
 	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/hlc"
+	"agatehaven.dev/agatehaven/internal/outbound"
 	"agatehaven.dev/agatehaven/internal/peer"
 	"agatehaven.dev/agatehaven/internal/region"
 	"agatehaven.dev/agatehaven/internal/replica"
@@ -45,7 +46,7 @@
 	dialer      peer.Dialer
 	leaders     map[string]*peer.LeaderClient
 	announcers  map[string]*announcer // by data centre
-	sender      *sender
+	sender      *outbound.Sender
 	region      *regionNode
 	dataCentres map[string]*dataCentreNode
 	dispatcher  *dispatch.Dispatcher
@@ -255,7 +256,7 @@
 		return err
 	}
 	var wg sync.WaitGroup
-	wg.Go(func() { d.sender.run(ctx) })
+	wg.Go(func() { d.sender.Run(ctx) })
 	wg.Go(func() { d.followRecords(ctx) })
 	for _, a := range d.announcers {
 		wg.Go(func() { a.run(ctx) })
--- a/internal/daemon/sender_test.go
+++ b/internal/daemon/sender_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"agatehaven.dev/agatehaven/internal/outbound"
 	"agatehaven.dev/agatehaven/internal/peer"
 )
 
@@ -54,19 +55,19 @@
 		s := newSender(p, zerolog.Nop())
 		ctx, cancel := context.WithCancel(context.Background())
 		stopped := make(chan struct{})
-		go func() { defer close(stopped); s.run(ctx) }()
+		go func() { defer close(stopped); s.Run(ctx) }()
 		DeferCleanup(func() { cancel(); <-stopped })
 		s.Send("a2", "dc-a", []byte{0})
 		Eventually(p.called).Should(Receive())
 		for i := byte(1); i <= 3; i++ {
 			s.Send("a2", "dc-a", []byte{i})
 		}
-		s.Send("a2", "dc-a", make([]byte, gatherBytes))
+		s.Send("a2", "dc-a", make([]byte, outbound.GatherBytes))
 		s.Send("a2", "dc-a", []byte{5})
 		for range 3 {
 			p.release <- struct{}{}
 		}
-		Eventually(p.sizes).Should(Equal([]int{1, 3 + gatherBytes, 1}))
+		Eventually(p.sizes).Should(Equal([]int{1, 3 + outbound.GatherBytes, 1}))
 		Expect(p.calls[1][:3]).To(Equal([]byte{1, 2, 3}))
 		Expect(p.calls[2]).To(Equal([]byte{5}))
 	})
--- /dev/null
+++ b/internal/leader/announce.go
@@ -0,0 +1,118 @@
+package leader
+
+import (
+	"context"
+	"time"
+
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+// Announcement is what a target says of itself.
+type Announcement struct {
+	Target work.Target
+	// Sequence rises with each announcement of a target.
+	Sequence int64
+	ClockMS  int64
+	// RemainingMS is the least time that a draining target still runs.
+	RemainingMS int64
+}
+
+const (
+	// announceMissed is after how many announcement intervals without one a
+	// target gets no new runs.
+	announceMissed = 3
+)
+
+// Announce takes an announcement. What it changes is committed before it
+// returns, so that it is known to the next leader once it is acknowledged.
+func (l *Leader) Announce(ctx context.Context, a *Announcement) error {
+	key := a.Target.Key()
+	now := l.now()
+	l.mu.Lock()
+	c := l.contacts[key]
+	if c == nil {
+		c = &contact{}
+		l.contacts[key] = c
+	}
+	if c.sequence > 0 && a.Sequence <= c.sequence {
+		l.mu.Unlock()
+		return nil
+	}
+	c.sequence = a.Sequence
+	first := c.announced.IsZero()
+	c.announced = now
+	c.clock.learn(a.ClockMS, now)
+	l.mu.Unlock()
+	if first {
+		l.poke()
+	}
+	if !l.differs(&a.Target) {
+		return nil
+	}
+	result, err := l.Propose(ctx, &work.Command{Register: &a.Target})
+	if err != nil {
+		return err
+	}
+	if result.Err != nil {
+		l.log.Info().Err(result.Err).Str("target", key).Msg("announcement of an ended target")
+		return nil
+	}
+	l.log.Info().Str("target", key).Str("host", a.Target.Host).Str("pool", a.Target.Pool).
+		Bool("draining", a.Target.Draining).Str("address", a.Target.Address).Msg("target registered")
+	l.poke()
+	return nil
+}
+
+// differs reports whether the state does not hold the announced target.
+func (l *Leader) differs(t *work.Target) bool {
+	differs := true
+	l.cfg.Machine.Read(func(v *work.View) {
+		known := v.Targets[t.Key()]
+		differs = known == nil || known.Pool != t.Pool || known.Address != t.Address || known.Room != t.Room ||
+			(t.Draining && !known.Draining)
+	})
+	return differs
+}
+
+// Leave takes the last message of a target that ends: nothing runs on it.
+func (l *Leader) Leave(ctx context.Context, id string) error {
+	var keys []string
+	l.cfg.Machine.Read(func(v *work.View) {
+		for key, t := range v.Targets {
+			if t.ID == id && t.Draining {
+				keys = append(keys, key)
+			}
+		}
+	})
+	for _, key := range keys {
+		if _, err := l.Propose(ctx, &work.Command{End: key, Gone: true}); err != nil {
+			return err
+		}
+		l.log.Info().Str("target", key).Msg("target left")
+	}
+	return nil
+}
+
+// targetClock estimates the steady clock of a target.
+type targetClock struct {
+	ms int64
+	at time.Time
+}
+
+// learn takes a reading that arrived at a time. A slow answer gives a value
+// that is behind, never one that is ahead.
+func (c *targetClock) learn(ms int64, at time.Time) {
+	if ms > 0 && ms >= c.now(at) {
+		c.ms, c.at = ms, at
+	} else if ms > 0 && at.Sub(c.at) > time.Second {
+		c.ms, c.at = ms, at
+	}
+}
+
+// now returns the estimated time in ms, 0 if it is not known.
+func (c *targetClock) now(at time.Time) int64 {
+	if c.at.IsZero() {
+		return 0
+	}
+	return c.ms + at.Sub(c.at).Milliseconds()
+}
--- /dev/null
+++ b/internal/leader/leader.go
@@ -0,0 +1,199 @@
+package leader
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"agatehaven.dev/agatehaven/internal/clock"
+	"agatehaven.dev/agatehaven/internal/codec"
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/replica"
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+// Config configures the duties of a leader.
+type Config struct {
+	// Host names this process as the holder of provider tokens.
+	Host     string
+	Group    replica.Group
+	Machine  *work.Machine
+	Targets  Targets
+	Provider Provider
+	Policy   Policy
+	Timing   Timing
+	Clock    clock.Clock
+	Log      zerolog.Logger
+}
+
+// Timing holds the times that the platform's contract sets.
+type Timing struct {
+	// Announce is how often targets announce themselves.
+	Announce time.Duration
+	// MaxLease bounds the lease of a run.
+	MaxLease time.Duration
+	// Stop is how long a stop takes at most.
+	Stop time.Duration
+	// Move and Maintenance are how long a host is away for them.
+	Move, Maintenance time.Duration
+	// HolderPause separates the orders of two holders for one host.
+	HolderPause time.Duration
+}
+
+const (
+	// confirmEvery is how often the leader proves that it still leads.
+	confirmEvery = 150 * time.Millisecond
+	// confirmTimeout ends a proof that gets no quorum.
+	confirmTimeout = 400 * time.Millisecond
+	// confirmValid is how long a proof holds. It is below the shortest election
+	// timeout of 700 ms, less the drift of clocks and the delay of a thread.
+	confirmValid = 600 * time.Millisecond
+	// proposeTimeout bounds the wait for a commit. Slow disks take up to 1 s.
+	proposeTimeout = 3 * time.Second
+	// fenceSessions is how many sessions with targets a term can open.
+	fenceSessions = 1 << 20
+	// clockSlow is by how much a target's clock may be slow.
+	clockSlow = 0.02
+)
+
+// Leader is the leader in one term. It is made anew for each term.
+type Leader struct {
+	cfg  Config
+	term uint64
+	log  zerolog.Logger
+	ctx  context.Context
+	wg   sync.WaitGroup
+
+	// confirmed is the Unix time in ns of the start of the last proof.
+	confirmed atomic.Int64
+	elected   time.Time
+
+	mu       sync.Mutex
+	sessions map[string]*session
+	contacts map[string]*contact
+	fences   uint64
+	fleet    fleet
+	wake     chan struct{}
+	learned  durations
+}
+
+// contact is what the leader knows of a target beyond the replicated state.
+type contact struct {
+	announced time.Time
+	sequence  int64
+	clock     targetClock
+	// avoidUntil is until when no run is started, after failures.
+	avoidUntil time.Time
+	failures   int
+}
+
+// New returns a leader for a term. Run carries out its duties.
+func New(cfg Config, term uint64) *Leader {
+	return &Leader{
+		cfg: cfg, term: term, log: cfg.Log.With().Uint64("term", term).Logger(),
+		sessions: map[string]*session{}, contacts: map[string]*contact{}, wake: make(chan struct{}, 1),
+		fleet: newFleet(), learned: newDurations(),
+	}
+}
+
+// Run carries out the duties until ctx ends.
+func (l *Leader) Run(ctx context.Context) {
+	l.ctx = ctx
+	l.elected = l.now()
+	duties := []func(){l.confirmLoop, l.planLoop, l.sessionLoop, l.fleetLoop}
+	for _, duty := range duties {
+		l.wg.Go(duty)
+	}
+	l.wg.Wait()
+}
+
+func (l *Leader) now() time.Time { return l.cfg.Clock.Now() }
+
+// sleep waits for d and reports whether the leader still works.
+func (l *Leader) sleep(d time.Duration) bool {
+	select {
+	case <-l.ctx.Done():
+		return false
+	case <-l.cfg.Clock.After(d):
+		return true
+	}
+}
+
+// confirmLoop proves again and again that no other leader was elected.
+func (l *Leader) confirmLoop() {
+	for {
+		started := l.now()
+		ctx, cancel := context.WithTimeout(l.ctx, confirmTimeout)
+		err := l.cfg.Group.ReadBarrier(ctx)
+		cancel()
+		if err == nil {
+			if l.confirmed.Swap(started.UnixNano()) == 0 {
+				l.log.Info().Msg("leadership confirmed")
+				l.poke()
+			}
+		}
+		if !l.sleep(confirmEvery) {
+			return
+		}
+	}
+}
+
+// Confirmed reports whether no other leader can have been elected yet.
+func (l *Leader) Confirmed() bool {
+	at := l.confirmed.Load()
+	age := l.now().Sub(time.Unix(0, at))
+	return at != 0 && age >= 0 && age < confirmValid
+}
+
+// poke makes the planner look at the state.
+func (l *Leader) poke() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Propose commits a command. Errors are those of replica.Group; a refusal by
+// the state machine is in the result.
+func (l *Leader) Propose(ctx context.Context, c *work.Command) (*work.Result, error) {
+	c.NowMS = l.now().UnixMilli()
+	data, err := codec.Marshal(c)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	value, err := l.cfg.Group.Propose(ctx, data)
+	if err != nil {
+		return nil, err
+	}
+	result, ok := value.(*work.Result)
+	if !ok {
+		return nil, &fault.Invalid{Field: "result", Reason: "unexpected type from the state machine"}
+	}
+	return result, nil
+}
+
+// record proposes a command whose failure the caller can only log.
+func (l *Leader) record(c *work.Command, what string) bool {
+	result, err := l.Propose(l.ctx, c)
+	if err == nil {
+		err = result.Err
+	}
+	if err != nil {
+		if l.ctx.Err() == nil {
+			l.log.Warn().Err(err).Str("what", what).Msg("not recorded")
+		}
+		return false
+	}
+	return true
+}
+
+// nextFence returns a fencing token above all earlier ones of the group.
+func (l *Leader) nextFence() uint64 {
+	l.fences++
+	return l.term*fenceSessions + l.fences
+}
--- /dev/null
+++ b/internal/leader/orders.go
@@ -0,0 +1,175 @@
+package leader
+
+import (
+	"context"
+	"time"
+
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+// startRun orders a committed run until the target has answered or the run is
+// no longer wanted.
+func (s *session) startRun(r work.StartedRun) {
+	ref := work.RunRef{Task: r.Task, Run: r.Run}
+	s.l.mu.Lock()
+	o := s.orderOf(ref)
+	busy := o.starting || o.stopping || !o.stoppedAt.IsZero()
+	o.starting = true
+	s.l.mu.Unlock()
+	if busy {
+		return
+	}
+	s.poke()
+	s.l.wg.Go(func() {
+		s.tryStart(ref, r)
+		s.l.mu.Lock()
+		o.starting = false
+		s.l.mu.Unlock()
+	})
+}
+
+// tryStart repeats a start until it is settled. A repeated start of a run
+// that is already there changes nothing.
+func (s *session) tryStart(ref work.RunRef, r work.StartedRun) {
+	doubtful := false
+	for try := 0; s.l.ctx.Err() == nil && s.wanted(ref); try++ {
+		if try > 0 && !s.l.sleep(min(retryPause*time.Duration(try), maxRetryPause)) {
+			return
+		}
+		until := s.until()
+		if until == 0 || !s.l.Confirmed() {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(s.l.ctx, orderTimeout)
+		reply, err := s.l.cfg.Targets.Start(ctx, s.to, &StartOrder{
+			Run: ref, Payload: r.Payload, Checkpoint: r.Checkpoint, UntilMS: until, Fence: s.fence,
+		})
+		cancel()
+		if err != nil {
+			doubtful = doubtful || !unsent(err)
+			s.l.noteFailure(s.key)
+			s.l.log.Info().Err(err).Str("job", ref.Task.Job).Int("step", ref.Task.Step).Int("index", ref.Task.Index).
+				Int("run", ref.Run).Str("target", s.key).Int("try", try).Msg("start not answered")
+			continue
+		}
+		s.l.learnClock(s.key, reply.ClockMS)
+		if s.settleStart(ref, reply.Refusal, doubtful) {
+			return
+		}
+	}
+}
+
+// settleStart handles the answer to a start. It reports whether the start
+// needs no other try.
+func (s *session) settleStart(ref work.RunRef, refusal Refusal, doubtful bool) bool {
+	if refusal == Carried {
+		s.l.mu.Lock()
+		s.orderOf(ref).seen(s.l.now())
+		s.l.mu.Unlock()
+		return true
+	}
+	s.l.log.Info().Str("job", ref.Task.Job).Int("step", ref.Task.Step).Int("index", ref.Task.Index).Int("run", ref.Run).
+		Str("target", s.key).Str("refusal", string(refusal)).Msg("start refused")
+	switch refusal {
+	case RefusedLate:
+		return false
+	case RefusedOld:
+		// The run ended there or was stopped: the next list tells.
+		s.l.mu.Lock()
+		s.orderOf(ref).seen(s.l.now())
+		s.l.mu.Unlock()
+		return true
+	case RefusedOther, RefusedFence:
+		return true // the session's holds find out what replaced the target or the leader
+	}
+	s.l.noteFailure(s.key)
+	if doubtful {
+		s.stop(ref) // an earlier try may still be carried out
+		return true
+	}
+	s.l.record(&work.Command{Report: &work.Report{Target: s.key, Settled: []work.RunRef{ref}}}, "refused start")
+	s.l.poke()
+	return true
+}
+
+// wanted reports whether the run is held and its job goes on.
+func (s *session) wanted(ref work.RunRef) bool {
+	wanted := false
+	s.l.cfg.Machine.Read(func(v *work.View) {
+		j, t := v.Find(ref.Task)
+		wanted = j != nil && !j.State.Final() && t.Run == ref.Run && t.Target == s.key
+	})
+	return wanted
+}
+
+// restart repeats the start of a run that an earlier leader committed.
+func (s *session) restart(ref work.RunRef) {
+	var r work.StartedRun
+	found := false
+	s.l.cfg.Machine.Read(func(v *work.View) {
+		if j, t := v.Find(ref.Task); j != nil && t.Target == s.key && t.Run == ref.Run {
+			r = work.StartedRun{
+				Start: work.Start{Task: ref.Task, Target: s.key}, Run: ref.Run, Checkpoint: t.Checkpoint, Payload: j.Spec.Payload,
+			}
+			found = true
+		}
+	})
+	if found {
+		s.startRun(r)
+	}
+}
+
+// stop orders the end of a run until the target has answered. Afterwards the
+// run can never begin.
+func (s *session) stop(ref work.RunRef) {
+	s.l.mu.Lock()
+	o := s.orderOf(ref)
+	busy := o.stopping || !o.stoppedAt.IsZero()
+	o.stopping = true
+	s.l.mu.Unlock()
+	if busy {
+		return
+	}
+	s.l.wg.Go(func() {
+		s.tryStop(ref, o)
+		s.l.mu.Lock()
+		o.stopping = false
+		s.l.mu.Unlock()
+		s.poke()
+	})
+}
+
+func (s *session) tryStop(ref work.RunRef, o *order) {
+	for try := 0; s.l.ctx.Err() == nil && s.current(); try++ {
+		if try > 0 && !s.l.sleep(min(retryPause*time.Duration(try), maxRetryPause)) {
+			return
+		}
+		if !s.l.Confirmed() {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(s.l.ctx, orderTimeout)
+		reply, err := s.l.cfg.Targets.Stop(ctx, s.to, &StopOrder{Run: ref, Fence: s.fence})
+		cancel()
+		if err != nil {
+			s.l.log.Info().Err(err).Str("job", ref.Task.Job).Int("run", ref.Run).Str("target", s.key).Msg("stop not answered")
+			continue
+		}
+		s.l.learnClock(s.key, reply.ClockMS)
+		if reply.Refusal == Carried {
+			s.l.mu.Lock()
+			o.stoppedAt = s.l.now()
+			s.l.mu.Unlock()
+			return
+		}
+		if reply.Refusal == RefusedOther || reply.Refusal == RefusedFence {
+			return
+		}
+	}
+}
+
+// current reports whether the target has not ended.
+func (s *session) current() bool {
+	current := false
+	s.l.cfg.Machine.Read(func(v *work.View) { current = v.Targets[s.key] != nil })
+	return current
+}
--- /dev/null
+++ b/internal/leader/plan.go
@@ -0,0 +1,159 @@
+package leader
+
+import (
+	"time"
+
+	"agatehaven.dev/agatehaven/internal/schedule"
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+const (
+	// planPace gathers what changes within a few ms into one plan and one
+	// commit, at a tenth of what a task's duration allows.
+	planPace = 5 * time.Millisecond
+	// planEvery bounds the time without a plan, for what only time changes.
+	planEvery = 100 * time.Millisecond
+	// maxStarts bounds the starts of one plan and so its log entry.
+	maxStarts = 256
+)
+
+// planLoop starts what fits, and stops what is no longer wanted.
+func (l *Leader) planLoop() {
+	for {
+		changed := l.cfg.Machine.Changed()
+		if l.Confirmed() {
+			l.stopUnwanted()
+			l.startWanted()
+		}
+		select {
+		case <-l.ctx.Done():
+			return
+		case <-changed:
+		case <-l.wake:
+		case <-l.cfg.Clock.After(planEvery):
+		}
+		if !l.sleep(planPace) {
+			return
+		}
+	}
+}
+
+// startWanted plans, commits the plan and orders what was accepted.
+func (l *Leader) startWanted() {
+	starts := l.plan()
+	if len(starts) == 0 {
+		return
+	}
+	result, err := l.Propose(l.ctx, &work.Command{Start: starts})
+	if err != nil {
+		l.log.Warn().Err(err).Int("starts", len(starts)).Msg("plan not recorded")
+		return
+	}
+	if len(result.Started) < len(starts) {
+		l.log.Info().Int("planned", len(starts)).Int("accepted", len(result.Started)).Msg("plan was partly out of date")
+	}
+	for _, r := range result.Started {
+		if s := l.sessionOf(r.Target); s != nil {
+			s.startRun(r)
+		}
+	}
+}
+
+// sessionOf returns the session with a target, which it opens if needed.
+func (l *Leader) sessionOf(key string) *session {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.sessions[key]; s != nil {
+		return s
+	}
+	var s *session
+	l.cfg.Machine.Read(func(v *work.View) {
+		if t := v.Targets[key]; t != nil {
+			s = l.openSession(key, Address{t.Address, t.ID})
+		}
+	})
+	return s
+}
+
+func (l *Leader) plan() []work.Start {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var starts []work.Start
+	l.cfg.Machine.Read(func(v *work.View) {
+		r := &schedule.Request{
+			NowMS: l.now().UnixMilli(), Hosts: l.usable(v), MaxStarts: maxStarts, Duration: l.learned.expect,
+		}
+		for _, j := range v.Live {
+			r.Jobs = append(r.Jobs, j)
+		}
+		starts = schedule.Plan(r)
+	})
+	return starts
+}
+
+// usable returns the targets that may take new runs, by pool.
+func (l *Leader) usable(v *work.View) map[string][]*schedule.Host {
+	hosts := map[string][]*schedule.Host{}
+	now := l.now()
+	for key, t := range v.Targets {
+		c := l.contacts[key]
+		if t.Ended || t.Draining || c == nil || now.Sub(c.announced) > announceMissed*l.cfg.Timing.Announce ||
+			now.Before(c.avoidUntil) || l.fleet.reserved(t.Host) {
+			continue
+		}
+		hosts[t.Pool] = append(hosts[t.Pool], &schedule.Host{Target: t, Free: v.Free(t), Penalty: c.failures})
+	}
+	return hosts
+}
+
+// stopUnwanted stops the runs of jobs that have ended.
+func (l *Leader) stopUnwanted() {
+	unwanted := map[string][]work.RunRef{}
+	l.cfg.Machine.Read(func(v *work.View) {
+		for _, j := range v.Live {
+			if !j.State.Final() {
+				continue
+			}
+			for i := range j.Tasks {
+				if t := &j.Tasks[i]; t.Active() {
+					unwanted[t.Target] = append(unwanted[t.Target], work.RunRef{Task: j.Ref(t), Run: t.Run})
+				}
+			}
+		}
+	})
+	for key, runs := range unwanted {
+		s := l.sessionOf(key)
+		if s == nil {
+			continue
+		}
+		for _, r := range runs {
+			s.stop(r)
+		}
+	}
+}
+
+// noteEnds learns from ends.
+func (l *Leader) noteEnds(key string, ends []work.End) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.contacts[key]
+	for _, e := range ends {
+		if c == nil {
+			continue
+		}
+		switch e.Outcome {
+		case work.OutcomeDone:
+			c.failures = max(0, c.failures-1)
+		case work.OutcomeFailed:
+			c.failures++
+		}
+	}
+}
+
+// durations holds what was learned of the duration of tasks.
+type durations struct{}
+
+func newDurations() durations { return durations{} }
+
+// expect returns the expected duration of a task of a step in ms.
+func (durations) expect(j *work.Job, step int) int64 { return max(1, j.Spec.Steps[step].EstimateMS) }
--- /dev/null
+++ b/internal/leader/ports.go
@@ -0,0 +1,153 @@
+// Package leader carries out the duties of the region's leader: it starts and
+// watches runs on targets, renews their leases, moves hosts between pools and
+// maintains them. What it decides is committed before it is ordered.
+package leader
+
+import (
+	"context"
+
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+// Targets carries out orders at targets. Every order carries a fencing token:
+// a target ignores orders with a lower one than it has seen. Errors:
+// *fault.Unavailable if the target certainly did nothing, other errors if the
+// order may still take effect.
+type Targets interface {
+	Start(ctx context.Context, to Address, o *StartOrder) (Reply, error)
+	Stop(ctx context.Context, to Address, o *StopOrder) (Reply, error)
+	Hold(ctx context.Context, to Address, o *HoldOrder) (*Holding, error)
+	Pace(ctx context.Context, to Address, o *PaceOrder) (Reply, error)
+}
+
+// Address names a target for an order.
+type Address struct {
+	Address string // "IP:port"
+	// ID is the target's id. Another target at the address refuses the order.
+	ID string
+}
+
+// StartOrder starts a run.
+type StartOrder struct {
+	Run        work.RunRef
+	Payload    string
+	Checkpoint string
+	// UntilMS is the end of the lease on the target's clock.
+	UntilMS int64
+	Fence   uint64
+	// Ticket is the policy service's permission, empty if none is needed.
+	Ticket string
+}
+
+// StopOrder stops a run, or prevents it if it has not begun.
+type StopOrder struct {
+	Run   work.RunRef
+	Fence uint64
+}
+
+// HoldOrder renews the lease and asks for the runs.
+type HoldOrder struct {
+	Fence uint64
+	// Acknowledged is the number of the last end that was recorded; the target
+	// forgets the ends up to it.
+	Acknowledged int64
+	UntilMS      int64
+	// WaitMS is how long the answer may wait for an end, at most 2000.
+	WaitMS int64
+}
+
+// PaceOrder limits the share of a run's work, in percent.
+type PaceOrder struct {
+	Run     work.RunRef
+	Percent int
+	Fence   uint64
+}
+
+// Refusal tells why a target did not carry out an order.
+type Refusal string
+
+// Refusals of targets.
+const (
+	Carried          Refusal = ""
+	RefusedFence     Refusal = "fence"
+	RefusedOld       Refusal = "old"
+	RefusedLate      Refusal = "late"
+	RefusedRoom      Refusal = "room"
+	RefusedTicket    Refusal = "ticket"
+	RefusedUnhealthy Refusal = "unhealthy"
+	RefusedInvalid   Refusal = "invalid"
+	// RefusedOther comes from another target at the address.
+	RefusedOther Refusal = "other_target"
+)
+
+// Reply is the answer to an order.
+type Reply struct {
+	// ClockMS is the target's steady clock, 0 if it was not sent.
+	ClockMS int64
+	Refusal Refusal
+}
+
+// RunningRun is a run in the list of a target.
+type RunningRun struct {
+	Run        work.RunRef
+	Checkpoint string
+	// Percent is 100 once a lasting task is at work.
+	Percent int
+	// Load is the tail of the response times in ms of a serving task, and the
+	// CPU in use in thousandths of a core of others.
+	Load float64
+}
+
+// Holding is a target's list of its runs.
+type Holding struct {
+	Reply
+	// Born is when the target started, Unix ms; 0 if it was not sent.
+	Born    int64
+	Running []RunningRun
+	Ended   []work.End
+}
+
+// HostState is the provider's view of a host.
+type HostState struct {
+	Host       string
+	Pool       string
+	Up         bool
+	DataCentre string
+	Labels     []string
+	Room       work.Demand
+	TargetID   string
+}
+
+// Token is the right to order for a host. The provider refuses a lower one.
+type Token struct {
+	Holder string
+	Number uint64
+}
+
+// ProviderAnswer tells what became of an order to the provider.
+type ProviderAnswer string
+
+// Answers of the provider.
+const (
+	ProviderDone   ProviderAnswer = "done"
+	ProviderBusy   ProviderAnswer = "busy"
+	ProviderFenced ProviderAnswer = "fenced"
+	// ProviderRefused orders are not valid and never will be.
+	ProviderRefused ProviderAnswer = "refused"
+	// ProviderThrottled orders were not taken for their rate.
+	ProviderThrottled ProviderAnswer = "throttled"
+)
+
+// Provider moves and maintains hosts. Everything that runs on the host ends at
+// once. An error means that the order may have been carried out.
+type Provider interface {
+	Hosts(ctx context.Context) ([]HostState, error)
+	Move(ctx context.Context, host, pool string, t Token) (ProviderAnswer, error)
+	Maintain(ctx context.Context, host string, wave int64, t Token) (ProviderAnswer, error)
+}
+
+// Policy is the outside service that knows which hosts may run a step.
+type Policy interface {
+	// Permit returns the tickets by target id, and how long they are valid.
+	Permit(ctx context.Context, step work.TaskRef, targets []string) (map[string]string, int64, error)
+}
--- /dev/null
+++ b/internal/leader/session.go
@@ -0,0 +1,400 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+const (
+	// holdWait is how long a hold waits for an end. A longer one would find a
+	// silent target later; a shorter one costs more calls.
+	holdWait = time.Second
+	// holdMargin is added to holdWait before a hold counts as unanswered.
+	holdMargin = 600 * time.Millisecond
+	// orderTimeout bounds one start or stop. Targets are a few ms away.
+	orderTimeout = 700 * time.Millisecond
+	// retryPause separates the tries of an order.
+	retryPause = 100 * time.Millisecond
+	// maxRetryPause bounds the pause after repeated failures.
+	maxRetryPause = 500 * time.Millisecond
+	// leaseMargin covers the estimate of a target's clock.
+	leaseMargin = 300 * time.Millisecond
+	// preferredLease outlives the change of a leader, and ends soon enough that
+	// the work of a lost target is started again in useful time.
+	preferredLease = 6 * time.Second
+	// failurePause is how long a target gets no new runs after it refused one
+	// as unhealthy or left an order without answer.
+	failurePause = 2 * time.Second
+)
+
+// session is the leader's contact with one target that has, or had, runs. Its
+// fields are guarded by the leader's mutex.
+type session struct {
+	l     *Leader
+	key   string
+	to    Address
+	fence uint64
+	wake  chan struct{}
+	ended context.CancelFunc
+
+	// leaseEnd is when every lease that was granted has ended, on the leader's
+	// clock.
+	leaseEnd time.Time
+	// answered is when the target answered last.
+	answered time.Time
+	// first is set after the first list of runs.
+	first bool
+	// acknowledged is the number that the target has been told.
+	acknowledged int64
+	orders       map[work.RunRef]*order
+}
+
+// order is what the leader knows of a run beyond the replicated state.
+type order struct {
+	// startedAt is when a start was confirmed, or when the run was first seen
+	// in a list.
+	startedAt time.Time
+	starting  bool
+	// stoppedAt is when a stop was confirmed. A run that is not listed
+	// afterwards has ended or can never begin.
+	stoppedAt time.Time
+	stopping  bool
+}
+
+// sessionLoop opens a session for each target with runs.
+func (l *Leader) sessionLoop() {
+	for {
+		changed := l.cfg.Machine.Changed()
+		l.openSessions()
+		select {
+		case <-l.ctx.Done():
+			return
+		case <-changed:
+		case <-l.cfg.Clock.After(time.Second):
+		}
+		if !l.sleep(sessionPace) {
+			return
+		}
+	}
+}
+
+// sessionPace bounds how often the targets are compared with the sessions.
+const sessionPace = 20 * time.Millisecond
+
+func (l *Leader) openSessions() {
+	type found struct {
+		key string
+		to  Address
+	}
+	var missing []found
+	alive := map[string]bool{}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cfg.Machine.Read(func(v *work.View) {
+		for key, t := range v.Targets {
+			alive[key] = true
+			if l.sessions[key] == nil && t.Runs() > 0 {
+				missing = append(missing, found{key, Address{t.Address, t.ID}})
+			}
+		}
+	})
+	for key, s := range l.sessions {
+		if !alive[key] {
+			s.ended()
+			delete(l.sessions, key)
+		}
+	}
+	for _, m := range missing {
+		l.openSession(m.key, m.to)
+	}
+}
+
+// openSession starts a session. The mutex is held.
+func (l *Leader) openSession(key string, to Address) *session {
+	ctx, cancel := context.WithCancel(l.ctx)
+	// Runs may hold leases of an earlier leader, which ends its orders when it
+	// can no longer prove that it leads.
+	s := &session{
+		l: l, key: key, to: to, fence: l.nextFence(), wake: make(chan struct{}, 1), ended: cancel,
+		leaseEnd: l.elected.Add(confirmValid + l.longest(l.lease())), answered: l.now(), orders: map[work.RunRef]*order{},
+	}
+	l.sessions[key] = s
+	l.wg.Go(func() { s.run(ctx) })
+	return s
+}
+
+// lease returns the length of the leases that are granted.
+func (l *Leader) lease() time.Duration { return min(preferredLease, l.cfg.Timing.MaxLease) }
+
+// longest returns how long a lease can last on a slow clock.
+func (l *Leader) longest(d time.Duration) time.Duration {
+	return time.Duration(float64(d)*(1+clockSlow)) + leaseMargin
+}
+
+// run holds the leases of the target's runs until they have ended.
+func (s *session) run(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		if !s.needed() {
+			select {
+			case <-ctx.Done():
+				return
+			case <-s.wake:
+			}
+			continue
+		}
+		if !s.l.Confirmed() {
+			if !s.l.sleep(retryPause / 4) {
+				return
+			}
+			continue
+		}
+		if s.hold(ctx) {
+			failures = 0
+			continue
+		}
+		failures++
+		s.l.noteFailure(s.key)
+		s.checkLapse()
+		if !s.l.sleep(min(retryPause*time.Duration(failures), maxRetryPause)) {
+			return
+		}
+	}
+}
+
+// needed reports whether the target has runs, or ends that it does not know to
+// be recorded.
+func (s *session) needed() bool {
+	needed := false
+	s.l.mu.Lock()
+	acknowledged := s.acknowledged
+	s.l.mu.Unlock()
+	s.l.cfg.Machine.Read(func(v *work.View) {
+		t := v.Targets[s.key]
+		needed = t != nil && (t.Runs() > 0 || t.Acknowledged > acknowledged)
+	})
+	return needed
+}
+
+func (s *session) poke() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// until returns the end of a lease granted now on the target's clock, 0 if
+// the clock is not known yet, and notes when it has certainly ended.
+func (s *session) until() int64 {
+	l := s.l
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	c := l.contacts[s.key]
+	if c == nil || c.clock.now(now) == 0 {
+		return 0
+	}
+	s.leaseEnd = latest(s.leaseEnd, now.Add(l.longest(l.lease())))
+	return c.clock.now(now) + l.lease().Milliseconds()
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// hold renews the lease and takes the list of runs. It reports whether the
+// target answered.
+func (s *session) hold(ctx context.Context) bool {
+	state := s.snapshot()
+	o := &HoldOrder{Fence: s.fence, Acknowledged: state.acknowledged, UntilMS: s.until()}
+	if s.known() && state.runs > 0 {
+		o.WaitMS = holdWait.Milliseconds()
+	}
+	sent := s.l.now()
+	callCtx, cancel := context.WithTimeout(ctx, time.Duration(o.WaitMS)*time.Millisecond+holdMargin)
+	defer cancel()
+	h, err := s.l.cfg.Targets.Hold(callCtx, s.to, o)
+	if err != nil {
+		if ctx.Err() == nil {
+			s.l.log.Info().Err(err).Str("target", s.key).Msg("hold not answered")
+		}
+		return false
+	}
+	s.l.learnClock(s.key, h.ClockMS)
+	switch {
+	case h.Refusal == RefusedOther, h.Refusal == Carried && h.Born != 0 && h.Born != state.born:
+		s.l.log.Info().Str("target", s.key).Str("refusal", string(h.Refusal)).Int64("born", h.Born).Msg("target was replaced")
+		s.l.record(&work.Command{End: s.key, Gone: true}, "end of a replaced target")
+		return false
+	case h.Refusal != Carried:
+		s.l.log.Info().Str("target", s.key).Str("refusal", string(h.Refusal)).Msg("hold refused")
+		return false
+	}
+	s.take(h, sent, o.Acknowledged)
+	return true
+}
+
+// sessionState is what a hold needs of the replicated state.
+type sessionState struct {
+	acknowledged, born int64
+	runs               int
+}
+
+func (s *session) snapshot() sessionState {
+	var out sessionState
+	s.l.cfg.Machine.Read(func(v *work.View) {
+		if t := v.Targets[s.key]; t != nil {
+			out = sessionState{acknowledged: t.Acknowledged, born: t.Born, runs: t.Runs()}
+		}
+	})
+	return out
+}
+
+// known reports whether the list of runs was read once.
+func (s *session) known() bool {
+	s.l.mu.Lock()
+	defer s.l.mu.Unlock()
+	return s.first
+}
+
+func (l *Leader) learnClock(key string, ms int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.contacts[key]
+	if c == nil {
+		c = &contact{}
+		l.contacts[key] = c
+	}
+	c.clock.learn(ms, l.now())
+}
+
+// take records the ends of a list, and orders what the list calls for.
+func (s *session) take(h *Holding, sent time.Time, acknowledged int64) {
+	report := s.compare(h, sent, acknowledged)
+	if report != nil {
+		if s.l.record(&work.Command{Report: report}, "report of a target") {
+			s.l.noteEnds(s.key, report.Ends)
+			s.l.poke()
+		}
+	}
+}
+
+// compare matches a list with the runs that the state holds.
+func (s *session) compare(h *Holding, sent time.Time, acknowledged int64) *work.Report {
+	l := s.l
+	listed := map[work.RunRef]bool{}
+	ended := map[work.RunRef]bool{}
+	for _, e := range h.Ended {
+		ended[e.Run] = true
+	}
+	report := &work.Report{Target: s.key, Ends: h.Ended}
+	var unknown, restart, stop []work.RunRef
+	l.mu.Lock()
+	l.cfg.Machine.Read(func(v *work.View) {
+		t := v.Targets[s.key]
+		if t == nil {
+			return
+		}
+		held := map[work.RunRef]bool{}
+		t.EachRun(func(r work.RunRef) { held[r] = true })
+		for _, r := range h.Running {
+			listed[r.Run] = true
+			if !held[r.Run] {
+				unknown = append(unknown, r.Run)
+				continue
+			}
+			s.orderOf(r.Run).seen(sent)
+			if _, task := v.Find(r.Run.Task); task != nil && r.Checkpoint != "" && task.Checkpoint != r.Checkpoint {
+				report.Checkpoints = append(report.Checkpoints, work.Checkpoint{Run: r.Run, Value: r.Checkpoint})
+			}
+		}
+		for r := range held {
+			job, _ := v.Find(r.Task)
+			wanted := job != nil && !job.State.Final()
+			o := s.orderOf(r)
+			switch {
+			case ended[r]:
+			case !o.stoppedAt.IsZero() && o.stoppedAt.Before(sent) && !listed[r]:
+				report.Settled = append(report.Settled, r)
+			case !wanted:
+				stop = append(stop, r)
+			case listed[r]:
+			case !o.startedAt.IsZero() && o.startedAt.Before(sent):
+				stop = append(stop, r) // it vanished: make sure that it cannot begin again
+			case !o.starting && o.stoppedAt.IsZero():
+				restart = append(restart, r)
+			}
+		}
+		for r := range s.orders {
+			if !held[r] {
+				delete(s.orders, r)
+			}
+		}
+	})
+	s.first = true
+	s.acknowledged = max(s.acknowledged, acknowledged)
+	s.answered = l.now()
+	l.mu.Unlock()
+	for _, r := range append(unknown, stop...) {
+		s.stop(r)
+	}
+	for _, r := range restart {
+		s.restart(r)
+	}
+	if len(report.Ends) == 0 && len(report.Settled) == 0 && len(report.Checkpoints) == 0 {
+		return nil
+	}
+	return report
+}
+
+// orderOf returns the order of a run. The leader's mutex is held.
+func (s *session) orderOf(r work.RunRef) *order {
+	o := s.orders[r]
+	if o == nil {
+		o = &order{}
+		s.orders[r] = o
+	}
+	return o
+}
+
+// seen notes that the run was listed.
+func (o *order) seen(at time.Time) {
+	if o.startedAt.IsZero() {
+		o.startedAt = at
+	}
+}
+
+// checkLapse closes the runs of a target whose lease has certainly ended.
+func (s *session) checkLapse() {
+	s.l.mu.Lock()
+	lapsed := s.l.now().After(s.leaseEnd)
+	s.l.mu.Unlock()
+	if !lapsed || s.snapshot().runs == 0 {
+		return
+	}
+	s.l.log.Warn().Str("target", s.key).Int("runs", s.snapshot().runs).Msg("lease of a silent target has ended")
+	s.l.record(&work.Command{End: s.key}, "end of a lease")
+	s.l.poke()
+}
+
+// noteFailure keeps new runs away from a target that does not answer.
+func (l *Leader) noteFailure(key string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c := l.contacts[key]; c != nil {
+		c.avoidUntil = l.now().Add(failurePause)
+	}
+}
+
+// unsent reports whether an error proves that an order had no effect.
+func unsent(err error) bool {
+	var unavailable *fault.Unavailable
+	return errors.As(err, &unavailable)
+}
--- /dev/null
+++ b/internal/link/client.go
@@ -0,0 +1,135 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"agatehaven.dev/agatehaven/internal/fault"
+)
+
+const (
+	// DialTimeout bounds the time to connect. Data centres are a few
+	// milliseconds apart, so a host that does not answer by then is away.
+	DialTimeout = 300 * time.Millisecond
+	// idleTimeout closes unused connections before the server does.
+	idleTimeout = 30 * time.Second
+	// idleConnections keeps enough connections to one host for a burst of
+	// calls, so that they need no new ones.
+	idleConnections = 32
+)
+
+// Clients calls the processes of the core by host and port.
+type Clients struct {
+	port string
+	http *http.Client
+
+	mu    sync.Mutex
+	hosts map[string]*Client
+}
+
+// NewClients returns the clients of all hosts at one port.
+func NewClients(port string) *Clients {
+	dialer := &net.Dialer{Timeout: DialTimeout}
+	transport := &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout,
+		DisableCompression: true,
+	}
+	return &Clients{port: port, http: &http.Client{Transport: transport}, hosts: map[string]*Client{}}
+}
+
+// To returns the client of a host.
+func (c *Clients) To(host string) *Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.hosts[host]
+	if known == nil {
+		known = newClient(c.http, host, net.JoinHostPort(host, c.port))
+		c.hosts[host] = known
+	}
+	return known
+}
+
+// Client calls one process. Its calls end with the context. Errors:
+// *fault.Unavailable if nothing was sent, *fault.ConnectionLost if the effect
+// is unknown.
+type Client struct {
+	host    string
+	submit  *connect.Client[SubmitRequest, Answer]
+	cancel  *connect.Client[Subject, Answer]
+	look    *connect.Client[Subject, Answer]
+	count   *connect.Client[Subject, Answer]
+	members *connect.Client[Empty, Members]
+	step    *connect.Client[StepRequest, Empty]
+	join    *connect.Client[JoinRequest, Answer]
+}
+
+func newClient(c *http.Client, host, address string) *Client {
+	return &Client{
+		host:   host,
+		submit: procedure[SubmitRequest, Answer](c, address, "Submit"), cancel: procedure[Subject, Answer](c, address, "Cancel"),
+		look: procedure[Subject, Answer](c, address, "Look"), count: procedure[Subject, Answer](c, address, "Count"),
+		members: procedure[Empty, Members](c, address, "Members"), step: procedure[StepRequest, Empty](c, address, "Step"),
+		join: procedure[JoinRequest, Answer](c, address, "Join"),
+	}
+}
+
+func procedure[Req, Res any](c *http.Client, address, name string) *connect.Client[Req, Res] {
+	options := []connect.ClientOption{connect.WithAcceptCompression(compression, nil, nil)}
+	for _, o := range commonOptions() {
+		options = append(options, o)
+	}
+	return connect.NewClient[Req, Res](c, "http://"+address+servicePath+name, options...)
+}
+
+func call[Req, Res any](ctx context.Context, c *Client, p *connect.Client[Req, Res], r *Req) (*Res, error) {
+	res, err := p.CallUnary(ctx, connect.NewRequest(r))
+	if err == nil {
+		return res.Msg, nil
+	}
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return nil, &fault.Unavailable{What: "host " + c.host, Reason: err.Error()}
+	}
+	return nil, &fault.ConnectionLost{Address: c.host, Reason: err.Error()}
+}
+
+// Submit implements Handler.
+func (c *Client) Submit(ctx context.Context, r *SubmitRequest) (*Answer, error) {
+	return call(ctx, c, c.submit, r)
+}
+
+// Cancel implements Handler.
+func (c *Client) Cancel(ctx context.Context, s *Subject) (*Answer, error) {
+	return call(ctx, c, c.cancel, s)
+}
+
+// Look implements Handler.
+func (c *Client) Look(ctx context.Context, s *Subject) (*Answer, error) {
+	return call(ctx, c, c.look, s)
+}
+
+// Count implements Handler.
+func (c *Client) Count(ctx context.Context, s *Subject) (*Answer, error) {
+	return call(ctx, c, c.count, s)
+}
+
+// Members implements Handler.
+func (c *Client) Members(ctx context.Context, e *Empty) (*Members, error) {
+	return call(ctx, c, c.members, e)
+}
+
+// Step implements Handler.
+func (c *Client) Step(ctx context.Context, r *StepRequest) (*Empty, error) {
+	return call(ctx, c, c.step, r)
+}
+
+// Join implements Handler.
+func (c *Client) Join(ctx context.Context, r *JoinRequest) (*Answer, error) {
+	return call(ctx, c, c.join, r)
+}
--- /dev/null
+++ b/internal/link/link.go
@@ -0,0 +1,94 @@
+// Package link is the protocol between the processes of a region: unary
+// connect-go calls with CBOR bodies over HTTP/1.1. A call without an answer
+// closes its connection, so that a silent connection is never used again.
+package link
+
+import (
+	"context"
+
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+// Code tells how a call was settled.
+type Code string
+
+// Codes of answers.
+const (
+	// Done calls took effect, also if an earlier call did the same.
+	Done Code = "done"
+	// NotLeader answers name the leader, if it is known. The call had no effect.
+	NotLeader Code = "not_leader"
+	// NotReady answers come from a leader that cannot serve now. The call had
+	// no effect.
+	NotReady Code = "not_ready"
+	// Unknown calls may have taken effect.
+	Unknown Code = "unknown"
+	// NoQueue answers tell that no queue has this domain and path.
+	NoQueue Code = "no_queue"
+	// NoJob answers tell that no such job exists.
+	NoJob Code = "no_job"
+	// Refused jobs never run. RetryAfterMS tells when to try again.
+	Refused Code = "refused"
+)
+
+// Answer settles a call of an entry host.
+type Answer struct {
+	Code Code `cbor:"1,keyasint"`
+	// Leader is the host of the leader in an answer NotLeader.
+	Leader       string        `cbor:"2,keyasint,omitempty"`
+	State        work.JobState `cbor:"3,keyasint,omitempty"`
+	Waiting      int           `cbor:"4,keyasint,omitempty"`
+	RetryAfterMS int64         `cbor:"5,keyasint,omitempty"`
+	Reason       string        `cbor:"6,keyasint,omitempty"`
+}
+
+// Subject names a queue by domain and path, and a job of it by its id.
+type Subject struct {
+	Domain string `cbor:"1,keyasint"`
+	Path   string `cbor:"2,keyasint"`
+	Job    string `cbor:"3,keyasint,omitempty"`
+}
+
+// SubmitRequest hands in a job.
+type SubmitRequest struct {
+	Subject Subject   `cbor:"1,keyasint"`
+	Spec    work.Spec `cbor:"2,keyasint"`
+}
+
+// StepRequest carries encoded raft messages.
+type StepRequest struct {
+	Messages [][]byte `cbor:"1,keyasint"`
+}
+
+// Empty is the answer of calls that return nothing.
+type Empty struct{}
+
+// JoinRequest asks the leader to make a replica a member.
+type JoinRequest struct {
+	ID   string `cbor:"1,keyasint"`
+	Host string `cbor:"2,keyasint"`
+}
+
+// Members names the leader and all members of the core, by host.
+type Members struct {
+	Leader string   `cbor:"1,keyasint,omitempty"`
+	Hosts  []string `cbor:"2,keyasint,omitempty"`
+}
+
+// Handler is what a process of the core serves.
+type Handler interface {
+	// Submit accepts a job durably.
+	Submit(ctx context.Context, r *SubmitRequest) (*Answer, error)
+	// Cancel ends a job.
+	Cancel(ctx context.Context, s *Subject) (*Answer, error)
+	// Look returns the state of a job.
+	Look(ctx context.Context, s *Subject) (*Answer, error)
+	// Count returns how many jobs of a queue have not begun.
+	Count(ctx context.Context, s *Subject) (*Answer, error)
+	// Members returns where the core is.
+	Members(ctx context.Context, e *Empty) (*Members, error)
+	// Step takes raft messages.
+	Step(ctx context.Context, r *StepRequest) (*Empty, error)
+	// Join adds a replica to the group.
+	Join(ctx context.Context, r *JoinRequest) (*Answer, error)
+}
--- /dev/null
+++ b/internal/link/server.go
@@ -0,0 +1,58 @@
+package link
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"agatehaven.dev/agatehaven/internal/codec"
+)
+
+const (
+	servicePath = "/agatehaven.link.v1.Link/"
+	// compression is turned off: most messages are below 1 KiB.
+	compression = "gzip"
+	// serverHeaderTimeout bounds the time to send the header of a call.
+	serverHeaderTimeout = 5 * time.Second
+	// serverIdleTimeout is longer than clients keep connections, so that the
+	// client closes first.
+	serverIdleTimeout = 2 * time.Minute
+)
+
+func commonOptions() []connect.Option {
+	return []connect.Option{
+		connect.WithCodec(codec.Connect{}),
+		connect.WithReadMaxBytes(codec.MaxMessageBytes),
+		connect.WithSendMaxBytes(codec.MaxMessageBytes),
+	}
+}
+
+// NewServer returns the HTTP server of h.
+func NewServer(h Handler) *http.Server {
+	options := []connect.HandlerOption{connect.WithCompression(compression, nil, nil)}
+	for _, o := range commonOptions() {
+		options = append(options, o)
+	}
+	mux := http.NewServeMux()
+	handle(mux, "Submit", h.Submit, options)
+	handle(mux, "Cancel", h.Cancel, options)
+	handle(mux, "Look", h.Look, options)
+	handle(mux, "Count", h.Count, options)
+	handle(mux, "Members", h.Members, options)
+	handle(mux, "Step", h.Step, options)
+	handle(mux, "Join", h.Join, options)
+	return &http.Server{Handler: mux, ReadHeaderTimeout: serverHeaderTimeout, IdleTimeout: serverIdleTimeout}
+}
+
+func handle[Req, Res any](mux *http.ServeMux, name string, call func(context.Context, *Req) (*Res, error), options []connect.HandlerOption) {
+	mux.Handle(servicePath+name, connect.NewUnaryHandler(servicePath+name,
+		func(ctx context.Context, r *connect.Request[Req]) (*connect.Response[Res], error) {
+			res, err := call(ctx, r.Msg)
+			if err != nil {
+				return nil, connect.NewError(connect.CodeInternal, err)
+			}
+			return connect.NewResponse(res), nil
+		}, options...))
+}
--- /dev/null
+++ b/internal/schedule/schedule.go
@@ -0,0 +1,181 @@
+// Package schedule decides which tasks start on which targets. It is pure: it
+// reads a state and a set of hosts and returns starts, which the state machine
+// checks again when it applies them.
+package schedule
+
+import (
+	"cmp"
+	"slices"
+
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+// Host is a target that may take new runs.
+type Host struct {
+	Target *work.Target
+	// Free is the room that no run has reserved.
+	Free work.Demand
+	// Penalty orders hosts of equal fit: those that did badly come last.
+	Penalty int
+}
+
+// Request is what a plan is made of.
+type Request struct {
+	// NowMS is the wall-clock time in Unix ms.
+	NowMS int64
+	Jobs  []*work.Job
+	// Hosts are the usable ones by pool.
+	Hosts map[string][]*Host
+	// MaxStarts bounds one plan.
+	MaxStarts int
+	// Duration returns the expected duration of a task in ms.
+	Duration func(j *work.Job, step int) int64
+}
+
+// urgency is the order in which jobs are served.
+type urgency struct {
+	job      *work.Job
+	priority int
+	// rank is 0 for lasting work, 1 for jobs that can still meet their
+	// objective, 2 for those that can still be of use, 3 for the rest.
+	rank int
+	// latest is when the job has to go on to meet its objective, in Unix ms.
+	latest int64
+}
+
+// lateFactor is how many times the objective a late result still counts.
+const lateFactor = 3
+
+// Plan returns the starts in the order in which they should be made.
+func Plan(r *Request) []work.Start {
+	order := make([]urgency, 0, len(r.Jobs))
+	for _, j := range r.Jobs {
+		if !j.State.Final() {
+			order = append(order, r.rank(j))
+		}
+	}
+	slices.SortFunc(order, func(a, b urgency) int {
+		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.rank, b.rank),
+			cmp.Compare(a.latest, b.latest), cmp.Compare(a.job.Sequence, b.job.Sequence))
+	})
+	var starts []work.Start
+	for _, u := range order {
+		starts = r.planJob(u.job, starts)
+		if len(starts) >= r.MaxStarts {
+			return starts[:r.MaxStarts]
+		}
+	}
+	return starts
+}
+
+// rank tells how urgent a job is.
+func (r *Request) rank(j *work.Job) urgency {
+	u := urgency{job: j, priority: j.Priority}
+	if len(j.Spec.Steps) > 0 && j.Spec.Steps[0].Lasting {
+		return u
+	}
+	chain, rest := r.chains(j)
+	objective := int64(j.Stretch*float64(chain)) + j.SlackMS
+	u.latest = j.SubmittedMS + objective - rest
+	switch {
+	case r.NowMS <= u.latest:
+		u.rank = 1
+	case r.NowMS+rest <= j.SubmittedMS+lateFactor*objective:
+		u.rank = 2
+	default:
+		u.rank = 3
+		u.latest = j.SubmittedMS
+	}
+	return u
+}
+
+// chains returns the expected longest chain of work of a job in ms, in all and
+// of the steps that are not done.
+func (r *Request) chains(j *work.Job) (whole, rest int64) {
+	n := len(j.Spec.Steps)
+	ends, open := make([]int64, n), make([]int64, n)
+	for i := range n {
+		d := r.Duration(j, i)
+		for _, before := range j.Spec.Steps[i].After {
+			ends[i] = max(ends[i], ends[before])
+			open[i] = max(open[i], open[before])
+		}
+		ends[i] += d
+		if !j.StepDone(0, i) {
+			open[i] += d
+		}
+		whole, rest = max(whole, ends[i]), max(rest, open[i])
+	}
+	return whole, rest
+}
+
+// planJob adds the starts of a job's tasks that fit.
+func (r *Request) planJob(j *work.Job, starts []work.Start) []work.Start {
+	for k := range max(1, j.Spec.Occurrences) {
+		if j.Spec.Occurrences > 0 && r.NowMS < j.Spec.FirstMS+int64(k)*j.Spec.IntervalMS {
+			break
+		}
+		for i := range j.Spec.Steps {
+			if tasks := j.Startable(k, i); len(tasks) > 0 {
+				starts = r.planStep(j, i, tasks, starts)
+			}
+		}
+	}
+	return starts
+}
+
+func (r *Request) planStep(j *work.Job, step int, tasks []*work.Task, starts []work.Start) []work.Start {
+	s := &j.Spec.Steps[step]
+	need := s.Reserved()
+	var chosen []work.Start
+	var used []*Host
+	placed := map[*Host]int{}
+	for _, t := range tasks {
+		h := r.choose(j, t, s, need, placed)
+		if h == nil {
+			break // the other tasks need the same
+		}
+		h.Free = h.Free.Sub(need)
+		placed[h]++
+		used = append(used, h)
+		chosen = append(chosen, work.Start{Task: j.Ref(t), Target: h.Target.Key()})
+	}
+	if s.Gang && len(chosen) < s.Tasks {
+		// A gang that is not whole would only wait.
+		for _, h := range used {
+			h.Free = h.Free.Add(need)
+		}
+		return starts
+	}
+	return append(starts, chosen...)
+}
+
+// choose returns the host for a task: near its data first, then the one with
+// the least room that it still fits, so that other hosts become idle.
+func (r *Request) choose(j *work.Job, t *work.Task, s *work.Step, need work.Demand, placed map[*Host]int) *Host {
+	var best *Host
+	better := func(a, b *Host) bool {
+		if a.Penalty != b.Penalty {
+			return a.Penalty < b.Penalty
+		}
+		if s.DataRack != "" && (a.Target.Rack == s.DataRack) != (b.Target.Rack == s.DataRack) {
+			return a.Target.Rack == s.DataRack
+		}
+		if a.Free.MilliCPU != b.Free.MilliCPU {
+			return a.Free.MilliCPU < b.Free.MilliCPU
+		}
+		return a.Target.ID < b.Target.ID
+	}
+	for _, h := range r.Hosts[j.Pool] {
+		if !need.Within(h.Free) || (s.Label != "" && !slices.Contains(h.Target.Labels, s.Label)) {
+			continue
+		}
+		if s.MaxPerHost > 0 && placed[h]+h.Target.RunsOfStep(j.ID, t.Occurrence, t.Step) >= s.MaxPerHost {
+			continue
+		}
+		if best == nil || better(h, best) {
+			best = h
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/work/apply.go
@@ -0,0 +1,490 @@
+package work
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+
+	"agatehaven.dev/agatehaven/internal/codec"
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/replica"
+)
+
+// Bounds of the state.
+const (
+	// RetentionMS is how long the state of a finished job can be read. Callers
+	// may ask for 120 s; the rest covers clocks that jump.
+	RetentionMS = 150_000
+	// MaxJobs bounds the jobs in memory, finished ones included. At 60 jobs/s
+	// the retention keeps 9,000.
+	MaxJobs = 30_000
+	// MaxTasks bounds the tasks of one job over all its occurrences.
+	MaxTasks = 10_000
+	// MaxHosts bounds the hosts of a wave.
+	MaxHosts = 10_000
+)
+
+// Machine implements replica.StateMachine. Queries are safe for concurrent
+// use; Apply, Snapshot and Restore are called from one goroutine.
+type Machine struct {
+	mu    sync.RWMutex
+	state state
+	// changed is closed and replaced at every change.
+	changed chan struct{}
+}
+
+// state is what a snapshot holds.
+type state struct {
+	NowMS    int64              `cbor:"1,keyasint"`
+	Sequence uint64             `cbor:"2,keyasint"`
+	Config   *Configuration     `cbor:"3,keyasint,omitempty"`
+	Jobs     map[string]*Job    `cbor:"4,keyasint,omitempty"`
+	Targets  map[string]*Target `cbor:"5,keyasint,omitempty"`
+	Waves    map[int64]*Wave    `cbor:"6,keyasint,omitempty"`
+	// Finished lists final jobs in the order of their end.
+	Finished []string `cbor:"7,keyasint,omitempty"`
+
+	// live holds the jobs with open or active tasks.
+	live map[string]*Job
+}
+
+// New returns an empty state machine.
+func New() *Machine {
+	m := &Machine{changed: make(chan struct{})}
+	m.state.index()
+	return m
+}
+
+// index builds what a snapshot does not hold.
+func (s *state) index() {
+	if s.Jobs == nil {
+		s.Jobs = map[string]*Job{}
+	}
+	if s.Targets == nil {
+		s.Targets = map[string]*Target{}
+	}
+	if s.Waves == nil {
+		s.Waves = map[int64]*Wave{}
+	}
+	s.live = map[string]*Job{}
+	for _, t := range s.Targets {
+		t.runs = map[TaskRef]int{}
+	}
+	for _, j := range s.Jobs {
+		j.open, j.active = 0, 0
+		for i := range j.Tasks {
+			t := &j.Tasks[i]
+			if !t.Done {
+				j.open++
+			}
+			if t.Active() {
+				j.active++
+				if target := s.Targets[t.Target]; target != nil {
+					target.runs[j.ref(t)] = t.Run
+				}
+			}
+		}
+		if !j.State.Final() || j.active > 0 {
+			s.live[j.ID] = j
+		}
+	}
+}
+
+// Apply implements replica.StateMachine.
+func (m *Machine) Apply(e replica.Entry) any {
+	var c Command
+	if err := codec.UnmarshalStrict(e.Data, &c); err != nil {
+		return replica.Refusal(err, &Result{Err: err})
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	result := m.state.apply(&c)
+	close(m.changed)
+	m.changed = make(chan struct{})
+	return result
+}
+
+// Snapshot implements replica.StateMachine.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return codec.Marshal(&m.state)
+}
+
+// Restore implements replica.StateMachine.
+func (m *Machine) Restore(data []byte) error {
+	var s state
+	if err := codec.Unmarshal(data, &s); err != nil {
+		return err
+	}
+	s.index()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state = s
+	close(m.changed)
+	m.changed = make(chan struct{})
+	return nil
+}
+
+func (s *state) apply(c *Command) *Result {
+	s.NowMS = max(s.NowMS, c.NowMS)
+	s.forget()
+	switch {
+	case c.Configure != nil:
+		return s.configure(c.Configure)
+	case c.Submit != nil:
+		return s.submit(c.Submit)
+	case c.Cancel != "":
+		return s.cancel(c.Cancel)
+	case c.Register != nil:
+		return s.register(c.Register)
+	case c.End != "":
+		s.endTarget(c.End, c.Gone)
+	case c.Start != nil:
+		return s.start(c.Start)
+	case c.Report != nil:
+		s.report(c.Report)
+	case c.Wave != nil:
+		return s.addWave(c.Wave)
+	case c.WaveStep != nil:
+		return s.waveStep(c.WaveStep)
+	}
+	return &Result{}
+}
+
+// forget drops finished jobs after their retention.
+func (s *state) forget() {
+	for len(s.Finished) > 0 {
+		j := s.Jobs[s.Finished[0]]
+		if j != nil && (j.active > 0 || (s.NowMS-j.FinishedMS < RetentionMS && len(s.Jobs) <= MaxJobs)) {
+			return
+		}
+		delete(s.Jobs, s.Finished[0])
+		s.Finished = s.Finished[1:]
+	}
+}
+
+func (s *state) configure(c *Configuration) *Result {
+	if s.Config != nil && c.Version <= s.Config.Version {
+		return &Result{}
+	}
+	s.Config = c
+	return &Result{}
+}
+
+func (s *state) submit(r *Submission) *Result {
+	if s.Jobs[r.ID] != nil {
+		return &Result{Job: r.ID}
+	}
+	if s.Config == nil {
+		return &Result{Err: &fault.Unavailable{What: "configuration", Reason: "none was accepted yet"}}
+	}
+	queue, ok := s.Config.Route(r.Domain, r.Path)
+	if !ok {
+		return &Result{Err: &fault.NotFound{Kind: "queue", Name: r.Domain + r.Path}}
+	}
+	if len(s.Jobs) >= MaxJobs {
+		return &Result{Err: &fault.LimitExceeded{What: "jobs", Limit: MaxJobs}}
+	}
+	s.Sequence++
+	j := &Job{
+		ID: r.ID, Queue: queue.Name, Pool: queue.Pool, Priority: queue.Priority, Attempts: max(1, queue.Attempts),
+		Stretch: queue.Stretch, SlackMS: queue.SlackMS, Spec: r.Spec, State: Queued, SubmittedMS: s.NowMS,
+		Sequence: s.Sequence, PolicyChecked: queue.PolicyChecked,
+	}
+	for k := range max(1, r.Spec.Occurrences) {
+		for i, step := range r.Spec.Steps {
+			for n := range step.Tasks {
+				j.Tasks = append(j.Tasks, Task{Occurrence: k, Step: i, Index: n})
+			}
+		}
+	}
+	j.open = len(j.Tasks)
+	s.Jobs[j.ID], s.live[j.ID] = j, j
+	return &Result{Job: j.ID}
+}
+
+func (s *state) cancel(id string) *Result {
+	j := s.Jobs[id]
+	if j == nil {
+		return &Result{Err: &fault.NotFound{Kind: "job", Name: id}}
+	}
+	if !j.State.Final() {
+		s.finish(j, Cancelled, "cancelled by its caller")
+	}
+	return &Result{Job: id}
+}
+
+// finish ends a job. Its runs stay until they are known to have ended.
+func (s *state) finish(j *Job, final JobState, reason string) {
+	j.State, j.FinishedMS, j.Reason = final, s.NowMS, reason
+	s.Finished = append(s.Finished, j.ID)
+	s.settleJob(j)
+}
+
+// settleJob drops what a finished job without runs no longer needs.
+func (s *state) settleJob(j *Job) {
+	if j.State.Final() && j.active == 0 {
+		delete(s.live, j.ID)
+		j.Tasks, j.Spec = nil, Spec{}
+	}
+}
+
+// register records a target. An older life of its host, id or address has
+// ended.
+func (s *state) register(t *Target) *Result {
+	key := t.Key()
+	if known := s.Targets[key]; known != nil {
+		known.Pool, known.Address, known.Labels, known.Room = t.Pool, t.Address, t.Labels, t.Room
+		known.Rack, known.DataCentre, known.Host = t.Rack, t.DataCentre, t.Host
+		known.Draining = known.Draining || t.Draining
+		return &Result{}
+	}
+	for _, other := range s.Targets {
+		if other.replacedBy(t) {
+			other.Ended = true
+		}
+		if t.replacedBy(other) {
+			return &Result{Err: &fault.Precondition{What: "registration of " + key, Reason: "replaced by " + other.Key()}}
+		}
+	}
+	t.runs = map[TaskRef]int{}
+	s.Targets[key] = t
+	s.dropEnded()
+	return &Result{}
+}
+
+// dropEnded forgets ended targets whose runs are all settled.
+func (s *state) dropEnded() {
+	for key, t := range s.Targets {
+		if t.Ended && len(t.runs) == 0 {
+			delete(s.Targets, key)
+		}
+	}
+}
+
+// endTarget closes all runs of a target, after its end or that of its lease.
+func (s *state) endTarget(key string, gone bool) {
+	t := s.Targets[key]
+	if t == nil {
+		return
+	}
+	for ref, run := range t.runs {
+		s.closeRun(t, RunRef{ref, run})
+	}
+	t.Ended = t.Ended || gone
+	if t.Ended {
+		delete(s.Targets, key)
+	}
+}
+
+func (s *state) start(starts []Start) *Result {
+	result := &Result{}
+	for _, st := range starts {
+		j, t := s.find(st.Task)
+		target := s.Targets[st.Target]
+		if j == nil || target == nil || s.refuses(j, t, target) != "" {
+			continue
+		}
+		t.Run = s.nextRun(j, t)
+		t.Target, t.StartedMS = st.Target, s.NowMS
+		target.runs[st.Task] = t.Run
+		j.active++
+		if j.State == Queued {
+			j.State = Running
+		}
+		result.Started = append(result.Started, StartedRun{
+			Start: st, Run: t.Run, Checkpoint: t.Checkpoint, Payload: j.Spec.Payload,
+		})
+	}
+	return result
+}
+
+// refuses returns why a start is not allowed, or "".
+func (s *state) refuses(j *Job, t *Task, target *Target) string {
+	step := &j.Spec.Steps[t.Step]
+	switch {
+	case j.State.Final():
+		return "job is " + string(j.State)
+	case t.Done:
+		return "task is done"
+	case t.Active():
+		return "an earlier run may be alive"
+	case target.Ended || target.Draining:
+		return "target is leaving"
+	case target.Pool != j.Pool:
+		return "target is in another pool"
+	case !j.Ready(t):
+		return "an earlier step is not done"
+	case !step.Lasting && t.Failures >= j.Attempts:
+		return "attempts are used up"
+	case step.Label != "" && !slices.Contains(target.Labels, step.Label):
+		return "label is missing"
+	case step.MaxPerHost > 0 && target.RunsOfStep(j.ID, t.Occurrence, t.Step) >= step.MaxPerHost:
+		return "host has enough tasks of the step"
+	case !step.Reserved().Within(s.free(target)):
+		return "no room"
+	}
+	return ""
+}
+
+// nextRun returns the number of the next run. The members of a gang share it.
+func (s *state) nextRun(j *Job, t *Task) int {
+	if !j.Spec.Steps[t.Step].Gang {
+		return t.Run + 1
+	}
+	latest, forming := 0, false
+	for _, m := range j.siblings(t) {
+		latest = max(latest, m.Run)
+		forming = forming || m.Active()
+	}
+	if forming {
+		return latest
+	}
+	return latest + 1
+}
+
+// free returns the room of a target that no run has reserved.
+func (s *state) free(target *Target) Demand {
+	room := target.Room
+	for ref := range target.runs {
+		if j := s.Jobs[ref.Job]; j != nil {
+			room = room.Sub(j.Spec.Steps[ref.Step].Reserved())
+		}
+	}
+	return room
+}
+
+// report takes the ends and checkpoints of a target.
+func (s *state) report(r *Report) {
+	target := s.Targets[r.Target]
+	if target == nil {
+		return
+	}
+	for _, c := range r.Checkpoints {
+		if _, t := s.find(c.Run.Task); t != nil && t.Run == c.Run.Run && t.Target == r.Target {
+			t.Checkpoint = c.Value
+		}
+	}
+	for _, e := range r.Ends {
+		if e.Number <= target.Acknowledged {
+			continue
+		}
+		target.Acknowledged = e.Number
+		s.end(target, &e)
+	}
+	for _, run := range r.Settled {
+		s.closeRun(target, run)
+	}
+	s.dropEnded()
+}
+
+// end records the end of a run, unless the run was closed before.
+func (s *state) end(target *Target, e *End) {
+	j, t := s.find(e.Run.Task)
+	if j == nil || t.Run != e.Run.Run || t.Target != target.Key() {
+		return
+	}
+	s.closeRun(target, e.Run)
+	if j.State.Final() {
+		return
+	}
+	if e.Checkpoint != "" {
+		t.Checkpoint = e.Checkpoint
+	}
+	switch e.Outcome {
+	case OutcomeDone:
+		s.complete(j, t)
+	case OutcomeFailed:
+		t.Failures++
+		if !j.Spec.Steps[t.Step].Lasting && t.Failures >= j.Attempts {
+			s.finish(j, Failed, fmt.Sprintf("task %d of step %d failed %d times", t.Index, t.Step, t.Failures))
+		}
+	}
+}
+
+// complete marks a task as done, or all members of a gang. A lasting task that
+// ends is started again.
+func (s *state) complete(j *Job, t *Task) {
+	step := &j.Spec.Steps[t.Step]
+	if step.Lasting {
+		return
+	}
+	members := []*Task{t}
+	if step.Gang {
+		members = j.siblings(t)
+	}
+	for _, m := range members {
+		if !m.Done {
+			m.Done = true
+			j.open--
+		}
+	}
+	if j.open == 0 {
+		s.finish(j, Completed, "all tasks are done")
+	}
+}
+
+// closeRun records that a run is not alive.
+func (s *state) closeRun(target *Target, run RunRef) {
+	if target.runs[run.Task] != run.Run {
+		return
+	}
+	delete(target.runs, run.Task)
+	j, t := s.find(run.Task)
+	if j == nil || t.Target != target.Key() || t.Run != run.Run {
+		return
+	}
+	t.Target = ""
+	j.active--
+	s.settleJob(j)
+}
+
+func (s *state) addWave(w *Wave) *Result {
+	if s.Waves[w.ID] != nil {
+		return &Result{}
+	}
+	if len(w.Hosts) > MaxHosts {
+		return &Result{Err: &fault.LimitExceeded{What: "hosts of a wave", Limit: MaxHosts}}
+	}
+	w.StartedMS = s.NowMS
+	w.Ordered, w.Begun, w.Returned = map[string]int64{}, map[string]int64{}, map[string]bool{}
+	s.Waves[w.ID] = w
+	return &Result{}
+}
+
+func (s *state) waveStep(r *WaveStep) *Result {
+	w := s.Waves[r.Wave]
+	if w == nil || !slices.Contains(w.Hosts, r.Host) {
+		return &Result{Err: &fault.NotFound{Kind: "host of a wave", Name: r.Host}}
+	}
+	switch r.Kind {
+	case MaintenanceOrdered:
+		if _, again := w.Ordered[r.Host]; !again && w.Down() >= w.MaxDown {
+			return &Result{Err: &fault.Precondition{What: "maintenance of " + r.Host, Reason: "the wave has enough hosts down"}}
+		}
+		w.Ordered[r.Host] = s.NowMS
+	case MaintenanceRefused:
+		if _, begun := w.Begun[r.Host]; !begun {
+			delete(w.Ordered, r.Host)
+		}
+	case MaintenanceBegun:
+		w.Begun[r.Host] = s.NowMS
+	case MaintenanceReturned:
+		w.Returned[r.Host] = true
+	}
+	return &Result{}
+}
+
+// find returns a task that exists.
+func (s *state) find(ref TaskRef) (*Job, *Task) {
+	j := s.Jobs[ref.Job]
+	if j == nil {
+		return nil, nil
+	}
+	i := j.position(ref)
+	if i < 0 {
+		return nil, nil
+	}
+	return j, &j.Tasks[i]
+}
--- /dev/null
+++ b/internal/work/check.go
@@ -0,0 +1,60 @@
+package work
+
+import (
+	"strconv"
+
+	"agatehaven.dev/agatehaven/internal/fault"
+)
+
+// Check returns *fault.Invalid for a configuration that must not take effect.
+func (c *Configuration) Check() error {
+	if c.Version == 0 {
+		return &fault.Invalid{Field: "version", Reason: "missing"}
+	}
+	pools := map[string]bool{}
+	for _, p := range c.Pools {
+		if p.Name == "" || pools[p.Name] {
+			return &fault.Invalid{Field: "pool " + p.Name, Reason: "without a name of its own"}
+		}
+		pools[p.Name] = true
+	}
+	places := map[[2]string]string{}
+	for _, q := range c.Queues {
+		place := [2]string{q.Domain, q.Prefix}
+		other, taken := places[place]
+		switch {
+		case q.Name == "" || q.Domain == "" || q.Prefix == "":
+			return &fault.Invalid{Field: "queue " + q.Name, Reason: "name, domain and prefix are required"}
+		case taken:
+			return &fault.Invalid{Field: "queue " + q.Name, Reason: "has the place of " + other}
+		case !pools[q.Pool]:
+			return &fault.Invalid{Field: "queue " + q.Name, Reason: "names the unknown pool " + q.Pool}
+		case q.TimeoutMS <= 0:
+			return &fault.Invalid{Field: "queue " + q.Name, Reason: "has no timeout"}
+		}
+		places[place] = q.Name
+	}
+	return nil
+}
+
+// Check returns *fault.Invalid for a job that cannot be run as written.
+func (s *Spec) Check() error {
+	total := 0
+	for i, step := range s.Steps {
+		field := "step " + strconv.Itoa(i)
+		d := step.Demand
+		if step.Tasks < 1 || step.Tasks > MaxTasks || d.MilliCPU < 0 || d.MemoryMB < 0 || d.GPUs < 0 {
+			return &fault.Invalid{Field: field, Reason: "its tasks or their demand are out of range"}
+		}
+		for _, before := range step.After {
+			if before < 0 || before >= i {
+				return &fault.Invalid{Field: field, Reason: "waits for a step that is not before it"}
+			}
+		}
+		total += step.Tasks
+	}
+	if total == 0 || s.Occurrences < 0 || total*max(1, s.Occurrences) > MaxTasks {
+		return &fault.Invalid{Field: "steps", Reason: "too few or too many tasks", Allowed: "1 to " + strconv.Itoa(MaxTasks)}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/work/command.go
@@ -0,0 +1,86 @@
+package work
+
+// Command is one log entry. Exactly one of its parts is set.
+type Command struct {
+	// NowMS is the leader's wall-clock time in Unix ms.
+	NowMS     int64          `cbor:"1,keyasint"`
+	Configure *Configuration `cbor:"2,keyasint,omitempty"`
+	Submit    *Submission    `cbor:"3,keyasint,omitempty"`
+	Cancel    string         `cbor:"4,keyasint,omitempty"`
+	Register  *Target        `cbor:"5,keyasint,omitempty"`
+	// End is the key of a target whose runs have all ended.
+	End string `cbor:"6,keyasint,omitempty"`
+	// Gone is set with End if the target itself has ended.
+	Gone     bool      `cbor:"7,keyasint,omitempty"`
+	Start    []Start   `cbor:"8,keyasint,omitempty"`
+	Report   *Report   `cbor:"9,keyasint,omitempty"`
+	Wave     *Wave     `cbor:"10,keyasint,omitempty"`
+	WaveStep *WaveStep `cbor:"11,keyasint,omitempty"`
+}
+
+// Submission asks for a job.
+type Submission struct {
+	ID     string `cbor:"1,keyasint"`
+	Domain string `cbor:"2,keyasint"`
+	Path   string `cbor:"3,keyasint"`
+	Spec   Spec   `cbor:"4,keyasint"`
+}
+
+// Start orders a run of a task on a target. The run's number follows from the
+// state.
+type Start struct {
+	Task   TaskRef `cbor:"1,keyasint"`
+	Target string  `cbor:"2,keyasint"`
+}
+
+// Report records what a target said of its runs.
+type Report struct {
+	Target string `cbor:"1,keyasint"`
+	Ends   []End  `cbor:"2,keyasint,omitempty"`
+	// Settled are runs that are not alive and can never begin.
+	Settled []RunRef `cbor:"3,keyasint,omitempty"`
+	// Checkpoints are the latest ones of runs that go on.
+	Checkpoints []Checkpoint `cbor:"4,keyasint,omitempty"`
+}
+
+// Checkpoint is the progress that a run has saved.
+type Checkpoint struct {
+	Run   RunRef `cbor:"1,keyasint"`
+	Value string `cbor:"2,keyasint"`
+}
+
+// StepKind is a step of the maintenance of one host.
+type StepKind string
+
+// Steps of the maintenance of a host.
+const (
+	MaintenanceOrdered  StepKind = "ordered"
+	MaintenanceRefused  StepKind = "refused"
+	MaintenanceBegun    StepKind = "begun"
+	MaintenanceReturned StepKind = "returned"
+)
+
+// WaveStep records a step of the maintenance of a host.
+type WaveStep struct {
+	Wave int64    `cbor:"1,keyasint"`
+	Host string   `cbor:"2,keyasint"`
+	Kind StepKind `cbor:"3,keyasint"`
+}
+
+// Result is what the proposer of a command receives.
+type Result struct {
+	// Err is a type of package fault if the command had no effect.
+	Err error
+	// Started holds the accepted starts in order, with their run numbers.
+	Started []StartedRun
+	// Job is the job that a submission or a cancellation is about.
+	Job string
+}
+
+// StartedRun is an accepted start.
+type StartedRun struct {
+	Start
+	Run        int
+	Checkpoint string
+	Payload    string
+}
--- /dev/null
+++ b/internal/work/queries.go
@@ -0,0 +1,211 @@
+package work
+
+import (
+	"strconv"
+	"strings"
+)
+
+// Route returns the queue whose prefix is the longest that path begins with.
+func (c *Configuration) Route(domain, path string) (*Queue, bool) {
+	var best *Queue
+	for i := range c.Queues {
+		q := &c.Queues[i]
+		if q.Domain == domain && strings.HasPrefix(path, q.Prefix) && (best == nil || len(q.Prefix) > len(best.Prefix)) {
+			best = q
+		}
+	}
+	return best, best != nil
+}
+
+// Pool returns the pool of a name.
+func (c *Configuration) Pool(name string) (*Pool, bool) {
+	for i := range c.Pools {
+		if c.Pools[i].Name == name {
+			return &c.Pools[i], true
+		}
+	}
+	return nil, false
+}
+
+// Key identifies a target: an id can be used again by a later life.
+func (t *Target) Key() string { return t.ID + "@" + strconv.FormatInt(t.Born, 10) }
+
+// Runs returns how many runs may be alive on the target.
+func (t *Target) Runs() int { return len(t.runs) }
+
+// EachRun calls f for every run that may be alive on the target.
+func (t *Target) EachRun(f func(RunRef)) {
+	for ref, run := range t.runs {
+		f(RunRef{ref, run})
+	}
+}
+
+// replacedBy reports whether a later life on the same host, id or address
+// proves that this one has ended.
+func (t *Target) replacedBy(later *Target) bool {
+	return later.Born > t.Born && (later.Host == t.Host || later.ID == t.ID || later.Address == t.Address)
+}
+
+// Ref returns the name of a task of the job.
+func (j *Job) Ref(t *Task) TaskRef { return j.ref(t) }
+
+func (j *Job) ref(t *Task) TaskRef { return TaskRef{j.ID, t.Occurrence, t.Step, t.Index} }
+
+// position returns the index of a task in Tasks, or -1.
+func (j *Job) position(ref TaskRef) int {
+	if ref.Step < 0 || ref.Step >= len(j.Spec.Steps) || ref.Index < 0 || ref.Index >= j.Spec.Steps[ref.Step].Tasks ||
+		ref.Occurrence < 0 || ref.Occurrence >= max(1, j.Spec.Occurrences) {
+		return -1
+	}
+	width, before := 0, 0
+	for i := range j.Spec.Steps {
+		if i < ref.Step {
+			before += j.Spec.Steps[i].Tasks
+		}
+		width += j.Spec.Steps[i].Tasks
+	}
+	i := ref.Occurrence*width + before + ref.Index
+	if i >= len(j.Tasks) {
+		return -1
+	}
+	return i
+}
+
+// siblings returns the tasks of the same step and occurrence.
+func (j *Job) siblings(t *Task) []*Task {
+	first := j.position(TaskRef{j.ID, t.Occurrence, t.Step, 0})
+	members := make([]*Task, j.Spec.Steps[t.Step].Tasks)
+	for i := range members {
+		members[i] = &j.Tasks[first+i]
+	}
+	return members
+}
+
+// Ready reports whether all steps that the task waits for are done.
+func (j *Job) Ready(t *Task) bool {
+	for _, step := range j.Spec.Steps[t.Step].After {
+		first := j.position(TaskRef{j.ID, t.Occurrence, step, 0})
+		for i := range j.Spec.Steps[step].Tasks {
+			if !j.Tasks[first+i].Done {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Changed returns a channel that is closed at the next change.
+func (m *Machine) Changed() <-chan struct{} {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.changed
+}
+
+// Configuration returns the configuration in force, nil before the first one.
+// It is never modified.
+func (m *Machine) Configuration() *Configuration {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.Config
+}
+
+// JobState returns the state of a job.
+func (m *Machine) JobState(id string) (JobState, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	j := m.state.Jobs[id]
+	if j == nil {
+		return "", false
+	}
+	return j.State, true
+}
+
+// Waiting returns how many jobs of a queue have not begun.
+func (m *Machine) Waiting(queue string) int {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	n := 0
+	for _, j := range m.state.live {
+		if j.Queue == queue && j.State == Queued {
+			n++
+		}
+	}
+	return n
+}
+
+// WaveComplete reports whether the maintenance of every host of a wave has
+// begun, and whether the wave exists.
+func (m *Machine) WaveComplete(id int64) (complete, found bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	w := m.state.Waves[id]
+	return w != nil && w.Complete(), w != nil
+}
+
+// View is a read-only look at the state.
+type View struct {
+	NowMS   int64
+	Config  *Configuration
+	Targets map[string]*Target
+	// Live holds the jobs with open or active tasks.
+	Live  map[string]*Job
+	Waves map[int64]*Wave
+
+	state *state
+}
+
+// Read calls f with the state. f must not keep or change any of it.
+func (m *Machine) Read(f func(v *View)) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	f(&View{NowMS: m.state.NowMS, Config: m.state.Config, Targets: m.state.Targets, Live: m.state.live, Waves: m.state.Waves, state: &m.state})
+}
+
+// StepDone reports whether all tasks of a step are done in an occurrence.
+func (j *Job) StepDone(occurrence, step int) bool {
+	first := j.position(TaskRef{j.ID, occurrence, step, 0})
+	for i := range j.Spec.Steps[step].Tasks {
+		if !j.Tasks[first+i].Done {
+			return false
+		}
+	}
+	return true
+}
+
+// Startable returns the tasks of a step that wait for a run. A gang starts
+// again only after all its members have ended.
+func (j *Job) Startable(occurrence, step int) []*Task {
+	first := j.position(TaskRef{j.ID, occurrence, step, 0})
+	if first < 0 || !j.Ready(&j.Tasks[first]) {
+		return nil
+	}
+	s := &j.Spec.Steps[step]
+	var tasks []*Task
+	for i := range s.Tasks {
+		t := &j.Tasks[first+i]
+		if s.Gang && t.Active() {
+			return nil
+		}
+		if !t.Done && !t.Active() && (s.Lasting || t.Failures < j.Attempts) {
+			tasks = append(tasks, t)
+		}
+	}
+	return tasks
+}
+
+// RunsOfStep counts the runs of a step that may be alive on the target.
+func (t *Target) RunsOfStep(job string, occurrence, step int) int {
+	n := 0
+	for ref := range t.runs {
+		if ref.Job == job && ref.Step == step && ref.Occurrence == occurrence {
+			n++
+		}
+	}
+	return n
+}
+
+// Free returns the room of a target that no run has reserved.
+func (v *View) Free(t *Target) Demand { return v.state.free(t) }
+
+// Find returns a job and its task, nil if there is no such task.
+func (v *View) Find(ref TaskRef) (*Job, *Task) { return v.state.find(ref) }
