Move hosts between pools after the demand; maintain hosts in waves

Cause: each queue in its turn asks for more than its pool holds, and hosts with lasting tasks were never empty, so that waves did not end. Change: package poolsize plans moves from running, waiting and arriving work; idle hosts go to standby; lasting tasks leave hosts of a wave within their budget; durations are learned by queue. Ruled out: waiting for the estimates, which are off by a factor of 2.5.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/poolsize"
 	"agatehaven.dev/agatehaven/internal/work"
 )
 
@@ -13,13 +13,21 @@
 	fleetPace = 100 * time.Millisecond
 	// providerTimeout bounds one call to the provider.
 	providerTimeout = time.Second
+	// arrivalWindow is the time over which arriving work is measured: long
+	// enough for several jobs, short against a turn of the demand of 4 s.
+	arrivalWindow = 800 * time.Millisecond
+	// joinMargin is how long after its due time a host that moved is awaited
+	// before the provider's list is read again.
+	joinMargin = 3 * time.Second
 )
 
 // fleet is the leader's view of the hosts. It is guarded by its mutex.
 type fleet struct {
 	hosts map[string]*host
-	// listed is when the provider's list was read.
+	// listed is when the provider's list was read; stale is set when it has to
+	// be read again.
 	listed time.Time
+	stale  bool
 	// numbers counts the orders of this term.
 	numbers uint64
 }
@@ -29,10 +37,14 @@
 	state HostState
 	// reserved is why no new runs are started, empty if they are.
 	reserved string
-	// away is until when the host is moving or in maintenance.
+	// away is when a host that moves or is maintained should be back.
 	away time.Time
+	// left is the key of the target that ended with the order.
+	left string
 	// ordering is set while an order to the provider is under way.
 	ordering bool
+	// idleSince is when nothing ran on it for the first time.
+	idleSince time.Time
 }
 
 func newFleet() fleet { return fleet{hosts: map[string]*host{}} }
@@ -43,6 +55,16 @@
 	return h != nil && h.reserved != ""
 }
 
+// host returns the entry of a host, which it makes if needed.
+func (f *fleet) host(name string) *host {
+	h := f.hosts[name]
+	if h == nil {
+		h = &host{state: HostState{Host: name}}
+		f.hosts[name] = h
+	}
+	return h
+}
+
 // fleetLoop maintains hosts and moves them between pools.
 func (l *Leader) fleetLoop() {
 	for l.sleep(fleetPace) {
@@ -52,17 +74,18 @@
 		if l.needsList() && !l.list() {
 			continue
 		}
+		l.observeHosts()
 		l.maintain()
 		l.resize()
 	}
 }
 
-// needsList reports whether the provider's list is not known yet. It is read
-// once a term; later changes are ordered by this leader or announced.
+// needsList reports whether the provider's list has to be read: once a term,
+// and when a host did not come back as expected.
 func (l *Leader) needsList() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.fleet.listed.IsZero() && l.cfg.Machine.Configuration() != nil
+	return (l.fleet.listed.IsZero() || l.fleet.stale) && l.cfg.Machine.Configuration() != nil
 }
 
 func (l *Leader) list() bool {
@@ -75,148 +98,219 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, h := range hosts {
-		known := l.fleet.hosts[h.Host]
-		if known == nil {
-			known = &host{}
-			l.fleet.hosts[h.Host] = known
+	now := l.now()
+	for _, s := range hosts {
+		h := l.fleet.host(s.Host)
+		if !h.ordering && now.After(h.away) {
+			h.state = s
+			h.away = time.Time{}
 		}
-		known.state = h
 	}
-	l.fleet.listed = l.now()
+	l.fleet.listed, l.fleet.stale = now, false
 	l.log.Info().Int("hosts", len(hosts)).Msg("list of hosts read")
 	return true
 }
 
-// token returns the right to order for a host.
+// observeHosts takes over what announcements tell of the hosts.
+func (l *Leader) observeHosts() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	l.cfg.Machine.Read(func(v *work.View) {
+		for key, t := range v.Targets {
+			if t.Ended {
+				continue
+			}
+			h := l.fleet.host(t.Host)
+			if key != h.left && !h.ordering {
+				h.state.Pool, h.state.Up, h.state.TargetID = t.Pool, true, t.ID
+				h.state.Room, h.state.DataCentre, h.state.Labels = t.Room, t.DataCentre, t.Labels
+				h.away = time.Time{}
+				if h.reserved == reservedMove {
+					h.reserved = ""
+				}
+			}
+			switch {
+			case t.Runs() > 0:
+				h.idleSince = time.Time{}
+			case h.idleSince.IsZero():
+				h.idleSince = now
+			}
+		}
+		for _, h := range l.fleet.hosts {
+			if h.away.IsZero() || now.Before(h.away) {
+				continue
+			}
+			if pool, ok := v.Config.Pool(h.state.Pool); ok && pool.Standby {
+				h.away, h.reserved = time.Time{}, "" // switched off hosts do not announce themselves
+			} else if now.Sub(h.away) > joinMargin {
+				h.away = now
+				l.fleet.stale = true
+			}
+		}
+	})
+}
+
+// Reasons for which a host takes no new runs.
+const (
+	reservedMove        = "move"
+	reservedMaintenance = "maintenance"
+)
+
+// token returns the right to order for a host. The mutex is held.
 func (l *Leader) token() Token {
 	l.fleet.numbers++
 	return Token{Holder: l.cfg.Host, Number: l.term*fenceSessions + l.fleet.numbers}
 }
 
-// maintain drains and maintains the hosts of waves.
-func (l *Leader) maintain() {
-	type step struct {
-		wave int64
-		host string
+// resize moves hosts between pools.
+func (l *Leader) resize() {
+	l.planning.Lock()
+	moves := l.chooseMoves()
+	l.planning.Unlock()
+	for _, m := range moves {
+		l.wg.Go(func() { l.moveHost(m) })
 	}
-	var ready []step
+}
+
+// chooseMoves decides on moves and reserves their hosts.
+func (l *Leader) chooseMoves() []poolsize.Move {
 	l.mu.Lock()
+	defer l.mu.Unlock()
+	var moves []poolsize.Move
 	now := l.now()
 	l.cfg.Machine.Read(func(v *work.View) {
+		if v.Config == nil {
+			return
+		}
 		byHost := map[string]*work.Target{}
 		for _, t := range v.Targets {
-			if !t.Ended {
+			if !t.Ended && l.fleet.host(t.Host).left != t.Key() {
 				byHost[t.Host] = t
 			}
 		}
-		for _, w := range v.Waves {
-			open := w.MaxDown - w.Down()
-			for _, name := range w.Hosts {
-				h := l.fleet.hosts[name]
-				if h == nil {
-					h = &host{}
-					l.fleet.hosts[name] = h
-				}
-				if _, begun := w.Begun[name]; begun || open <= 0 || h.ordering {
-					continue
-				}
-				open--
-				h.reserved = "maintenance"
-				if t := byHost[name]; t == nil || t.Runs() == 0 {
-					h.ordering = true
-					ready = append(ready, step{w.ID, name})
-				}
+		var hosts []poolsize.Host
+		for name, h := range l.fleet.hosts {
+			t := byHost[name]
+			pool, known := v.Config.Pool(h.state.Pool)
+			if !known {
+				continue
+			}
+			standby := pool.Standby
+			p := poolsize.Host{Name: name, Pool: h.state.Pool, CPU: h.state.Room.MilliCPU, Reserved: h.reserved == reservedMaintenance}
+			p.Movable = !h.ordering && h.reserved == "" && h.away.IsZero() && h.state.Up &&
+				((t != nil && t.Runs() == 0 && !t.Draining) || (t == nil && standby))
+			if t != nil && !h.idleSince.IsZero() {
+				p.IdleMS = now.Sub(h.idleSince).Milliseconds()
 			}
+			if t == nil && !standby && h.away.IsZero() {
+				continue // lost hosts are no capacity
+			}
+			hosts = append(hosts, p)
 		}
+		moves = poolsize.Plan(poolsize.Default(), l.demand(v), hosts)
 	})
-	l.mu.Unlock()
-	_ = now
-	for _, r := range ready {
-		l.wg.Go(func() { l.maintainHost(r.wave, r.host) })
+	for _, m := range moves {
+		h := l.fleet.host(m.Host)
+		h.reserved, h.ordering = reservedMove, true
 	}
-	l.returnHosts()
+	return moves
 }
 
-// maintainHost orders the maintenance of a host that runs nothing.
-func (l *Leader) maintainHost(wave int64, name string) {
+// demand measures what the pools need. The mutex is held.
+func (l *Leader) demand(v *work.View) []poolsize.Pool {
+	pools := make([]poolsize.Pool, len(v.Config.Pools))
+	index := map[string]*poolsize.Pool{}
+	for i, p := range v.Config.Pools {
+		pools[i] = poolsize.Pool{Name: p.Name, Standby: p.Standby}
+		index[p.Name] = &pools[i]
+	}
+	since := l.now().UnixMilli() - arrivalWindow.Milliseconds()
+	for _, j := range v.Live {
+		p := index[j.Pool]
+		if p == nil || j.State.Final() {
+			continue
+		}
+		for i := range j.Tasks {
+			t := &j.Tasks[i]
+			step := &j.Spec.Steps[t.Step]
+			cpu := step.Reserved().MilliCPU
+			switch {
+			case t.Active():
+				p.Running += cpu
+			case !t.Done && j.Ready(t):
+				p.Waiting += cpu
+			}
+			if j.SubmittedMS > since && !step.Lasting {
+				p.Arriving += float64(cpu) * float64(l.learned.expect(j, t.Step)) / float64(arrivalWindow.Milliseconds())
+			}
+			if step.Lasting && step.MaxPerHost > 0 {
+				p.Spread = max(p.Spread, (step.Tasks+step.MaxPerHost-1)/step.MaxPerHost)
+			}
+		}
+	}
+	return pools
+}
+
+// moveHost orders a move until the provider has settled it.
+func (l *Leader) moveHost(m poolsize.Move) {
+	settled := ProviderRefused
 	defer func() {
 		l.mu.Lock()
-		l.fleet.hosts[name].ordering = false
-		l.mu.Unlock()
+		defer l.mu.Unlock()
+		h := l.fleet.host(m.Host)
+		h.ordering = false
+		if settled != ProviderDone {
+			h.reserved = ""
+		}
 	}()
-	if !l.record(&work.Command{WaveStep: &work.WaveStep{Wave: wave, Host: name, Kind: work.MaintenanceOrdered}}, "maintenance") {
-		return
-	}
-	l.mu.Lock()
-	token := l.token()
-	l.mu.Unlock()
-	ctx, cancel := context.WithTimeout(l.ctx, providerTimeout)
-	answer, err := l.cfg.Provider.Maintain(ctx, name, wave, token)
-	cancel()
-	if err != nil {
-		l.log.Warn().Err(err).Str("host", name).Msg("maintenance order not answered")
-		return
-	}
-	l.log.Info().Str("host", name).Int64("wave", wave).Str("answer", string(answer)).Msg("maintenance ordered")
-	if answer != ProviderDone {
-		l.record(&work.Command{WaveStep: &work.WaveStep{Wave: wave, Host: name, Kind: work.MaintenanceRefused}}, "refused maintenance")
+	for try := 0; l.ctx.Err() == nil; try++ {
+		if try > 0 && !l.sleep(retryPause*time.Duration(min(try, 10))) {
+			return
+		}
+		if !l.Confirmed() {
+			continue
+		}
+		l.mu.Lock()
+		token := l.token()
+		l.mu.Unlock()
+		ctx, cancel := context.WithTimeout(l.ctx, providerTimeout)
+		answer, err := l.cfg.Provider.Move(ctx, m.Host, m.To, token)
+		cancel()
+		if err != nil {
+			l.log.Warn().Err(err).Str("host", m.Host).Msg("move not answered")
+			continue
+		}
+		l.log.Info().Str("host", m.Host).Str("from", m.From).Str("to", m.To).Str("reason", m.Reason).
+			Str("answer", string(answer)).Msg("host moved")
+		if answer == ProviderThrottled {
+			continue
+		}
+		if settled = answer; answer == ProviderDone {
+			l.leaveHost(m.Host, m.To, l.cfg.Timing.Move)
+		}
 		return
 	}
-	l.mu.Lock()
-	h := l.fleet.hosts[name]
-	h.away = l.now().Add(l.cfg.Timing.Maintenance)
-	l.mu.Unlock()
-	l.record(&work.Command{WaveStep: &work.WaveStep{Wave: wave, Host: name, Kind: work.MaintenanceBegun}}, "begun maintenance")
 }
 
-// returnHosts notes which hosts are back from maintenance: a target has
-// registered since, or the time is over twice.
-func (l *Leader) returnHosts() {
-	type back struct {
-		wave int64
-		host string
-	}
-	var returned []back
-	now := l.now()
+// leaveHost notes that an order ended the target of a host.
+func (l *Leader) leaveHost(name, pool string, away time.Duration) {
+	key := ""
 	l.cfg.Machine.Read(func(v *work.View) {
-		born := map[string]int64{}
-		for _, t := range v.Targets {
-			if !t.Ended {
-				born[t.Host] = max(born[t.Host], t.Born)
-			}
-		}
-		for _, w := range v.Waves {
-			for name, at := range w.Begun {
-				if w.Returned[name] {
-					continue
-				}
-				if born[name] > at || now.UnixMilli()-at > 2*l.cfg.Timing.Maintenance.Milliseconds() {
-					returned = append(returned, back{w.ID, name})
-				}
+		for k, t := range v.Targets {
+			if t.Host == name && !t.Ended {
+				key = k
 			}
 		}
 	})
-	for _, r := range returned {
-		l.record(&work.Command{WaveStep: &work.WaveStep{Wave: r.wave, Host: r.host, Kind: work.MaintenanceReturned}}, "returned host")
-		l.mu.Lock()
-		l.fleet.hosts[r.host].reserved = ""
-		l.mu.Unlock()
-		l.log.Info().Str("host", r.host).Int64("wave", r.wave).Msg("host is back from maintenance")
+	l.mu.Lock()
+	h := l.fleet.host(name)
+	h.left, h.away, h.idleSince = key, l.now().Add(away), time.Time{}
+	if pool != "" {
+		h.state.Pool = pool
 	}
-}
-
-// resize moves hosts between pools.
-func (l *Leader) resize() {}
-
-// StartWave records a maintenance order. It returns *fault.Unavailable while
-// the outcome is not known.
-func (l *Leader) StartWave(ctx context.Context, w *work.Wave) error {
-	result, err := l.Propose(ctx, &work.Command{Wave: w})
-	if err != nil {
-		return err
+	l.mu.Unlock()
+	if key != "" {
+		l.record(&work.Command{End: key, Gone: true}, "end of a target by an order")
 	}
-	return result.Err
 }
-
-var _ error = (*fault.Unavailable)(nil)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -71,6 +71,10 @@
 	confirmed atomic.Int64
 	elected   time.Time
 
+	// planning is held from a decision about hosts or starts to its commit, so
+	// that no two decisions use the same room.
+	planning sync.Mutex
+
 	mu       sync.Mutex
 	sessions map[string]*session
 	contacts map[string]*contact
--- /dev/null
+++ b/internal/leader/maintenance.go
@@ -0,0 +1,235 @@
+package leader
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+// waveStep is the maintenance of one host of a wave.
+type waveStep struct {
+	wave int64
+	host string
+}
+
+// maintain drains and maintains the hosts of waves.
+func (l *Leader) maintain() {
+	l.planning.Lock()
+	ready, evacuate := l.chooseMaintenance()
+	l.planning.Unlock()
+	for _, r := range ready {
+		l.wg.Go(func() { l.maintainHost(r) })
+	}
+	for key, runs := range evacuate {
+		if s := l.sessionOf(key); s != nil {
+			for _, r := range runs {
+				l.log.Info().Str("target", key).Str("job", r.Task.Job).Int("index", r.Task.Index).Msg("lasting task evacuated")
+				s.stop(r)
+			}
+		}
+	}
+	l.returnHosts()
+}
+
+// chooseMaintenance reserves hosts of waves, those with the least work first,
+// and returns those that are empty and the lasting runs that can be stopped.
+func (l *Leader) chooseMaintenance() (ready []waveStep, evacuate map[string][]work.RunRef) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	evacuate = map[string][]work.RunRef{}
+	l.cfg.Machine.Read(func(v *work.View) {
+		byHost := map[string]*work.Target{}
+		for _, t := range v.Targets {
+			if !t.Ended {
+				byHost[t.Host] = t
+			}
+		}
+		budget := newBudget(l, v)
+		for _, w := range v.Waves {
+			for _, name := range l.nextHosts(w, byHost) {
+				h := l.fleet.host(name)
+				h.reserved = reservedMaintenance
+				t := byHost[name]
+				if t == nil || t.Runs() == 0 {
+					h.ordering = true
+					ready = append(ready, waveStep{w.ID, name})
+					continue
+				}
+				for _, r := range budget.stoppable(t) {
+					evacuate[t.Key()] = append(evacuate[t.Key()], r)
+				}
+			}
+		}
+		for key, t := range v.Targets {
+			if t.Draining && !t.Ended {
+				evacuate[key] = append(evacuate[key], lastingRuns(v, t)...)
+			}
+		}
+	})
+	return ready, evacuate
+}
+
+// nextHosts returns the hosts of a wave to drain now.
+func (l *Leader) nextHosts(w *work.Wave, byHost map[string]*work.Target) []string {
+	var open []string
+	for _, name := range w.Hosts {
+		h := l.fleet.host(name)
+		if _, begun := w.Begun[name]; begun || h.ordering || h.reserved == reservedMove {
+			continue
+		}
+		open = append(open, name)
+	}
+	load := func(name string) int {
+		h := l.fleet.host(name)
+		if h.reserved == reservedMaintenance {
+			return -1 // draining already
+		}
+		if t := byHost[name]; t != nil {
+			return t.Runs()
+		}
+		return 0
+	}
+	slices.SortStableFunc(open, func(a, b string) int { return cmp.Compare(load(a), load(b)) })
+	return open[:min(len(open), max(0, w.MaxDown-w.Down()))]
+}
+
+// budget counts how many tasks of each step are away.
+type budget struct {
+	l    *Leader
+	v    *work.View
+	away map[work.TaskRef]int // by job, occurrence and step
+}
+
+func newBudget(l *Leader, v *work.View) *budget {
+	return &budget{l: l, v: v, away: map[work.TaskRef]int{}}
+}
+
+// awayOf counts the tasks of a step that are not known to be at work.
+func (b *budget) awayOf(j *work.Job, t *work.Task) (key work.TaskRef) {
+	key = work.TaskRef{Job: j.ID, Occurrence: t.Occurrence, Step: t.Step}
+	if _, counted := b.away[key]; counted {
+		return key
+	}
+	n := 0
+	for i := range j.Tasks {
+		other := &j.Tasks[i]
+		if other.Step == t.Step && other.Occurrence == t.Occurrence && !b.l.atWork(j, other) {
+			n++
+		}
+	}
+	b.away[key] = n
+	return key
+}
+
+// atWork reports whether a lasting task is known to be at work. The leader's
+// mutex is held.
+func (l *Leader) atWork(j *work.Job, t *work.Task) bool {
+	s := l.sessions[t.Target]
+	if s == nil {
+		return false
+	}
+	o := s.orders[work.RunRef{Task: j.Ref(t), Run: t.Run}]
+	return o != nil && o.atWork && !o.stopping && o.stoppedAt.IsZero() && l.now().Sub(s.answered) < 2*holdWait
+}
+
+// stoppable returns the lasting runs of a target that the budgets allow to
+// interrupt now.
+func (b *budget) stoppable(target *work.Target) []work.RunRef {
+	var out []work.RunRef
+	for _, r := range lastingRuns(b.v, target) {
+		j, t := b.v.Find(r.Task)
+		key := b.awayOf(j, t)
+		if !b.l.atWork(j, t) {
+			continue
+		}
+		if b.away[key] < max(1, j.Spec.Steps[t.Step].MaxAway) {
+			b.away[key]++
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// lastingRuns returns the runs of lasting tasks on a target.
+func lastingRuns(v *work.View, target *work.Target) []work.RunRef {
+	var out []work.RunRef
+	target.EachRun(func(r work.RunRef) {
+		if j, t := v.Find(r.Task); j != nil && !j.State.Final() && j.Spec.Steps[t.Step].Lasting {
+			out = append(out, r)
+		}
+	})
+	slices.SortFunc(out, func(a, b work.RunRef) int {
+		return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Index, b.Task.Index))
+	})
+	return out
+}
+
+// maintainHost orders the maintenance of a host that runs nothing.
+func (l *Leader) maintainHost(r waveStep) {
+	defer func() {
+		l.mu.Lock()
+		l.fleet.host(r.host).ordering = false
+		l.mu.Unlock()
+	}()
+	if !l.record(&work.Command{WaveStep: &work.WaveStep{Wave: r.wave, Host: r.host, Kind: work.MaintenanceOrdered}}, "maintenance") {
+		return
+	}
+	l.mu.Lock()
+	token := l.token()
+	l.mu.Unlock()
+	ctx, cancel := context.WithTimeout(l.ctx, providerTimeout)
+	answer, err := l.cfg.Provider.Maintain(ctx, r.host, r.wave, token)
+	cancel()
+	if err != nil {
+		l.log.Warn().Err(err).Str("host", r.host).Msg("maintenance order not answered")
+		return
+	}
+	l.log.Info().Str("host", r.host).Int64("wave", r.wave).Str("answer", string(answer)).Msg("maintenance ordered")
+	if answer != ProviderDone {
+		l.record(&work.Command{WaveStep: &work.WaveStep{Wave: r.wave, Host: r.host, Kind: work.MaintenanceRefused}}, "refused maintenance")
+		return
+	}
+	l.leaveHost(r.host, "", l.cfg.Timing.Maintenance)
+	l.record(&work.Command{WaveStep: &work.WaveStep{Wave: r.wave, Host: r.host, Kind: work.MaintenanceBegun}}, "begun maintenance")
+}
+
+// returnHosts notes which hosts are back from maintenance: a target has
+// registered since, or twice the time is over.
+func (l *Leader) returnHosts() {
+	var returned []waveStep
+	now := l.now().UnixMilli()
+	l.cfg.Machine.Read(func(v *work.View) {
+		born := map[string]int64{}
+		for _, t := range v.Targets {
+			if !t.Ended {
+				born[t.Host] = max(born[t.Host], t.Born)
+			}
+		}
+		for _, w := range v.Waves {
+			for name, at := range w.Begun {
+				if !w.Returned[name] && (born[name] > at || now-at > 2*l.cfg.Timing.Maintenance.Milliseconds()) {
+					returned = append(returned, waveStep{w.ID, name})
+				}
+			}
+		}
+	})
+	for _, r := range returned {
+		l.record(&work.Command{WaveStep: &work.WaveStep{Wave: r.wave, Host: r.host, Kind: work.MaintenanceReturned}}, "returned host")
+		l.mu.Lock()
+		l.fleet.host(r.host).reserved = ""
+		l.mu.Unlock()
+		l.log.Info().Str("host", r.host).Int64("wave", r.wave).Msg("host is back from maintenance")
+	}
+}
+
+// StartWave records a maintenance order. Errors are those of Propose, or a
+// refusal by the state machine.
+func (l *Leader) StartWave(ctx context.Context, w *work.Wave) error {
+	result, err := l.Propose(ctx, &work.Command{Wave: w})
+	if err != nil {
+		return err
+	}
+	return result.Err
+}
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -40,6 +40,8 @@
 
 // startWanted plans, commits the plan and orders what was accepted.
 func (l *Leader) startWanted() {
+	l.planning.Lock()
+	defer l.planning.Unlock()
 	starts := l.plan()
 	if len(starts) == 0 {
 		return
@@ -149,11 +151,3 @@
 		}
 	}
 }
-
-// durations holds what was learned of the duration of tasks.
-type durations struct{}
-
-func newDurations() durations { return durations{} }
-
-// expect returns the expected duration of a task of a step in ms.
-func (durations) expect(j *work.Job, step int) int64 { return max(1, j.Spec.Steps[step].EstimateMS) }
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -63,6 +63,8 @@
 	// afterwards has ended or can never begin.
 	stoppedAt time.Time
 	stopping  bool
+	// atWork is set while the list shows a lasting task as fully at work.
+	atWork bool
 }
 
 // sessionLoop opens a session for each target with runs.
@@ -294,6 +296,7 @@
 	for _, e := range h.Ended {
 		ended[e.Run] = true
 	}
+	finished := l.finished(h.Ended)
 	report := &work.Report{Target: s.key, Ends: h.Ended}
 	var unknown, restart, stop []work.RunRef
 	l.mu.Lock()
@@ -310,7 +313,9 @@
 				unknown = append(unknown, r.Run)
 				continue
 			}
-			s.orderOf(r.Run).seen(sent)
+			o := s.orderOf(r.Run)
+			o.seen(sent)
+			o.atWork = r.Percent >= 100
 			if _, task := v.Find(r.Run.Task); task != nil && r.Checkpoint != "" && task.Checkpoint != r.Checkpoint {
 				report.Checkpoints = append(report.Checkpoints, work.Checkpoint{Run: r.Run, Value: r.Checkpoint})
 			}
@@ -338,6 +343,9 @@
 			}
 		}
 	})
+	for _, f := range finished {
+		l.learned.note(f.queue, f.ms)
+	}
 	s.first = true
 	s.acknowledged = max(s.acknowledged, acknowledged)
 	s.answered = l.now()
@@ -354,6 +362,26 @@
 	return report
 }
 
+// finishedTask is the duration of a task that is done.
+type finishedTask struct {
+	queue string
+	ms    int64
+}
+
+// finished returns the durations of the tasks among new ends.
+func (l *Leader) finished(ends []work.End) []finishedTask {
+	var out []finishedTask
+	now := l.now().UnixMilli()
+	l.cfg.Machine.Read(func(v *work.View) {
+		for _, e := range ends {
+			if j, t := v.Find(e.Run.Task); j != nil && e.Outcome == work.OutcomeDone && t.Run == e.Run.Run && t.Active() {
+				out = append(out, finishedTask{j.Queue, now - t.StartedMS})
+			}
+		}
+	})
+	return out
+}
+
 // orderOf returns the order of a run. The leader's mutex is held.
 func (s *session) orderOf(r work.RunRef) *order {
 	o := s.orders[r]
--- /dev/null
+++ b/internal/poolsize/poolsize.go
@@ -0,0 +1,171 @@
+// Package poolsize decides which hosts move between pools so that they follow
+// the demand. It is pure.
+package poolsize
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// Pool is the demand of one pool, in thousandths of a core.
+type Pool struct {
+	Name    string
+	Standby bool
+	// Running and Waiting are what runs and what could start now.
+	Running, Waiting int64
+	// Arriving is the work that arrives each second, in thousandths of a
+	// core-second: what would run at the same time if nothing waited.
+	Arriving float64
+	// Spread is the least number of hosts that lasting work needs.
+	Spread int
+}
+
+// Host is one host. Hosts that are away count for the pool that they join.
+type Host struct {
+	Name string
+	Pool string
+	CPU  int64 // thousandths of a core
+	// Movable is set if nothing runs on the host and it can be ordered.
+	Movable bool
+	// IdleMS is for how long nothing has run on it.
+	IdleMS int64
+	// Reserved hosts take no new work, but may return.
+	Reserved bool
+}
+
+// Policy weighs moves against idle hosts.
+type Policy struct {
+	// IdleMS is how long a host idles before it goes to standby: a move there
+	// and back costs as much as about two seconds in a pool.
+	IdleMS int64
+	// Fill is the share of a host that tasks of mixed sizes can use.
+	Fill float64
+	// Spare is how many hosts a pool keeps beyond its demand.
+	Spare int
+}
+
+// Default returns the policy in use.
+func Default() Policy { return Policy{IdleMS: 1000, Fill: 0.9, Spare: 1} }
+
+// Move is one decision with its reason.
+type Move struct {
+	Host, From, To string
+	Reason         string
+}
+
+// need is how many hosts a pool lacks, or has too many if it is negative.
+type need struct {
+	pool  *Pool
+	hosts int
+	want  int
+}
+
+// Plan returns the moves to make now.
+func Plan(p Policy, pools []Pool, hosts []Host) []Move {
+	needs := map[string]*need{}
+	standby := ""
+	var order []*need
+	for i := range pools {
+		n := &need{pool: &pools[i]}
+		needs[pools[i].Name] = n
+		if pools[i].Standby {
+			standby = pools[i].Name
+			continue
+		}
+		order = append(order, n)
+	}
+	size := typicalCPU(hosts)
+	if size == 0 {
+		return nil
+	}
+	for _, h := range hosts {
+		if n := needs[h.Pool]; n != nil && !h.Reserved {
+			n.hosts++
+		}
+	}
+	for _, n := range order {
+		n.want = p.want(n.pool, size)
+	}
+	return p.assign(order, needs, hosts, standby)
+}
+
+// want returns how many hosts a pool should have.
+func (p Policy) want(pool *Pool, size int64) int {
+	cpu := math.Max(float64(pool.Running+pool.Waiting), pool.Arriving)
+	return max(pool.Spread, int(math.Ceil(cpu/(float64(size)*p.Fill)))) + p.Spare
+}
+
+// assign gives idle hosts of pools with too many, and then those on standby,
+// to the pools that lack the largest share.
+func (p Policy) assign(order []*need, needs map[string]*need, hosts []Host, standby string) []Move {
+	free := slices.Clone(hosts)
+	slices.SortFunc(free, func(a, b Host) int {
+		return cmp.Or(cmp.Compare(b.IdleMS, a.IdleMS), cmp.Compare(a.Name, b.Name))
+	})
+	var moves []Move
+	taken := map[string]bool{}
+	take := func(to *need, from func(h *Host) bool) bool {
+		for i := range free {
+			h := &free[i]
+			if h.Movable && !h.Reserved && !taken[h.Name] && h.Pool != to.pool.Name && from(h) {
+				taken[h.Name] = true
+				needs[h.Pool].hosts--
+				to.hosts++
+				moves = append(moves, Move{h.Name, h.Pool, to.pool.Name, "pool lacks hosts"})
+				return true
+			}
+		}
+		return false
+	}
+	surplus := func(h *Host) bool {
+		n := needs[h.Pool]
+		return n != nil && !n.pool.Standby && n.hosts > n.want
+	}
+	off := func(h *Host) bool { return h.Pool == standby }
+	for {
+		worst := mostLacking(order)
+		if worst == nil || (!take(worst, surplus) && !take(worst, off)) {
+			break
+		}
+	}
+	if standby == "" {
+		return moves
+	}
+	for i := range free {
+		h := &free[i]
+		if h.Movable && !h.Reserved && !taken[h.Name] && h.IdleMS >= p.IdleMS && surplus(h) {
+			taken[h.Name] = true
+			needs[h.Pool].hosts--
+			moves = append(moves, Move{h.Name, h.Pool, standby, "idle"})
+		}
+	}
+	return moves
+}
+
+// mostLacking returns the pool with the smallest share of what it wants.
+func mostLacking(order []*need) *need {
+	var worst *need
+	share := func(n *need) float64 { return float64(n.hosts) / float64(n.want) }
+	for _, n := range order {
+		if n.hosts < n.want && (worst == nil || share(n) < share(worst)) {
+			worst = n
+		}
+	}
+	return worst
+}
+
+// typicalCPU returns the median size of the hosts.
+func typicalCPU(hosts []Host) int64 {
+	var sizes []int64
+	for _, h := range hosts {
+		if h.CPU > 0 {
+			sizes = append(sizes, h.CPU)
+		}
+	}
+	if len(sizes) == 0 {
+		return 0
+	}
+	slices.Sort(sizes)
+	return sizes[len(sizes)/2]
+}
