--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -282,7 +282,7 @@
 			continue
 		}
 		l.log.Info().Str("host", m.Host).Str("from", m.From).Str("to", m.To).Str("reason", m.Reason).
-			Str("answer", string(answer)).Msg("host moved")
+			Str("outcome", string(answer)).Msg("host moved")
 		if answer == ProviderThrottled {
 			continue
 		}
--- a/internal/leader/maintenance.go
+++ b/internal/leader/maintenance.go
@@ -186,7 +186,7 @@
 		l.log.Warn().Err(err).Str("host", r.host).Msg("maintenance order not answered")
 		return
 	}
-	l.log.Info().Str("host", r.host).Int64("wave", r.wave).Str("answer", string(answer)).Msg("maintenance ordered")
+	l.log.Info().Str("host", r.host).Int64("wave", r.wave).Str("outcome", string(answer)).Msg("maintenance ordered")
 	if answer != ProviderDone {
 		l.record(&work.Command{WaveStep: &work.WaveStep{Wave: r.wave, Host: r.host, Kind: work.MaintenanceRefused}}, "refused maintenance")
 		return
