Extend no lease while a target is silent

Change: a silent target keeps the lease it has. A later life under another id closes the runs of the earlier one at once; one under the same id is fenced first. A start that was certainly not sent is settled at once.

--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -8,8 +8,8 @@
 )
 
 // startRun orders a committed run until the target has answered or the run is
-// no longer wanted.
-func (s *session) startRun(r work.StartedRun) {
+// no longer wanted. A doubtful run may have been ordered before.
+func (s *session) startRun(r work.StartedRun, doubtful bool) {
 	ref := work.RunRef{Task: r.Task, Run: r.Run}
 	s.l.mu.Lock()
 	o := s.orderOf(ref)
@@ -21,7 +21,7 @@
 	}
 	s.poke()
 	s.l.wg.Go(func() {
-		s.tryStart(ref, r)
+		s.tryStart(ref, r, doubtful)
 		s.l.mu.Lock()
 		o.starting = false
 		s.l.mu.Unlock()
@@ -30,8 +30,7 @@
 
 // tryStart repeats a start until it is settled. A repeated start of a run
 // that is already there changes nothing.
-func (s *session) tryStart(ref work.RunRef, r work.StartedRun) {
-	doubtful := false
+func (s *session) tryStart(ref work.RunRef, r work.StartedRun, doubtful bool) {
 	for try := 0; s.l.ctx.Err() == nil && s.wanted(ref); try++ {
 		if try > 0 && !s.l.sleep(min(retryPause*time.Duration(try), maxRetryPause)) {
 			return
@@ -42,7 +41,7 @@
 		}
 		ctx, cancel := context.WithTimeout(s.l.ctx, orderTimeout)
 		reply, err := s.l.cfg.Targets.Start(ctx, s.to, &StartOrder{
-			Run: ref, Payload: r.Payload, Checkpoint: r.Checkpoint, UntilMS: until, Fence: s.fence,
+			Run: ref, Payload: r.Payload, Checkpoint: r.Checkpoint, UntilMS: until, Fence: s.token(),
 		})
 		cancel()
 		if err != nil {
@@ -50,6 +49,10 @@
 			s.l.noteFailure(s.key)
 			s.l.log.Info().Err(err).Str("job", ref.Task.Job).Int("step", ref.Task.Step).Int("index", ref.Task.Index).
 				Int("run", ref.Run).Str("target", s.key).Int("try", try).Msg("start not answered")
+			if !doubtful {
+				s.settle(ref, "start was not sent")
+				return
+			}
 			continue
 		}
 		s.l.learnClock(s.key, reply.ClockMS)
@@ -79,19 +82,26 @@
 		s.orderOf(ref).seen(s.l.now())
 		s.l.mu.Unlock()
 		return true
-	case RefusedOther, RefusedFence:
-		return true // the session's holds find out what replaced the target or the leader
+	case RefusedOther:
+		return true // the session's holds find out what replaced the target
+	case RefusedFence:
+		return false // the session's holds take a higher token, or the leader has changed
 	}
 	s.l.noteFailure(s.key)
 	if doubtful {
 		s.stop(ref) // an earlier try may still be carried out
 		return true
 	}
-	s.l.record(&work.Command{Report: &work.Report{Target: s.key, Settled: []work.RunRef{ref}}}, "refused start")
-	s.l.poke()
+	s.settle(ref, "start was refused")
 	return true
 }
 
+// settle records that a run never began, so that its task can start elsewhere.
+func (s *session) settle(ref work.RunRef, reason string) {
+	s.l.record(&work.Command{Report: &work.Report{Target: s.key, Settled: []work.RunRef{ref}}}, reason)
+	s.l.poke()
+}
+
 // wanted reports whether the run is held and its job goes on.
 func (s *session) wanted(ref work.RunRef) bool {
 	wanted := false
@@ -115,7 +125,7 @@
 		}
 	})
 	if found {
-		s.startRun(r)
+		s.startRun(r, true)
 	}
 }
 
@@ -148,7 +158,7 @@
 			continue
 		}
 		ctx, cancel := context.WithTimeout(s.l.ctx, orderTimeout)
-		reply, err := s.l.cfg.Targets.Stop(ctx, s.to, &StopOrder{Run: ref, Fence: s.fence})
+		reply, err := s.l.cfg.Targets.Stop(ctx, s.to, &StopOrder{Run: ref, Fence: s.token()})
 		cancel()
 		if err != nil {
 			s.l.log.Info().Err(err).Str("job", ref.Task.Job).Int("run", ref.Run).Str("target", s.key).Msg("stop not answered")
@@ -161,7 +171,7 @@
 			s.l.mu.Unlock()
 			return
 		}
-		if reply.Refusal == RefusedOther || reply.Refusal == RefusedFence {
+		if reply.Refusal == RefusedOther {
 			return
 		}
 	}
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -56,7 +56,7 @@
 	}
 	for _, r := range result.Started {
 		if s := l.sessionOf(r.Target); s != nil {
-			s.startRun(r)
+			s.startRun(r, false)
 		}
 	}
 }
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -48,6 +48,13 @@
 	answered time.Time
 	// first is set after the first list of runs.
 	first bool
+	// silent is set while the last hold was not answered. No lease is extended
+	// then, so that the granted ones end.
+	silent bool
+	// granted is the latest end of a lease on the target's clock.
+	granted int64
+	// replaced is set once a later life with the same id answered.
+	replaced bool
 	// acknowledged is the number that the target has been told.
 	acknowledged int64
 	orders       map[work.RunRef]*order
@@ -155,7 +162,11 @@
 			}
 			continue
 		}
-		if s.hold(ctx) {
+		answered := s.hold(ctx)
+		s.l.mu.Lock()
+		s.silent = !answered
+		s.l.mu.Unlock()
+		if answered {
 			failures = 0
 			continue
 		}
@@ -189,19 +200,21 @@
 	}
 }
 
-// until returns the end of a lease granted now on the target's clock, 0 if
-// the clock is not known yet, and notes when it has certainly ended.
+// until returns the end of a lease granted now on the target's clock, and
+// notes when it has certainly ended. It is 0 if the clock is not known yet. A
+// target that does not answer gets no longer lease than it has.
 func (s *session) until() int64 {
 	l := s.l
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
 	c := l.contacts[s.key]
-	if c == nil || c.clock.now(now) == 0 {
-		return 0
+	if c == nil || c.clock.now(now) == 0 || s.silent || s.replaced {
+		return s.granted
 	}
 	s.leaseEnd = latest(s.leaseEnd, now.Add(l.longest(l.lease())))
-	return c.clock.now(now) + l.lease().Milliseconds()
+	s.granted = max(s.granted, c.clock.now(now)+l.lease().Milliseconds())
+	return s.granted
 }
 
 func latest(a, b time.Time) time.Time {
@@ -215,7 +228,7 @@
 // target answered.
 func (s *session) hold(ctx context.Context) bool {
 	state := s.snapshot()
-	o := &HoldOrder{Fence: s.fence, Acknowledged: state.acknowledged, UntilMS: s.until()}
+	o := &HoldOrder{Fence: s.token(), Acknowledged: state.acknowledged, UntilMS: s.until()}
 	if s.known() && state.runs > 0 {
 		o.WaitMS = holdWait.Milliseconds()
 	}
@@ -231,10 +244,17 @@
 	}
 	s.l.learnClock(s.key, h.ClockMS)
 	switch {
-	case h.Refusal == RefusedOther, h.Refusal == Carried && h.Born != 0 && h.Born != state.born:
-		s.l.log.Info().Str("target", s.key).Str("refusal", string(h.Refusal)).Int64("born", h.Born).Msg("target was replaced")
+	case h.Refusal == RefusedOther:
+		s.l.log.Info().Str("target", s.key).Msg("another target answers at the address")
 		s.l.record(&work.Command{End: s.key, Gone: true}, "end of a replaced target")
 		return false
+	case h.Refusal == Carried && h.Born != 0 && h.Born != state.born:
+		s.takeLaterLife(h)
+		return false
+	case h.Refusal == RefusedFence:
+		// Another session with the same target used a higher token.
+		s.raiseFence()
+		return false
 	case h.Refusal != Carried:
 		s.l.log.Info().Str("target", s.key).Str("refusal", string(h.Refusal)).Msg("hold refused")
 		return false
@@ -243,6 +263,51 @@
 	return true
 }
 
+// raiseFence takes a token above all that were used.
+func (s *session) raiseFence() {
+	s.l.mu.Lock()
+	defer s.l.mu.Unlock()
+	s.fence = s.l.nextFence()
+}
+
+// takeLaterLife handles a list that comes from a later life with the same id.
+// Starts that were sent to the earlier one may reach the later one until it
+// has seen a higher token.
+func (s *session) takeLaterLife(h *Holding) {
+	s.l.log.Info().Str("target", s.key).Int64("born", h.Born).Msg("a later life of the target answers")
+	s.l.mu.Lock()
+	fenced := s.replaced
+	s.replaced = true
+	s.l.mu.Unlock()
+	s.raiseFence()
+	if !fenced {
+		return
+	}
+	held := map[work.RunRef]bool{}
+	s.l.cfg.Machine.Read(func(v *work.View) {
+		if t := v.Targets[s.key]; t != nil {
+			t.EachRun(func(r work.RunRef) { held[r] = true })
+		}
+	})
+	alive := false
+	for _, r := range h.Running {
+		if held[r.Run] {
+			alive = true
+			s.stop(r.Run)
+		}
+	}
+	if !alive {
+		s.l.record(&work.Command{End: s.key, Gone: true}, "end of an earlier life")
+	}
+}
+
+// token returns the session's fencing token.
+func (s *session) token() uint64 {
+	s.l.mu.Lock()
+	defer s.l.mu.Unlock()
+	return s.fence
+}
+
 // sessionState is what a hold needs of the replicated state.
 type sessionState struct {
 	acknowledged, born int64
--- a/internal/work/apply.go
+++ b/internal/work/apply.go
@@ -241,13 +241,20 @@
 		return &Result{}
 	}
 	for _, other := range s.Targets {
-		if other.replacedBy(t) {
-			other.Ended = true
-		}
 		if t.replacedBy(other) {
 			return &Result{Err: &fault.Precondition{What: "registration of " + key, Reason: "replaced by " + other.Key()}}
 		}
 	}
+	for otherKey, other := range s.Targets {
+		switch {
+		case !other.replacedBy(t):
+		case other.ID == t.ID:
+			// Orders to the earlier life may still reach the later one.
+			other.Ended = true
+		default:
+			s.endTarget(otherKey, true)
+		}
+	}
 	t.runs = map[TaskRef]int{}
 	s.Targets[key] = t
 	s.dropEnded()
