--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -28,6 +28,8 @@
 	// be read again.
 	listed time.Time
 	stale  bool
+	// logged is when the sizes of the pools were logged.
+	logged time.Time
 	// numbers counts the orders of this term.
 	numbers uint64
 }
@@ -208,7 +210,9 @@
 			}
 			hosts = append(hosts, p)
 		}
-		moves = poolsize.Plan(poolsize.Default(), l.demand(v), hosts)
+		demand := l.demand(v)
+		moves = poolsize.Plan(poolsize.Default(), demand, hosts)
+		l.logSizes(demand, hosts, len(moves))
 	})
 	for _, m := range moves {
 		h := l.fleet.host(m.Host)
@@ -217,6 +221,26 @@
 	return moves
 }
 
+// logSizes logs what the pools need and have, at most once a second.
+func (l *Leader) logSizes(demand []poolsize.Pool, hosts []poolsize.Host, moves int) {
+	if l.now().Sub(l.fleet.logged) < time.Second {
+		return
+	}
+	l.fleet.logged = l.now()
+	count, movable := map[string]int{}, map[string]int{}
+	for _, h := range hosts {
+		count[h.Pool]++
+		if h.Movable {
+			movable[h.Pool]++
+		}
+	}
+	for _, p := range demand {
+		l.log.Info().Str("pool", p.Name).Int("hosts", count[p.Name]).Int("movable", movable[p.Name]).
+			Int64("running_mcpu", p.Running).Int64("waiting_mcpu", p.Waiting).Float64("arriving_mcpu", p.Arriving).
+			Int("spread", p.Spread).Int("moves", moves).Msg("pool size")
+	}
+}
+
 // demand measures what the pools need. The mutex is held.
 func (l *Leader) demand(v *work.View) []poolsize.Pool {
 	pools := make([]poolsize.Pool, len(v.Config.Pools))
