Serve on after a change of the leader; leave out silent hosts

Change: orders for hosts are announced in the log, so that only hosts that another holder ordered lately are left alone; a new leader asks every target once; silent hosts are no capacity; entry hosts follow the leader's term, and repeat calls at once when it changes; leases last 4 s instead of 6 s; orders that the provider does not take are repeated after a growing pause; hosts that left are taken out of a wave.

--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -47,7 +47,9 @@
 	var unavailable *fault.Unavailable
 	switch {
 	case errors.As(err, &notLeader):
-		return &link.Answer{Code: link.NotLeader, Leader: notLeader.Leader, RetryAfterMS: retryAfterMS}
+		return &link.Answer{
+			Code: link.NotLeader, Leader: notLeader.Leader, Term: c.replica.Status().Term, RetryAfterMS: retryAfterMS,
+		}
 	case errors.As(err, &notFound) && notFound.Kind == "queue":
 		return &link.Answer{Code: link.NoQueue, Reason: err.Error()}
 	case errors.As(err, &notFound):
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -68,6 +68,7 @@
 	replica *replica.Replica
 	clients *link.Clients
 	sender  *outbound.Sender
+	orders  *leader.OrderLog
 
 	mu      sync.Mutex
 	leading *leader.Leader
@@ -82,7 +83,8 @@
 
 // New starts the replica. Run serves.
 func New(ctx context.Context, cfg Config) (*Core, error) {
-	c := &Core{cfg: cfg, machine: work.New(), clients: link.NewClients(cfg.Port)}
+	c := &Core{cfg: cfg, machine: work.New(), clients: link.NewClients(cfg.Port), orders: leader.NewOrderLog(clock.System{})}
+	c.machine.OnOrder = c.orders.Note
 	c.sender = outbound.New(c.deliver, cfg.Log)
 	var initial []replica.Member
 	if cfg.Bootstrap && slices.Contains(cfg.Seeds, cfg.Host) {
@@ -186,6 +188,7 @@
 	l := leader.New(leader.Config{
 		Host: c.cfg.Name, Group: c.replica, Machine: c.machine, Targets: c.cfg.Targets, Provider: c.cfg.Provider,
 		Policy: c.cfg.Policy, Timing: c.cfg.Timing, Clock: clock.System{}, Log: c.cfg.Log,
+		Orders: c.orders,
 	}, term)
 	ctx, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
--- a/internal/core/queries.go
+++ b/internal/core/queries.go
@@ -38,7 +38,8 @@
 
 // Members implements link.Handler.
 func (c *Core) Members(context.Context, *link.Empty) (*link.Members, error) {
-	return &link.Members{Leader: c.replica.Status().Leader, Hosts: c.memberHosts()}, nil
+	s := c.replica.Status()
+	return &link.Members{Leader: s.Leader, Term: s.Term, Hosts: c.memberHosts()}, nil
 }
 
 // Configuration returns the newest acknowledged configuration, nil before the
--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -11,7 +11,6 @@
 
 	"agatehaven.dev/agatehaven/internal/clock"
 	"agatehaven.dev/agatehaven/internal/peer"
-	"agatehaven.dev/agatehaven/internal/ring"
 )
 
 // countingPeer counts the sets of messages that it receives.
@@ -44,13 +43,9 @@
 	go func() { defer close(stopped); s.Run(ctx) }()
 	defer func() { cancel(); <-stopped }()
 	data := make([]byte, 1024)
-	var q *ring.Ring[[]byte]
 	sent := int64(0)
 	for b.Loop() {
-		if q == nil {
-			q = s.queue(link{"a2", "dc-a"})
-		}
-		for q.TryPut(data) != nil {
+		for s.TrySend("a2", "dc-a", data) != nil {
 			runtime.Gosched()
 		}
 		sent++
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,16 +16,21 @@
 )
 
 const (
-	// callTimeout bounds one try. A leader answers within its commit.
-	callTimeout = 800 * time.Millisecond
-	// patience bounds all tries of a request: the time of an election.
-	patience = 1500 * time.Millisecond
+	// callTimeout bounds one try. A leader answers within its commit, which
+	// slow disks stretch to some tenths of a second.
+	callTimeout = 500 * time.Millisecond
+	// patience bounds all tries of a request: the time of an election and the
+	// start of a new leader.
+	patience = 2200 * time.Millisecond
 	// retryPause separates tries while no leader is known.
 	retryPause = 60 * time.Millisecond
 	// membersEvery is how often the members of the core are learned anew.
 	membersEvery = 2 * time.Second
 	// membersTimeout bounds one such call.
-	membersTimeout = 500 * time.Millisecond
+	membersTimeout = 300 * time.Millisecond
+	// doubtFor is how long a leader that did not answer is believed to be lost,
+	// unless a later term names it.
+	doubtFor = 2 * time.Second
 	// retryAfterMS is told to callers whose request no leader took.
 	retryAfterMS = 1000
 )
@@ -35,17 +40,25 @@
 	clients *link.Clients
 	log     zerolog.Logger
 
-	mu     sync.Mutex
-	leader string
-	hosts  []string // known hosts of the core
-	next   int
+	mu sync.Mutex
+	// leader is the leader of term, empty if it is not known. changed is closed
+	// when it changes, so that calls that wait for a former one are repeated.
+	leader  string
+	term    uint64
+	changed chan struct{}
+	hosts   []string // known hosts of the core
+	next    int
+	// doubted is the host that did not answer as the leader of term, and until
+	// when no answer of that term is believed to name it rightly.
+	doubted string
+	until   time.Time
 	// heard is when the core last answered.
 	heard time.Time
 }
 
 // New returns an entry that begins with the seeds.
 func New(port string, seeds []string, log zerolog.Logger) *Entry {
-	return &Entry{clients: link.NewClients(port), log: log, hosts: slices.Clone(seeds)}
+	return &Entry{clients: link.NewClients(port), log: log, hosts: slices.Clone(seeds), changed: make(chan struct{})}
 }
 
 // Run learns where the core is until ctx ends.
@@ -74,21 +87,16 @@
 // learn asks the hosts of the core, the leader first, until one answers.
 func (e *Entry) learn(ctx context.Context) {
 	for range 3 {
-		host := e.choose()
+		host, _ := e.choose()
 		callCtx, cancel := context.WithTimeout(ctx, membersTimeout)
 		m, err := e.clients.To(host).Members(callCtx, &link.Empty{})
 		cancel()
 		if err != nil {
-			e.forget(host)
+			e.doubt(host)
 			continue
 		}
 		e.AddSeeds(m.Hosts)
-		e.mu.Lock()
-		e.heard = time.Now()
-		if m.Leader != "" {
-			e.leader = m.Leader
-		}
-		e.mu.Unlock()
+		e.hear(m.Leader, m.Term)
 		return
 	}
 }
@@ -100,30 +108,51 @@
 	return time.Since(e.heard) < 3*membersEvery
 }
 
-// choose returns the leader if it is known, and the known hosts in turn if not.
-func (e *Entry) choose() string {
+// choose returns the leader if it is known, and the known hosts in turn if
+// not, with a channel that is closed when another leader is known.
+func (e *Entry) choose() (string, <-chan struct{}) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.leader != "" {
-		return e.leader
+		return e.leader, e.changed
 	}
 	e.next++
-	return e.hosts[e.next%len(e.hosts)]
+	return e.hosts[e.next%len(e.hosts)], e.changed
 }
 
-// forget notes that a host does not lead.
-func (e *Entry) forget(host string) {
+// hear takes what a host of the core says of the leader.
+func (e *Entry) hear(leader string, term uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.leader == host {
-		e.leader = ""
+	e.heard = time.Now()
+	if leader == "" || term < e.term || (leader == e.leader && term == e.term) {
+		return
 	}
+	if term == e.term && leader == e.doubted && e.heard.Before(e.until) {
+		return
+	}
+	e.setLeader(leader)
+	e.term = term
 }
 
-func (e *Entry) follow(host string) {
+// doubt notes that a host does not answer as a leader.
+func (e *Entry) doubt(host string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.leader, e.heard = host, time.Now()
+	if e.leader == host {
+		e.setLeader("")
+		e.doubted, e.until = host, time.Now().Add(doubtFor)
+	}
+}
+
+// setLeader changes the leader. The mutex is held.
+func (e *Entry) setLeader(host string) {
+	if e.leader != host {
+		e.log.Info().Str("leader", host).Str("former", e.leader).Uint64("term", e.term).Msg("leader changed")
+		e.leader = host
+		close(e.changed)
+		e.changed = make(chan struct{})
+	}
 }
 
 // call is one kind of request to the leader.
@@ -137,29 +166,30 @@
 	defer cancel()
 	doubtful := false
 	for ctx.Err() == nil {
-		host := e.choose()
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		a, err := f(callCtx, e.clients.To(host))
-		cancel()
+		host, changed := e.choose()
+		a, err := e.try(ctx, host, changed, f)
 		switch {
 		case err != nil:
 			var unavailable *fault.Unavailable
 			doubtful = doubtful || !errors.As(err, &unavailable)
-			e.forget(host)
+			e.doubt(host)
 		case a.Code == link.NotLeader:
-			if e.forget(host); a.Leader != "" && a.Leader != host {
-				e.follow(a.Leader)
-				continue
+			if a.Leader == "" {
+				e.doubt(host)
 			}
+			e.hear(a.Leader, a.Term)
 		case a.Code == link.NotReady:
 		case a.Code == link.Unknown:
 			doubtful = true
 		default:
-			e.follow(host)
 			return a
 		}
+		if next, _ := e.choose(); next != host && e.knows() {
+			continue
+		}
 		select {
 		case <-ctx.Done():
+		case <-changed:
 		case <-time.After(retryPause):
 		}
 	}
@@ -169,6 +199,28 @@
 	return &link.Answer{Code: link.NotReady, RetryAfterMS: retryAfterMS, Reason: "no leader is known"}
 }
 
+// knows reports whether a leader is known.
+func (e *Entry) knows() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leader != ""
+}
+
+// try makes one call. It ends early if another leader becomes known: an answer
+// that a former leader gives late would be older than later requests' answers.
+func (e *Entry) try(ctx context.Context, host string, changed <-chan struct{}, f call) (*link.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-changed:
+			cancel()
+		}
+	}()
+	return f(ctx, e.clients.To(host))
+}
+
 // Submit hands in a job.
 func (e *Entry) Submit(ctx context.Context, r *link.SubmitRequest) *link.Answer {
 	return e.forward(ctx, func(ctx context.Context, c *link.Client) (*link.Answer, error) { return c.Submit(ctx, r) })
--- a/internal/leader/announce.go
+++ b/internal/leader/announce.go
@@ -40,7 +40,7 @@
 	}
 	c.sequence = a.Sequence
 	first := c.announced.IsZero()
-	c.announced = now
+	c.announced, c.heard = now, now
 	c.clock.learn(a.ClockMS, now)
 	l.mu.Unlock()
 	if first {
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -19,6 +19,12 @@
 	// joinMargin is how long after its due time a host that moved is awaited
 	// before the provider's list is read again.
 	joinMargin = 3 * time.Second
+	// busyPause follows an order that the provider did not take, and doubles up
+	// to maxBusyPause: a host that is leaving is busy until it is gone.
+	busyPause    = 500 * time.Millisecond
+	maxBusyPause = 4 * time.Second
+	// busyBeforeList is after how many refused orders the list is read again.
+	busyBeforeList = 3
 )
 
 // fleet is the leader's view of the hosts. It is guarded by its mutex.
@@ -47,6 +53,18 @@
 	ordering bool
 	// idleSince is when nothing ran on it for the first time.
 	idleSince time.Time
+	// busy counts the orders that the provider did not take in a row; none is
+	// sent before retryAt.
+	busy    int
+	retryAt time.Time
+	// unlisted is set if the provider's last list lacks the host.
+	unlisted bool
+}
+
+// refused notes that the provider did not take an order.
+func (h *host) refused(now time.Time) {
+	h.busy++
+	h.retryAt = now.Add(min(busyPause<<min(h.busy-1, 8), maxBusyPause))
 }
 
 func newFleet() fleet { return fleet{hosts: map[string]*host{}} }
@@ -70,7 +88,7 @@
 // fleetLoop maintains hosts and moves them between pools.
 func (l *Leader) fleetLoop() {
 	for l.sleep(fleetPace) {
-		if !l.Confirmed() || l.now().Sub(l.elected) < l.cfg.Timing.HolderPause {
+		if !l.Confirmed() {
 			continue
 		}
 		if l.needsList() && !l.list() {
@@ -101,8 +119,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
+	for _, h := range l.fleet.hosts {
+		h.unlisted = true
+	}
 	for _, s := range hosts {
 		h := l.fleet.host(s.Host)
+		h.unlisted = false
 		if !h.ordering && now.After(h.away) {
 			h.state = s
 			h.away = time.Time{}
@@ -157,6 +179,7 @@
 const (
 	reservedMove        = "move"
 	reservedMaintenance = "maintenance"
+	reservedClosing     = "pool has enough hosts"
 )
 
 // token returns the right to order for a host. The mutex is held.
@@ -170,11 +193,37 @@
 	l.planning.Lock()
 	moves := l.chooseMoves()
 	l.planning.Unlock()
+	if len(moves) == 0 {
+		return
+	}
+	orders := make([]work.HostOrder, len(moves))
+	for i, m := range moves {
+		orders[i] = work.HostOrder{Host: m.Host, Holder: l.cfg.Host}
+	}
+	if !l.record(&work.Command{Orders: orders}, "moves") {
+		l.release(moves)
+		return
+	}
 	for _, m := range moves {
 		l.wg.Go(func() { l.moveHost(m) })
 	}
 }
 
+// release gives up moves that were not ordered.
+func (l *Leader) release(moves []poolsize.Move) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, m := range moves {
+		h := l.fleet.host(m.Host)
+		h.reserved, h.ordering = "", false
+	}
+}
+
+// free reports whether this leader may order for a host.
+func (l *Leader) free(host string) bool {
+	return l.cfg.Orders.Free(host, l.cfg.Host, l.cfg.Timing.HolderPause)
+}
+
 // chooseMoves decides on moves and reserves their hosts.
 func (l *Leader) chooseMoves() []poolsize.Move {
 	l.mu.Lock()
@@ -191,6 +240,7 @@
 				byHost[t.Host] = t
 			}
 		}
+		away := l.awayDataCentres(v)
 		var hosts []poolsize.Host
 		for name, h := range l.fleet.hosts {
 			t := byHost[name]
@@ -200,8 +250,14 @@
 			}
 			standby := pool.Standby
 			p := poolsize.Host{Name: name, Pool: h.state.Pool, CPU: h.state.Room.MilliCPU, Reserved: h.reserved == reservedMaintenance}
-			p.Movable = !h.ordering && h.reserved == "" && h.away.IsZero() && h.state.Up &&
+			if t != nil && !l.heard(t) {
+				continue // silent hosts are no capacity
+			}
+			p.Movable = !h.ordering && now.After(h.retryAt) && !away[h.state.DataCentre] && l.free(name) && (h.reserved == "" || h.reserved == reservedClosing) && h.away.IsZero() && h.state.Up &&
 				((t != nil && t.Runs() == 0 && !t.Draining) || (t == nil && standby))
+			if t != nil {
+				p.Load, p.Lasting = t.Room.Sub(v.Free(t)).MilliCPU, len(lastingRuns(v, t)) > 0
+			}
 			if t != nil && !h.idleSince.IsZero() {
 				p.IdleMS = now.Sub(h.idleSince).Milliseconds()
 			}
@@ -211,7 +267,9 @@
 			hosts = append(hosts, p)
 		}
 		demand := l.demand(v)
-		moves = poolsize.Plan(poolsize.Default(), demand, hosts)
+		decision := poolsize.Plan(poolsize.Default(), demand, hosts)
+		moves = decision.Moves
+		l.closeHosts(decision.Closing)
 		l.logSizes(demand, hosts, len(moves))
 	})
 	for _, m := range moves {
@@ -221,6 +279,47 @@
 	return moves
 }
 
+// heard reports whether a target gave a sign of life lately. The mutex is held.
+func (l *Leader) heard(t *work.Target) bool {
+	key := t.Key()
+	c := l.contacts[key]
+	if c == nil || l.now().Sub(c.heard) > announceMissed*l.cfg.Timing.Announce {
+		return false
+	}
+	s := l.sessions[key]
+	return s == nil || !s.silent
+}
+
+// awayDataCentres returns the data centres none of whose targets is heard.
+// The mutex is held.
+func (l *Leader) awayDataCentres(v *work.View) map[string]bool {
+	away := map[string]bool{}
+	for _, t := range v.Targets {
+		if t.Ended {
+			continue
+		}
+		if _, known := away[t.DataCentre]; !known {
+			away[t.DataCentre] = true
+		}
+		if l.heard(t) {
+			away[t.DataCentre] = false
+		}
+	}
+	return away
+}
+
+// closeHosts keeps new runs away from the hosts that their pool does not need.
+func (l *Leader) closeHosts(closing map[string]bool) {
+	for name, h := range l.fleet.hosts {
+		switch {
+		case closing[name] && h.reserved == "":
+			h.reserved = reservedClosing
+		case !closing[name] && h.reserved == reservedClosing:
+			h.reserved = ""
+		}
+	}
+}
+
 // logSizes logs what the pools need and have, at most once a second.
 func (l *Leader) logSizes(demand []poolsize.Pool, hosts []poolsize.Host, moves int) {
 	if l.now().Sub(l.fleet.logged) < time.Second {
@@ -284,9 +383,12 @@
 		defer l.mu.Unlock()
 		h := l.fleet.host(m.Host)
 		h.ordering = false
-		if settled != ProviderDone {
-			h.reserved = ""
+		if settled == ProviderDone {
+			h.busy = 0
+			return
 		}
+		h.reserved = ""
+		h.refused(l.now())
 	}()
 	for try := 0; l.ctx.Err() == nil; try++ {
 		if try > 0 && !l.sleep(retryPause*time.Duration(min(try, 10))) {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -27,6 +27,8 @@
 	Timing   Timing
 	Clock    clock.Clock
 	Log      zerolog.Logger
+	// Orders holds the orders for hosts that were applied here.
+	Orders *OrderLog
 }
 
 // Timing holds the times that the platform's contract sets.
@@ -87,8 +89,10 @@
 // contact is what the leader knows of a target beyond the replicated state.
 type contact struct {
 	announced time.Time
-	sequence  int64
-	clock     targetClock
+	// heard is when the target last announced itself or answered.
+	heard    time.Time
+	sequence int64
+	clock    targetClock
 	// avoidUntil is until when no run is started, after failures.
 	avoidUntil time.Time
 	failures   int
--- a/internal/leader/maintenance.go
+++ b/internal/leader/maintenance.go
@@ -76,7 +76,8 @@
 	var open []string
 	for _, name := range w.Hosts {
 		h := l.fleet.host(name)
-		if _, begun := w.Begun[name]; begun || h.ordering || h.reserved == reservedMove {
+		if _, begun := w.Begun[name]; begun || h.ordering || h.reserved == reservedMove || !l.free(name) ||
+			l.now().Before(h.retryAt) {
 			continue
 		}
 		open = append(open, name)
@@ -168,14 +169,25 @@
 
 // maintainHost orders the maintenance of a host that runs nothing.
 func (l *Leader) maintainHost(r waveStep) {
+	settled := ProviderBusy
 	defer func() {
 		l.mu.Lock()
-		l.fleet.host(r.host).ordering = false
-		l.mu.Unlock()
+		defer l.mu.Unlock()
+		h := l.fleet.host(r.host)
+		h.ordering = false
+		if settled == ProviderDone {
+			h.busy = 0
+			return
+		}
+		h.refused(l.now())
+		l.fleet.stale = l.fleet.stale || h.busy == busyBeforeList
 	}()
 	if !l.record(&work.Command{WaveStep: &work.WaveStep{Wave: r.wave, Host: r.host, Kind: work.MaintenanceOrdered}}, "maintenance") {
 		return
 	}
+	if !l.record(&work.Command{Orders: []work.HostOrder{{Host: r.host, Holder: l.cfg.Host}}}, "maintenance") {
+		return
+	}
 	l.mu.Lock()
 	token := l.token()
 	l.mu.Unlock()
@@ -187,14 +199,27 @@
 		return
 	}
 	l.log.Info().Str("host", r.host).Int64("wave", r.wave).Str("outcome", string(answer)).Msg("maintenance ordered")
+	settled = answer
 	if answer != ProviderDone {
-		l.record(&work.Command{WaveStep: &work.WaveStep{Wave: r.wave, Host: r.host, Kind: work.MaintenanceRefused}}, "refused maintenance")
+		kind := work.MaintenanceRefused
+		if l.isGone(r.host, answer) {
+			kind = work.MaintenanceGone
+			l.log.Info().Str("host", r.host).Int64("wave", r.wave).Msg("host of a wave is gone")
+		}
+		l.record(&work.Command{WaveStep: &work.WaveStep{Wave: r.wave, Host: r.host, Kind: kind}}, "refused maintenance")
 		return
 	}
 	l.leaveHost(r.host, "", l.cfg.Timing.Maintenance)
 	l.record(&work.Command{WaveStep: &work.WaveStep{Wave: r.wave, Host: r.host, Kind: work.MaintenanceBegun}}, "begun maintenance")
 }
 
+// isGone reports whether the provider no longer knows a host.
+func (l *Leader) isGone(name string, answer ProviderAnswer) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fleet.host(name).unlisted && (answer == ProviderRefused || answer == ProviderBusy)
+}
+
 // returnHosts notes which hosts are back from maintenance: a target has
 // registered since, or twice the time is over.
 func (l *Leader) returnHosts() {
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -99,8 +99,7 @@
 	now := l.now()
 	for key, t := range v.Targets {
 		c := l.contacts[key]
-		if t.Ended || t.Draining || c == nil || now.Sub(c.announced) > announceMissed*l.cfg.Timing.Announce ||
-			now.Before(c.avoidUntil) || l.fleet.reserved(t.Host) {
+		if t.Ended || t.Draining || !l.heard(t) || now.Before(c.avoidUntil) || l.fleet.reserved(t.Host) {
 			continue
 		}
 		hosts[t.Pool] = append(hosts[t.Pool], &schedule.Host{Target: t, Free: v.Free(t), Penalty: c.failures})
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -25,7 +25,7 @@
 	leaseMargin = 300 * time.Millisecond
 	// preferredLease outlives the change of a leader, and ends soon enough that
 	// the work of a lost target is started again in useful time.
-	preferredLease = 6 * time.Second
+	preferredLease = 4 * time.Second
 	// failurePause is how long a target gets no new runs after it refused one
 	// as unhealthy or left an order without answer.
 	failurePause = 2 * time.Second
@@ -106,7 +106,8 @@
 	l.cfg.Machine.Read(func(v *work.View) {
 		for key, t := range v.Targets {
 			alive[key] = true
-			if l.sessions[key] == nil && t.Runs() > 0 {
+			// A new leader asks every target once whether it is there.
+			if l.sessions[key] == nil && (t.Runs() > 0 || l.contacts[key] == nil) {
 				missing = append(missing, found{key, Address{t.Address, t.ID}})
 			}
 		}
@@ -180,15 +181,15 @@
 }
 
 // needed reports whether the target has runs, or ends that it does not know to
-// be recorded.
+// be recorded, or was not asked yet.
 func (s *session) needed() bool {
 	needed := false
 	s.l.mu.Lock()
-	acknowledged := s.acknowledged
+	acknowledged, first := s.acknowledged, s.first
 	s.l.mu.Unlock()
 	s.l.cfg.Machine.Read(func(v *work.View) {
 		t := v.Targets[s.key]
-		needed = t != nil && (t.Runs() > 0 || t.Acknowledged > acknowledged)
+		needed = t != nil && (t.Runs() > 0 || t.Acknowledged > acknowledged || !first)
 	})
 	return needed
 }
@@ -339,7 +340,9 @@
 		c = &contact{}
 		l.contacts[key] = c
 	}
-	c.clock.learn(ms, l.now())
+	now := l.now()
+	c.clock.learn(ms, now)
+	c.heard = now
 }
 
 // take records the ends of a list, and orders what the list calls for.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -34,8 +34,10 @@
 // Answer settles a call of an entry host.
 type Answer struct {
 	Code Code `cbor:"1,keyasint"`
-	// Leader is the host of the leader in an answer NotLeader.
+	// Leader is the host of the leader in an answer NotLeader, and Term the
+	// term of the answering host.
 	Leader       string        `cbor:"2,keyasint,omitempty"`
+	Term         uint64        `cbor:"7,keyasint,omitempty"`
 	State        work.JobState `cbor:"3,keyasint,omitempty"`
 	Waiting      int           `cbor:"4,keyasint,omitempty"`
 	RetryAfterMS int64         `cbor:"5,keyasint,omitempty"`
@@ -73,6 +75,7 @@
 type Members struct {
 	Leader string   `cbor:"1,keyasint,omitempty"`
 	Hosts  []string `cbor:"2,keyasint,omitempty"`
+	Term   uint64   `cbor:"3,keyasint,omitempty"`
 }
 
 // Handler is what a process of the core serves.
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -44,7 +44,13 @@
 
 // Send implements replica.Transport. It never blocks.
 func (s *Sender) Send(host, group string, messages []byte) {
-	_ = s.queue(link{host, group}).TryPut(messages)
+	_ = s.TrySend(host, group, messages) // raft repeats what is dropped
+}
+
+// TrySend adds messages without waiting. It returns *fault.LimitExceeded if
+// the ring of the host is full.
+func (s *Sender) TrySend(host, group string, messages []byte) error {
+	return s.queue(link{host, group}).TryPut(messages)
 }
 
 func (s *Sender) queue(l link) *ring.Ring[[]byte] {
--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -30,7 +30,11 @@
 	Movable bool
 	// IdleMS is for how long nothing has run on it.
 	IdleMS int64
-	// Reserved hosts take no new work, but may return.
+	// Load is what runs on it, in thousandths of a core; Lasting is set if some
+	// of it does not end by itself.
+	Load    int64
+	Lasting bool
+	// Reserved hosts take no new work for another reason than the pool's size.
 	Reserved bool
 }
 
@@ -46,7 +50,7 @@
 }
 
 // Default returns the policy in use.
-func Default() Policy { return Policy{IdleMS: 1000, Fill: 0.9, Spare: 1} }
+func Default() Policy { return Policy{IdleMS: 700, Fill: 0.9, Spare: 0} }
 
 // Move is one decision with its reason.
 type Move struct {
@@ -61,8 +65,16 @@
 	want  int
 }
 
-// Plan returns the moves to make now.
-func Plan(p Policy, pools []Pool, hosts []Host) []Move {
+// Decision is what to do now.
+type Decision struct {
+	Moves []Move
+	// Closing holds the hosts that take no new work, since their pool has too
+	// many: they become idle and can move.
+	Closing map[string]bool
+}
+
+// Plan compares the pools' demand with their hosts.
+func Plan(p Policy, pools []Pool, hosts []Host) Decision {
 	needs := map[string]*need{}
 	standby := ""
 	var order []*need
@@ -77,7 +89,7 @@
 	}
 	size := typicalCPU(hosts)
 	if size == 0 {
-		return nil
+		return Decision{}
 	}
 	for _, h := range hosts {
 		if n := needs[h.Pool]; n != nil && !h.Reserved {
@@ -87,13 +99,46 @@
 	for _, n := range order {
 		n.want = p.want(n.pool, size)
 	}
-	return p.assign(order, needs, hosts, standby)
+	closing := closeSurplus(order, hosts)
+	return Decision{Moves: p.assign(order, needs, hosts, standby), Closing: closing}
+}
+
+// closeSurplus chooses the hosts of each pool beyond what it wants: those
+// with the least work that ends by itself.
+func closeSurplus(order []*need, hosts []Host) map[string]bool {
+	closing := map[string]bool{}
+	for _, n := range order {
+		var open []Host
+		for _, h := range hosts {
+			if h.Pool == n.pool.Name && !h.Reserved {
+				open = append(open, h)
+			}
+		}
+		slices.SortFunc(open, func(a, b Host) int {
+			return cmp.Or(compareBool(b.Lasting, a.Lasting), cmp.Compare(b.Load, a.Load), cmp.Compare(a.Name, b.Name))
+		})
+		for _, h := range open[min(len(open), n.want):] {
+			closing[h.Name] = !h.Lasting
+		}
+	}
+	return closing
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
 }
 
 // want returns how many hosts a pool should have.
 func (p Policy) want(pool *Pool, size int64) int {
 	cpu := math.Max(float64(pool.Running+pool.Waiting), pool.Arriving)
-	return max(pool.Spread, int(math.Ceil(cpu/(float64(size)*p.Fill)))) + p.Spare
+	return max(1, pool.Spread, int(math.Ceil(cpu/(float64(size)*p.Fill)))) + p.Spare
 }
 
 // assign gives idle hosts of pools with too many, and then those on standby,
--- a/internal/work/apply.go
+++ b/internal/work/apply.go
@@ -31,6 +31,9 @@
 	state state
 	// changed is closed and replaced at every change.
 	changed chan struct{}
+	// OnOrder, if set before the first entry, is told of every order for a host
+	// that is applied here. It must not block.
+	OnOrder func(HostOrder)
 }
 
 // state is what a snapshot holds.
@@ -99,6 +102,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	result := m.state.apply(&c)
+	if m.OnOrder != nil {
+		for _, o := range c.Orders {
+			m.OnOrder(o)
+		}
+	}
 	close(m.changed)
 	m.changed = make(chan struct{})
 	return result
@@ -479,6 +487,9 @@
 		w.Begun[r.Host] = s.NowMS
 	case MaintenanceReturned:
 		w.Returned[r.Host] = true
+	case MaintenanceGone:
+		w.Hosts = slices.DeleteFunc(w.Hosts, func(h string) bool { return h == r.Host })
+		delete(w.Ordered, r.Host)
 	}
 	return &Result{}
 }
--- a/internal/work/command.go
+++ b/internal/work/command.go
@@ -16,6 +16,14 @@
 	Report   *Report   `cbor:"9,keyasint,omitempty"`
 	Wave     *Wave     `cbor:"10,keyasint,omitempty"`
 	WaveStep *WaveStep `cbor:"11,keyasint,omitempty"`
+	// Orders announces orders to the provider before they are sent.
+	Orders []HostOrder `cbor:"12,keyasint,omitempty"`
+}
+
+// HostOrder is an order for a host that a holder is about to send.
+type HostOrder struct {
+	Host   string `cbor:"1,keyasint"`
+	Holder string `cbor:"2,keyasint"`
 }
 
 // Submission asks for a job.
@@ -58,6 +66,8 @@
 	MaintenanceRefused  StepKind = "refused"
 	MaintenanceBegun    StepKind = "begun"
 	MaintenanceReturned StepKind = "returned"
+	// MaintenanceGone takes a host that has left for good out of the wave.
+	MaintenanceGone StepKind = "gone"
 )
 
 // WaveStep records a step of the maintenance of a host.
--- /dev/null
+++ b/internal/work/work_test.go
@@ -0,0 +1,359 @@
+package work_test
+
+import (
+	"strconv"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatehaven.dev/agatehaven/internal/codec"
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/replica"
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+func TestWork(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "work")
+}
+
+// region drives a state machine as a leader does.
+type region struct {
+	*work.Machine
+	index uint64
+	nowMS int64
+}
+
+func newRegion() *region {
+	r := &region{Machine: work.New(), nowMS: 1_000_000}
+	r.do(&work.Command{Configure: &work.Configuration{
+		Version: 1,
+		Queues: []work.Queue{{Name: "draw", Domain: "a.example", Prefix: "/draw/", Pool: "desk", Attempts: 2,
+			Stretch: 1.6, SlackMS: 600, TimeoutMS: 3000}},
+		Pools: []work.Pool{{Name: "desk"}, {Name: "off", Standby: true}},
+	}})
+	return r
+}
+
+func (r *region) do(c *work.Command) *work.Result {
+	GinkgoHelper()
+	r.index++
+	c.NowMS = r.nowMS
+	data, err := codec.Marshal(c)
+	Expect(err).NotTo(HaveOccurred())
+	result, ok := r.Apply(replica.Entry{Index: r.index, Term: 1, Data: data}).(*work.Result)
+	Expect(ok).To(BeTrue())
+	return result
+}
+
+func (r *region) target(id string, born int64) string {
+	t := work.Target{
+		ID: id, Born: born, Host: "host-" + id, Pool: "desk", Address: "10.0.0." + strconv.FormatInt(born%200, 10) + ":80",
+		Room: work.Demand{MilliCPU: 4000, MemoryMB: 4000},
+	}
+	Expect(r.do(&work.Command{Register: &t}).Err).NotTo(HaveOccurred())
+	return t.Key()
+}
+
+func (r *region) submit(id string, steps ...work.Step) {
+	GinkgoHelper()
+	Expect(r.do(&work.Command{Submit: &work.Submission{
+		ID: id, Domain: "a.example", Path: "/draw/", Spec: work.Spec{Payload: "p", Steps: steps},
+	}}).Err).NotTo(HaveOccurred())
+}
+
+// start orders runs of tasks on a target and returns the accepted ones.
+func (r *region) start(target string, tasks ...work.TaskRef) []work.StartedRun {
+	var starts []work.Start
+	for _, t := range tasks {
+		starts = append(starts, work.Start{Task: t, Target: target})
+	}
+	return r.do(&work.Command{Start: starts}).Started
+}
+
+// end reports the end of a run.
+func (r *region) end(target string, number int64, run work.RunRef, outcome work.Outcome) {
+	r.do(&work.Command{Report: &work.Report{Target: target, Ends: []work.End{{Number: number, Run: run, Outcome: outcome}}}})
+}
+
+func (r *region) state(job string) work.JobState {
+	s, _ := r.JobState(job)
+	return s
+}
+
+func (r *region) runs(target string) int {
+	n := -1
+	r.Read(func(v *work.View) {
+		if t := v.Targets[target]; t != nil {
+			n = t.Runs()
+		}
+	})
+	return n
+}
+
+func task(job string, step, index int) work.TaskRef {
+	return work.TaskRef{Job: job, Step: step, Index: index}
+}
+
+func one(cpu int64) work.Step { return work.Step{Tasks: 1, Demand: work.Demand{MilliCPU: cpu}} }
+
+var _ = Describe("a job", func() {
+	var r *region
+	var a string
+
+	BeforeEach(func() {
+		r = newRegion()
+		a = r.target("a", 1)
+	})
+
+	It("runs its steps in order and is completed", func() {
+		// Guards against a start before the steps that it waits for.
+		second := one(1000)
+		second.After = []int{0}
+		r.submit("j", one(1000), second)
+		Expect(r.state("j")).To(Equal(work.Queued))
+		Expect(r.start(a, task("j", 1, 0))).To(BeEmpty())
+		Expect(r.start(a, task("j", 0, 0))).To(HaveLen(1))
+		Expect(r.state("j")).To(Equal(work.Running))
+		Expect(r.start(a, task("j", 1, 0))).To(BeEmpty())
+		r.end(a, 1, work.RunRef{Task: task("j", 0, 0), Run: 1}, work.OutcomeDone)
+		Expect(r.start(a, task("j", 1, 0))).To(HaveLen(1))
+		r.end(a, 2, work.RunRef{Task: task("j", 1, 0), Run: 1}, work.OutcomeDone)
+		Expect(r.state("j")).To(Equal(work.Completed))
+	})
+
+	It("never has two runs of a task", func() {
+		// Guards against a doubled draw.
+		b := r.target("b", 2)
+		r.submit("j", one(1000))
+		Expect(r.start(a, task("j", 0, 0), task("j", 0, 0))).To(HaveLen(1))
+		Expect(r.start(b, task("j", 0, 0))).To(BeEmpty())
+		r.end(a, 1, work.RunRef{Task: task("j", 0, 0), Run: 1}, work.OutcomeLapsed)
+		Expect(r.start(b, task("j", 0, 0))).To(HaveLen(1))
+	})
+
+	It("ignores the end of a run that was closed before", func() {
+		// Guards against an end that a target lists after its lease was over,
+		// while the task runs elsewhere.
+		b := r.target("b", 2)
+		r.submit("j", one(1000))
+		r.start(a, task("j", 0, 0))
+		r.do(&work.Command{End: a})
+		Expect(r.start(b, task("j", 0, 0))).To(HaveLen(1))
+		r.end(a, 1, work.RunRef{Task: task("j", 0, 0), Run: 1}, work.OutcomeDone)
+		Expect(r.state("j")).To(Equal(work.Running))
+		Expect(r.runs(b)).To(Equal(1))
+	})
+
+	It("fails after the attempts of a task, and counts only failures", func() {
+		// Guards against a job that can never run and takes room for ever.
+		r.submit("j", one(1000))
+		for run, outcome := range []work.Outcome{work.OutcomeFailed, work.OutcomeLapsed, work.OutcomeStopped, work.OutcomeFailed} {
+			Expect(r.start(a, task("j", 0, 0))).To(HaveLen(1))
+			r.end(a, int64(run+1), work.RunRef{Task: task("j", 0, 0), Run: run + 1}, outcome)
+		}
+		Expect(r.state("j")).To(Equal(work.Failed))
+		Expect(r.start(a, task("j", 0, 0))).To(BeEmpty())
+	})
+
+	It("keeps the room of a run until its end is recorded", func() {
+		// Guards against a start beyond the capacity of a target that does not
+		// check it, also while a cancelled run is being stopped.
+		r.submit("j", one(3000))
+		r.submit("k", one(3000))
+		Expect(r.start(a, task("j", 0, 0))).To(HaveLen(1))
+		Expect(r.start(a, task("k", 0, 0))).To(BeEmpty())
+		r.do(&work.Command{Cancel: "j"})
+		Expect(r.state("j")).To(Equal(work.Cancelled))
+		Expect(r.start(a, task("k", 0, 0))).To(BeEmpty())
+		r.end(a, 1, work.RunRef{Task: task("j", 0, 0), Run: 1}, work.OutcomeStopped)
+		Expect(r.start(a, task("k", 0, 0))).To(HaveLen(1))
+	})
+
+	It("is one job however often it is submitted", func() {
+		// Guards against a resend that runs again, also after the end.
+		r.submit("j", one(1000))
+		r.start(a, task("j", 0, 0))
+		r.submit("j", one(1000))
+		r.end(a, 1, work.RunRef{Task: task("j", 0, 0), Run: 1}, work.OutcomeDone)
+		r.submit("j", one(1000))
+		Expect(r.state("j")).To(Equal(work.Completed))
+		Expect(r.start(a, task("j", 0, 0))).To(BeEmpty())
+	})
+
+	It("is forgotten only after its retention", func() {
+		// Guards against a caller that asks late and is told that the job is unknown.
+		r.submit("j", one(1000))
+		r.do(&work.Command{Cancel: "j"})
+		r.nowMS += work.RetentionMS - 1
+		r.submit("k", one(1000))
+		Expect(r.state("j")).To(Equal(work.Cancelled))
+		r.nowMS += 2
+		r.submit("l", one(1000))
+		Expect(r.state("j")).To(BeEmpty())
+	})
+
+	It("refuses labels, hosts per step and draining targets", func() {
+		// Guards against runs where the job or the target forbids them.
+		labelled, spread := one(100), work.Step{Tasks: 3, MaxPerHost: 2}
+		labelled.Label = "gpu"
+		r.submit("j", labelled, spread)
+		Expect(r.start(a, task("j", 0, 0))).To(BeEmpty())
+		Expect(r.start(a, task("j", 1, 0), task("j", 1, 1), task("j", 1, 2))).To(HaveLen(2))
+		r.do(&work.Command{Register: &work.Target{
+			ID: "a", Born: 1, Host: "host-a", Pool: "desk", Address: "10.0.0.1:80", Draining: true,
+			Room: work.Demand{MilliCPU: 4000, MemoryMB: 4000},
+		}})
+		r.submit("k", one(100))
+		Expect(r.start(a, task("k", 0, 0))).To(BeEmpty())
+	})
+
+	It("starts a gang again only after all members have ended, under one number", func() {
+		// Guards against members of two runs that wait for each other.
+		gang := work.Step{Tasks: 2, Gang: true}
+		r.submit("j", gang)
+		first := r.start(a, task("j", 0, 0), task("j", 0, 1))
+		Expect(first).To(HaveLen(2))
+		Expect(first[0].Run).To(Equal(first[1].Run))
+		r.end(a, 1, work.RunRef{Task: task("j", 0, 0), Run: 1}, work.OutcomeFailed)
+		startable := func() (n int) {
+			r.Read(func(v *work.View) { n = len(v.Live["j"].Startable(0, 0)) })
+			return n
+		}
+		Expect(startable()).To(BeZero())
+		r.end(a, 2, work.RunRef{Task: task("j", 0, 1), Run: 1}, work.OutcomeBroken)
+		Expect(startable()).To(Equal(2))
+		again := r.start(a, task("j", 0, 0), task("j", 0, 1))
+		Expect([]int{again[0].Run, again[1].Run}).To(Equal([]int{2, 2}))
+		r.end(a, 3, work.RunRef{Task: task("j", 0, 0), Run: 2}, work.OutcomeDone)
+		Expect(r.state("j")).To(Equal(work.Completed))
+	})
+})
+
+var _ = Describe("a target", func() {
+	It("closes its runs when a later life takes its place under another id", func() {
+		// Guards against tasks that are never started again after a crash.
+		r := newRegion()
+		a := r.target("a", 1)
+		r.submit("j", one(1000))
+		r.start(a, task("j", 0, 0))
+		r.do(&work.Command{Register: &work.Target{
+			ID: "b", Born: 5, Host: "host-a", Pool: "desk", Address: "10.0.0.9:80", Room: work.Demand{MilliCPU: 4000},
+		}})
+		Expect(r.runs(a)).To(Equal(-1))
+		Expect(r.start("b@5", task("j", 0, 0))).To(HaveLen(1))
+	})
+
+	It("keeps its runs when its own id returns, until they are known to have ended", func() {
+		// Guards against a second run beside one that an order on its way
+		// begins in the later life.
+		r := newRegion()
+		a := r.target("a", 1)
+		r.submit("j", one(1000))
+		r.start(a, task("j", 0, 0))
+		later := r.target("a", 5)
+		Expect(r.runs(a)).To(Equal(1))
+		Expect(r.start(later, task("j", 0, 0))).To(BeEmpty())
+		r.do(&work.Command{End: a, Gone: true})
+		Expect(r.start(later, task("j", 0, 0))).To(HaveLen(1))
+	})
+
+	It("is not replaced by an earlier life that announces itself late", func() {
+		// Guards against a delayed announcement.
+		r := newRegion()
+		r.target("a", 5)
+		t := work.Target{ID: "a", Born: 1, Host: "host-a", Pool: "desk", Address: "10.0.0.1:80"}
+		var refused *fault.Precondition
+		Expect(r.do(&work.Command{Register: &t}).Err).To(BeAssignableToTypeOf(refused))
+	})
+})
+
+var _ = Describe("the configuration", func() {
+	It("takes the highest version and never goes back", func() {
+		// Guards against a late or repeated change that reverts a newer one.
+		r := newRegion()
+		r.do(&work.Command{Configure: &work.Configuration{Version: 7, Document: []byte("seven")}})
+		r.do(&work.Command{Configure: &work.Configuration{Version: 7, Document: []byte("other")}})
+		r.do(&work.Command{Configure: &work.Configuration{Version: 3, Document: []byte("three")}})
+		Expect(string(r.Configuration().Document)).To(Equal("seven"))
+	})
+
+	DescribeTable("refuses what must not take effect",
+		func(change func(c *work.Configuration)) {
+			// Guards against a configuration that is acknowledged and cannot work.
+			c := &work.Configuration{
+				Version: 1, Pools: []work.Pool{{Name: "p"}},
+				Queues: []work.Queue{{Name: "q", Domain: "d", Prefix: "/q/", Pool: "p", TimeoutMS: 1}},
+			}
+			Expect(c.Check()).To(Succeed())
+			change(c)
+			var invalid *fault.Invalid
+			Expect(c.Check()).To(BeAssignableToTypeOf(invalid))
+		},
+		Entry("no version", func(c *work.Configuration) { c.Version = 0 }),
+		Entry("an unknown pool", func(c *work.Configuration) { c.Queues[0].Pool = "x" }),
+		Entry("no timeout", func(c *work.Configuration) { c.Queues[0].TimeoutMS = 0 }),
+		Entry("two queues at one place", func(c *work.Configuration) {
+			c.Queues = append(c.Queues, work.Queue{Name: "r", Domain: "d", Prefix: "/q/", Pool: "p", TimeoutMS: 1})
+		}),
+	)
+
+	It("routes by the longest prefix", func() {
+		// Guards against a queue that takes the jobs of another one.
+		c := &work.Configuration{Queues: []work.Queue{
+			{Name: "short", Domain: "d", Prefix: "/a/"}, {Name: "long", Domain: "d", Prefix: "/a/b/"}, {Name: "other", Domain: "e", Prefix: "/a/b/c/"},
+		}}
+		q, ok := c.Route("d", "/a/b/c/")
+		Expect(ok).To(BeTrue())
+		Expect(q.Name).To(Equal("long"))
+		_, ok = c.Route("d", "/x/")
+		Expect(ok).To(BeFalse())
+	})
+})
+
+var _ = Describe("a wave", func() {
+	It("never has more hosts down than allowed, and is complete only once all have begun", func() {
+		// Guards against maintenance that takes more capacity than promised.
+		r := newRegion()
+		r.do(&work.Command{Wave: &work.Wave{ID: 1, Hosts: []string{"a", "b"}, MaxDown: 1}})
+		step := func(host string, kind work.StepKind) error {
+			return r.do(&work.Command{WaveStep: &work.WaveStep{Wave: 1, Host: host, Kind: kind}}).Err
+		}
+		complete := func() bool { c, _ := r.WaveComplete(1); return c }
+		Expect(step("a", work.MaintenanceOrdered)).To(Succeed())
+		Expect(step("a", work.MaintenanceOrdered)).To(Succeed()) // a repeated order
+		Expect(step("b", work.MaintenanceOrdered)).NotTo(Succeed())
+		Expect(step("a", work.MaintenanceBegun)).To(Succeed())
+		Expect(step("b", work.MaintenanceOrdered)).NotTo(Succeed())
+		Expect(step("a", work.MaintenanceReturned)).To(Succeed())
+		Expect(step("b", work.MaintenanceOrdered)).To(Succeed())
+		Expect(complete()).To(BeFalse())
+		Expect(step("b", work.MaintenanceBegun)).To(Succeed())
+		Expect(complete()).To(BeTrue())
+	})
+})
+
+var _ = Describe("a snapshot", func() {
+	It("restores the same state", func() {
+		// Guards against fields that are left out, and against an index that
+		// does not match after a restart.
+		r := newRegion()
+		a := r.target("a", 1)
+		r.submit("j", work.Step{Tasks: 2, Demand: work.Demand{MilliCPU: 1000}})
+		r.submit("k", one(3500))
+		r.start(a, task("j", 0, 0), task("j", 0, 1))
+		r.end(a, 1, work.RunRef{Task: task("j", 0, 0), Run: 1}, work.OutcomeDone)
+		data, err := r.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		restored := &region{Machine: work.New(), nowMS: r.nowMS}
+		Expect(restored.Restore(data)).To(Succeed())
+		again, err := restored.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again).To(Equal(data))
+		Expect(restored.start(a, task("k", 0, 0))).To(BeEmpty(), "the room of the open run is not kept")
+		restored.end(a, 2, work.RunRef{Task: task("j", 0, 1), Run: 1}, work.OutcomeDone)
+		Expect(restored.state("j")).To(Equal(work.Completed))
+		Expect(restored.start(a, task("k", 0, 0))).To(HaveLen(1))
+	})
+})
