Test the region's packages; fence an earlier life before its successor is used

Cause: a randomized test with simulated time found targets over their capacity: a start on its way to an earlier life began in a later one under the same id, which no account held. Change: a target takes no runs while an earlier life under its id may have some. Decisions and plans exclude each other by a channel, so that simulated time sees the wait.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -190,9 +190,9 @@
 
 // resize moves hosts between pools.
 func (l *Leader) resize() {
-	l.planning.Lock()
+	l.planning.take()
 	moves := l.chooseMoves()
-	l.planning.Unlock()
+	l.planning.end()
 	if len(moves) == 0 {
 		return
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -75,7 +75,7 @@
 
 	// planning is held from a decision about hosts or starts to its commit, so
 	// that no two decisions use the same room.
-	planning sync.Mutex
+	planning turn
 
 	mu       sync.Mutex
 	sessions map[string]*session
@@ -86,6 +86,13 @@
 	learned  durations
 }
 
+// turn is a lock that is held while a commit is awaited. It is a channel, so
+// that tests with simulated time see its holder wait.
+type turn chan struct{}
+
+func (t turn) take() { t <- struct{}{} }
+func (t turn) end()  { <-t }
+
 // contact is what the leader knows of a target beyond the replicated state.
 type contact struct {
 	announced time.Time
@@ -103,7 +110,7 @@
 	return &Leader{
 		cfg: cfg, term: term, log: cfg.Log.With().Uint64("term", term).Logger(),
 		sessions: map[string]*session{}, contacts: map[string]*contact{}, wake: make(chan struct{}, 1),
-		fleet: newFleet(), learned: newDurations(),
+		planning: make(turn, 1), fleet: newFleet(), learned: newDurations(),
 	}
 }
 
--- /dev/null
+++ b/internal/leader/leader_test.go
@@ -0,0 +1,270 @@
+package leader_test
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+func TestLeader(t *testing.T) {
+	RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "leader")
+}
+
+// after lets the world's time pass.
+func after(d time.Duration) { <-time.After(d) }
+
+func small(tasks int) work.Step { return work.Step{Tasks: tasks, Demand: work.Demand{MilliCPU: 1000}} }
+
+func lasting(tasks int) work.Step {
+	s := small(tasks)
+	s.Lasting, s.MaxAway = true, 1
+	return s
+}
+
+// play runs f in a world whose time is simulated, and checks the promises.
+func play(t *testing.T, f func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		f(w)
+		w.mu.Lock()
+		for _, target := range w.targets {
+			target.die()
+		}
+		w.mu.Unlock()
+		after(time.Minute) // late orders and loops of the world end
+		NewWithT(t).Expect(w.broken).To(BeEmpty())
+	})
+}
+
+// Guards against a job that is accepted and never run.
+func TestJobIsCompleted(t *testing.T) {
+	play(t, func(w *world) {
+		w.add("a", "ha", "1:1", "desk")
+		_, stop := w.lead(2)
+		defer stop()
+		w.submit("j", "/draw/", small(6))
+		after(4 * time.Second)
+		NewWithT(t).Expect(w.state("j")).To(Equal(work.Completed))
+	})
+}
+
+// Guards against work that is never started again after its target went
+// silent: every unanswered hold extended the lease.
+func TestWorkOfASilentTargetStartsElsewhereOnceItsLeaseHasEnded(t *testing.T) {
+	play(t, func(w *world) {
+		a := w.add("a", "ha", "1:1", "desk")
+		_, stop := w.lead(2)
+		defer stop()
+		w.submit("j", "/draw/", lasting(1))
+		after(2 * time.Second)
+		g := NewWithT(t)
+		g.Expect(a.runs).To(HaveLen(1))
+		b := w.add("b", "hb", "1:2", "desk")
+		b.duration = 0
+		w.mu.Lock()
+		a.silent = true
+		w.mu.Unlock()
+		after(2 * worldLease)
+		g.Expect(b.runs).To(HaveLen(1))
+	})
+}
+
+// Guards against a second run beside one whose confirmation was lost.
+func TestStartWithoutAnswerIsNotStartedElsewhere(t *testing.T) {
+	play(t, func(w *world) {
+		a := w.add("a", "ha", "1:1", "desk")
+		_, stop := w.lead(2)
+		defer stop()
+		after(time.Second)
+		w.mu.Lock()
+		a.deaf = true
+		w.mu.Unlock()
+		w.submit("j", "/draw/", small(1))
+		w.add("b", "hb", "1:2", "desk")
+		after(1500 * time.Millisecond)
+		w.mu.Lock()
+		a.deaf = false
+		w.mu.Unlock()
+		after(4 * time.Second)
+		NewWithT(t).Expect(w.state("j")).To(Equal(work.Completed))
+	})
+}
+
+// Guards against runs of a cancelled job that go on.
+func TestRunsOfACancelledJobAreStopped(t *testing.T) {
+	play(t, func(w *world) {
+		a := w.add("a", "ha", "1:1", "desk")
+		a.duration = 0
+		_, stop := w.lead(2)
+		defer stop()
+		w.submit("j", "/draw/", small(2))
+		after(time.Second)
+		g := NewWithT(t)
+		g.Expect(a.runs).To(HaveLen(2))
+		w.propose(&work.Command{Cancel: "j"})
+		after(500 * time.Millisecond)
+		g.Expect(a.runs).To(BeEmpty())
+	})
+}
+
+// Guards against a new leader that starts what its predecessor has started,
+// and against leases that end at the change.
+func TestNewLeaderTakesOverWhatRuns(t *testing.T) {
+	play(t, func(w *world) {
+		a := w.add("a", "ha", "1:1", "desk")
+		w.add("b", "hb", "1:2", "desk")
+		a.duration = 0
+		_, stop := w.lead(2)
+		w.submit("j", "/draw/", lasting(2))
+		after(2 * time.Second)
+		stop()
+		after(1500 * time.Millisecond) // an election
+		_, stop = w.lead(3)
+		defer stop()
+		after(8 * time.Second)
+		for _, target := range w.targets {
+			for _, e := range target.ended {
+				NewWithT(t).Expect(e.Outcome).NotTo(Equal(work.OutcomeLapsed))
+			}
+		}
+	})
+}
+
+// Guards against the work of an earlier life that an order on its way begins
+// again in a later life under the same id.
+func TestLaterLifeUnderTheSameIDIsFencedFirst(t *testing.T) {
+	play(t, func(w *world) {
+		a := w.add("a", "ha", "1:1", "desk")
+		a.duration = 0
+		_, stop := w.lead(2)
+		defer stop()
+		w.submit("j", "/draw/", lasting(2))
+		after(2 * time.Second)
+		again := w.add("a", "ha", "1:1", "desk")
+		again.duration = 0
+		w.add("b", "hb", "1:2", "desk").duration = 0
+		after(10 * time.Second)
+		n := 0
+		for _, target := range w.targets {
+			n += len(target.runs)
+		}
+		NewWithT(t).Expect(n).To(Equal(2))
+	})
+}
+
+// Answers the demand of one queue in its turn, which asks for more than its
+// pool holds while the other pool idles.
+func TestHostsFollowTheDemand(t *testing.T) {
+	play(t, func(w *world) {
+		for i := range 4 {
+			n := strconv.Itoa(i)
+			w.add("c"+n, "hc"+n, "2:"+n, "cuts")
+		}
+		w.add("a", "ha", "1:1", "desk")
+		_, stop := w.lead(2)
+		defer stop()
+		after(time.Second)
+		for i := range 10 {
+			w.submit("j"+strconv.Itoa(i), "/draw/", small(4))
+		}
+		after(8 * time.Second)
+		g := NewWithT(t)
+		for i := range 10 {
+			g.Expect(w.state("j" + strconv.Itoa(i))).To(Equal(work.Completed))
+		}
+		g.Expect(w.moves).To(ContainElement(HaveSuffix("to desk")))
+	})
+}
+
+// Guards against maintenance that ends running work, interrupts two tasks of
+// a step at once, or never ends.
+func TestWaveMaintainsHostsWithLastingTasks(t *testing.T) {
+	play(t, func(w *world) {
+		for i := range 3 {
+			n := strconv.Itoa(i)
+			w.add("a"+n, "h"+n, "1:"+n, "desk").duration = 0
+		}
+		_, stop := w.lead(2)
+		defer stop()
+		w.submit("j", "/draw/", lasting(3))
+		after(2 * time.Second)
+		w.propose(&work.Command{Wave: &work.Wave{ID: 1, Hosts: []string{"h0", "h1", "h2"}, MaxDown: 1}})
+		after(30 * time.Second)
+		complete, _ := w.machine.WaveComplete(1)
+		NewWithT(t).Expect(complete).To(BeTrue())
+	})
+}
+
+// Any faults in any order: targets that are silent, answer nothing, carry out
+// orders late, return as another life or fail their runs, and leaders that
+// change. Two runs of a task, a target over its capacity, or a move that ends
+// work break a promise; every job ends once the faults do.
+func TestRandomFaults(t *testing.T) {
+	for seed := range uint64(25) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			play(t, func(w *world) { randomDay(t, w, rand.New(rand.NewPCG(seed, 1))) })
+		})
+	}
+}
+
+func randomDay(t *testing.T, w *world, r *rand.Rand) {
+	for i := range 6 {
+		n := strconv.Itoa(i)
+		w.add("a"+n, "h"+n, "1:"+n, "desk")
+	}
+	term := uint64(2)
+	_, stop := w.lead(term)
+	jobs := 0
+	for range 40 {
+		w.submit("j"+strconv.Itoa(jobs), "/draw/", small(1+r.IntN(5)))
+		jobs++
+		address := "1:" + strconv.Itoa(r.IntN(6))
+		w.mu.Lock()
+		target := w.targets[address]
+		lives := strconv.Itoa(jobs)
+		switch r.IntN(9) {
+		case 0:
+			target.silent = true
+		case 1:
+			target.deaf = true
+		case 2:
+			target.late = time.Duration(2+r.IntN(10)) * time.Second
+		case 3:
+			target.fails = true
+		case 4, 5, 6:
+			target.silent, target.deaf, target.late, target.fails = false, false, 0, false
+		}
+		w.mu.Unlock()
+		switch r.IntN(12) {
+		case 0:
+			w.add(target.state.ID, target.state.Host, address, target.state.Pool)
+		case 1:
+			w.add("b"+lives, target.state.Host, address, target.state.Pool)
+		case 2:
+			stop()
+			after(time.Duration(r.IntN(2000)) * time.Millisecond)
+			term++
+			_, stop = w.lead(term)
+		}
+		after(time.Duration(r.IntN(800)) * time.Millisecond)
+	}
+	w.mu.Lock()
+	for _, target := range w.targets {
+		target.silent, target.deaf, target.late, target.fails = false, false, 0, false
+	}
+	w.mu.Unlock()
+	after(40 * time.Second)
+	stop()
+	for i := range jobs {
+		NewWithT(t).Expect(w.state("j"+strconv.Itoa(i)).Final()).To(BeTrue(), "job %d", i)
+	}
+}
--- a/internal/leader/maintenance.go
+++ b/internal/leader/maintenance.go
@@ -16,9 +16,9 @@
 
 // maintain drains and maintains the hosts of waves.
 func (l *Leader) maintain() {
-	l.planning.Lock()
+	l.planning.take()
 	ready, evacuate := l.chooseMaintenance()
-	l.planning.Unlock()
+	l.planning.end()
 	for _, r := range ready {
 		l.wg.Go(func() { l.maintainHost(r) })
 	}
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -40,8 +40,8 @@
 
 // startWanted plans, commits the plan and orders what was accepted.
 func (l *Leader) startWanted() {
-	l.planning.Lock()
-	defer l.planning.Unlock()
+	l.planning.take()
+	defer l.planning.end()
 	starts := l.plan()
 	if len(starts) == 0 {
 		return
@@ -99,7 +99,7 @@
 	now := l.now()
 	for key, t := range v.Targets {
 		c := l.contacts[key]
-		if t.Ended || t.Draining || !l.heard(t) || now.Before(c.avoidUntil) || l.fleet.reserved(t.Host) {
+		if t.Ended || t.Draining || v.Succeeds(t) || !l.heard(t) || now.Before(c.avoidUntil) || l.fleet.reserved(t.Host) {
 			continue
 		}
 		hosts[t.Pool] = append(hosts[t.Pool], &schedule.Host{Target: t, Free: v.Free(t), Penalty: c.failures})
--- /dev/null
+++ b/internal/leader/world_test.go
@@ -0,0 +1,456 @@
+package leader_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"agatehaven.dev/agatehaven/internal/clock"
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/leader"
+	"agatehaven.dev/agatehaven/internal/replica"
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+// Times of the world. Its clock is that of a testing/synctest bubble.
+const (
+	worldLease    = 6 * time.Second
+	worldAnnounce = 1500 * time.Millisecond
+	worldCommit   = 5 * time.Millisecond
+	worldStop     = 100 * time.Millisecond
+)
+
+// world holds targets, a provider and a log without replicas. It notes every
+// broken promise.
+type world struct {
+	t       *testing.T
+	machine *work.Machine
+
+	mu      sync.Mutex
+	index   uint64
+	quorum  bool
+	targets map[string]*target // by address
+	broken  []string
+	// alive counts the runs of each task that are alive.
+	alive map[work.TaskRef]int
+	moves []string
+	seq   int64
+}
+
+// target is a stand-in for a target: it runs, holds leases and lists ends.
+type target struct {
+	w     *world
+	state work.Target
+	start time.Time
+
+	fence   uint64
+	until   time.Time
+	runs    map[work.RunRef]*time.Timer
+	stopped map[work.TaskRef]int // the highest run that was stopped or ended
+	ended   []work.End
+	number  int64
+	used    work.Demand
+	changed chan struct{}
+	dead    bool
+
+	// silent targets get no orders; deaf ones carry them out without an answer.
+	silent, deaf bool
+	// late orders are carried out after this time, without an answer.
+	late time.Duration
+	// fails is set for targets on which every run fails.
+	fails bool
+	// duration of a run; 0 runs until it is stopped.
+	duration time.Duration
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, machine: work.New(), quorum: true, targets: map[string]*target{}, alive: map[work.TaskRef]int{}}
+	w.propose(&work.Command{Configure: &work.Configuration{
+		Version: 1, Pools: []work.Pool{{Name: "desk"}, {Name: "cuts"}, {Name: "off", Standby: true}},
+		Queues: []work.Queue{
+			{Name: "draw", Domain: "d", Prefix: "/draw/", Pool: "desk", Attempts: 3, Stretch: 1.6, SlackMS: 600, TimeoutMS: 3000},
+			{Name: "cut", Domain: "d", Prefix: "/cut/", Pool: "cuts", Attempts: 3, Stretch: 1.6, SlackMS: 600, TimeoutMS: 3000},
+		},
+	}})
+	return w
+}
+
+func (w *world) breaks(format string, args ...any) {
+	w.broken = append(w.broken, fmt.Sprintf(format, args...))
+}
+
+// Propose implements replica.Group.
+func (w *world) Propose(ctx context.Context, data []byte) (any, error) {
+	select {
+	case <-ctx.Done():
+		return nil, &fault.ProposalUnknown{}
+	case <-time.After(worldCommit):
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.quorum {
+		return nil, &fault.ProposalUnknown{}
+	}
+	w.index++
+	return w.machine.Apply(replica.Entry{Index: w.index, Term: 1, Data: data}), nil
+}
+
+func (w *world) propose(c *work.Command) {
+	w.t.Helper()
+	l := leader.New(leader.Config{Group: w, Machine: w.machine, Clock: clock.System{}, Log: zerolog.Nop()}, 1)
+	result, err := l.Propose(context.Background(), c)
+	NewWithT(w.t).Expect(err).NotTo(HaveOccurred())
+	NewWithT(w.t).Expect(result.Err).NotTo(HaveOccurred())
+}
+
+// ReadBarrier implements replica.Group.
+func (w *world) ReadBarrier(ctx context.Context) error {
+	w.mu.Lock()
+	quorum := w.quorum
+	w.mu.Unlock()
+	if quorum {
+		return nil
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// The other methods of replica.Group are not used by a leader.
+func (w *world) Status() replica.Status                           { return replica.Status{} }
+func (w *world) Changed() <-chan struct{}                         { return nil }
+func (w *world) AddReplica(context.Context, replica.Member) error { return nil }
+func (w *world) RemoveReplica(context.Context, string) error      { return nil }
+func (w *world) TransferLeadership(context.Context) error         { return nil }
+
+// lead runs a leader and returns it with how to end it.
+func (w *world) lead(term uint64) (*leader.Leader, func()) {
+	l := leader.New(leader.Config{
+		Host: "core-" + strconv.FormatUint(term, 10), Group: w, Machine: w.machine, Targets: w, Provider: w, Clock: clock.System{},
+		Log: zerolog.Nop(), Orders: leader.NewOrderLog(clock.System{}),
+		Timing: leader.Timing{
+			Announce: worldAnnounce, MaxLease: worldLease, Stop: worldStop, Move: 1500 * time.Millisecond,
+			Maintenance: 2 * time.Second, HolderPause: 3 * time.Second,
+		},
+	}, term)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.Run(ctx)
+	}()
+	go w.announceLoop(ctx, l)
+	return l, func() { cancel(); <-done }
+}
+
+// announceLoop lets every live target announce itself.
+func (w *world) announceLoop(ctx context.Context, l *leader.Leader) {
+	for {
+		w.mu.Lock()
+		var all []*leader.Announcement
+		for _, t := range w.targets {
+			if !t.silent && !t.dead {
+				w.seq++
+				all = append(all, &leader.Announcement{Target: t.state, Sequence: w.seq, ClockMS: t.clockMS()})
+			}
+		}
+		w.mu.Unlock()
+		for _, a := range all {
+			_ = l.Announce(ctx, a) // repeated at the next interval
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(worldAnnounce):
+		}
+	}
+}
+
+// add starts a target at an address, in place of the one that was there.
+func (w *world) add(id, host, address, pool string) *target {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if old := w.targets[address]; old != nil {
+		old.die()
+	}
+	t := &target{
+		w: w, start: time.Now(), runs: map[work.RunRef]*time.Timer{}, stopped: map[work.TaskRef]int{},
+		changed: make(chan struct{}), duration: time.Second,
+		state: work.Target{
+			ID: id, Born: time.Now().UnixMilli(), Host: host, Pool: pool, Address: address, DataCentre: "a",
+			Room: work.Demand{MilliCPU: 4000, MemoryMB: 4000},
+		},
+	}
+	w.targets[address] = t
+	go t.lapseLoop()
+	return t
+}
+
+// submit hands in a job of one step.
+func (w *world) submit(id, path string, step work.Step) {
+	w.t.Helper()
+	w.propose(&work.Command{Submit: &work.Submission{ID: id, Domain: "d", Path: path, Spec: work.Spec{Steps: []work.Step{step}}}})
+}
+
+func (w *world) state(id string) work.JobState {
+	s, _ := w.machine.JobState(id)
+	return s
+}
+
+// clockMS is the target's steady clock.
+func (t *target) clockMS() int64 { return time.Since(t.start).Milliseconds() + 1 }
+
+// die ends a target. The world's mutex is held.
+func (t *target) die() {
+	t.dead = true
+	for ref, timer := range t.runs {
+		timer.Stop()
+		t.w.alive[ref.Task]--
+	}
+	t.runs = map[work.RunRef]*time.Timer{}
+	t.wake()
+}
+
+func (t *target) wake() {
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// lapseLoop ends all runs when the lease is over.
+func (t *target) lapseLoop() {
+	for {
+		<-time.After(20 * time.Millisecond)
+		t.w.mu.Lock()
+		if t.dead {
+			t.w.mu.Unlock()
+			return
+		}
+		if len(t.runs) > 0 && time.Now().After(t.until) {
+			for ref := range t.runs {
+				t.finish(ref, work.OutcomeLapsed)
+			}
+		}
+		t.w.mu.Unlock()
+	}
+}
+
+// finish lists the end of a run. The world's mutex is held.
+func (t *target) finish(ref work.RunRef, outcome work.Outcome) {
+	timer, ok := t.runs[ref]
+	if !ok {
+		return
+	}
+	timer.Stop()
+	delete(t.runs, ref)
+	t.w.alive[ref.Task]--
+	t.number++
+	t.ended = append(t.ended, work.End{Number: t.number, Run: ref, Outcome: outcome})
+	t.used.MilliCPU -= 1000
+	t.stopped[ref.Task] = max(t.stopped[ref.Task], ref.Run)
+	t.wake()
+}
+
+// reach delivers an order: f is carried out now, late or never, and the answer
+// may be lost.
+func (w *world) reach(ctx context.Context, to leader.Address, f func(t *target) leader.Refusal) (leader.Reply, error) {
+	w.mu.Lock()
+	t := w.targets[to.Address]
+	lost := &fault.ConnectionLost{Address: to.Address, Reason: "no answer"}
+	carry := func() leader.Reply {
+		if t.dead || t.state.ID != to.ID {
+			return leader.Reply{Refusal: leader.RefusedOther}
+		}
+		return leader.Reply{ClockMS: t.clockMS(), Refusal: f(t)}
+	}
+	if t == nil || t.silent || t.deaf || t.late > 0 {
+		if t != nil && t.deaf {
+			carry()
+		}
+		if t != nil && t.late > 0 && !t.silent {
+			time.AfterFunc(t.late, func() {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				carry()
+			})
+		}
+		w.mu.Unlock()
+		<-ctx.Done()
+		return leader.Reply{}, lost
+	}
+	defer w.mu.Unlock()
+	return carry(), nil
+}
+
+// fenced checks the token of an order. The world's mutex is held.
+func (t *target) fenced(fence uint64) bool {
+	if fence < t.fence {
+		return true
+	}
+	t.fence = fence
+	return false
+}
+
+// extend takes a lease. The world's mutex is held.
+func (t *target) extend(untilMS int64) {
+	if until := t.start.Add(time.Duration(untilMS) * time.Millisecond); untilMS > 0 && until.After(t.until) {
+		t.until = until
+	}
+}
+
+// Start implements leader.Targets.
+func (w *world) Start(ctx context.Context, to leader.Address, o *leader.StartOrder) (leader.Reply, error) {
+	return w.reach(ctx, to, func(t *target) leader.Refusal {
+		switch {
+		case t.fenced(o.Fence):
+			return leader.RefusedFence
+		case t.runs[o.Run] != nil:
+			t.extend(o.UntilMS)
+			return leader.Carried
+		case o.Run.Run <= t.stopped[o.Run.Task]:
+			return leader.RefusedOld
+		case o.UntilMS <= t.clockMS():
+			return leader.RefusedLate
+		}
+		t.extend(o.UntilMS)
+		t.begin(o.Run)
+		return leader.Carried
+	})
+}
+
+// begin starts a run and checks the promises. The world's mutex is held.
+func (t *target) begin(ref work.RunRef) {
+	w := t.w
+	w.alive[ref.Task]++
+	if w.alive[ref.Task] > 1 {
+		w.breaks("two runs of %v at the same time", ref.Task)
+	}
+	t.used.MilliCPU += 1000
+	if t.used.MilliCPU > t.state.Room.MilliCPU {
+		w.breaks("%s is over its capacity", t.state.ID)
+	}
+	t.runs[ref] = time.AfterFunc(time.Hour, func() {})
+	if t.duration > 0 {
+		t.runs[ref] = time.AfterFunc(t.duration, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			outcome := work.OutcomeDone
+			if t.fails {
+				outcome = work.OutcomeFailed
+			}
+			t.finish(ref, outcome)
+		})
+	}
+}
+
+// Stop implements leader.Targets.
+func (w *world) Stop(ctx context.Context, to leader.Address, o *leader.StopOrder) (leader.Reply, error) {
+	return w.reach(ctx, to, func(t *target) leader.Refusal {
+		if t.fenced(o.Fence) {
+			return leader.RefusedFence
+		}
+		t.stopped[o.Run.Task] = max(t.stopped[o.Run.Task], o.Run.Run)
+		time.AfterFunc(worldStop, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			t.finish(o.Run, work.OutcomeStopped)
+		})
+		return leader.Carried
+	})
+}
+
+// Pace implements leader.Targets.
+func (w *world) Pace(ctx context.Context, to leader.Address, _ *leader.PaceOrder) (leader.Reply, error) {
+	return w.reach(ctx, to, func(*target) leader.Refusal { return leader.Carried })
+}
+
+// Hold implements leader.Targets.
+func (w *world) Hold(ctx context.Context, to leader.Address, o *leader.HoldOrder) (*leader.Holding, error) {
+	var out *leader.Holding
+	var changed chan struct{}
+	list := func(t *target) leader.Refusal {
+		if t.fenced(o.Fence) {
+			return leader.RefusedFence
+		}
+		t.extend(o.UntilMS)
+		t.ended = slices.DeleteFunc(t.ended, func(e work.End) bool { return e.Number <= o.Acknowledged })
+		out = &leader.Holding{Born: t.state.Born, Ended: slices.Clone(t.ended)}
+		for ref := range maps.Keys(t.runs) {
+			out.Running = append(out.Running, leader.RunningRun{Run: ref, Percent: 100})
+		}
+		changed = t.changed
+		return leader.Carried
+	}
+	reply, err := w.reach(ctx, to, list)
+	if err == nil && reply.Refusal == leader.Carried && len(out.Ended) == 0 && o.WaitMS > 0 {
+		select {
+		case <-changed:
+		case <-time.After(time.Duration(o.WaitMS) * time.Millisecond):
+		case <-ctx.Done():
+		}
+		reply, err = w.reach(ctx, to, list)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if out == nil {
+		out = &leader.Holding{}
+	}
+	out.Reply = reply
+	return out, nil
+}
+
+// Hosts implements leader.Provider.
+func (w *world) Hosts(context.Context) ([]leader.HostState, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []leader.HostState
+	for _, t := range w.targets {
+		out = append(out, leader.HostState{Host: t.state.Host, Pool: t.state.Pool, Up: true, Room: t.state.Room, TargetID: t.state.ID})
+	}
+	return out, nil
+}
+
+// Move implements leader.Provider. It ends what runs on the host.
+func (w *world) Move(_ context.Context, host, pool string, _ leader.Token) (leader.ProviderAnswer, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.moves = append(w.moves, host+" to "+pool)
+	for address, t := range w.targets {
+		if t.state.Host != host {
+			continue
+		}
+		if len(t.runs) > 0 {
+			w.breaks("move of %s ended %d runs", host, len(t.runs))
+		}
+		t.die()
+		time.AfterFunc(1500*time.Millisecond, func() {
+			if pool != "off" {
+				w.add(t.state.ID+"x", host, address, pool)
+			}
+		})
+	}
+	return leader.ProviderDone, nil
+}
+
+// Maintain implements leader.Provider.
+func (w *world) Maintain(_ context.Context, host string, _ int64, _ leader.Token) (leader.ProviderAnswer, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for address, t := range w.targets {
+		if t.state.Host == host {
+			for ref := range t.runs {
+				w.breaks("maintenance of %s ended %v", host, ref)
+			}
+			t.die()
+			time.AfterFunc(2*time.Second, func() { w.add(t.state.ID+"y", host, address, t.state.Pool) })
+		}
+	}
+	return leader.ProviderDone, nil
+}
--- /dev/null
+++ b/internal/poolsize/poolsize_test.go
@@ -0,0 +1,108 @@
+package poolsize_test
+
+import (
+	"strconv"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatehaven.dev/agatehaven/internal/poolsize"
+)
+
+func TestPoolsize(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "poolsize")
+}
+
+const core = 1000
+
+// hosts returns n hosts of 32 cores in a pool.
+func hosts(pool string, n int, change func(i int, h *poolsize.Host)) []poolsize.Host {
+	var out []poolsize.Host
+	for i := range n {
+		h := poolsize.Host{Name: pool + strconv.Itoa(i), Pool: pool, CPU: 32 * core, Movable: true}
+		if change != nil {
+			change(i, &h)
+		}
+		out = append(out, h)
+	}
+	return out
+}
+
+func busy(_ int, h *poolsize.Host) { h.Movable, h.Load = false, 20*core }
+
+func to(d poolsize.Decision, pool string) (n int) {
+	for _, m := range d.Moves {
+		if m.To == pool {
+			n++
+		}
+	}
+	return n
+}
+
+var _ = Describe("Plan", func() {
+	pools := func(desk, cuts poolsize.Pool) []poolsize.Pool {
+		desk.Name, cuts.Name = "desk", "cuts"
+		return []poolsize.Pool{desk, cuts, {Name: "off", Standby: true}}
+	}
+
+	It("answers a turn of one queue with idle hosts of other pools, then with standby", func() {
+		// The demand of one queue rises to five times its mean while the
+		// others idle.
+		d := poolsize.Plan(poolsize.Default(), pools(poolsize.Pool{Running: 80 * core, Waiting: 200 * core}, poolsize.Pool{}),
+			append(append(hosts("desk", 3, busy), hosts("cuts", 4, nil)...), hosts("off", 9, nil)...))
+		Expect(to(d, "desk")).To(Equal(7)) // 280 cores need 10 hosts of 32 that fill to 0.9
+		from := map[string]int{}
+		for _, m := range d.Moves {
+			from[m.From]++
+		}
+		Expect(from["cuts"]).To(Equal(3), "one host stays in the idle pool")
+	})
+
+	It("moves ahead of the backlog when work begins to arrive", func() {
+		// A turn begins: little waits yet, but much arrives each second.
+		d := poolsize.Plan(poolsize.Default(), pools(poolsize.Pool{Running: 10 * core, Arriving: 250 * core}, poolsize.Pool{}),
+			append(hosts("desk", 1, busy), hosts("off", 20, nil)...))
+		Expect(to(d, "desk")).To(Equal(8))
+	})
+
+	It("never moves a host on which something runs", func() {
+		// Guards against moves that end work.
+		d := poolsize.Plan(poolsize.Default(), pools(poolsize.Pool{Waiting: 900 * core}, poolsize.Pool{}),
+			append(hosts("desk", 1, busy), hosts("cuts", 6, busy)...))
+		Expect(d.Moves).To(BeEmpty())
+	})
+
+	It("closes the least loaded hosts of a pool with too many, but none with lasting work", func() {
+		// Guards against a surplus that never becomes idle because each host
+		// gets a task now and then.
+		d := poolsize.Plan(poolsize.Default(), pools(poolsize.Pool{Running: 50 * core}, poolsize.Pool{}),
+			hosts("desk", 5, func(i int, h *poolsize.Host) {
+				h.Movable, h.Load, h.Lasting = false, int64(i+1)*core, i == 0
+			}))
+		Expect(d.Closing).To(HaveKeyWithValue("desk1", true))
+		Expect(d.Closing["desk0"]).To(BeFalse())
+		Expect(d.Closing["desk4"]).To(BeFalse())
+	})
+
+	It("sends hosts to standby only after they idled for a while", func() {
+		// Guards against a move back and forth, which costs more than waiting.
+		policy := poolsize.Default()
+		idle := func(ms int64) poolsize.Decision {
+			return poolsize.Plan(policy, pools(poolsize.Pool{}, poolsize.Pool{}),
+				append(hosts("cuts", 1, busy), hosts("desk", 4, func(_ int, h *poolsize.Host) { h.IdleMS = ms })...))
+		}
+		Expect(to(idle(policy.IdleMS-1), "off")).To(BeZero())
+		Expect(to(idle(policy.IdleMS), "off")).To(Equal(3))
+	})
+
+	It("gives hosts to the pool that lacks the largest share", func() {
+		// Two queues ask at the same time for more than there is.
+		d := poolsize.Plan(poolsize.Default(),
+			pools(poolsize.Pool{Waiting: 288 * core}, poolsize.Pool{Waiting: 288 * core}),
+			append(hosts("desk", 4, busy), hosts("off", 6, nil)...))
+		Expect(to(d, "desk")).To(Equal(1))
+		Expect(to(d, "cuts")).To(Equal(5))
+	})
+})
--- /dev/null
+++ b/internal/schedule/schedule_test.go
@@ -0,0 +1,135 @@
+package schedule_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatehaven.dev/agatehaven/internal/codec"
+	"agatehaven.dev/agatehaven/internal/replica"
+	"agatehaven.dev/agatehaven/internal/schedule"
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+func TestSchedule(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "schedule")
+}
+
+// jobs builds jobs through the state machine, so that they have their tasks.
+func jobs(submissions ...work.Submission) []*work.Job {
+	GinkgoHelper()
+	m := work.New()
+	apply := func(nowMS int64, c work.Command) {
+		c.NowMS = nowMS
+		data, err := codec.Marshal(&c)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(m.Apply(replica.Entry{Data: data}).(*work.Result).Err).NotTo(HaveOccurred())
+	}
+	apply(1, work.Command{Configure: &work.Configuration{
+		Version: 1, Pools: []work.Pool{{Name: "desk"}},
+		Queues: []work.Queue{
+			{Name: "urgent", Domain: "d", Prefix: "/urgent/", Pool: "desk", Attempts: 2, Stretch: 1.6, SlackMS: 600},
+			{Name: "patient", Domain: "d", Prefix: "/patient/", Pool: "desk", Priority: 1, Attempts: 2, Stretch: 1.6, SlackMS: 600},
+		},
+	}})
+	for i := range submissions {
+		s := submissions[i]
+		s.Domain = "d"
+		apply(1000+int64(i), work.Command{Submit: &s})
+	}
+	var out []*work.Job
+	m.Read(func(v *work.View) {
+		for _, j := range v.Live {
+			out = append(out, j)
+		}
+	})
+	return out
+}
+
+func step(tasks int, cpu int64) work.Step {
+	return work.Step{Tasks: tasks, Demand: work.Demand{MilliCPU: cpu}}
+}
+
+func job(id, path string, steps ...work.Step) work.Submission {
+	return work.Submission{ID: id, Path: path, Spec: work.Spec{Steps: steps}}
+}
+
+func host(id, rack string, free int64, labels ...string) *schedule.Host {
+	return &schedule.Host{
+		Target: &work.Target{ID: id, Born: 1, Pool: "desk", Rack: rack, Labels: labels},
+		Free:   work.Demand{MilliCPU: free},
+	}
+}
+
+func plan(nowMS int64, js []*work.Job, hosts ...*schedule.Host) []work.Start {
+	return schedule.Plan(&schedule.Request{
+		NowMS: nowMS, Jobs: js, Hosts: map[string][]*schedule.Host{"desk": hosts}, MaxStarts: 100,
+		Duration: func(*work.Job, int) int64 { return 1000 },
+	})
+}
+
+// order returns the jobs of the starts.
+func order(starts []work.Start) (ids []string) {
+	for _, s := range starts {
+		ids = append(ids, s.Task.Job)
+	}
+	return ids
+}
+
+var _ = Describe("Plan", func() {
+	It("serves urgent work first, and patient work with what is left", func() {
+		// Guards against urgent work that waits behind patient work.
+		starts := plan(2000, jobs(job("p", "/patient/", step(1, 1000)), job("u", "/urgent/", step(1, 1000))), host("a", "", 2000))
+		Expect(order(starts)).To(Equal([]string{"u", "p"}))
+	})
+
+	It("puts jobs that can no longer be in time behind those that can", func() {
+		// More work than room: serving in the order of arrival would make every
+		// job late.
+		js := jobs(job("late", "/urgent/", step(1, 1000)), job("new", "/urgent/", step(1, 1000)))
+		for _, j := range js {
+			if j.ID == "new" {
+				j.SubmittedMS = 4000
+			}
+		}
+		Expect(order(plan(4100, js, host("a", "", 1000)))).To(Equal([]string{"new"}))
+	})
+
+	It("fills the host with the least room that fits", func() {
+		// Guards against work that is spread, so that no host becomes idle.
+		starts := plan(2000, jobs(job("j", "/urgent/", step(2, 1000))), host("a", "", 9000), host("b", "", 2000), host("c", "", 500))
+		Expect(starts).To(HaveLen(2))
+		for _, s := range starts {
+			Expect(s.Target).To(Equal("b@1"))
+		}
+	})
+
+	It("keeps to labels and hosts per step, and prefers the rack of the data", func() {
+		// Guards against starts that the state machine refuses, and slow runs.
+		s := step(3, 100)
+		s.Label, s.MaxPerHost, s.DataRack = "x", 1, "r2"
+		starts := plan(2000, jobs(job("j", "/urgent/", s)), host("a", "r1", 900, "x"), host("b", "r2", 9000, "x"), host("c", "r2", 900))
+		Expect(starts).To(HaveLen(2))
+		Expect(starts[0].Target).To(Equal("b@1"))
+		Expect(starts[1].Target).To(Equal("a@1"))
+	})
+
+	It("starts a gang whole or not at all", func() {
+		// Guards against members that hold room while they wait for the others.
+		g := step(3, 1000)
+		g.Gang = true
+		js := jobs(job("g", "/urgent/", g), job("k", "/patient/", step(1, 1000)))
+		Expect(order(plan(2000, js, host("a", "", 2000)))).To(Equal([]string{"k"}))
+		Expect(plan(2000, js, host("a", "", 4000))).To(HaveLen(4))
+	})
+
+	It("starts occurrences at their times", func() {
+		// Guards against a start before it is due.
+		s := job("j", "/urgent/", step(1, 100))
+		s.Spec.Occurrences, s.Spec.FirstMS, s.Spec.IntervalMS = 3, 10_000, 1000
+		Expect(plan(9_999, jobs(s), host("a", "", 1000))).To(BeEmpty())
+		Expect(plan(11_000, jobs(s), host("a", "", 1000))).To(HaveLen(2))
+	})
+})
--- a/internal/work/apply.go
+++ b/internal/work/apply.go
@@ -327,6 +327,8 @@
 		return "an earlier run may be alive"
 	case target.Ended || target.Draining:
 		return "target is leaving"
+	case s.succeeds(target):
+		return "runs of an earlier life may be alive on the target"
 	case target.Pool != j.Pool:
 		return "target is in another pool"
 	case !j.Ready(t):
@@ -343,6 +345,17 @@
 	return ""
 }
 
+// succeeds reports whether an earlier life under the target's id may still
+// have runs, which orders on their way can begin in this life.
+func (s *state) succeeds(target *Target) bool {
+	for _, other := range s.Targets {
+		if other.Ended && other.ID == target.ID && other.Born < target.Born {
+			return true
+		}
+	}
+	return false
+}
+
 // nextRun returns the number of the next run. The members of a gang share it.
 func (s *state) nextRun(j *Job, t *Task) int {
 	if !j.Spec.Steps[t.Step].Gang {
--- a/internal/work/queries.go
+++ b/internal/work/queries.go
@@ -207,5 +207,9 @@
 // Free returns the room of a target that no run has reserved.
 func (v *View) Free(t *Target) Demand { return v.state.free(t) }
 
+// Succeeds reports whether an earlier life under the target's id may still
+// have runs.
+func (v *View) Succeeds(t *Target) bool { return v.state.succeeds(t) }
+
 // Find returns a job and its task, nil if there is no such task.
 func (v *View) Find(ref TaskRef) (*Job, *Task) { return v.state.find(ref) }
--- a/internal/work/work_test.go
+++ b/internal/work/work_test.go
@@ -255,6 +255,8 @@
 		later := r.target("a", 5)
 		Expect(r.runs(a)).To(Equal(1))
 		Expect(r.start(later, task("j", 0, 0))).To(BeEmpty())
+		r.submit("k", one(1000))
+		Expect(r.start(later, task("k", 0, 0))).To(BeEmpty(), "what an order on its way begins has no room")
 		r.do(&work.Command{End: a, Gone: true})
 		Expect(r.start(later, task("j", 0, 0))).To(HaveLen(1))
 	})
