Send callers of a cut-off entry host elsewhere; leave out a data centre that is cut off

Cause: in the cut of a data centre its callers kept to entry hosts that cannot reach the leader, and starts went to targets that were not known to be silent. Change: an entry host is ready only while a leader answers it, and closes its callers' connections if none does; a data centre of which several targets are silent and none answers gets no starts and gives no hosts. The longest functions are split. The stand-in of the leader's tests starts no target after its end (TestRandomFaults failed once in ten runs: a host that came back from a move after the end of the test left a goroutine).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -35,8 +35,6 @@
 	joinTimeout = 2 * time.Second
 	// handOverTimeout bounds the transfer of leadership before a planned stop.
 	handOverTimeout = 2 * time.Second
-	// catchUpPoll is how often a new leader checks that it can serve.
-	catchUpPoll = 20 * time.Millisecond
 	// snapshotEntries keeps the replay after a restart below a second.
 	snapshotEntries = 8000
 )
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,8 +24,12 @@
 	patience = 2200 * time.Millisecond
 	// retryPause separates tries while no leader is known.
 	retryPause = 60 * time.Millisecond
-	// membersEvery is how often the members of the core are learned anew.
-	membersEvery = 2 * time.Second
+	// membersEvery is how often the leader is asked for the members of the core.
+	membersEvery = 500 * time.Millisecond
+	// readyFor is how long after the leader's last answer this host counts as
+	// ready: an election takes up to 1.4 s. A host that is cut off from the
+	// leader sends its callers elsewhere.
+	readyFor = 1700 * time.Millisecond
 	// membersTimeout bounds one such call.
 	membersTimeout = 300 * time.Millisecond
 	// doubtFor is how long a leader that did not answer is believed to be lost,
@@ -52,8 +56,8 @@
 	// when no answer of that term is believed to name it rightly.
 	doubted string
 	until   time.Time
-	// heard is when the core last answered.
-	heard time.Time
+	// led is when a leader last answered.
+	led time.Time
 }
 
 // New returns an entry that begins with the seeds.
@@ -97,15 +101,28 @@
 		}
 		e.AddSeeds(m.Hosts)
 		e.hear(m.Leader, m.Term)
-		return
+		if m.Leader == host {
+			e.noteLed()
+			return
+		}
+		if m.Leader == "" {
+			return
+		}
 	}
 }
 
-// Ready reports whether the core answered lately.
+// Ready reports whether a leader answered lately.
 func (e *Entry) Ready() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return time.Since(e.heard) < 3*membersEvery
+	return time.Since(e.led) < readyFor
+}
+
+// noteLed records an answer of a leader.
+func (e *Entry) noteLed() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.led = time.Now()
 }
 
 // choose returns the leader if it is known, and the known hosts in turn if
@@ -124,11 +141,10 @@
 func (e *Entry) hear(leader string, term uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.heard = time.Now()
 	if leader == "" || term < e.term || (leader == e.leader && term == e.term) {
 		return
 	}
-	if term == e.term && leader == e.doubted && e.heard.Before(e.until) {
+	if term == e.term && leader == e.doubted && time.Now().Before(e.until) {
 		return
 	}
 	e.setLeader(leader)
@@ -182,6 +198,7 @@
 		case a.Code == link.Unknown:
 			doubtful = true
 		default:
+			e.noteLed()
 			return a
 		}
 		if next, _ := e.choose(); next != host && e.knows() {
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -23,6 +23,9 @@
 	// to maxBusyPause: a host that is leaving is busy until it is gone.
 	busyPause    = 500 * time.Millisecond
 	maxBusyPause = 4 * time.Second
+	// silentForAway is how many silent targets show that a data centre is cut
+	// off: more than the loss of one host.
+	silentForAway = 2
 	// busyBeforeList is after how many refused orders the list is read again.
 	busyBeforeList = 3
 )
@@ -229,44 +232,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var moves []poolsize.Move
-	now := l.now()
 	l.cfg.Machine.Read(func(v *work.View) {
 		if v.Config == nil {
 			return
 		}
-		byHost := map[string]*work.Target{}
-		for _, t := range v.Targets {
-			if !t.Ended && l.fleet.host(t.Host).left != t.Key() {
-				byHost[t.Host] = t
-			}
-		}
-		away := l.awayDataCentres(v)
-		var hosts []poolsize.Host
-		for name, h := range l.fleet.hosts {
-			t := byHost[name]
-			pool, known := v.Config.Pool(h.state.Pool)
-			if !known {
-				continue
-			}
-			standby := pool.Standby
-			p := poolsize.Host{Name: name, Pool: h.state.Pool, CPU: h.state.Room.MilliCPU, Reserved: h.reserved == reservedMaintenance}
-			if t != nil && !l.heard(t) {
-				continue // silent hosts are no capacity
-			}
-			p.Movable = !h.ordering && now.After(h.retryAt) && !away[h.state.DataCentre] && l.free(name) && (h.reserved == "" || h.reserved == reservedClosing) && h.away.IsZero() && h.state.Up &&
-				((t != nil && t.Runs() == 0 && !t.Draining) || (t == nil && standby))
-			if t != nil {
-				p.Load, p.Lasting = t.Room.Sub(v.Free(t)).MilliCPU, len(lastingRuns(v, t)) > 0
-			}
-			if t != nil && !h.idleSince.IsZero() {
-				p.IdleMS = now.Sub(h.idleSince).Milliseconds()
-			}
-			if t == nil && !standby && h.away.IsZero() {
-				continue // lost hosts are no capacity
-			}
-			hosts = append(hosts, p)
-		}
-		demand := l.demand(v)
+		demand, hosts := l.demand(v), l.sizeable(v)
 		decision := poolsize.Plan(poolsize.Default(), demand, hosts)
 		moves = decision.Moves
 		l.closeHosts(decision.Closing)
@@ -279,6 +249,54 @@
 	return moves
 }
 
+// sizeable returns the hosts that are capacity of a pool, now or once they are
+// back. The mutex is held.
+func (l *Leader) sizeable(v *work.View) []poolsize.Host {
+	byHost := map[string]*work.Target{}
+	for _, t := range v.Targets {
+		if !t.Ended && l.fleet.host(t.Host).left != t.Key() {
+			byHost[t.Host] = t
+		}
+	}
+	away := l.awayDataCentres(v)
+	var hosts []poolsize.Host
+	for name, h := range l.fleet.hosts {
+		t := byHost[name]
+		pool, known := v.Config.Pool(h.state.Pool)
+		switch {
+		case !known:
+		case t != nil && (!l.heard(t) || away[t.DataCentre]):
+			// Silent hosts are no capacity.
+		case t == nil && !pool.Standby && h.away.IsZero():
+			// Nor are lost ones.
+		default:
+			hosts = append(hosts, l.sizeableHost(v, h, t, pool.Standby, away))
+		}
+	}
+	return hosts
+}
+
+// sizeableHost describes a host, whose target is nil if it is switched off or
+// away.
+func (l *Leader) sizeableHost(v *work.View, h *host, t *work.Target, standby bool, away map[string]bool) poolsize.Host {
+	now := l.now()
+	p := poolsize.Host{
+		Name: h.state.Host, Pool: h.state.Pool, CPU: h.state.Room.MilliCPU, Reserved: h.reserved == reservedMaintenance,
+	}
+	orderable := !h.ordering && (h.reserved == "" || h.reserved == reservedClosing) && h.away.IsZero() && h.state.Up &&
+		now.After(h.retryAt) && !away[h.state.DataCentre] && l.free(h.state.Host)
+	if t == nil {
+		p.Movable = orderable && standby
+		return p
+	}
+	p.Movable = orderable && t.Runs() == 0 && !t.Draining
+	p.Load, p.Lasting = t.Room.Sub(v.Free(t)).MilliCPU, len(lastingRuns(v, t)) > 0
+	if !h.idleSince.IsZero() {
+		p.IdleMS = now.Sub(h.idleSince).Milliseconds()
+	}
+	return p
+}
+
 // heard reports whether a target gave a sign of life lately. The mutex is held.
 func (l *Leader) heard(t *work.Target) bool {
 	key := t.Key()
@@ -290,21 +308,27 @@
 	return s == nil || !s.silent
 }
 
-// awayDataCentres returns the data centres none of whose targets is heard.
-// The mutex is held.
+// awayDataCentres returns the data centres that seem to be cut off: several
+// targets do not answer and none does. Idle targets are not asked, so they
+// count only once their announcements stop. The mutex is held.
 func (l *Leader) awayDataCentres(v *work.View) map[string]bool {
-	away := map[string]bool{}
-	for _, t := range v.Targets {
+	silent, heard := map[string]int{}, map[string]int{}
+	for key, t := range v.Targets {
 		if t.Ended {
 			continue
 		}
-		if _, known := away[t.DataCentre]; !known {
-			away[t.DataCentre] = true
-		}
-		if l.heard(t) {
-			away[t.DataCentre] = false
+		s := l.sessions[key]
+		switch {
+		case !l.heard(t):
+			silent[t.DataCentre]++
+		case s != nil && t.Runs() > 0 && l.now().Sub(s.answered) < 2*holdWait:
+			heard[t.DataCentre]++
 		}
 	}
+	away := map[string]bool{}
+	for name, n := range silent {
+		away[name] = n >= silentForAway && heard[name] == 0
+	}
 	return away
 }
 
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -36,6 +36,7 @@
 		w := newWorld(t)
 		f(w)
 		w.mu.Lock()
+		w.closed = true
 		for _, target := range w.targets {
 			target.die()
 		}
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -97,9 +97,10 @@
 func (l *Leader) usable(v *work.View) map[string][]*schedule.Host {
 	hosts := map[string][]*schedule.Host{}
 	now := l.now()
+	away := l.awayDataCentres(v)
 	for key, t := range v.Targets {
 		c := l.contacts[key]
-		if t.Ended || t.Draining || v.Succeeds(t) || !l.heard(t) || now.Before(c.avoidUntil) || l.fleet.reserved(t.Host) {
+		if t.Ended || t.Draining || v.Succeeds(t) || away[t.DataCentre] || !l.heard(t) || now.Before(c.avoidUntil) || l.fleet.reserved(t.Host) {
 			continue
 		}
 		hosts[t.Pool] = append(hosts[t.Pool], &schedule.Host{Target: t, Free: v.Free(t), Penalty: c.failures})
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -14,7 +14,7 @@
 	// silent target later; a shorter one costs more calls.
 	holdWait = time.Second
 	// holdMargin is added to holdWait before a hold counts as unanswered.
-	holdMargin = 600 * time.Millisecond
+	holdMargin = 400 * time.Millisecond
 	// orderTimeout bounds one start or stop. Targets are a few ms away.
 	orderTimeout = 700 * time.Millisecond
 	// retryPause separates the tries of an order.
@@ -356,59 +356,24 @@
 	}
 }
 
-// compare matches a list with the runs that the state holds.
+// comparison is what a list calls for.
+type comparison struct {
+	report *work.Report
+	// stop holds runs that must not go on or begin, restart those whose start
+	// was committed by an earlier leader and is not listed.
+	stop, restart []work.RunRef
+}
+
+// compare matches a list with the runs that the state holds, and orders what
+// it calls for.
 func (s *session) compare(h *Holding, sent time.Time, acknowledged int64) *work.Report {
 	l := s.l
-	listed := map[work.RunRef]bool{}
-	ended := map[work.RunRef]bool{}
-	for _, e := range h.Ended {
-		ended[e.Run] = true
-	}
+	c := &comparison{report: &work.Report{Target: s.key, Ends: h.Ended}}
 	finished := l.finished(h.Ended)
-	report := &work.Report{Target: s.key, Ends: h.Ended}
-	var unknown, restart, stop []work.RunRef
 	l.mu.Lock()
 	l.cfg.Machine.Read(func(v *work.View) {
-		t := v.Targets[s.key]
-		if t == nil {
-			return
-		}
-		held := map[work.RunRef]bool{}
-		t.EachRun(func(r work.RunRef) { held[r] = true })
-		for _, r := range h.Running {
-			listed[r.Run] = true
-			if !held[r.Run] {
-				unknown = append(unknown, r.Run)
-				continue
-			}
-			o := s.orderOf(r.Run)
-			o.seen(sent)
-			o.atWork = r.Percent >= 100
-			if _, task := v.Find(r.Run.Task); task != nil && r.Checkpoint != "" && task.Checkpoint != r.Checkpoint {
-				report.Checkpoints = append(report.Checkpoints, work.Checkpoint{Run: r.Run, Value: r.Checkpoint})
-			}
-		}
-		for r := range held {
-			job, _ := v.Find(r.Task)
-			wanted := job != nil && !job.State.Final()
-			o := s.orderOf(r)
-			switch {
-			case ended[r]:
-			case !o.stoppedAt.IsZero() && o.stoppedAt.Before(sent) && !listed[r]:
-				report.Settled = append(report.Settled, r)
-			case !wanted:
-				stop = append(stop, r)
-			case listed[r]:
-			case !o.startedAt.IsZero() && o.startedAt.Before(sent):
-				stop = append(stop, r) // it vanished: make sure that it cannot begin again
-			case !o.starting && o.stoppedAt.IsZero():
-				restart = append(restart, r)
-			}
-		}
-		for r := range s.orders {
-			if !held[r] {
-				delete(s.orders, r)
-			}
+		if t := v.Targets[s.key]; t != nil {
+			s.compareRuns(v, t, h, sent, c)
 		}
 	})
 	for _, f := range finished {
@@ -418,16 +383,65 @@
 	s.acknowledged = max(s.acknowledged, acknowledged)
 	s.answered = l.now()
 	l.mu.Unlock()
-	for _, r := range append(unknown, stop...) {
+	for _, r := range c.stop {
 		s.stop(r)
 	}
-	for _, r := range restart {
+	for _, r := range c.restart {
 		s.restart(r)
 	}
-	if len(report.Ends) == 0 && len(report.Settled) == 0 && len(report.Checkpoints) == 0 {
+	if len(c.report.Ends) == 0 && len(c.report.Settled) == 0 && len(c.report.Checkpoints) == 0 {
 		return nil
 	}
-	return report
+	return c.report
+}
+
+// compareRuns compares the runs of a target. The leader's mutex is held.
+func (s *session) compareRuns(v *work.View, t *work.Target, h *Holding, sent time.Time, c *comparison) {
+	held, listed, ended := map[work.RunRef]bool{}, map[work.RunRef]bool{}, map[work.RunRef]bool{}
+	t.EachRun(func(r work.RunRef) { held[r] = true })
+	for _, e := range h.Ended {
+		ended[e.Run] = true
+	}
+	for _, r := range h.Running {
+		listed[r.Run] = true
+		if !held[r.Run] {
+			c.stop = append(c.stop, r.Run)
+			continue
+		}
+		o := s.orderOf(r.Run)
+		o.seen(sent)
+		o.atWork = r.Percent >= 100
+		if _, task := v.Find(r.Run.Task); task != nil && r.Checkpoint != "" && task.Checkpoint != r.Checkpoint {
+			c.report.Checkpoints = append(c.report.Checkpoints, work.Checkpoint{Run: r.Run, Value: r.Checkpoint})
+		}
+	}
+	for r := range held {
+		if !ended[r] {
+			s.compareRun(v, r, listed[r], sent, c)
+		}
+	}
+	for r := range s.orders {
+		if !held[r] {
+			delete(s.orders, r)
+		}
+	}
+}
+
+// compareRun decides on one run that the state holds and that has not ended.
+func (s *session) compareRun(v *work.View, r work.RunRef, listed bool, sent time.Time, c *comparison) {
+	job, _ := v.Find(r.Task)
+	o := s.orderOf(r)
+	switch {
+	case !o.stoppedAt.IsZero() && o.stoppedAt.Before(sent) && !listed:
+		c.report.Settled = append(c.report.Settled, r)
+	case job == nil || job.State.Final():
+		c.stop = append(c.stop, r)
+	case listed:
+	case !o.startedAt.IsZero() && o.startedAt.Before(sent):
+		c.stop = append(c.stop, r) // it vanished: make sure that it cannot begin again
+	case !o.starting && o.stoppedAt.IsZero():
+		c.restart = append(c.restart, r)
+	}
 }
 
 // finishedTask is the duration of a task that is done.
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -43,6 +43,8 @@
 	alive map[work.TaskRef]int
 	moves []string
 	seq   int64
+	// closed is set at the end: hosts that return later start no target.
+	closed bool
 }
 
 // target is a stand-in for a target: it runs, holds leases and lists ends.
@@ -189,6 +191,7 @@
 		},
 	}
 	w.targets[address] = t
+	t.dead = w.closed
 	go t.lapseLoop()
 	return t
 }
