Repeat a start only once its target has answered

Change: starts are repeated only after the target answered a hold; an earlier life is closed by time only after the longest delay of an order as well; hosts whose target succeeds another are not moved or maintained.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -289,7 +289,7 @@
 		p.Movable = orderable && standby
 		return p
 	}
-	p.Movable = orderable && t.Runs() == 0 && !t.Draining
+	p.Movable = orderable && t.Runs() == 0 && !t.Draining && !v.Succeeds(t)
 	p.Load, p.Lasting = t.Room.Sub(v.Free(t)).MilliCPU, len(lastingRuns(v, t)) > 0
 	if !h.idleSince.IsZero() {
 		p.IdleMS = now.Sub(h.idleSince).Milliseconds()
--- a/internal/leader/maintenance.go
+++ b/internal/leader/maintenance.go
@@ -52,7 +52,7 @@
 				h := l.fleet.host(name)
 				h.reserved = reservedMaintenance
 				t := byHost[name]
-				if t == nil || t.Runs() == 0 {
+				if t == nil || (t.Runs() == 0 && !v.Succeeds(t)) {
 					h.ordering = true
 					ready = append(ready, waveStep{w.ID, name})
 					continue
--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -31,14 +31,16 @@
 // tryStart repeats a start until it is settled. A repeated start of a run
 // that is already there changes nothing.
 func (s *session) tryStart(ref work.RunRef, r work.StartedRun, doubtful bool) {
+	var sent time.Time
 	for try := 0; s.l.ctx.Err() == nil && s.wanted(ref); try++ {
 		if try > 0 && !s.l.sleep(min(retryPause*time.Duration(try), maxRetryPause)) {
 			return
 		}
 		until := s.until()
-		if until == 0 || !s.l.Confirmed() {
+		if until == 0 || !s.l.Confirmed() || !s.answeredSince(sent) {
 			continue
 		}
+		sent = s.l.now()
 		ctx, cancel := context.WithTimeout(s.l.ctx, orderTimeout)
 		reply, err := s.l.cfg.Targets.Start(ctx, s.to, &StartOrder{
 			Run: ref, Payload: r.Payload, Checkpoint: r.Checkpoint, UntilMS: until, Fence: s.token(),
@@ -62,6 +64,15 @@
 	}
 }
 
+// answeredSince reports whether the target has answered a hold since a time.
+// A start is repeated only then: one that is sent to a silent target could
+// begin the run in a later life under the same id.
+func (s *session) answeredSince(at time.Time) bool {
+	s.l.mu.Lock()
+	defer s.l.mu.Unlock()
+	return at.IsZero() || s.answered.After(at)
+}
+
 // settleStart handles the answer to a start. It reports whether the start
 // needs no other try.
 func (s *session) settleStart(ref work.RunRef, refusal Refusal, doubtful bool) bool {
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -26,6 +26,9 @@
 	// preferredLease outlives the change of a leader, and ends soon enough that
 	// the work of a lost target is started again in useful time.
 	preferredLease = 4 * time.Second
+	// maxOrderDelay is by how much an order without answer can be late. The
+	// platform's targets carry out such orders up to 12 s late.
+	maxOrderDelay = 15 * time.Second
 	// failurePause is how long a target gets no new runs after it refused one
 	// as unhealthy or left an order without answer.
 	failurePause = 2 * time.Second
@@ -313,13 +316,15 @@
 type sessionState struct {
 	acknowledged, born int64
 	runs               int
+	// ended is set if a later life has the same id.
+	ended bool
 }
 
 func (s *session) snapshot() sessionState {
 	var out sessionState
 	s.l.cfg.Machine.Read(func(v *work.View) {
 		if t := v.Targets[s.key]; t != nil {
-			out = sessionState{acknowledged: t.Acknowledged, born: t.Born, runs: t.Runs()}
+			out = sessionState{acknowledged: t.Acknowledged, born: t.Born, runs: t.Runs(), ended: t.Ended}
 		}
 	})
 	return out
@@ -483,10 +488,14 @@
 
 // checkLapse closes the runs of a target whose lease has certainly ended.
 func (s *session) checkLapse() {
+	state := s.snapshot()
 	s.l.mu.Lock()
-	lapsed := s.l.now().After(s.leaseEnd)
+	end := s.leaseEnd
 	s.l.mu.Unlock()
-	if !lapsed || s.snapshot().runs == 0 {
+	if state.ended {
+		end = end.Add(maxOrderDelay)
+	}
+	if s.l.now().Before(end) || state.runs == 0 {
 		return
 	}
 	s.l.log.Warn().Str("target", s.key).Int("runs", s.snapshot().runs).Msg("lease of a silent target has ended")
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -196,6 +196,13 @@
 	return t
 }
 
+// lasts sets the duration of the target's runs.
+func (t *target) lasts(d time.Duration) {
+	t.w.mu.Lock()
+	defer t.w.mu.Unlock()
+	t.duration = d
+}
+
 // submit hands in a job of one step.
 func (w *world) submit(id, path string, step work.Step) {
 	w.t.Helper()
@@ -435,7 +442,7 @@
 		t.die()
 		time.AfterFunc(1500*time.Millisecond, func() {
 			if pool != "off" {
-				w.add(t.state.ID+"x", host, address, pool)
+				w.add(t.state.ID+"x", host, address, pool).lasts(t.duration)
 			}
 		})
 	}
@@ -452,7 +459,7 @@
 				w.breaks("maintenance of %s ended %v", host, ref)
 			}
 			t.die()
-			time.AfterFunc(2*time.Second, func() { w.add(t.state.ID+"y", host, address, t.state.Pool) })
+			time.AfterFunc(2*time.Second, func() { w.add(t.state.ID+"y", host, address, t.state.Pool).lasts(t.duration) })
 		}
 	}
 	return leader.ProviderDone, nil
