Count arriving work ahead of the moves

Change: a pool wants hosts for what runs, waits and arrives within 0.8 s; the arrivals are measured over 0.5 s.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -15,7 +15,7 @@
 	providerTimeout = time.Second
 	// arrivalWindow is the time over which arriving work is measured: long
 	// enough for several jobs, short against a turn of the demand of 4 s.
-	arrivalWindow = 800 * time.Millisecond
+	arrivalWindow = 500 * time.Millisecond
 	// joinMargin is how long after its due time a host that moved is awaited
 	// before the provider's list is read again.
 	joinMargin = 3 * time.Second
--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -15,7 +15,7 @@
 	// Running and Waiting are what runs and what could start now.
 	Running, Waiting int64
 	// Arriving is the work that arrives each second, in thousandths of a
-	// core-second: what would run at the same time if nothing waited.
+	// core-second.
 	Arriving float64
 	// Spread is the least number of hosts that lasting work needs.
 	Spread int
@@ -45,12 +45,15 @@
 	IdleMS int64
 	// Fill is the share of a host that tasks of mixed sizes can use.
 	Fill float64
+	// AheadS is for how many seconds arriving work is counted before it is
+	// there, since a move takes about as long.
+	AheadS float64
 	// Spare is how many hosts a pool keeps beyond its demand.
 	Spare int
 }
 
 // Default returns the policy in use.
-func Default() Policy { return Policy{IdleMS: 700, Fill: 0.9, Spare: 0} }
+func Default() Policy { return Policy{IdleMS: 700, Fill: 0.9, AheadS: 0.8, Spare: 0} }
 
 // Move is one decision with its reason.
 type Move struct {
@@ -137,7 +140,7 @@
 
 // want returns how many hosts a pool should have.
 func (p Policy) want(pool *Pool, size int64) int {
-	cpu := math.Max(float64(pool.Running+pool.Waiting), pool.Arriving)
+	cpu := float64(pool.Running+pool.Waiting) + p.AheadS*pool.Arriving
 	return max(1, pool.Spread, int(math.Ceil(cpu/(float64(size)*p.Fill)))) + p.Spare
 }
 
