--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -43,7 +43,7 @@
 type Config struct {
 	// Host is the address of this host without port.
 	Host string
-	// Name names this process to the provider.
+	// Name names this process to the platform.
 	Name string
 	// Seeds are hosts of the core, this one perhaps among them.
 	Seeds []string
@@ -53,7 +53,7 @@
 	// Port is the port of the link on every host.
 	Port     string
 	Targets  leader.Targets
-	Provider leader.Provider
+	Platform leader.Platform
 	Policy   leader.Policy
 	Timing   leader.Timing
 	Log      zerolog.Logger
@@ -184,7 +184,7 @@
 func (c *Core) lead(ctx context.Context, term uint64) func() {
 	c.cfg.Log.Info().Uint64("term", term).Msg("leads the region")
 	l := leader.New(leader.Config{
-		Host: c.cfg.Name, Group: c.replica, Machine: c.machine, Targets: c.cfg.Targets, Provider: c.cfg.Provider,
+		Host: c.cfg.Name, Group: c.replica, Machine: c.machine, Targets: c.cfg.Targets, Platform: c.cfg.Platform,
 		Policy: c.cfg.Policy, Timing: c.cfg.Timing, Clock: clock.System{}, Log: c.cfg.Log,
 		Orders: c.orders,
 	}, term)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"agatehaven.dev/agatehaven/internal/fault"
@@ -174,6 +175,32 @@
 // call is one kind of request to the leader.
 type call func(ctx context.Context, c *link.Client) (*link.Answer, error)
 
+// requestSeconds holds how long requests take, by their result.
+var requestSeconds = map[link.Code]*metrics.Histogram{
+	link.Done:     metrics.GetOrCreateHistogram(`agatehaven_entry_request_seconds{result="done"}`),
+	link.NotReady: metrics.GetOrCreateHistogram(`agatehaven_entry_request_seconds{result="not_ready"}`),
+	link.Unknown:  metrics.GetOrCreateHistogram(`agatehaven_entry_request_seconds{result="unknown"}`),
+	link.NoQueue:  metrics.GetOrCreateHistogram(`agatehaven_entry_request_seconds{result="no_queue"}`),
+	link.NoJob:    metrics.GetOrCreateHistogram(`agatehaven_entry_request_seconds{result="no_job"}`),
+	link.Refused:  metrics.GetOrCreateHistogram(`agatehaven_entry_request_seconds{result="refused"}`),
+}
+
+// serve forwards a request, and logs it if no leader settled it.
+func (e *Entry) serve(ctx context.Context, kind string, s *link.Subject, f call) *link.Answer {
+	started := time.Now()
+	a := e.forward(ctx, f)
+	took := time.Since(started)
+	if h := requestSeconds[a.Code]; h != nil {
+		h.Update(took.Seconds())
+	}
+	if a.Code == link.NotReady || a.Code == link.Unknown || a.Code == link.Refused {
+		leader, _ := e.choose()
+		e.log.Warn().Str("kind", kind).Str("job", s.Job).Str("path", s.Path).Str("code", string(a.Code)).
+			Str("reason", a.Reason).Dur("took", took).Str("leader", leader).Msg("request not settled")
+	}
+	return a
+}
+
 // forward tries a request until a leader settles it or the patience is over.
 // An answer Unknown tells that it may have taken effect; all requests can be
 // repeated.
@@ -240,20 +267,20 @@
 
 // Submit hands in a job.
 func (e *Entry) Submit(ctx context.Context, r *link.SubmitRequest) *link.Answer {
-	return e.forward(ctx, func(ctx context.Context, c *link.Client) (*link.Answer, error) { return c.Submit(ctx, r) })
+	return e.serve(ctx, "submit", &r.Subject, func(ctx context.Context, c *link.Client) (*link.Answer, error) { return c.Submit(ctx, r) })
 }
 
 // Cancel ends a job.
 func (e *Entry) Cancel(ctx context.Context, s *link.Subject) *link.Answer {
-	return e.forward(ctx, func(ctx context.Context, c *link.Client) (*link.Answer, error) { return c.Cancel(ctx, s) })
+	return e.serve(ctx, "cancel", s, func(ctx context.Context, c *link.Client) (*link.Answer, error) { return c.Cancel(ctx, s) })
 }
 
 // Look returns the state of a job.
 func (e *Entry) Look(ctx context.Context, s *link.Subject) *link.Answer {
-	return e.forward(ctx, func(ctx context.Context, c *link.Client) (*link.Answer, error) { return c.Look(ctx, s) })
+	return e.serve(ctx, "look", s, func(ctx context.Context, c *link.Client) (*link.Answer, error) { return c.Look(ctx, s) })
 }
 
 // Count returns how many jobs of a queue have not begun.
 func (e *Entry) Count(ctx context.Context, s *link.Subject) *link.Answer {
-	return e.forward(ctx, func(ctx context.Context, c *link.Client) (*link.Answer, error) { return c.Count(ctx, s) })
+	return e.serve(ctx, "count", s, func(ctx context.Context, c *link.Client) (*link.Answer, error) { return c.Count(ctx, s) })
 }
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -11,15 +11,15 @@
 const (
 	// fleetPace is how often the fleet is compared with what is wanted.
 	fleetPace = 100 * time.Millisecond
-	// providerTimeout bounds one call to the provider.
-	providerTimeout = time.Second
+	// platformTimeout bounds one call to the platform.
+	platformTimeout = time.Second
 	// arrivalWindow is the time over which arriving work is measured: long
 	// enough for several jobs, short against a turn of the demand of 4 s.
 	arrivalWindow = 500 * time.Millisecond
 	// joinMargin is how long after its due time a host that moved is awaited
-	// before the provider's list is read again.
+	// before the platform's list is read again.
 	joinMargin = 3 * time.Second
-	// busyPause follows an order that the provider did not take, and doubles up
+	// busyPause follows an order that the platform did not take, and doubles up
 	// to maxBusyPause: a host that is leaving is busy until it is gone.
 	busyPause    = 500 * time.Millisecond
 	maxBusyPause = 4 * time.Second
@@ -33,7 +33,7 @@
 // fleet is the leader's view of the hosts. It is guarded by its mutex.
 type fleet struct {
 	hosts map[string]*host
-	// listed is when the provider's list was read; stale is set when it has to
+	// listed is when the platform's list was read; stale is set when it has to
 	// be read again.
 	listed time.Time
 	stale  bool
@@ -52,21 +52,22 @@
 	away time.Time
 	// left is the key of the target that ended with the order.
 	left string
-	// ordering is set while an order to the provider is under way.
+	// ordering is set while an order to the platform is under way.
 	ordering bool
 	// idleSince is when nothing ran on it for the first time.
 	idleSince time.Time
-	// busy counts the orders that the provider did not take in a row; none is
+	// busy counts the orders that the platform did not take in a row; none is
 	// sent before retryAt.
 	busy    int
 	retryAt time.Time
-	// unlisted is set if the provider's last list lacks the host.
+	// unlisted is set if the platform's last list lacks the host.
 	unlisted bool
 }
 
-// refused notes that the provider did not take an order.
+// refused notes that the platform did not take an order.
 func (h *host) refused(now time.Time) {
 	h.busy++
+	hostsBusy.Inc()
 	h.retryAt = now.Add(min(busyPause<<min(h.busy-1, 8), maxBusyPause))
 }
 
@@ -103,7 +104,7 @@
 	}
 }
 
-// needsList reports whether the provider's list has to be read: once a term,
+// needsList reports whether the platform's list has to be read: once a term,
 // and when a host did not come back as expected.
 func (l *Leader) needsList() bool {
 	l.mu.Lock()
@@ -112,9 +113,9 @@
 }
 
 func (l *Leader) list() bool {
-	ctx, cancel := context.WithTimeout(l.ctx, providerTimeout)
+	ctx, cancel := context.WithTimeout(l.ctx, platformTimeout)
 	defer cancel()
-	hosts, err := l.cfg.Provider.Hosts(ctx)
+	hosts, err := l.cfg.Platform.Hosts(ctx)
 	if err != nil {
 		l.log.Warn().Err(err).Msg("list of hosts not read")
 		return false
@@ -399,15 +400,15 @@
 	return pools
 }
 
-// moveHost orders a move until the provider has settled it.
+// moveHost orders a move until the platform has settled it.
 func (l *Leader) moveHost(m poolsize.Move) {
-	settled := ProviderRefused
+	settled := PlatformRefused
 	defer func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		h := l.fleet.host(m.Host)
 		h.ordering = false
-		if settled == ProviderDone {
+		if settled == PlatformDone {
 			h.busy = 0
 			return
 		}
@@ -424,8 +425,8 @@
 		l.mu.Lock()
 		token := l.token()
 		l.mu.Unlock()
-		ctx, cancel := context.WithTimeout(l.ctx, providerTimeout)
-		answer, err := l.cfg.Provider.Move(ctx, m.Host, m.To, token)
+		ctx, cancel := context.WithTimeout(l.ctx, platformTimeout)
+		answer, err := l.cfg.Platform.Move(ctx, m.Host, m.To, token)
 		cancel()
 		if err != nil {
 			l.log.Warn().Err(err).Str("host", m.Host).Msg("move not answered")
@@ -433,10 +434,11 @@
 		}
 		l.log.Info().Str("host", m.Host).Str("from", m.From).Str("to", m.To).Str("reason", m.Reason).
 			Str("outcome", string(answer)).Msg("host moved")
-		if answer == ProviderThrottled {
+		if answer == PlatformThrottled {
 			continue
 		}
-		if settled = answer; answer == ProviderDone {
+		if settled = answer; answer == PlatformDone {
+			hostMoves.Inc()
 			l.leaveHost(m.Host, m.To, l.cfg.Timing.Move)
 		}
 		return
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -17,12 +17,12 @@
 
 // Config configures the duties of a leader.
 type Config struct {
-	// Host names this process as the holder of provider tokens.
+	// Host names this process as the holder of platform tokens.
 	Host     string
 	Group    replica.Group
 	Machine  *work.Machine
 	Targets  Targets
-	Provider Provider
+	Platform Platform
 	Policy   Policy
 	Timing   Timing
 	Clock    clock.Clock
@@ -181,7 +181,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
+	started := l.now()
 	value, err := l.cfg.Group.Propose(ctx, data)
+	observe(commitSeconds, started, l.now())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/leader/maintenance.go
+++ b/internal/leader/maintenance.go
@@ -169,13 +169,13 @@
 
 // maintainHost orders the maintenance of a host that runs nothing.
 func (l *Leader) maintainHost(r waveStep) {
-	settled := ProviderBusy
+	settled := PlatformBusy
 	defer func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		h := l.fleet.host(r.host)
 		h.ordering = false
-		if settled == ProviderDone {
+		if settled == PlatformDone {
 			h.busy = 0
 			return
 		}
@@ -191,8 +191,8 @@
 	l.mu.Lock()
 	token := l.token()
 	l.mu.Unlock()
-	ctx, cancel := context.WithTimeout(l.ctx, providerTimeout)
-	answer, err := l.cfg.Provider.Maintain(ctx, r.host, r.wave, token)
+	ctx, cancel := context.WithTimeout(l.ctx, platformTimeout)
+	answer, err := l.cfg.Platform.Maintain(ctx, r.host, r.wave, token)
 	cancel()
 	if err != nil {
 		l.log.Warn().Err(err).Str("host", r.host).Msg("maintenance order not answered")
@@ -200,7 +200,7 @@
 	}
 	l.log.Info().Str("host", r.host).Int64("wave", r.wave).Str("outcome", string(answer)).Msg("maintenance ordered")
 	settled = answer
-	if answer != ProviderDone {
+	if answer != PlatformDone {
 		kind := work.MaintenanceRefused
 		if l.isGone(r.host, answer) {
 			kind = work.MaintenanceGone
@@ -213,11 +213,11 @@
 	l.record(&work.Command{WaveStep: &work.WaveStep{Wave: r.wave, Host: r.host, Kind: work.MaintenanceBegun}}, "begun maintenance")
 }
 
-// isGone reports whether the provider no longer knows a host.
-func (l *Leader) isGone(name string, answer ProviderAnswer) bool {
+// isGone reports whether the platform no longer knows a host.
+func (l *Leader) isGone(name string, answer PlatformAnswer) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.fleet.host(name).unlisted && (answer == ProviderRefused || answer == ProviderBusy)
+	return l.fleet.host(name).unlisted && (answer == PlatformRefused || answer == PlatformBusy)
 }
 
 // returnHosts notes which hosts are back from maintenance: a target has
--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -41,12 +41,14 @@
 			continue
 		}
 		sent = s.l.now()
+		startsOrdered.Inc()
 		ctx, cancel := context.WithTimeout(s.l.ctx, orderTimeout)
 		reply, err := s.l.cfg.Targets.Start(ctx, s.to, &StartOrder{
 			Run: ref, Payload: r.Payload, Checkpoint: r.Checkpoint, UntilMS: until, Fence: s.token(),
 		})
 		cancel()
 		if err != nil {
+			startsRepeated.Inc()
 			doubtful = doubtful || !unsent(err)
 			s.l.noteFailure(s.key)
 			s.l.log.Info().Err(err).Str("job", ref.Task.Job).Int("step", ref.Task.Step).Int("index", ref.Task.Index).
@@ -58,6 +60,7 @@
 			continue
 		}
 		s.l.learnClock(s.key, reply.ClockMS)
+		observe(startSeconds, sent, s.l.now())
 		if s.settleStart(ref, reply.Refusal, doubtful) {
 			return
 		}
@@ -82,6 +85,7 @@
 		s.l.mu.Unlock()
 		return true
 	}
+	startsRefused.Inc()
 	s.l.log.Info().Str("job", ref.Task.Job).Int("step", ref.Task.Step).Int("index", ref.Task.Index).Int("run", ref.Run).
 		Str("target", s.key).Str("refusal", string(refusal)).Msg("start refused")
 	switch refusal {
--- a/internal/leader/ports.go
+++ b/internal/leader/ports.go
@@ -107,7 +107,7 @@
 	Ended   []work.End
 }
 
-// HostState is the provider's view of a host.
+// HostState is the platform's view of a host.
 type HostState struct {
 	Host       string
 	Pool       string
@@ -118,32 +118,32 @@
 	TargetID   string
 }
 
-// Token is the right to order for a host. The provider refuses a lower one.
+// Token is the right to order for a host. The platform refuses a lower one.
 type Token struct {
 	Holder string
 	Number uint64
 }
 
-// ProviderAnswer tells what became of an order to the provider.
-type ProviderAnswer string
+// PlatformAnswer tells what became of an order to the platform.
+type PlatformAnswer string
 
-// Answers of the provider.
+// Answers of the platform.
 const (
-	ProviderDone   ProviderAnswer = "done"
-	ProviderBusy   ProviderAnswer = "busy"
-	ProviderFenced ProviderAnswer = "fenced"
-	// ProviderRefused orders are not valid and never will be.
-	ProviderRefused ProviderAnswer = "refused"
-	// ProviderThrottled orders were not taken for their rate.
-	ProviderThrottled ProviderAnswer = "throttled"
+	PlatformDone   PlatformAnswer = "done"
+	PlatformBusy   PlatformAnswer = "busy"
+	PlatformFenced PlatformAnswer = "fenced"
+	// PlatformRefused orders are not valid and never will be.
+	PlatformRefused PlatformAnswer = "refused"
+	// PlatformThrottled orders were not taken for their rate.
+	PlatformThrottled PlatformAnswer = "throttled"
 )
 
-// Provider moves and maintains hosts. Everything that runs on the host ends at
+// Platform moves and maintains hosts. Everything that runs on the host ends at
 // once. An error means that the order may have been carried out.
-type Provider interface {
+type Platform interface {
 	Hosts(ctx context.Context) ([]HostState, error)
-	Move(ctx context.Context, host, pool string, t Token) (ProviderAnswer, error)
-	Maintain(ctx context.Context, host string, wave int64, t Token) (ProviderAnswer, error)
+	Move(ctx context.Context, host, pool string, t Token) (PlatformAnswer, error)
+	Maintain(ctx context.Context, host string, wave int64, t Token) (PlatformAnswer, error)
 }
 
 // Policy is the outside service that knows which hosts may run a step.
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -237,10 +237,12 @@
 		o.WaitMS = holdWait.Milliseconds()
 	}
 	sent := s.l.now()
+	holds.Inc()
 	callCtx, cancel := context.WithTimeout(ctx, time.Duration(o.WaitMS)*time.Millisecond+holdMargin)
 	defer cancel()
 	h, err := s.l.cfg.Targets.Hold(callCtx, s.to, o)
 	if err != nil {
+		holdsSilent.Inc()
 		if ctx.Err() == nil {
 			s.l.log.Info().Err(err).Str("target", s.key).Msg("hold not answered")
 		}
@@ -355,6 +357,7 @@
 	report := s.compare(h, sent, acknowledged)
 	if report != nil {
 		if s.l.record(&work.Command{Report: report}, "report of a target") {
+			countEnds(report.Ends)
 			s.l.noteEnds(s.key, report.Ends)
 			s.l.poke()
 		}
@@ -383,6 +386,7 @@
 	})
 	for _, f := range finished {
 		l.learned.note(f.queue, f.ms)
+		taskSeconds.Update(float64(f.ms) / 1000)
 	}
 	s.first = true
 	s.acknowledged = max(s.acknowledged, acknowledged)
@@ -499,6 +503,7 @@
 		return
 	}
 	s.l.log.Warn().Str("target", s.key).Int("runs", s.snapshot().runs).Msg("lease of a silent target has ended")
+	leasesEnded.Inc()
 	s.l.record(&work.Command{End: s.key}, "end of a lease")
 	s.l.poke()
 }
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -28,7 +28,7 @@
 	worldStop     = 100 * time.Millisecond
 )
 
-// world holds targets, a provider and a log without replicas. It notes every
+// world holds targets, a platform and a log without replicas. It notes every
 // broken promise.
 type world struct {
 	t       *testing.T
@@ -135,7 +135,7 @@
 // lead runs a leader and returns it with how to end it.
 func (w *world) lead(term uint64) (*leader.Leader, func()) {
 	l := leader.New(leader.Config{
-		Host: "core-" + strconv.FormatUint(term, 10), Group: w, Machine: w.machine, Targets: w, Provider: w, Clock: clock.System{},
+		Host: "core-" + strconv.FormatUint(term, 10), Group: w, Machine: w.machine, Targets: w, Platform: w, Clock: clock.System{},
 		Log: zerolog.Nop(), Orders: leader.NewOrderLog(clock.System{}),
 		Timing: leader.Timing{
 			Announce: worldAnnounce, MaxLease: worldLease, Stop: worldStop, Move: 1500 * time.Millisecond,
@@ -416,7 +416,7 @@
 	return out, nil
 }
 
-// Hosts implements leader.Provider.
+// Hosts implements leader.Platform.
 func (w *world) Hosts(context.Context) ([]leader.HostState, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -427,8 +427,8 @@
 	return out, nil
 }
 
-// Move implements leader.Provider. It ends what runs on the host.
-func (w *world) Move(_ context.Context, host, pool string, _ leader.Token) (leader.ProviderAnswer, error) {
+// Move implements leader.Platform. It ends what runs on the host.
+func (w *world) Move(_ context.Context, host, pool string, _ leader.Token) (leader.PlatformAnswer, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.moves = append(w.moves, host+" to "+pool)
@@ -446,11 +446,11 @@
 			}
 		})
 	}
-	return leader.ProviderDone, nil
+	return leader.PlatformDone, nil
 }
 
-// Maintain implements leader.Provider.
-func (w *world) Maintain(_ context.Context, host string, _ int64, _ leader.Token) (leader.ProviderAnswer, error) {
+// Maintain implements leader.Platform.
+func (w *world) Maintain(_ context.Context, host string, _ int64, _ leader.Token) (leader.PlatformAnswer, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for address, t := range w.targets {
@@ -462,5 +462,5 @@
 			time.AfterFunc(2*time.Second, func() { w.add(t.state.ID+"y", host, address, t.state.Pool).lasts(t.duration) })
 		}
 	}
-	return leader.ProviderDone, nil
+	return leader.PlatformDone, nil
 }
--- a/internal/work/command.go
+++ b/internal/work/command.go
@@ -16,7 +16,7 @@
 	Report   *Report   `cbor:"9,keyasint,omitempty"`
 	Wave     *Wave     `cbor:"10,keyasint,omitempty"`
 	WaveStep *WaveStep `cbor:"11,keyasint,omitempty"`
-	// Orders announces orders to the provider before they are sent.
+	// Orders announces orders to the platform before they are sent.
 	Orders []HostOrder `cbor:"12,keyasint,omitempty"`
 }
 
--- a/internal/work/model.go
+++ b/internal/work/model.go
@@ -245,7 +245,7 @@
 	MaxDown   int   `cbor:"4,keyasint"`
 	StartedMS int64 `cbor:"5,keyasint"`
 	// Ordered and Begun hold the hosts whose maintenance was ordered and
-	// confirmed by the provider, with the times.
+	// confirmed by the platform, with the times.
 	Ordered map[string]int64 `cbor:"6,keyasint,omitempty"`
 	Begun   map[string]int64 `cbor:"7,keyasint,omitempty"`
 	// Returned holds the hosts that are back in service.
