--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -113,6 +113,8 @@
 
 // settle records that a run never began, so that its task can start elsewhere.
 func (s *session) settle(ref work.RunRef, reason string) {
+	s.l.log.Info().Str("job", ref.Task.Job).Int("step", ref.Task.Step).Int("index", ref.Task.Index).Int("run", ref.Run).
+		Str("target", s.key).Str("reason", reason).Msg("run never began")
 	s.l.record(&work.Command{Report: &work.Report{Target: s.key, Settled: []work.RunRef{ref}}}, reason)
 	s.l.poke()
 }
