Fence starts on their way after the end of a lease; set aside targets that fail

The randomized test found a start sent with the raised token of a session that a later life had answered. Orders without answer, one in five, set nearly all targets aside. Targets that fail everything used up the attempts of jobs.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -292,6 +292,10 @@
 	}
 	p.Movable = orderable && t.Runs() == 0 && !t.Draining && !v.Succeeds(t)
 	p.Load, p.Lasting = t.Room.Sub(v.Free(t)).MilliCPU, len(lastingRuns(v, t)) > 0
+	if c := l.contacts[t.Key()]; c != nil && c.suspected > 0 {
+		// A host that fails what it starts is no capacity, and no help elsewhere.
+		p.Reserved, p.Movable = true, false
+	}
 	if !h.idleSince.IsZero() {
 		p.IdleMS = now.Sub(h.idleSince).Milliseconds()
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -102,7 +102,13 @@
 	clock    targetClock
 	// avoidUntil is until when no run is started, after failures.
 	avoidUntil time.Time
+	// failures counts the runs that failed since the last that was done, and
+	// failedJobs the jobs among them, up to suspectJobs: a job that can never
+	// be done fails on every target.
 	failures   int
+	failedJobs map[string]bool
+	// suspected counts how often the target was set aside in a row.
+	suspected int
 }
 
 // New returns a leader for a term. Run carries out its duties.
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -42,6 +42,9 @@
 		}
 		w.mu.Unlock()
 		after(time.Minute) // late orders and loops of the world end
+		if len(w.broken) > 0 {
+			t.Log(w.logs.String())
+		}
 		NewWithT(t).Expect(w.broken).To(BeEmpty())
 	})
 }
@@ -117,6 +120,57 @@
 	})
 }
 
+// Answers hosts that fail everything they start while they look healthy: with
+// two attempts a job, every job that meets them twice would be lost.
+func TestTargetThatFailsAllIsSetAside(t *testing.T) {
+	play(t, func(w *world) {
+		w.add("bad", "hbad", "1:0", "desk").fails = true
+		w.add("a", "ha", "1:1", "desk")
+		w.add("b", "hb", "1:2", "desk")
+		_, stop := w.lead(2)
+		defer stop()
+		spread := lasting(3) // keeps three hosts in the pool
+		spread.MaxPerHost = 1
+		w.submit("l", "/draw/", spread)
+		after(time.Second)
+		for i := range 12 {
+			w.submit("j"+strconv.Itoa(i), "/once/", small(4))
+			after(400 * time.Millisecond)
+		}
+		after(10 * time.Second)
+		for i := range 12 {
+			NewWithT(t).Expect(w.state("j" + strconv.Itoa(i))).To(Equal(work.Completed))
+		}
+	})
+}
+
+// Answers orders that are left without answer and carried out late, one in
+// five: the target stays in use, and the run starts elsewhere only once it
+// cannot begin there.
+func TestLateOrdersAreSettled(t *testing.T) {
+	play(t, func(w *world) {
+		a := w.add("a", "ha", "1:1", "desk")
+		w.add("b", "hb", "1:2", "desk")
+		_, stop := w.lead(2)
+		defer stop()
+		after(time.Second)
+		for i := range 10 {
+			w.mu.Lock()
+			a.late = time.Duration(i%2) * 3 * time.Second
+			w.mu.Unlock()
+			w.submit("j"+strconv.Itoa(i), "/draw/", small(2))
+			after(700 * time.Millisecond)
+		}
+		w.mu.Lock()
+		a.late = 0
+		w.mu.Unlock()
+		after(15 * time.Second)
+		for i := range 10 {
+			NewWithT(t).Expect(w.state("j" + strconv.Itoa(i))).To(Equal(work.Completed))
+		}
+	})
+}
+
 // Guards against a new leader that starts what its predecessor has started,
 // and against leases that end at the change.
 func TestNewLeaderTakesOverWhatRuns(t *testing.T) {
--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -32,30 +32,37 @@
 // that is already there changes nothing.
 func (s *session) tryStart(ref work.RunRef, r work.StartedRun, doubtful bool) {
 	var sent time.Time
+	unanswered := 0
 	for try := 0; s.l.ctx.Err() == nil && s.wanted(ref); try++ {
 		if try > 0 && !s.l.sleep(min(retryPause*time.Duration(try), maxRetryPause)) {
 			return
 		}
 		until := s.until()
-		if until == 0 || !s.l.Confirmed() || !s.answeredSince(sent) {
+		fence, mayStart := s.token()
+		if until == 0 || !mayStart || !s.l.Confirmed() || !s.answeredSince(sent) || !s.wanted(ref) {
 			continue
 		}
 		sent = s.l.now()
 		startsOrdered.Inc()
 		ctx, cancel := context.WithTimeout(s.l.ctx, orderTimeout)
 		reply, err := s.l.cfg.Targets.Start(ctx, s.to, &StartOrder{
-			Run: ref, Payload: r.Payload, Checkpoint: r.Checkpoint, UntilMS: until, Fence: s.token(),
+			Run: ref, Payload: r.Payload, Checkpoint: r.Checkpoint, UntilMS: until, Fence: fence,
 		})
 		cancel()
 		if err != nil {
 			startsRepeated.Inc()
 			doubtful = doubtful || !unsent(err)
-			s.l.noteFailure(s.key)
+			unanswered++
 			s.l.log.Info().Err(err).Str("job", ref.Task.Job).Int("step", ref.Task.Step).Int("index", ref.Task.Index).
 				Int("run", ref.Run).Str("target", s.key).Int("try", try).Msg("start not answered")
-			if !doubtful {
+			switch {
+			case !doubtful:
+				s.l.noteFailure(s.key)
 				s.settle(ref, "start was not sent")
 				return
+			case unanswered >= maxUnanswered:
+				s.stop(ref) // then it starts elsewhere
+				return
 			}
 			continue
 		}
@@ -175,7 +182,8 @@
 			continue
 		}
 		ctx, cancel := context.WithTimeout(s.l.ctx, orderTimeout)
-		reply, err := s.l.cfg.Targets.Stop(ctx, s.to, &StopOrder{Run: ref, Fence: s.token()})
+		fence, _ := s.token()
+		reply, err := s.l.cfg.Targets.Stop(ctx, s.to, &StopOrder{Run: ref, Fence: fence})
 		cancel()
 		if err != nil {
 			s.l.log.Info().Err(err).Str("job", ref.Task.Job).Int("run", ref.Run).Str("target", s.key).Msg("stop not answered")
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -134,20 +134,44 @@
 	}
 }
 
-// noteEnds learns from ends.
+const (
+	// suspectFailures failures in a row of suspectJobs jobs set a target aside.
+	suspectFailures = 3
+	suspectJobs     = 2
+	// suspectPause is for how long, doubled each time up to maxSuspectPause.
+	suspectPause    = 2 * time.Second
+	maxSuspectPause = 16 * time.Second
+)
+
+// noteEnds learns from ends: a target on which the runs of several jobs fail
+// and none is done is set aside for a while. After it, one more failure sets
+// it aside again.
 func (l *Leader) noteEnds(key string, ends []work.End) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := l.contacts[key]
+	if c == nil {
+		return
+	}
 	for _, e := range ends {
-		if c == nil {
-			continue
-		}
 		switch e.Outcome {
 		case work.OutcomeDone:
-			c.failures = max(0, c.failures-1)
+			c.failures, c.suspected, c.failedJobs = 0, 0, nil
 		case work.OutcomeFailed:
 			c.failures++
+			if c.failedJobs == nil {
+				c.failedJobs = map[string]bool{}
+			}
+			if len(c.failedJobs) < suspectJobs {
+				c.failedJobs[e.Run.Task.Job] = true
+			}
 		}
 	}
+	if c.failures < suspectFailures || len(c.failedJobs) < suspectJobs || l.now().Before(c.avoidUntil) {
+		return
+	}
+	c.avoidUntil = l.now().Add(min(suspectPause<<min(c.suspected, 8), maxSuspectPause))
+	c.suspected++
+	l.log.Warn().Str("target", key).Int("failures", c.failures).Int("suspected", c.suspected).
+		Time("until", c.avoidUntil).Msg("target is set aside")
 }
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -26,6 +26,9 @@
 	// preferredLease outlives the change of a leader, and ends soon enough that
 	// the work of a lost target is started again in useful time.
 	preferredLease = 4 * time.Second
+	// maxUnanswered is how many starts of a run a target may leave without
+	// answer while it answers holds; then the run starts elsewhere.
+	maxUnanswered = 3
 	// maxOrderDelay is by how much an order without answer can be late. The
 	// platform's targets carry out such orders up to 12 s late.
 	maxOrderDelay = 15 * time.Second
@@ -166,7 +169,7 @@
 			}
 			continue
 		}
-		answered := s.hold(ctx)
+		answered := s.hold(ctx, holdWait) || s.hold(ctx, 0) // one lost answer is no silence
 		s.l.mu.Lock()
 		s.silent = !answered
 		s.l.mu.Unlock()
@@ -228,13 +231,14 @@
 	return b
 }
 
-// hold renews the lease and takes the list of runs. It reports whether the
-// target answered.
-func (s *session) hold(ctx context.Context) bool {
+// hold renews the lease and takes the list of runs, for which it waits. It
+// reports whether the target answered.
+func (s *session) hold(ctx context.Context, wait time.Duration) bool {
 	state := s.snapshot()
-	o := &HoldOrder{Fence: s.token(), Acknowledged: state.acknowledged, UntilMS: s.until()}
+	fence, _ := s.token()
+	o := &HoldOrder{Fence: fence, Acknowledged: state.acknowledged, UntilMS: s.until()}
 	if s.known() && state.runs > 0 {
-		o.WaitMS = holdWait.Milliseconds()
+		o.WaitMS = wait.Milliseconds()
 	}
 	sent := s.l.now()
 	holds.Inc()
@@ -307,11 +311,12 @@
 	}
 }
 
-// token returns the session's fencing token.
-func (s *session) token() uint64 {
+// token returns the session's fencing token, and whether runs may be started
+// with it: not once a later life of the target has answered.
+func (s *session) token() (fence uint64, mayStart bool) {
 	s.l.mu.Lock()
 	defer s.l.mu.Unlock()
-	return s.fence
+	return s.fence, !s.replaced
 }
 
 // sessionState is what a hold needs of the replicated state.
@@ -505,17 +510,21 @@
 		return
 	}
 	s.l.log.Warn().Str("target", s.key).Int("runs", s.snapshot().runs).Msg("lease of a silent target has ended")
+	// A start that is still on its way begins if it arrives after the next lease
+	// was granted, whatever its own time, unless its token is lower by then.
+	s.raiseFence()
 	leasesEnded.Inc()
 	s.l.record(&work.Command{End: s.key}, "end of a lease")
 	s.l.poke()
 }
 
-// noteFailure keeps new runs away from a target that does not answer.
+// noteFailure keeps new runs away from a target that does not answer or says
+// that it is unhealthy.
 func (l *Leader) noteFailure(key string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if c := l.contacts[key]; c != nil {
-		c.avoidUntil = l.now().Add(failurePause)
+		c.avoidUntil = latest(c.avoidUntil, l.now().Add(failurePause))
 	}
 }
 
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -150,8 +150,9 @@
 	return append(starts, chosen...)
 }
 
-// choose returns the host for a task: near its data first, then the one with
-// the least room that it still fits, so that other hosts become idle.
+// choose returns the host for a task: never the one on which it failed, unless
+// it is the only one; then one with few failures, near its data, and with the least
+// room that it still fits, so that other hosts become idle.
 func (r *Request) choose(j *work.Job, t *work.Task, s *work.Step, need work.Demand, placed map[*Host]int) *Host {
 	var best *Host
 	better := func(a, b *Host) bool {
@@ -166,7 +167,11 @@
 		}
 		return a.Target.ID < b.Target.ID
 	}
-	for _, h := range r.Hosts[j.Pool] {
+	hosts := r.Hosts[j.Pool]
+	for _, h := range hosts {
+		if t.FailedOn != "" && h.Target.Host == t.FailedOn && len(hosts) > 1 {
+			continue
+		}
 		if !need.Within(h.Free) || (s.Label != "" && !slices.Contains(h.Target.Labels, s.Label)) {
 			continue
 		}
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -116,6 +116,17 @@
 		Expect(starts[1].Target).To(Equal("a@1"))
 	})
 
+	It("repeats a failed task on another host, and prefers hosts without failures", func() {
+		// Guards against a host that fails all and uses up the attempts of jobs.
+		js := jobs(job("j", "/urgent/", step(1, 100)))
+		js[0].Tasks[0].FailedOn = "ha"
+		a, b, c := host("a", "", 500), host("b", "", 9000), host("c", "", 900)
+		a.Target.Host, c.Penalty = "ha", 3
+		starts := plan(2000, js, a, b, c)
+		Expect(starts[0].Target).To(Equal("b@1"))
+		Expect(plan(2000, js, host("a", "", 500))).To(HaveLen(1))
+	})
+
 	It("starts a gang whole or not at all", func() {
 		// Guards against members that hold room while they wait for the others.
 		g := step(3, 1000)
--- a/internal/work/apply.go
+++ b/internal/work/apply.go
@@ -425,6 +425,7 @@
 		s.complete(j, t)
 	case OutcomeFailed:
 		t.Failures++
+		t.FailedOn = target.Host
 		if !j.Spec.Steps[t.Step].Lasting && t.Failures >= j.Attempts {
 			s.finish(j, Failed, fmt.Sprintf("task %d of step %d failed %d times", t.Index, t.Step, t.Failures))
 		}
--- a/internal/work/model.go
+++ b/internal/work/model.go
@@ -172,6 +172,8 @@
 	Checkpoint string `cbor:"8,keyasint,omitempty"`
 	// StartedMS is when the current run was ordered.
 	StartedMS int64 `cbor:"9,keyasint,omitempty"`
+	// FailedOn is the host of the last run that failed.
+	FailedOn string `cbor:"10,keyasint,omitempty"`
 }
 
 // Active reports whether a run of the task may be alive.
