--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -55,6 +55,9 @@
 		l.log.Info().Int("planned", len(starts)).Int("accepted", len(result.Started)).Msg("plan was partly out of date")
 	}
 	for _, r := range result.Started {
+		if r.Run == 1 && r.Task.Step == 0 && r.Task.Index == 0 {
+			l.log.Info().Str("job", r.Task.Job).Str("target", r.Target).Int("planned", len(starts)).Msg("job starts")
+		}
 		if s := l.sessionOf(r.Target); s != nil {
 			s.startRun(r, false)
 		}
@@ -143,6 +146,25 @@
 	maxSuspectPause = 16 * time.Second
 )
 
+// logEnds logs the runs that ended otherwise than done, and the jobs that are
+// finished by these ends.
+func (l *Leader) logEnds(key string, ends []work.End) {
+	finished := map[string]bool{}
+	for _, e := range ends {
+		if e.Outcome != work.OutcomeDone {
+			l.log.Info().Str("job", e.Run.Task.Job).Int("step", e.Run.Task.Step).Int("index", e.Run.Task.Index).
+				Int("run", e.Run.Run).Str("target", key).Str("outcome", string(e.Outcome)).Msg("run ended")
+		}
+		finished[e.Run.Task.Job] = true
+	}
+	for id := range finished {
+		if o, ok := l.cfg.Machine.Finished(id); ok {
+			l.log.Info().Str("job", id).Str("state", string(o.State)).Str("reason", o.Reason).
+				Int64("took_ms", o.TookMS).Msg("job finished")
+		}
+	}
+}
+
 // noteEnds learns from ends: a target on which the runs of several jobs fail
 // and none is done is set aside for a while. After it, one more failure sets
 // it aside again.
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -364,6 +364,7 @@
 		if s.l.record(&work.Command{Report: report}, "report of a target") {
 			countEnds(report.Ends)
 			s.l.noteEnds(s.key, report.Ends)
+			s.l.logEnds(s.key, report.Ends)
 			s.l.poke()
 		}
 	}
--- a/internal/work/queries.go
+++ b/internal/work/queries.go
@@ -120,6 +120,25 @@
 	return j.State, true
 }
 
+// FinishedJob is the end of a job.
+type FinishedJob struct {
+	State  JobState
+	Reason string
+	// TookMS is the time since its acceptance.
+	TookMS int64
+}
+
+// Finished returns the end of a job, and false while it goes on.
+func (m *Machine) Finished(id string) (FinishedJob, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	j := m.state.Jobs[id]
+	if j == nil || !j.State.Final() {
+		return FinishedJob{}, false
+	}
+	return FinishedJob{State: j.State, Reason: j.Reason, TookMS: j.FinishedMS - j.SubmittedMS}, true
+}
+
 // Waiting returns how many jobs of a queue have not begun.
 func (m *Machine) Waiting(queue string) int {
 	m.mu.RLock()
