Forget silent targets without runs

Change: a target without runs is forgotten 15 s after its last sign of life. Test: TestTargetsThatLeftSilentlyAreForgotten, fails without.

--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -103,6 +103,26 @@
 	})
 }
 
+// Guards against a new leader that asks the targets of hosts that left for
+// ever, each a call that costs its timeout.
+func TestTargetsThatLeftSilentlyAreForgotten(t *testing.T) {
+	play(t, func(w *world) {
+		a := w.add("a", "ha", "1:1", "desk")
+		_, stop := w.lead(2)
+		after(2 * time.Second)
+		stop()
+		w.mu.Lock()
+		a.silent = true
+		w.mu.Unlock()
+		_, stop = w.lead(3)
+		defer stop()
+		after(20 * time.Second)
+		n := -1
+		w.machine.Read(func(v *work.View) { n = len(v.Targets) })
+		NewWithT(t).Expect(n).To(BeZero())
+	})
+}
+
 // Guards against runs of a cancelled job that go on.
 func TestRunsOfACancelledJobAreStopped(t *testing.T) {
 	play(t, func(w *world) {
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -85,6 +85,7 @@
 	for {
 		changed := l.cfg.Machine.Changed()
 		l.openSessions()
+		l.forgetTargets()
 		select {
 		case <-l.ctx.Done():
 			return
@@ -129,6 +130,34 @@
 	}
 }
 
+// forgetAfter is how long a target without runs is kept after its last sign of
+// life. One that returns later registers again.
+const forgetAfter = 15 * time.Second
+
+// forgetTargets ends the targets that are silent and run nothing, which would
+// be asked for ever.
+func (l *Leader) forgetTargets() {
+	now := l.now()
+	if now.Sub(l.elected) < forgetAfter {
+		return
+	}
+	var gone []string
+	l.mu.Lock()
+	l.cfg.Machine.Read(func(v *work.View) {
+		for key, t := range v.Targets {
+			c := l.contacts[key]
+			if t.Runs() == 0 && (c == nil || now.Sub(c.heard) > forgetAfter) {
+				gone = append(gone, key)
+			}
+		}
+	})
+	l.mu.Unlock()
+	for _, key := range gone {
+		l.log.Info().Str("target", key).Msg("silent target without runs is forgotten")
+		l.record(&work.Command{End: key, Gone: true}, "end of a silent target")
+	}
+}
+
 // openSession starts a session. The mutex is held.
 func (l *Leader) openSession(key string, to Address) *session {
 	ctx, cancel := context.WithCancel(l.ctx)
