Ask the policy service before a start; keep fill-in work away from tasks that serve

Cause: both belong to the contracts in force, though no queue of the two sites uses them today; a queue with a policy would have been refused for ever, and fill-in work beside tasks that serve makes their responses late. Log lines about a run share their fields. Tests: TestPolicyIsAskedBeforeAStart, schedule "keeps fill-in work away".

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -84,6 +84,7 @@
 	fleet    fleet
 	wake     chan struct{}
 	learned  durations
+	permits  permits
 }
 
 // turn is a lock that is held while a commit is awaited. It is a channel, so
@@ -116,7 +117,7 @@
 	return &Leader{
 		cfg: cfg, term: term, log: cfg.Log.With().Uint64("term", term).Logger(),
 		sessions: map[string]*session{}, contacts: map[string]*contact{}, wake: make(chan struct{}, 1),
-		planning: make(turn, 1), fleet: newFleet(), learned: newDurations(),
+		planning: make(turn, 1), fleet: newFleet(), learned: newDurations(), permits: newPermits(),
 	}
 }
 
@@ -124,7 +125,7 @@
 func (l *Leader) Run(ctx context.Context) {
 	l.ctx = ctx
 	l.elected = l.now()
-	duties := []func(){l.confirmLoop, l.planLoop, l.sessionLoop, l.fleetLoop}
+	duties := []func(){l.confirmLoop, l.planLoop, l.sessionLoop, l.fleetLoop, l.permitLoop}
 	for _, duty := range duties {
 		l.wg.Go(duty)
 	}
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -123,6 +123,25 @@
 	})
 }
 
+// Answers a queue whose policy permits only some hosts, known to an outside
+// service: no start goes elsewhere, or with a ticket that has expired.
+func TestPolicyIsAskedBeforeAStart(t *testing.T) {
+	play(t, func(w *world) {
+		w.checked = true
+		w.add("a", "ha", "1:1", "desk")
+		w.add("p", "hp", "1:2", "desk")
+		_, stop := w.lead(2)
+		defer stop()
+		second := small(3)
+		second.After = []int{0}
+		w.propose(&work.Command{Submit: &work.Submission{
+			ID: "j", Domain: "d", Path: "/policy/", Spec: work.Spec{Steps: []work.Step{small(8), second}},
+		}})
+		after(12 * time.Second)
+		NewWithT(t).Expect(w.state("j")).To(Equal(work.Completed))
+	})
+}
+
 // Guards against runs of a cancelled job that go on.
 func TestRunsOfACancelledJobAreStopped(t *testing.T) {
 	play(t, func(w *world) {
--- a/internal/leader/maintenance.go
+++ b/internal/leader/maintenance.go
@@ -25,7 +25,7 @@
 	for key, runs := range evacuate {
 		if s := l.sessionOf(key); s != nil {
 			for _, r := range runs {
-				l.log.Info().Str("target", key).Str("job", r.Task.Job).Int("index", r.Task.Index).Msg("lasting task evacuated")
+				l.logRun(key, r).Msg("lasting task evacuated")
 				s.stop(r)
 			}
 		}
--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -4,9 +4,20 @@
 	"context"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"agatehaven.dev/agatehaven/internal/work"
 )
 
+// logRun begins a log line about a run on the target.
+func (s *session) logRun(r work.RunRef) *zerolog.Event { return s.l.logRun(s.key, r) }
+
+// logRun begins a log line about a run on a target.
+func (l *Leader) logRun(target string, r work.RunRef) *zerolog.Event {
+	return l.log.Info().Str("job", r.Task.Job).Int("step", r.Task.Step).Int("index", r.Task.Index).
+		Int("run", r.Run).Str("target", target)
+}
+
 // startRun orders a committed run until the target has answered or the run is
 // no longer wanted. A doubtful run may have been ordered before.
 func (s *session) startRun(r work.StartedRun, doubtful bool) {
@@ -39,22 +50,22 @@
 		}
 		until := s.until()
 		fence, mayStart := s.token()
-		if until == 0 || !mayStart || !s.l.Confirmed() || !s.answeredSince(sent) || !s.wanted(ref) {
+		ticket, permitted := s.l.ticketFor(ref.Task, s.to.ID)
+		if until == 0 || !mayStart || !permitted || !s.l.Confirmed() || !s.answeredSince(sent) || !s.wanted(ref) {
 			continue
 		}
 		sent = s.l.now()
 		startsOrdered.Inc()
 		ctx, cancel := context.WithTimeout(s.l.ctx, orderTimeout)
 		reply, err := s.l.cfg.Targets.Start(ctx, s.to, &StartOrder{
-			Run: ref, Payload: r.Payload, Checkpoint: r.Checkpoint, UntilMS: until, Fence: fence,
+			Run: ref, Payload: r.Payload, Checkpoint: r.Checkpoint, UntilMS: until, Fence: fence, Ticket: ticket,
 		})
 		cancel()
 		if err != nil {
 			startsRepeated.Inc()
 			doubtful = doubtful || !unsent(err)
 			unanswered++
-			s.l.log.Info().Err(err).Str("job", ref.Task.Job).Int("step", ref.Task.Step).Int("index", ref.Task.Index).
-				Int("run", ref.Run).Str("target", s.key).Int("try", try).Msg("start not answered")
+			s.logRun(ref).Err(err).Int("try", try).Msg("start not answered")
 			switch {
 			case !doubtful:
 				s.l.noteFailure(s.key)
@@ -93,8 +104,7 @@
 		return true
 	}
 	startsRefused.Inc()
-	s.l.log.Info().Str("job", ref.Task.Job).Int("step", ref.Task.Step).Int("index", ref.Task.Index).Int("run", ref.Run).
-		Str("target", s.key).Str("refusal", string(refusal)).Msg("start refused")
+	s.logRun(ref).Str("refusal", string(refusal)).Msg("start refused")
 	switch refusal {
 	case RefusedLate:
 		return false
@@ -109,7 +119,11 @@
 	case RefusedFence:
 		return false // the session's holds take a higher token, or the leader has changed
 	}
-	s.l.noteFailure(s.key)
+	if refusal == RefusedTicket {
+		s.l.dropPermit(ref.Task)
+	} else {
+		s.l.noteFailure(s.key)
+	}
 	if doubtful {
 		s.stop(ref) // an earlier try may still be carried out
 		return true
@@ -120,8 +134,7 @@
 
 // settle records that a run never began, so that its task can start elsewhere.
 func (s *session) settle(ref work.RunRef, reason string) {
-	s.l.log.Info().Str("job", ref.Task.Job).Int("step", ref.Task.Step).Int("index", ref.Task.Index).Int("run", ref.Run).
-		Str("target", s.key).Str("reason", reason).Msg("run never began")
+	s.logRun(ref).Str("reason", reason).Msg("run never began")
 	s.l.record(&work.Command{Report: &work.Report{Target: s.key, Settled: []work.RunRef{ref}}}, reason)
 	s.l.poke()
 }
@@ -186,7 +199,7 @@
 		reply, err := s.l.cfg.Targets.Stop(ctx, s.to, &StopOrder{Run: ref, Fence: fence})
 		cancel()
 		if err != nil {
-			s.l.log.Info().Err(err).Str("job", ref.Task.Job).Int("run", ref.Run).Str("target", s.key).Msg("stop not answered")
+			s.logRun(ref).Err(err).Msg("stop not answered")
 			continue
 		}
 		s.l.learnClock(s.key, reply.ClockMS)
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -85,9 +85,14 @@
 	defer l.mu.Unlock()
 	var starts []work.Start
 	l.cfg.Machine.Read(func(v *work.View) {
+		hosts := l.usable(v)
 		r := &schedule.Request{
-			NowMS: l.now().UnixMilli(), Hosts: l.usable(v), MaxStarts: maxStarts, Duration: l.learned.expect,
+			NowMS: l.now().UnixMilli(), Hosts: hosts, MaxStarts: maxStarts, Duration: l.learned.expect,
+			Permitted: func(j *work.Job, t *work.Task, target *work.Target) bool {
+				return l.permitted(j, t, target, hosts[j.Pool])
+			},
 		}
+		l.forgetPermits(v)
 		for _, j := range v.Live {
 			r.Jobs = append(r.Jobs, j)
 		}
@@ -106,7 +111,17 @@
 		if t.Ended || t.Draining || v.Succeeds(t) || away[t.DataCentre] || !l.heard(t) || now.Before(c.avoidUntil) || l.fleet.reserved(t.Host) {
 			continue
 		}
-		hosts[t.Pool] = append(hosts[t.Pool], &schedule.Host{Target: t, Free: v.Free(t), Penalty: c.failures})
+		h := &schedule.Host{Target: t, Free: v.Free(t), Penalty: c.failures}
+		t.EachRun(func(r work.RunRef) {
+			if j, task := v.Find(r.Task); j != nil {
+				step := &j.Spec.Steps[task.Step]
+				h.Serves = h.Serves || step.TailTargetMS > 0
+				if step.FillIn {
+					h.Filling += step.Demand.MilliCPU
+				}
+			}
+		})
+		hosts[t.Pool] = append(hosts[t.Pool], h)
 	}
 	return hosts
 }
@@ -152,8 +167,7 @@
 	finished := map[string]bool{}
 	for _, e := range ends {
 		if e.Outcome != work.OutcomeDone {
-			l.log.Info().Str("job", e.Run.Task.Job).Int("step", e.Run.Task.Step).Int("index", e.Run.Task.Index).
-				Int("run", e.Run.Run).Str("target", key).Str("outcome", string(e.Outcome)).Msg("run ended")
+			l.logRun(key, e.Run).Str("outcome", string(e.Outcome)).Msg("run ended")
 		}
 		finished[e.Run.Task.Job] = true
 	}
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -477,8 +477,7 @@
 	o := s.orderOf(r)
 	switch {
 	case !o.stoppedAt.IsZero() && o.stoppedAt.Before(sent) && !listed:
-		s.l.log.Info().Str("job", r.Task.Job).Int("step", r.Task.Step).Int("index", r.Task.Index).Int("run", r.Run).
-			Str("target", s.key).Msg("stopped run is not listed")
+		s.logRun(r).Msg("stopped run is not listed")
 		c.report.Settled = append(c.report.Settled, r)
 	case job == nil || job.State.Final():
 		c.stop = append(c.stop, r)
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -46,6 +47,8 @@
 	seq   int64
 	// closed is set at the end: hosts that return later start no target.
 	closed bool
+	// checked is set if every start needs a ticket of the policy service.
+	checked bool
 	// logs holds the leaders' lines and what the targets did, for a failure.
 	logs bytes.Buffer
 }
@@ -83,6 +86,8 @@
 		Queues: []work.Queue{
 			{Name: "draw", Domain: "d", Prefix: "/draw/", Pool: "desk", Attempts: 3, Stretch: 1.6, SlackMS: 600, TimeoutMS: 3000},
 			{Name: "once", Domain: "d", Prefix: "/once/", Pool: "desk", Attempts: 2, Stretch: 1.6, SlackMS: 600, TimeoutMS: 3000},
+			{Name: "policy", Domain: "d", Prefix: "/policy/", Pool: "desk", Attempts: 3, Stretch: 1.6, SlackMS: 600, TimeoutMS: 3000,
+				PolicyChecked: true},
 			{Name: "cut", Domain: "d", Prefix: "/cut/", Pool: "cuts", Attempts: 3, Stretch: 1.6, SlackMS: 600, TimeoutMS: 3000},
 		},
 	}})
@@ -144,7 +149,7 @@
 // lead runs a leader and returns it with how to end it.
 func (w *world) lead(term uint64) (*leader.Leader, func()) {
 	l := leader.New(leader.Config{
-		Host: "core-" + strconv.FormatUint(term, 10), Group: w, Machine: w.machine, Targets: w, Platform: w, Clock: clock.System{},
+		Host: "core-" + strconv.FormatUint(term, 10), Group: w, Machine: w.machine, Targets: w, Platform: w, Policy: w, Clock: clock.System{},
 		Log: zerolog.New(zerolog.SyncWriter(&w.logs)).With().Timestamp().Logger(), Orders: leader.NewOrderLog(clock.System{}),
 		Timing: leader.Timing{
 			Announce: worldAnnounce, MaxLease: worldLease, Stop: worldStop, Move: 1500 * time.Millisecond,
@@ -335,6 +340,9 @@
 			return leader.Carried
 		case o.Run.Run <= t.stopped[o.Run.Task]:
 			return leader.RefusedOld
+		case !t.admits(o):
+			w.breaks("start of %v without a valid ticket", o.Run)
+			return leader.RefusedTicket
 		}
 		// A start whose own time is over begins if the target holds a later lease.
 		if t.extend(o.UntilMS); !time.Now().Before(t.until) {
@@ -428,6 +436,38 @@
 	return out, nil
 }
 
+// Permit implements leader.Policy: only targets whose id begins with p may run
+// a step, for two seconds.
+func (w *world) Permit(ctx context.Context, step work.TaskRef, targets []string) (map[string]string, int64, error) {
+	select {
+	case <-ctx.Done():
+		return nil, 0, &fault.Timeout{}
+	case <-time.After(50 * time.Millisecond):
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	tickets := map[string]string{}
+	for _, id := range targets {
+		if id[0] == 'p' {
+			tickets[id] = fmt.Sprintf("%s/%s/%d", id, step.Job, time.Now().Add(2*time.Second).UnixMilli())
+		}
+	}
+	return tickets, 2000, nil
+}
+
+// admits checks the ticket of a start.
+func (t *target) admits(o *leader.StartOrder) bool {
+	if !t.w.checked {
+		return true
+	}
+	parts := strings.Split(o.Ticket, "/")
+	if len(parts) != 3 || parts[0] != t.state.ID || parts[1] != o.Run.Task.Job {
+		return false
+	}
+	until, err := strconv.ParseInt(parts[2], 10, 64)
+	return err == nil && time.Now().UnixMilli() < until
+}
+
 // Hosts implements leader.Platform.
 func (w *world) Hosts(context.Context) ([]leader.HostState, error) {
 	w.mu.Lock()
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -17,6 +17,32 @@
 	Free work.Demand
 	// Penalty orders hosts of equal fit: those that did badly come last.
 	Penalty int
+	// Serves is set if a task with a bound on its response times runs here. No
+	// fill-in work runs beside it, which would disturb it.
+	Serves bool
+	// Filling is the CPU that fill-in tasks ask for, in thousandths of a core.
+	Filling int64
+}
+
+// suits reports whether a task of a step may run beside what runs on the host.
+func (h *Host) suits(s *work.Step) bool {
+	switch {
+	case s.FillIn:
+		return !h.Serves && h.Filling+s.Demand.MilliCPU <= h.Free.MilliCPU
+	case s.TailTargetMS > 0:
+		return h.Filling == 0
+	}
+	return true
+}
+
+// add accounts for one more task of a step, or one less with n = -1.
+func (h *Host) add(s *work.Step, n int64) {
+	need := s.Reserved()
+	h.Free = h.Free.Sub(work.Demand{MilliCPU: n * need.MilliCPU, MemoryMB: n * need.MemoryMB, GPUs: n * need.GPUs})
+	if s.FillIn {
+		h.Filling += n * s.Demand.MilliCPU
+	}
+	h.Serves = h.Serves || (n > 0 && s.TailTargetMS > 0)
 }
 
 // Request is what a plan is made of.
@@ -28,6 +54,9 @@
 	Hosts map[string][]*Host
 	// MaxStarts bounds one plan.
 	MaxStarts int
+	// Permitted, if set, reports whether a task may run on a target by an
+	// outside policy.
+	Permitted func(j *work.Job, t *work.Task, target *work.Target) bool
 	// Duration returns the expected duration of a task in ms.
 	Duration func(j *work.Job, step int) int64
 }
@@ -135,7 +164,7 @@
 		if h == nil {
 			break // the other tasks need the same
 		}
-		h.Free = h.Free.Sub(need)
+		h.add(s, 1)
 		placed[h]++
 		used = append(used, h)
 		chosen = append(chosen, work.Start{Task: j.Ref(t), Target: h.Target.Key()})
@@ -143,7 +172,7 @@
 	if s.Gang && len(chosen) < s.Tasks {
 		// A gang that is not whole would only wait.
 		for _, h := range used {
-			h.Free = h.Free.Add(need)
+			h.add(s, -1)
 		}
 		return starts
 	}
@@ -172,13 +201,13 @@
 		if t.FailedOn != "" && h.Target.Host == t.FailedOn && len(hosts) > 1 {
 			continue
 		}
-		if !need.Within(h.Free) || (s.Label != "" && !slices.Contains(h.Target.Labels, s.Label)) {
+		if !need.Within(h.Free) || !h.suits(s) || (s.Label != "" && !slices.Contains(h.Target.Labels, s.Label)) {
 			continue
 		}
 		if s.MaxPerHost > 0 && placed[h]+h.Target.RunsOfStep(j.ID, t.Occurrence, t.Step) >= s.MaxPerHost {
 			continue
 		}
-		if best == nil || better(h, best) {
+		if (best == nil || better(h, best)) && (r.Permitted == nil || r.Permitted(j, t, h.Target)) {
 			best = h
 		}
 	}
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -136,6 +136,21 @@
 		Expect(plan(2000, js, host("a", "", 4000))).To(HaveLen(4))
 	})
 
+	It("keeps fill-in work away from tasks that serve, and within what is left", func() {
+		// Guards against responses that are late because of patient work beside
+		// them, and against fill-in work that gets nothing.
+		serve, fill := step(1, 1000), step(4, 1000)
+		serve.TailTargetMS, fill.FillIn = 40, true
+		a, b := host("a", "", 3000), host("b", "", 9000)
+		starts := plan(2000, jobs(job("s", "/urgent/", serve), job("f", "/patient/", fill)), a, b)
+		targets := map[string]int{}
+		for _, s := range starts {
+			targets[s.Task.Job+" "+s.Target]++
+		}
+		Expect(targets).To(Equal(map[string]int{"s a@1": 1, "f b@1": 4}))
+		Expect(plan(2000, jobs(job("f", "/patient/", fill)), host("a", "", 2500))).To(HaveLen(2))
+	})
+
 	It("starts occurrences at their times", func() {
 		// Guards against a start before it is due.
 		s := job("j", "/urgent/", step(1, 100))
