Retire silent voters once another host takes their place

A host of the core that was replaced stayed a voter, so that a second lost disk left two of four. Change: the leader removes a voter that is silent for 3 s if a new host waits to join or the number of voters is even; a replica without leader asks to join. Ruled out: removal of a silent voter without successor, which would give up the majority that its disk may hold.

--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -8,7 +8,6 @@
 	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/leader"
 	"agatehaven.dev/agatehaven/internal/link"
-	"agatehaven.dev/agatehaven/internal/replica"
 	"agatehaven.dev/agatehaven/internal/work"
 )
 
@@ -154,33 +153,6 @@
 	return &link.Empty{}, nil
 }
 
-// Join implements link.Handler. A host has one replica, so a new identity of
-// a member proves that its former one is lost.
-func (c *Core) Join(ctx context.Context, r *link.JoinRequest) (*link.Answer, error) {
-	if _, err := c.leaderHere(); err != nil {
-		return c.answerOf(err), nil
-	}
-	for _, m := range c.replica.Status().Members {
-		if m.ID == r.ID {
-			return &link.Answer{Code: link.Done}, nil
-		}
-		if m.Host != r.Host {
-			continue
-		}
-		if err := c.replica.RemoveReplica(ctx, m.ID); err != nil {
-			c.cfg.Log.Warn().Err(err).Str("replica", m.ID).Msg("former replica not removed")
-			return &link.Answer{Code: link.NotReady, Reason: err.Error()}, nil
-		}
-		c.cfg.Log.Info().Str("replica", m.ID).Str("successor", r.ID).Msg("former replica removed")
-	}
-	if err := c.replica.AddReplica(ctx, replica.Member{ID: r.ID, Host: r.Host}); err != nil {
-		c.cfg.Log.Warn().Err(err).Str("replica", r.ID).Msg("replica not added")
-		return &link.Answer{Code: link.NotReady, Reason: err.Error()}, nil
-	}
-	c.cfg.Log.Info().Str("replica", r.ID).Msg("replica added")
-	return &link.Answer{Code: link.Done}, nil
-}
-
 // memberHosts returns the hosts of all members.
 func (c *Core) memberHosts() []string {
 	var hosts []string
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -70,6 +70,8 @@
 
 	mu      sync.Mutex
 	leading *leader.Leader
+	// retirement is used while this host leads.
+	retirement retirement
 }
 
 // logicalTime is the source of the entries' timestamps. The state machine
@@ -124,6 +126,7 @@
 	wg.Go(func() { c.sender.Run(run) })
 	wg.Go(func() { c.leadLoop(run) })
 	wg.Go(func() { c.joinLoop(run) })
+	wg.Go(func() { c.membersLoop(run) })
 	wg.Go(func() {
 		if err := server.Serve(listener); err != nil && run.Err() == nil {
 			c.cfg.Log.Error().Err(err).Msg("link ended")
@@ -206,20 +209,6 @@
 	}
 }
 
-// joinLoop asks the leader to make this replica a member while it is none.
-func (c *Core) joinLoop(ctx context.Context) {
-	for {
-		if s := c.replica.Status(); !c.member(s) {
-			c.join(ctx, s)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(joinEvery):
-		}
-	}
-}
-
 func (c *Core) member(s replica.Status) bool {
 	return slices.ContainsFunc(s.Members, func(m replica.Member) bool { return m.ID == s.ID })
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -315,6 +315,25 @@
 	return r.awaitRequest(ctx, "leadership transfer", done)
 }
 
+// Silent returns the ids of the voters that this replica, as the leader, has
+// not heard from within one election timeout. It returns *fault.LimitExceeded
+// if too many requests wait.
+func (r *Replica) Silent(ctx context.Context) ([]string, error) {
+	done := make(chan outcome, 1)
+	if err := r.requests.TryPut(func(c *core) { done <- outcome{value: c.node.Silent()} }); err != nil {
+		return nil, err
+	}
+	select {
+	case out := <-done:
+		ids, _ := out.value.([]string)
+		return ids, out.err
+	case <-r.done:
+		return nil, &fault.ShuttingDown{}
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 // Status implements Group.
 func (r *Replica) Status() Status {
 	r.mu.Lock()
