Use a target again once it announces itself

Cause: a trial of the tests without their mechanisms showed that a session whose target was silent and whose runs were closed never asked again, so that the target stayed unused until the next leader. Change: an announcement after the silence makes the session hold again.

--- a/internal/leader/announce.go
+++ b/internal/leader/announce.go
@@ -42,6 +42,9 @@
 	first := c.announced.IsZero()
 	c.announced, c.heard = now, now
 	c.clock.learn(a.ClockMS, now)
+	if s := l.sessions[key]; s != nil && s.silent {
+		s.poke()
+	}
 	l.mu.Unlock()
 	if first {
 		l.poke()
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -233,6 +233,73 @@
 	})
 }
 
+// Guards against a new leader that takes the work of a target that it cannot
+// reach for lost while the lease of its predecessor lasts.
+func TestNewLeaderWaitsForTheLeasesOfItsPredecessor(t *testing.T) {
+	play(t, func(w *world) {
+		a := w.add("a", "ha", "1:1", "desk")
+		a.duration = 0
+		_, stop := w.lead(2)
+		w.submit("j", "/draw/", lasting(1))
+		after(2 * time.Second)
+		w.mu.Lock()
+		a.silent = true
+		w.mu.Unlock()
+		stop()
+		b := w.add("b", "hb", "1:2", "desk")
+		b.duration = 0
+		_, stop = w.lead(3)
+		defer stop()
+		after(10 * time.Second)
+		NewWithT(t).Expect(b.runs).To(HaveLen(1))
+	})
+}
+
+// Guards against a start that was held up and arrives once the target holds a
+// new lease, while the run was given up and its task runs elsewhere.
+func TestStartThatArrivesAfterTheEndOfItsLeaseIsFenced(t *testing.T) {
+	play(t, func(w *world) {
+		a := w.add("a", "ha", "1:1", "desk")
+		a.duration = 5 * time.Second
+		_, stop := w.lead(2)
+		defer stop()
+		after(time.Second)
+		w.mu.Lock()
+		a.late = 7 * time.Second
+		w.mu.Unlock()
+		w.submit("j", "/draw/", small(1))
+		after(100 * time.Millisecond)
+		w.add("b", "hb", "1:2", "desk").lasts(5 * time.Second)
+		after(6400 * time.Millisecond)
+		w.mu.Lock()
+		a.late = 0
+		w.mu.Unlock()
+		w.submit("k", "/draw/", small(7)) // renews the lease of a
+		after(15 * time.Second)
+		NewWithT(t).Expect(w.state("j")).To(Equal(work.Completed))
+	})
+}
+
+// Guards against a target that is never used again after a cut.
+func TestTargetIsUsedAgainOnceItAnswers(t *testing.T) {
+	play(t, func(w *world) {
+		a := w.add("a", "ha", "1:1", "desk")
+		_, stop := w.lead(2)
+		defer stop()
+		w.submit("j", "/draw/", lasting(1))
+		after(2 * time.Second)
+		w.mu.Lock()
+		a.silent = true
+		w.mu.Unlock()
+		after(8 * time.Second)
+		w.mu.Lock()
+		a.silent = false
+		w.mu.Unlock()
+		after(3 * time.Second)
+		NewWithT(t).Expect(a.runs).To(HaveLen(1))
+	})
+}
+
 // Guards against the work of an earlier life that an order on its way begins
 // again in a later life under the same id.
 func TestLaterLifeUnderTheSameIDIsFencedFirst(t *testing.T) {
@@ -291,6 +358,9 @@
 		defer stop()
 		w.submit("j", "/draw/", lasting(3))
 		after(2 * time.Second)
+		w.mu.Lock()
+		w.step = 3
+		w.mu.Unlock()
 		w.propose(&work.Command{Wave: &work.Wave{ID: 1, Hosts: []string{"h0", "h1", "h2"}, MaxDown: 1}})
 		after(30 * time.Second)
 		complete, _ := w.machine.WaveComplete(1)
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -57,6 +57,8 @@
 	// silent is set while the last hold was not answered. No lease is extended
 	// then, so that the granted ones end.
 	silent bool
+	// silentAt is when the last hold failed.
+	silentAt time.Time
 	// granted is the latest end of a lease on the target's clock.
 	granted int64
 	// replaced is set once a later life with the same id answered.
@@ -200,7 +202,9 @@
 		}
 		answered := s.hold(ctx, holdWait) || s.hold(ctx, 0) // one lost answer is no silence
 		s.l.mu.Lock()
-		s.silent = !answered
+		if s.silent = !answered; s.silent {
+			s.silentAt = s.l.now()
+		}
 		s.l.mu.Unlock()
 		if answered {
 			failures = 0
@@ -216,15 +220,19 @@
 }
 
 // needed reports whether the target has runs, or ends that it does not know to
-// be recorded, or was not asked yet.
+// be recorded, or was not asked yet, or has announced itself since it was
+// silent.
 func (s *session) needed() bool {
 	needed := false
 	s.l.mu.Lock()
 	acknowledged, first := s.acknowledged, s.first
+	if c := s.l.contacts[s.key]; c != nil && s.silent && c.announced.After(s.silentAt) {
+		needed = true
+	}
 	s.l.mu.Unlock()
 	s.l.cfg.Machine.Read(func(v *work.View) {
 		t := v.Targets[s.key]
-		needed = t != nil && (t.Runs() > 0 || t.Acknowledged > acknowledged || !first)
+		needed = t != nil && (needed || t.Runs() > 0 || t.Acknowledged > acknowledged || !first)
 	})
 	return needed
 }
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -47,6 +47,9 @@
 	seq   int64
 	// closed is set at the end: hosts that return later start no target.
 	closed bool
+	// step is how many tasks of a lasting step have to be alive when one of them
+	// is stopped, 0 to check nothing.
+	step int
 	// checked is set if every start needs a ticket of the policy service.
 	checked bool
 	// logs holds the leaders' lines and what the targets did, for a failure.
@@ -379,12 +382,28 @@
 	}
 }
 
+// running counts the runs that are alive and not being stopped. The world's
+// mutex is held.
+func (w *world) running() (n int) {
+	for _, t := range w.targets {
+		for ref := range t.runs {
+			if t.stopped[ref.Task] < ref.Run {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // Stop implements leader.Targets.
 func (w *world) Stop(ctx context.Context, to leader.Address, o *leader.StopOrder) (leader.Reply, error) {
 	return w.reach(ctx, to, func(t *target) leader.Refusal {
 		if t.fenced(o.Fence) {
 			return leader.RefusedFence
 		}
+		if n := w.running(); n < w.step && t.stopped[o.Run.Task] < o.Run.Run {
+			w.breaks("%v is stopped while %d tasks are away", o.Run, w.step-n)
+		}
 		t.stopped[o.Run.Task] = max(t.stopped[o.Run.Task], o.Run.Run)
 		time.AfterFunc(worldStop, func() {
 			w.mu.Lock()
