Count only runs on hosts that answer as demand of a pool

Change: runs on silent targets and in data centres that are away are no demand. They become waiting work once their leases end. Ruled out: moves held back by the platform (no busy answers then).

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -377,6 +377,7 @@
 		pools[i] = poolsize.Pool{Name: p.Name, Standby: p.Standby}
 		index[p.Name] = &pools[i]
 	}
+	away := l.awayDataCentres(v)
 	since := l.now().UnixMilli() - arrivalWindow.Milliseconds()
 	for _, j := range v.Live {
 		p := index[j.Pool]
@@ -389,7 +390,11 @@
 			cpu := step.Reserved().MilliCPU
 			switch {
 			case t.Active():
-				p.Running += cpu
+				// What runs on silent hosts needs no room on the others until its
+				// leases end.
+				if on := v.Targets[t.Target]; on != nil && l.heard(on) && !away[on.DataCentre] {
+					p.Running += cpu
+				}
 			case !t.Done && j.Ready(t):
 				p.Waiting += cpu
 			}
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -346,6 +347,49 @@
 	})
 }
 
+// Answers a data centre that is cut off as another queue's turn begins: what
+// ran on the silent hosts needs no room in their pool until its leases end, so
+// the idle hosts of that pool serve the turn.
+func TestHostsOfAPoolWithSilentTargetsFollowTheDemand(t *testing.T) {
+	play(t, func(w *world) {
+		w.add("a", "ha", "1:1", "desk")
+		var cut []*target
+		for i := range 3 {
+			n := strconv.Itoa(i)
+			c := w.add("c"+n, "hc"+n, "2:"+n, "cuts")
+			c.lasts(time.Minute)
+			c.lasts(time.Minute)
+			c.state.DataCentre = "b"
+			cut = append(cut, c)
+		}
+		_, stop := w.lead(2)
+		defer stop()
+		w.submit("c", "/cut/", small(12))
+		after(time.Second)
+		w.mu.Lock()
+		for _, c := range cut {
+			c.silent = true
+		}
+		w.mu.Unlock()
+		after(2 * time.Second) // the hosts are known to be silent
+		for i := range 4 {
+			n := strconv.Itoa(i)
+			w.add("d"+n, "hd"+n, "3:"+n, "cuts")
+		}
+		w.submit("j", "/draw/", small(20))
+		after(1500 * time.Millisecond) // before the leases end
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		moved := 0
+		for _, m := range w.moves {
+			if strings.HasSuffix(m, "to desk") {
+				moved++
+			}
+		}
+		NewWithT(t).Expect(moved).To(BeNumerically(">=", 3), "moves: %v", w.moves)
+	})
+}
+
 // Guards against maintenance that ends running work, interrupts two tasks of
 // a step at once, or never ends.
 func TestWaveMaintainsHostsWithLastingTasks(t *testing.T) {
