Read the list of hosts again while a host of a wave takes no order

Cause: a host that is emptied and leaves stays in the platform's list, and takes no order, for some seconds. Change: the list is read after each further refusal, which the doubled pause between orders bounds to one in 4 s. Test: TestWaveEndsWhenAHostLeaves fails without the change.

--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -412,6 +412,28 @@
 	})
 }
 
+// Guards against a wave that never ends because one of its hosts left: the
+// platform lists it, and takes no order for it, until it is gone.
+func TestWaveEndsWhenAHostLeaves(t *testing.T) {
+	play(t, func(w *world) {
+		w.leaving = map[string]bool{"h1": true}
+		w.add("a0", "h0", "1:0", "desk")
+		w.add("a1", "h1", "1:1", "desk")
+		_, stop := w.lead(2)
+		defer stop()
+		after(time.Second)
+		w.propose(&work.Command{Wave: &work.Wave{ID: 1, Hosts: []string{"h0", "h1"}, MaxDown: 1}})
+		after(6 * time.Second)
+		w.mu.Lock()
+		w.targets["1:1"].die()
+		delete(w.targets, "1:1")
+		w.mu.Unlock()
+		after(10 * time.Second)
+		complete, _ := w.machine.WaveComplete(1)
+		NewWithT(t).Expect(complete).To(BeTrue())
+	})
+}
+
 // Any faults in any order: targets that are silent, answer nothing, carry out
 // orders late, return as another life or fail their runs, and leaders that
 // change. Two runs of a task, a target over its capacity, or a move that ends
--- a/internal/leader/maintenance.go
+++ b/internal/leader/maintenance.go
@@ -180,7 +180,7 @@
 			return
 		}
 		h.refused(l.now())
-		l.fleet.stale = l.fleet.stale || h.busy == busyBeforeList
+		l.fleet.stale = l.fleet.stale || h.busy >= busyBeforeList
 	}()
 	if !l.record(&work.Command{WaveStep: &work.WaveStep{Wave: r.wave, Host: r.host, Kind: work.MaintenanceOrdered}}, "maintenance") {
 		return
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -50,6 +50,8 @@
 	// step is how many tasks of a lasting step have to be alive when one of them
 	// is stopped, 0 to check nothing.
 	step int
+	// leaving are the hosts for which the platform takes no orders.
+	leaving map[string]bool
 	// checked is set if every start needs a ticket of the policy service.
 	checked bool
 	// logs holds the leaders' lines and what the targets did, for a failure.
@@ -524,6 +526,9 @@
 func (w *world) Maintain(_ context.Context, host string, _ int64, _ leader.Token) (leader.PlatformAnswer, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.leaving[host] {
+		return leader.PlatformBusy, nil
+	}
 	for address, t := range w.targets {
 		if t.state.Host == host {
 			for ref := range t.runs {
