Size pools for the demand at the time when moved hosts arrive

Cause: a pool wanted hosts for what runs, what waits and 0.8 s of arriving work at once. Change: the demand is estimated for 1.7 s ahead, the time of a move and of noticing the change: what runs decays with the mean duration of the pool's tasks, arriving work replaces it.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -26,7 +26,8 @@
 	// silentForAway is how many silent targets show that a data centre is cut
 	// off: more than the loss of one host.
 	silentForAway = 2
-	// busyBeforeList is after how many refused orders the list is read again.
+	// busyBeforeList is after how many refused orders the list is read again, and
+	// after each further one: a host that leaves stays listed until it is gone.
 	busyBeforeList = 3
 )
 
@@ -373,9 +374,11 @@
 func (l *Leader) demand(v *work.View) []poolsize.Pool {
 	pools := make([]poolsize.Pool, len(v.Config.Pools))
 	index := map[string]*poolsize.Pool{}
+	durations := map[string]*mean{}
 	for i, p := range v.Config.Pools {
 		pools[i] = poolsize.Pool{Name: p.Name, Standby: p.Standby}
 		index[p.Name] = &pools[i]
+		durations[p.Name] = &mean{}
 	}
 	away := l.awayDataCentres(v)
 	since := l.now().UnixMilli() - arrivalWindow.Milliseconds()
@@ -398,17 +401,40 @@
 			case !t.Done && j.Ready(t):
 				p.Waiting += cpu
 			}
-			if j.SubmittedMS > since && !step.Lasting {
-				p.Arriving += float64(cpu) * float64(l.learned.expect(j, t.Step)) / float64(arrivalWindow.Milliseconds())
+			if !step.Lasting && (t.Active() || j.SubmittedMS > since) {
+				expected := float64(l.learned.expect(j, t.Step))
+				durations[j.Pool].add(expected/1000, float64(cpu))
+				if j.SubmittedMS > since {
+					p.Arriving += float64(cpu) * expected / float64(arrivalWindow.Milliseconds())
+				}
 			}
 			if step.Lasting && step.MaxPerHost > 0 {
 				p.Spread = max(p.Spread, (step.Tasks+step.MaxPerHost-1)/step.MaxPerHost)
 			}
 		}
 	}
+	for name, p := range index {
+		p.DurationS = durations[name].value()
+	}
 	return pools
 }
 
+// mean is a weighted mean.
+type mean struct{ sum, weight float64 }
+
+func (m *mean) add(value, weight float64) {
+	m.sum += value * weight
+	m.weight += weight
+}
+
+// value returns the mean, 0 if nothing was added.
+func (m *mean) value() float64 {
+	if m.weight == 0 {
+		return 0
+	}
+	return m.sum / m.weight
+}
+
 // moveHost orders a move until the platform has settled it.
 func (l *Leader) moveHost(m poolsize.Move) {
 	settled := PlatformRefused
--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -17,6 +17,8 @@
 	// Arriving is the work that arrives each second, in thousandths of a
 	// core-second.
 	Arriving float64
+	// DurationS is how long its tasks run on average, 0 if that is not known.
+	DurationS float64
 	// Spread is the least number of hosts that lasting work needs.
 	Spread int
 }
@@ -45,15 +47,15 @@
 	IdleMS int64
 	// Fill is the share of a host that tasks of mixed sizes can use.
 	Fill float64
-	// AheadS is for how many seconds arriving work is counted before it is
-	// there, since a move takes about as long.
+	// AheadS is how far the demand is looked ahead, in seconds: what a move takes
+	// and some time to notice the change.
 	AheadS float64
 	// Spare is how many hosts a pool keeps beyond its demand.
 	Spare int
 }
 
 // Default returns the policy in use.
-func Default() Policy { return Policy{IdleMS: 700, Fill: 0.9, AheadS: 0.8, Spare: 0} }
+func Default() Policy { return Policy{IdleMS: 700, Fill: 0.9, AheadS: 1.7, Spare: 0} }
 
 // Move is one decision with its reason.
 type Move struct {
@@ -138,9 +140,20 @@
 	return 1
 }
 
-// want returns how many hosts a pool should have.
+// unknownDurationS stands for the duration of tasks that is not known.
+const unknownDurationS = 1
+
+// want returns how many hosts a pool should have when hosts that move now are
+// there. Until then some of what runs ends and some of what arrives still
+// runs; jobs with steps to come keep what they have.
 func (p Policy) want(pool *Pool, size int64) int {
-	cpu := float64(pool.Running+pool.Waiting) + p.AheadS*pool.Arriving
+	duration := pool.DurationS
+	if duration <= 0 {
+		duration = unknownDurationS
+	}
+	remaining := math.Exp(-p.AheadS / duration)
+	ahead := remaining*float64(pool.Running) + (1-remaining)*pool.Arriving
+	cpu := float64(pool.Waiting) + max(float64(pool.Running), ahead)
 	return max(1, pool.Spread, int(math.Ceil(cpu/(float64(size)*p.Fill)))) + p.Spare
 }
 
--- a/internal/poolsize/poolsize_test.go
+++ b/internal/poolsize/poolsize_test.go
@@ -67,6 +67,14 @@
 		Expect(to(d, "desk")).To(Equal(7)) // 10 cores that run and 200 that arrive meanwhile need 8 hosts
 	})
 
+	It("keeps no more hosts than steady arrivals need", func() {
+		// Guards against a pool that holds twice what it uses through its whole
+		// turn, so that the next queue's turn finds no hosts.
+		d := poolsize.Plan(poolsize.Default(), pools(poolsize.Pool{Running: 575 * core, Arriving: 575 * core, DurationS: 2}, poolsize.Pool{}),
+			append(hosts("desk", 20, busy), hosts("off", 20, nil)...))
+		Expect(to(d, "desk")).To(BeZero()) // 20 hosts of 32 filled to 0.9 hold 576 hosts of 32 to 0.9
+	})
+
 	It("never moves a host on which something runs", func() {
 		// Guards against moves that end work.
 		d := poolsize.Plan(poolsize.Default(), pools(poolsize.Pool{Waiting: 900 * core}, poolsize.Pool{}),
