Take the age of orders from the log after a restart

Cause: after all core hosts lost power, each process noted the orders that it found in its log as if they had just been announced. Change: an order counts as old as its time in the log says, less 2.5 s for clocks that jump. Ruled out: ordering without the pause since tokens are enforced: the platform asks for both. Test: TestOrderLogKeepsThePauseBetweenHolders.

--- a/internal/leader/orderlog.go
+++ b/internal/leader/orderlog.go
@@ -8,9 +8,14 @@
 	"agatehaven.dev/agatehaven/internal/work"
 )
 
-// OrderLog remembers when this process learned of the last order for each
-// host, and who sent it. It uses the steady clock of this process, so that a
-// wall clock that jumps does not shorten the pause between two holders.
+// maxClockStep is by how much the wall clocks of two processes are trusted to
+// differ: the platform's clocks jump by up to 2 s, and drift a little.
+const maxClockStep = 2500 * time.Millisecond
+
+// OrderLog remembers when the last order for each host was announced, and who
+// sent it. It uses the steady clock of this process, so that a wall clock that
+// jumps does not shorten the pause between two holders. The wall clock only
+// tells how old the orders are that a process finds in its log as it starts.
 type OrderLog struct {
 	clock clock.Clock
 
@@ -26,11 +31,14 @@
 // NewOrderLog returns an empty log.
 func NewOrderLog(c clock.Clock) *OrderLog { return &OrderLog{clock: c, last: map[string]seenOrder{}} }
 
-// Note records an order that was applied.
-func (o *OrderLog) Note(h work.HostOrder) {
+// Note records an order that was applied. announcedMS is when the holder
+// announced it, in Unix ms of the holder's clock.
+func (o *OrderLog) Note(h work.HostOrder, announcedMS int64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.last[h.Host] = seenOrder{h.Holder, o.clock.Now()}
+	at := o.clock.Now()
+	age := at.Sub(time.UnixMilli(announcedMS)) - maxClockStep
+	o.last[h.Host] = seenOrder{h.Holder, at.Add(-max(0, age))}
 }
 
 // Free reports whether holder may order for a host: no other holder has done
--- /dev/null
+++ b/internal/leader/orderlog_test.go
@@ -0,0 +1,39 @@
+package leader_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"agatehaven.dev/agatehaven/internal/clock"
+	"agatehaven.dev/agatehaven/internal/leader"
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+// Guards against two holders that take turns, and against a group that moves
+// no host for the whole pause after all its hosts lost power: what a process
+// finds in its log as it starts is as old as it says.
+func TestOrderLogKeepsThePauseBetweenHolders(t *testing.T) {
+	const pause = 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		orders := leader.NewOrderLog(clock.System{})
+		ago := func(d time.Duration) int64 { return time.Now().Add(-d).UnixMilli() }
+		orders.Note(work.HostOrder{Host: "now", Holder: "x"}, ago(0))
+		orders.Note(work.HostOrder{Host: "recent", Holder: "x"}, ago(4*time.Second))
+		orders.Note(work.HostOrder{Host: "old", Holder: "x"}, ago(8*time.Second))
+		orders.Note(work.HostOrder{Host: "ahead", Holder: "x"}, ago(-8*time.Second))
+		free := func(host, holder string) bool { return orders.Free(host, holder, pause) }
+		g.Expect(free("old", "y")).To(BeTrue())
+		g.Expect(free("recent", "y")).To(BeFalse(), "its clock may have jumped by 2 s")
+		g.Expect(free("now", "y")).To(BeFalse())
+		g.Expect(free("ahead", "y")).To(BeFalse())
+		g.Expect(free("now", "x")).To(BeTrue(), "the same holder goes on")
+		after(pause + time.Millisecond)
+		for _, host := range []string{"now", "recent", "old", "ahead"} {
+			g.Expect(free(host, "y")).To(BeTrue())
+		}
+	})
+}
--- a/internal/work/apply.go
+++ b/internal/work/apply.go
@@ -32,8 +32,8 @@
 	// changed is closed and replaced at every change.
 	changed chan struct{}
 	// OnOrder, if set before the first entry, is told of every order for a host
-	// that is applied here. It must not block.
-	OnOrder func(HostOrder)
+	// that is applied here, and of its time in Unix ms. It must not block.
+	OnOrder func(o HostOrder, announcedMS int64)
 }
 
 // state is what a snapshot holds.
@@ -104,7 +104,7 @@
 	result := m.state.apply(&c)
 	if m.OnOrder != nil {
 		for _, o := range c.Orders {
-			m.OnOrder(o)
+			m.OnOrder(o, c.NowMS)
 		}
 	}
 	close(m.changed)
