Let an odd number of replicas vote, five at most; others stand by

Cause: all eight core hosts of the grown deployment voted. Change: a replica that joins stands by as a learner. The leader promotes standby replicas until an odd number votes, five at most, from the data centres with the fewest voters; a voter that is silent for 3 s is replaced by a standby replica. A learner that is lost while it catches up is removed, since it would block every other change. Ruled out: hosts that are no members at all: they could not name the leader to callers.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -45,6 +45,8 @@
 	Host string
 	// Name names this process to the platform.
 	Name string
+	// DataCentre is where this host is.
+	DataCentre string
 	// Seeds are hosts of the core, this one perhaps among them.
 	Seeds []string
 	// Bootstrap is set at the very first start of the region.
@@ -67,11 +69,11 @@
 	clients *link.Clients
 	sender  *outbound.Sender
 	orders  *leader.OrderLog
+	// membership is used by membersLoop alone.
+	membership membership
 
 	mu      sync.Mutex
 	leading *leader.Leader
-	// retirement is used while this host leads.
-	retirement retirement
 }
 
 // logicalTime is the source of the entries' timestamps. The state machine
@@ -225,7 +227,7 @@
 		}
 		asked[hosts[i]] = true
 		callCtx, cancel := context.WithTimeout(ctx, joinTimeout)
-		a, err := c.clients.To(hosts[i]).Join(callCtx, &link.JoinRequest{ID: s.ID, Host: c.cfg.Host})
+		a, err := c.clients.To(hosts[i]).Join(callCtx, &link.JoinRequest{ID: s.ID, Host: c.cfg.Host, DataCentre: c.cfg.DataCentre})
 		cancel()
 		if err != nil {
 			c.cfg.Log.Debug().Err(err).Str("peer", hosts[i]).Msg("join not answered")
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -1,111 +1,142 @@
 package core
 
 import (
+	"cmp"
 	"context"
-	"errors"
+	"slices"
 	"time"
 
-	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/link"
 	"agatehaven.dev/agatehaven/internal/replica"
 )
 
 const (
-	// membersEvery is how often the leader looks for voters to retire.
+	// membersEvery is how often the leader looks for voters to replace.
 	membersEvery = 500 * time.Millisecond
+	// betweenChanges separates two steps of one replacement.
+	betweenChanges = 20 * time.Millisecond
 	// silentForRetirement is how long a voter is silent before it is removed.
 	// It is above a restart, and below the time after which the platform may
 	// take the next host.
 	silentForRetirement = 3 * time.Second
-	// joinRemembered is how long a host that could not join counts as waiting.
-	joinRemembered = 2 * time.Second
+	// maxVoters bears the loss of two hosts, as the platform asks. More would
+	// only make commits wait for more disks.
+	maxVoters = 5
 )
 
-// retirement decides which voter is removed. A voter that is gone for good
-// would otherwise count against the quorum for ever.
-type retirement struct {
-	// silentSince holds since when voters are silent.
+// membership decides which replicas vote. Their number is odd, so that no cut
+// leaves two halves of which neither has a quorum; the other replicas stand by
+// and take the place of voters that are lost.
+type membership struct {
+	// silentSince holds since when members are silent.
 	silentSince map[string]time.Time
-	// joining is when a new host last could not join.
-	joining time.Time
 }
 
-// observe notes which voters are silent now.
-func (r *retirement) observe(silent []string, now time.Time) {
+// memberChange is the next step: a member to remove, or a standby replica that
+// is to vote, or neither.
+type memberChange struct{ remove, promote string }
+
+// observe notes which members are silent now.
+func (s *membership) observe(silent []string, now time.Time) {
 	next := map[string]time.Time{}
 	for _, id := range silent {
-		if since, ok := r.silentSince[id]; ok {
+		if since, ok := s.silentSince[id]; ok {
 			next[id] = since
 		} else {
 			next[id] = now
 		}
 	}
-	r.silentSince = next
+	s.silentSince = next
 }
 
-// choose returns the voter to remove, or "". A silent voter is removed only if
-// another host takes its place: one that waits to join, or one that has joined
-// already, so that the number of voters is even. The group then bears the loss
-// of as many voters as before.
-func (r *retirement) choose(members []replica.Member, now time.Time) string {
-	voters, longest := 0, ""
+// choose returns the next step. A voter that is gone for good would otherwise
+// count against the quorum for ever. It is removed only if another takes its
+// place: a standby replica, or one that votes already, so that the number of
+// voters is even. The group then bears the loss of as many voters as before.
+func (s *membership) choose(members []replica.Member, now time.Time) memberChange {
+	voters, votersIn, promoting := 0, map[string]int{}, false
+	var standby []replica.Member
+	var lost string // the voter that has been silent for longest
 	for _, m := range members {
-		if m.Learner {
-			continue
-		}
-		voters++
-		since, silent := r.silentSince[m.ID]
-		if silent && now.Sub(since) >= silentForRetirement && (longest == "" || since.Before(r.silentSince[longest])) {
-			longest = m.ID
+		since, silent := s.silentSince[m.ID]
+		gone := silent && now.Sub(since) >= silentForRetirement
+		switch {
+		case m.Standby:
+			if !silent {
+				standby = append(standby, m)
+			}
+		case m.Learner && gone:
+			return memberChange{remove: m.ID} // it blocks all other changes
+		case m.Learner:
+			promoting = true
+		default:
+			voters++
+			votersIn[m.DataCentre]++
+			if gone && (lost == "" || since.Before(s.silentSince[lost])) {
+				lost = m.ID
+			}
 		}
 	}
-	waiting := !r.joining.IsZero() && now.Sub(r.joining) < joinRemembered
-	if waiting || voters%2 == 0 {
-		return longest
+	if promoting {
+		return memberChange{}
+	}
+	if lost != "" && (len(standby) > 0 || voters%2 == 0) {
+		return memberChange{remove: lost}
 	}
-	return ""
+	if voters >= wantedVoters(voters+len(standby)) {
+		return memberChange{}
+	}
+	next := slices.MinFunc(standby, func(a, b replica.Member) int {
+		return cmp.Or(cmp.Compare(votersIn[a.DataCentre], votersIn[b.DataCentre]), cmp.Compare(a.ID, b.ID))
+	})
+	return memberChange{promote: next.ID}
+}
+
+// wantedVoters returns how many of the replicas that answer should vote.
+func wantedVoters(replicas int) int {
+	n := min(maxVoters, replicas)
+	return n - (1 - n%2)
 }
 
-// membersLoop retires voters while this host leads.
+// membersLoop replaces voters while this host leads.
 func (c *Core) membersLoop(ctx context.Context) {
+	pause := membersEvery
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(membersEvery):
+		case <-time.After(pause):
 		}
+		pause = membersEvery
 		if _, err := c.leaderHere(); err != nil {
 			continue
 		}
 		silent, err := c.replica.Silent(ctx)
 		if err != nil {
-			c.cfg.Log.Warn().Err(err).Msg("silent voters not known")
+			c.cfg.Log.Warn().Err(err).Msg("silent members not known")
 			continue
 		}
 		now := time.Now()
-		c.mu.Lock()
-		c.retirement.observe(silent, now)
-		id := c.retirement.choose(c.replica.Status().Members, now)
-		c.mu.Unlock()
-		if id == "" {
-			continue
+		c.membership.observe(silent, now)
+		change := c.membership.choose(c.replica.Status().Members, now)
+		if change != (memberChange{}) && c.changeMembers(ctx, change) {
+			pause = betweenChanges
 		}
-		callCtx, cancel := context.WithTimeout(ctx, joinTimeout)
-		err = c.replica.RemoveReplica(callCtx, id)
-		cancel()
-		c.cfg.Log.Info().Str("replica", id).AnErr("refused", err).Msg("silent voter retired")
 	}
 }
 
-// noteWaiting remembers that a host could not join for a silent voter.
-func (c *Core) noteWaiting(err error) {
-	var precondition *fault.Precondition
-	if !errors.As(err, &precondition) {
-		return
+// changeMembers carries out one step and reports whether it was done.
+func (c *Core) changeMembers(ctx context.Context, change memberChange) bool {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	if change.remove != "" {
+		err := c.replica.RemoveReplica(ctx, change.remove)
+		c.cfg.Log.Info().Str("replica", change.remove).AnErr("refused", err).Msg("silent member removed")
+		return err == nil
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.retirement.joining = time.Now()
+	err := c.replica.PromoteReplica(ctx, change.promote)
+	c.cfg.Log.Info().Str("replica", change.promote).AnErr("refused", err).Msg("standby replica is to vote")
+	return err == nil
 }
 
 // joinLoop asks the leader to make this replica a member while it is none, or
@@ -128,8 +159,9 @@
 	}
 }
 
-// Join implements link.Handler. A host has one replica, so a new identity of
-// a member proves that its former one is lost.
+// Join implements link.Handler. The new replica stands by until it is needed as
+// a voter. A host has one replica, so a new identity of a member proves that
+// its former one is lost.
 func (c *Core) Join(ctx context.Context, r *link.JoinRequest) (*link.Answer, error) {
 	if _, err := c.leaderHere(); err != nil {
 		return c.answerOf(err), nil
@@ -147,8 +179,7 @@
 		}
 		c.cfg.Log.Info().Str("replica", m.ID).Str("successor", r.ID).Msg("former replica removed")
 	}
-	if err := c.replica.AddReplica(ctx, replica.Member{ID: r.ID, Host: r.Host}); err != nil {
-		c.noteWaiting(err)
+	if err := c.replica.AddReplica(ctx, replica.Member{ID: r.ID, Host: r.Host, DataCentre: r.DataCentre, Standby: true}); err != nil {
 		c.cfg.Log.Warn().Err(err).Str("replica", r.ID).Msg("replica not added")
 		return &link.Answer{Code: link.NotReady, Reason: err.Error()}, nil
 	}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -67,8 +67,9 @@
 
 // JoinRequest asks the leader to make a replica a member.
 type JoinRequest struct {
-	ID   string `cbor:"1,keyasint"`
-	Host string `cbor:"2,keyasint"`
+	ID         string `cbor:"1,keyasint"`
+	Host       string `cbor:"2,keyasint"`
+	DataCentre string `cbor:"3,keyasint,omitempty"`
 }
 
 // Members names the leader and all members of the core, by host.
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -9,8 +9,8 @@
 // changeWhat names membership changes in errors.
 const changeWhat = "membership change"
 
-// ProposeAdd adds m as a learner. The leader makes it a voter once it has
-// caught up. Errors: *fault.NotLeader, *fault.Invalid, *fault.Precondition
+// ProposeAdd adds m as a learner. Unless it is to stand by, the leader makes it
+// a voter once it has caught up. Errors: *fault.NotLeader, *fault.Invalid, *fault.Precondition
 // with the reason; none has an effect.
 func (n *Node) ProposeAdd(m Member) (index, term uint64, err error) {
 	if HostOf(m.ID) == "" || HostOf(m.ID) != m.Host {
@@ -19,20 +19,47 @@
 	if err := n.checkChange(); err != nil {
 		return 0, 0, err
 	}
-	if id, ok := n.log.config().learner(); ok {
-		return 0, 0, notCaughtUp(id)
-	}
 	config := n.log.config()
 	if _, ok := config.Find(m.ID); ok {
 		return 0, 0, &fault.Precondition{What: changeWhat, Reason: fmt.Sprintf("replica %q is a member already", m.ID)}
 	}
-	if !n.mayGrow() {
-		return 0, 0, &fault.Precondition{What: changeWhat, Reason: "a voter is not reachable: remove it first"}
+	if !m.Standby {
+		if err := n.checkGrowth(); err != nil {
+			return 0, 0, err
+		}
 	}
 	m.Learner = true
 	return n.proposeConfig(config.with(m))
 }
 
+// ProposePromote lets a standby learner become a voter once it has caught up.
+// Errors: *fault.NotLeader, *fault.NotFound, *fault.Precondition with the
+// reason; none has an effect.
+func (n *Node) ProposePromote(id string) (index, term uint64, err error) {
+	if err := n.checkChange(); err != nil {
+		return 0, 0, err
+	}
+	config := n.log.config()
+	if m, ok := config.Find(id); !ok || !m.Standby {
+		return 0, 0, &fault.NotFound{Kind: "standby replica", Name: id}
+	}
+	if err := n.checkGrowth(); err != nil {
+		return 0, 0, err
+	}
+	return n.proposeConfig(config.changed(id, func(m *Member) { m.Standby = false }))
+}
+
+// checkGrowth returns why no further voter may be added now.
+func (n *Node) checkGrowth() error {
+	if id, ok := n.log.config().learner(); ok {
+		return notCaughtUp(id)
+	}
+	if !n.mayGrow() {
+		return &fault.Precondition{What: changeWhat, Reason: "a voter is not reachable: remove it first"}
+	}
+	return nil
+}
+
 // ProposeRemove removes a member. A learner that has not caught up can only
 // be removed itself, which abandons its addition. Errors: *fault.NotLeader, *fault.NotFound,
 // *fault.Precondition with the reason; none has an effect.
@@ -126,7 +153,7 @@
 	if !ok || n.checkChange() != nil || !n.caughtUp(id) || !n.mayGrow() {
 		return
 	}
-	if _, _, err := n.proposeConfig(n.log.config().promoted(id)); err != nil {
+	if _, _, err := n.proposeConfig(n.log.config().changed(id, func(m *Member) { m.Learner = false })); err != nil {
 		n.invalidEntry = err
 	}
 }
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -201,16 +201,16 @@
 	return p != nil && n.now-p.activeAt < uint64(n.opts.ElectionTicks)
 }
 
-// Silent returns the voters that a leader has not heard from within one
+// Silent returns the members that a leader has not heard from within one
 // election timeout, nil on other nodes.
 func (n *Node) Silent() []string {
 	if n.role != Leader {
 		return nil
 	}
 	var silent []string
-	for _, id := range n.log.config().Voters() {
-		if !n.active(id) {
-			silent = append(silent, id)
+	for _, m := range n.log.config().Members {
+		if !n.active(m.ID) {
+			silent = append(silent, m.ID)
 		}
 	}
 	return silent
--- a/internal/raft/transcript_test.go
+++ b/internal/raft/transcript_test.go
@@ -69,6 +69,10 @@
 		err = n.ReadIndex(7)
 	case "add":
 		_, _, err = n.ProposeAdd(raft.Member{ID: raft.MemberID(words[2], "1"), Host: words[2]})
+	case "standby":
+		_, _, err = n.ProposeAdd(raft.Member{ID: raft.MemberID(words[2], "1"), Host: words[2], Standby: true})
+	case "promote":
+		_, _, err = n.ProposePromote(raft.MemberID(words[2], "1"))
 	case "remove":
 		_, _, err = n.ProposeRemove(raft.MemberID(words[2], "1"))
 	case "transfer":
@@ -132,7 +136,10 @@
 	var members []string
 	for _, m := range c.Members {
 		text := m.ID
-		if m.Learner {
+		switch {
+		case m.Standby:
+			text += "(standby)"
+		case m.Learner:
 			text += "(learner)"
 		}
 		members = append(members, text)
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -44,6 +44,11 @@
 	Learner bool   `cbor:"3,keyasint,omitempty"`
 	// Witness members store the log and vote, but never campaign.
 	Witness bool `cbor:"4,keyasint,omitempty"`
+	// Standby learners hold the log and become voters only once they are
+	// promoted.
+	Standby bool `cbor:"5,keyasint,omitempty"`
+	// DataCentre is where the replica is, empty if that is not known.
+	DataCentre string `cbor:"6,keyasint,omitempty"`
 }
 
 // idSeparator separates host and incarnation in a member id.
@@ -96,7 +101,7 @@
 // learner returns the id of the member that is still catching up.
 func (c Configuration) learner() (string, bool) {
 	for _, m := range c.Members {
-		if m.Learner {
+		if m.Learner && !m.Standby {
 			return m.ID, true
 		}
 	}
@@ -112,11 +117,12 @@
 	return Configuration{Members: append(slices.Clone(c.Members), m)}
 }
 
-func (c Configuration) promoted(id string) Configuration {
+// changed returns the configuration with a change to one member.
+func (c Configuration) changed(id string, change func(m *Member)) Configuration {
 	members := slices.Clone(c.Members)
 	for i := range members {
 		if members[i].ID == id {
-			members[i].Learner = false
+			change(&members[i])
 		}
 	}
 	return Configuration{Members: members}
--- a/internal/replica/api.go
+++ b/internal/replica/api.go
@@ -62,6 +62,10 @@
 	Learner bool   `cbor:"3,keyasint,omitempty" json:"learner,omitempty"`
 	// Witness members store the log and vote, but never campaign.
 	Witness bool `cbor:"4,keyasint,omitempty" json:"witness,omitempty"`
+	// Standby learners become voters only once they are promoted.
+	Standby bool `cbor:"5,keyasint,omitempty" json:"standby,omitempty"`
+	// DataCentre is where the replica is, empty if that is not known.
+	DataCentre string `cbor:"6,keyasint,omitempty" json:"dataCentre,omitempty"`
 }
 
 // Status describes a replica at one moment.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -282,6 +282,12 @@
 	return r.change(ctx, func(n *raft.Node) (uint64, uint64, error) { return n.ProposeAdd(raft.Member(m)) })
 }
 
+// PromoteReplica lets a standby learner become a voter. Errors:
+// *fault.NotLeader, *fault.NotFound, *fault.Precondition (no effect).
+func (r *Replica) PromoteReplica(ctx context.Context, id string) error {
+	return r.change(ctx, func(n *raft.Node) (uint64, uint64, error) { return n.ProposePromote(id) })
+}
+
 // RemoveReplica implements Group.
 func (r *Replica) RemoveReplica(ctx context.Context, id string) error {
 	return r.change(ctx, func(n *raft.Node) (uint64, uint64, error) { return n.ProposeRemove(id) })
@@ -315,7 +321,7 @@
 	return r.awaitRequest(ctx, "leadership transfer", done)
 }
 
-// Silent returns the ids of the voters that this replica, as the leader, has
+// Silent returns the ids of the members that this replica, as the leader, has
 // not heard from within one election timeout. It returns *fault.LimitExceeded
 // if too many requests wait.
 func (r *Replica) Silent(ctx context.Context) ([]string, error) {
