Refuse requests at once while the core has long been without a leader

Cause: an entry host kept each request for up to 2.2 s, however long no leader had answered. Callers wait 3 s in all, so little was left for a try elsewhere, and most requests of an outage ended at their time limit. Change: requests wait until 2 s after the leader's last answer, which covers an election, and for 250 ms later in an outage. Then they are refused with 503, or with 504 if they may have taken effect. Test: entry_test.go; the second case took 2.2 s before, at most 0.6 s now.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,9 +20,13 @@
 	// callTimeout bounds one try. A leader answers within its commit, which
 	// slow disks stretch to some tenths of a second.
 	callTimeout = 500 * time.Millisecond
-	// patience bounds all tries of a request: the time of an election and the
-	// start of a new leader.
-	patience = 2200 * time.Millisecond
+	// outagePatience is how long after a leader's last answer requests still wait
+	// for the next one: the time of an election and the start of a new leader.
+	// Later ones are refused, since no one knows how long the outage lasts.
+	outagePatience = 2 * time.Second
+	// minPatience bounds the tries of a request during a longer outage: a call
+	// or two, in case a leader has just been elected.
+	minPatience = 250 * time.Millisecond
 	// retryPause separates tries while no leader is known.
 	retryPause = 60 * time.Millisecond
 	// membersEvery is how often the leader is asked for the members of the core.
@@ -205,7 +209,7 @@
 // An answer Unknown tells that it may have taken effect; all requests can be
 // repeated.
 func (e *Entry) forward(ctx context.Context, f call) *link.Answer {
-	ctx, cancel := context.WithTimeout(ctx, patience)
+	ctx, cancel := context.WithDeadline(ctx, e.patience())
 	defer cancel()
 	doubtful := false
 	for ctx.Err() == nil {
@@ -243,6 +247,17 @@
 	return &link.Answer{Code: link.NotReady, RetryAfterMS: retryAfterMS, Reason: "no leader is known"}
 }
 
+// patience returns until when a request that begins now waits for a leader.
+func (e *Entry) patience() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	until, least := e.led.Add(outagePatience), time.Now().Add(minPatience)
+	if until.After(least) {
+		return until
+	}
+	return least
+}
+
 // knows reports whether a leader is known.
 func (e *Entry) knows() bool {
 	e.mu.Lock()
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,99 @@
+package entry_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"agatehaven.dev/agatehaven/internal/entry"
+	"agatehaven.dev/agatehaven/internal/link"
+)
+
+func TestEntry(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "entry")
+}
+
+// host is a stand-in for a host of the core, the leader while leads is set.
+type host struct {
+	link.Handler
+	leads atomic.Bool
+}
+
+const address = "127.0.0.1"
+
+func (h *host) answer() *link.Answer {
+	if h.leads.Load() {
+		return &link.Answer{Code: link.Done}
+	}
+	return &link.Answer{Code: link.NotLeader, Term: 1}
+}
+
+func (h *host) Submit(context.Context, *link.SubmitRequest) (*link.Answer, error) {
+	return h.answer(), nil
+}
+
+func (h *host) Members(context.Context, *link.Empty) (*link.Members, error) {
+	m := &link.Members{Hosts: []string{address}, Term: 1}
+	if h.leads.Load() {
+		m.Leader = address
+	}
+	return m, nil
+}
+
+var _ = Describe("an entry host", func() {
+	var (
+		core *host
+		e    *entry.Entry
+	)
+
+	BeforeEach(func() {
+		core = &host{}
+		listener, err := net.Listen("tcp", net.JoinHostPort(address, "0"))
+		Expect(err).NotTo(HaveOccurred())
+		server := link.NewServer(core)
+		go func() { _ = server.Serve(listener) }() // ends with an error when it is closed
+		DeferCleanup(server.Close)
+		_, port, err := net.SplitHostPort(listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		e = entry.New(port, []string{address}, zerolog.Nop())
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go e.Run(ctx)
+	})
+
+	submit := func() (link.Code, time.Duration) {
+		started := time.Now()
+		a := e.Submit(context.Background(), &link.SubmitRequest{Subject: link.Subject{Job: "j"}})
+		return a.Code, time.Since(started)
+	}
+
+	It("keeps requests while a new leader is elected", func() {
+		// A leader that is killed under load: its successor serves 1.2 s later.
+		core.leads.Store(true)
+		Eventually(e.Ready).Should(BeTrue())
+		core.leads.Store(false)
+		time.AfterFunc(1200*time.Millisecond, func() { core.leads.Store(true) })
+		code, _ := submit()
+		Expect(code).To(Equal(link.Done))
+	})
+
+	It("refuses requests at once when the outage lasts longer than an election", func() {
+		// A core cut in two halves, for seconds: callers that wait for nothing
+		// could have tried elsewhere.
+		core.leads.Store(true)
+		Eventually(e.Ready).Should(BeTrue())
+		core.leads.Store(false)
+		Eventually(e.Ready, "3s").Should(BeFalse())
+		time.Sleep(500 * time.Millisecond) // until two seconds have passed
+		code, took := submit()
+		Expect(code).To(Equal(link.NotReady))
+		Expect(took).To(BeNumerically("<", 600*time.Millisecond)) // a fifth of the callers' time limit
+	})
+})
