Record hosts that return from maintenance in one commit

Cause: the loop over the fleet recorded each returned host with a commit of its own. Change: a command carries any number of steps of a wave. The order for a maintenance and its announcement share one command as well. Test: TestNewLeaderMovesHostsWhileManyReturnFromMaintenance fails with one commit a host.

--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -412,6 +412,35 @@
 	})
 }
 
+// Answers a leader that is elected while many hosts are back from maintenance
+// and a queue's turn has begun, on slow disks: the hosts are recorded in one
+// commit, and moves do not wait for one commit a host.
+func TestNewLeaderMovesHostsWhileManyReturnFromMaintenance(t *testing.T) {
+	play(t, func(w *world) {
+		wave := &work.Wave{ID: 1, MaxDown: 40}
+		var begun []work.WaveStep
+		for i := range 40 {
+			n := strconv.Itoa(i)
+			w.add("c"+n, "hc"+n, "2:"+n, "cuts")
+			wave.Hosts = append(wave.Hosts, "hc"+n)
+			begun = append(begun, work.WaveStep{Wave: 1, Host: "hc" + n, Kind: work.MaintenanceBegun})
+		}
+		w.propose(&work.Command{Wave: wave})
+		w.propose(&work.Command{WaveSteps: begun})
+		after(5 * time.Second) // twice the time of the maintenance
+		w.submit("j", "/draw/", small(20))
+		w.mu.Lock()
+		w.commit = 50 * time.Millisecond
+		w.mu.Unlock()
+		_, stop := w.lead(2)
+		defer stop()
+		after(time.Second)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		NewWithT(t).Expect(w.moves).To(ContainElement(HaveSuffix("to desk")))
+	})
+}
+
 // Guards against a wave that never ends because one of its hosts left: the
 // platform lists it, and takes no order for it, until it is gone.
 func TestWaveEndsWhenAHostLeaves(t *testing.T) {
--- a/internal/leader/maintenance.go
+++ b/internal/leader/maintenance.go
@@ -14,6 +14,10 @@
 	host string
 }
 
+func (r waveStep) as(kind work.StepKind) work.WaveStep {
+	return work.WaveStep{Wave: r.wave, Host: r.host, Kind: kind}
+}
+
 // maintain drains and maintains the hosts of waves.
 func (l *Leader) maintain() {
 	l.planning.take()
@@ -182,10 +186,9 @@
 		h.refused(l.now())
 		l.fleet.stale = l.fleet.stale || h.busy >= busyBeforeList
 	}()
-	if !l.record(&work.Command{WaveStep: &work.WaveStep{Wave: r.wave, Host: r.host, Kind: work.MaintenanceOrdered}}, "maintenance") {
-		return
-	}
-	if !l.record(&work.Command{Orders: []work.HostOrder{{Host: r.host, Holder: l.cfg.Host}}}, "maintenance") {
+	if !l.record(&work.Command{
+		WaveSteps: []work.WaveStep{r.as(work.MaintenanceOrdered)}, Orders: []work.HostOrder{{Host: r.host, Holder: l.cfg.Host}},
+	}, "maintenance") {
 		return
 	}
 	l.mu.Lock()
@@ -206,11 +209,11 @@
 			kind = work.MaintenanceGone
 			l.log.Info().Str("host", r.host).Int64("wave", r.wave).Msg("host of a wave is gone")
 		}
-		l.record(&work.Command{WaveStep: &work.WaveStep{Wave: r.wave, Host: r.host, Kind: kind}}, "refused maintenance")
+		l.record(&work.Command{WaveSteps: []work.WaveStep{r.as(kind)}}, "refused maintenance")
 		return
 	}
 	l.leaveHost(r.host, "", l.cfg.Timing.Maintenance)
-	l.record(&work.Command{WaveStep: &work.WaveStep{Wave: r.wave, Host: r.host, Kind: work.MaintenanceBegun}}, "begun maintenance")
+	l.record(&work.Command{WaveSteps: []work.WaveStep{r.as(work.MaintenanceBegun)}}, "begun maintenance")
 }
 
 // isGone reports whether the platform no longer knows a host.
@@ -240,11 +243,20 @@
 			}
 		}
 	})
+	if len(returned) == 0 {
+		return
+	}
+	steps := make([]work.WaveStep, len(returned))
+	for i, r := range returned {
+		steps[i] = r.as(work.MaintenanceReturned)
+	}
+	if !l.record(&work.Command{WaveSteps: steps}, "returned hosts") {
+		return // repeated in the next round
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	for _, r := range returned {
-		l.record(&work.Command{WaveStep: &work.WaveStep{Wave: r.wave, Host: r.host, Kind: work.MaintenanceReturned}}, "returned host")
-		l.mu.Lock()
 		l.fleet.host(r.host).reserved = ""
-		l.mu.Unlock()
 		l.log.Info().Str("host", r.host).Int64("wave", r.wave).Msg("host is back from maintenance")
 	}
 }
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -39,6 +39,7 @@
 	mu      sync.Mutex
 	index   uint64
 	quorum  bool
+	commit  time.Duration      // of one command
 	targets map[string]*target // by address
 	broken  []string
 	// alive counts the runs of each task that are alive.
@@ -85,7 +86,7 @@
 }
 
 func newWorld(t *testing.T) *world {
-	w := &world{t: t, machine: work.New(), quorum: true, targets: map[string]*target{}, alive: map[work.TaskRef]int{}}
+	w := &world{t: t, machine: work.New(), quorum: true, commit: worldCommit, targets: map[string]*target{}, alive: map[work.TaskRef]int{}}
 	w.propose(&work.Command{Configure: &work.Configuration{
 		Version: 1, Pools: []work.Pool{{Name: "desk"}, {Name: "cuts"}, {Name: "off", Standby: true}},
 		Queues: []work.Queue{
@@ -113,7 +114,7 @@
 	select {
 	case <-ctx.Done():
 		return nil, &fault.ProposalUnknown{}
-	case <-time.After(worldCommit):
+	case <-time.After(w.commit):
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/work/apply.go
+++ b/internal/work/apply.go
@@ -154,8 +154,14 @@
 		s.report(c.Report)
 	case c.Wave != nil:
 		return s.addWave(c.Wave)
-	case c.WaveStep != nil:
-		return s.waveStep(c.WaveStep)
+	case len(c.WaveSteps) > 0:
+		result := &Result{}
+		for i := range c.WaveSteps {
+			if err := s.waveStep(&c.WaveSteps[i]); err != nil && result.Err == nil {
+				result.Err = err
+			}
+		}
+		return result
 	}
 	return &Result{}
 }
@@ -482,15 +488,15 @@
 	return &Result{}
 }
 
-func (s *state) waveStep(r *WaveStep) *Result {
+func (s *state) waveStep(r *WaveStep) error {
 	w := s.Waves[r.Wave]
 	if w == nil || !slices.Contains(w.Hosts, r.Host) {
-		return &Result{Err: &fault.NotFound{Kind: "host of a wave", Name: r.Host}}
+		return &fault.NotFound{Kind: "host of a wave", Name: r.Host}
 	}
 	switch r.Kind {
 	case MaintenanceOrdered:
 		if _, again := w.Ordered[r.Host]; !again && w.Down() >= w.MaxDown {
-			return &Result{Err: &fault.Precondition{What: "maintenance of " + r.Host, Reason: "the wave has enough hosts down"}}
+			return &fault.Precondition{What: "maintenance of " + r.Host, Reason: "the wave has enough hosts down"}
 		}
 		w.Ordered[r.Host] = s.NowMS
 	case MaintenanceRefused:
@@ -505,7 +511,7 @@
 		w.Hosts = slices.DeleteFunc(w.Hosts, func(h string) bool { return h == r.Host })
 		delete(w.Ordered, r.Host)
 	}
-	return &Result{}
+	return nil
 }
 
 // find returns a task that exists.
--- a/internal/work/work_test.go
+++ b/internal/work/work_test.go
@@ -320,7 +320,7 @@
 		r := newRegion()
 		r.do(&work.Command{Wave: &work.Wave{ID: 1, Hosts: []string{"a", "b"}, MaxDown: 1}})
 		step := func(host string, kind work.StepKind) error {
-			return r.do(&work.Command{WaveStep: &work.WaveStep{Wave: 1, Host: host, Kind: kind}}).Err
+			return r.do(&work.Command{WaveSteps: []work.WaveStep{{Wave: 1, Host: host, Kind: kind}}}).Err
 		}
 		complete := func() bool { c, _ := r.WaveComplete(1); return c }
 		Expect(step("a", work.MaintenanceOrdered)).To(Succeed())
