Drain as many hosts of a wave as its time asks for, spare ones first

Cause: a wave drained as many hosts as may be down at once from its first moment. Change: pure package drain. A wave takes hosts that no pool needs as many at once as it may, and of the others as many as have to be down at the same time for the wave to use 0.6 of its time. Pool sizes name the spare hosts. Tests: drain_test.go, the spare hosts in poolsize_test.go.

--- /dev/null
+++ b/internal/drain/drain_test.go
@@ -0,0 +1,62 @@
+package drain_test
+
+import (
+	"strconv"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatehaven.dev/agatehaven/internal/drain"
+)
+
+func TestDrain(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "drain")
+}
+
+// fleet returns n hosts with the same runs.
+func fleet(prefix string, n, lasting, short int) []drain.Host {
+	var out []drain.Host
+	for i := range n {
+		out = append(out, drain.Host{Name: prefix + strconv.Itoa(i), Lasting: lasting, Short: short})
+	}
+	return out
+}
+
+var _ = Describe("Choose", func() {
+	It("drains no more hosts than the time asks for while work waits", func() {
+		// A queue in its turn asks for more than its pool holds while half of the
+		// fleet is due for maintenance and ten hosts may be down.
+		w := &drain.Wave{Hosts: fleet("a", 24, 0, 6), Room: 10, LeftMS: 40000, HostMS: 2000}
+		Expect(drain.Choose(w)).To(HaveLen(4)) // 24 x 4 s in 0.6 x 40 s
+	})
+
+	It("takes all spare hosts that may be down", func() {
+		// The time between two turns, when half of the hosts are idle.
+		spare := fleet("b", 12, 0, 0)
+		for i := range spare {
+			spare[i].Spare = true
+		}
+		w := &drain.Wave{Hosts: append(fleet("a", 12, 0, 6), spare...), Room: 10, LeftMS: 60000, HostMS: 2000}
+		Expect(drain.Choose(w)).To(HaveLen(10))
+		Expect(drain.Choose(w)).To(HaveEach(HavePrefix("b")))
+	})
+
+	It("takes all that may be down once the order is late", func() {
+		w := &drain.Wave{Hosts: fleet("a", 24, 2, 6), Room: 10, LeftMS: -1, HostMS: 2000}
+		Expect(drain.Choose(w)).To(HaveLen(10))
+	})
+
+	It("keeps draining what it chose before, then takes the hosts with the least work", func() {
+		hosts := fleet("a", 6, 3, 6)
+		hosts[4].Draining = true
+		w := &drain.Wave{Hosts: append(hosts, fleet("b", 2, 0, 0)...), Room: 3, LeftMS: 60000, HostMS: 2000}
+		Expect(drain.Choose(w)).To(Equal([]string{"a4", "b0"})) // 55 s in 36 s
+	})
+
+	It("counts the time to stop lasting runs one by one", func() {
+		w := &drain.Wave{Hosts: fleet("a", 4, 6, 0), Room: 4, LeftMS: 30000, HostMS: 2000}
+		Expect(drain.Choose(w)).To(HaveLen(3)) // 4 x 11 s in 18 s
+	})
+})
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -38,6 +38,8 @@
 	// be read again.
 	listed time.Time
 	stale  bool
+	// spare holds the hosts that no pool needs.
+	spare map[string]bool
 	// logged is when the sizes of the pools were logged.
 	logged time.Time
 	// numbers counts the orders of this term.
@@ -240,7 +242,7 @@
 		}
 		demand, hosts := l.demand(v), l.sizeable(v)
 		decision := poolsize.Plan(poolsize.Default(), demand, hosts)
-		moves = decision.Moves
+		moves, l.fleet.spare = decision.Moves, decision.Spare
 		l.closeHosts(decision.Closing)
 		l.logSizes(demand, hosts, len(moves))
 	})
--- a/internal/leader/maintenance.go
+++ b/internal/leader/maintenance.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 
+	"agatehaven.dev/agatehaven/internal/drain"
 	"agatehaven.dev/agatehaven/internal/work"
 )
 
@@ -37,8 +38,7 @@
 	l.returnHosts()
 }
 
-// chooseMaintenance reserves hosts of waves, those with the least work first,
-// and returns those that are empty and the lasting runs that can be stopped.
+// chooseMaintenance reserves hosts of waves and returns those that are empty and the lasting runs that can be stopped.
 func (l *Leader) chooseMaintenance() (ready []waveStep, evacuate map[string][]work.RunRef) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -52,7 +52,7 @@
 		}
 		budget := newBudget(l, v)
 		for _, w := range v.Waves {
-			for _, name := range l.nextHosts(w, byHost) {
+			for _, name := range l.nextHosts(v, w, byHost) {
 				h := l.fleet.host(name)
 				h.reserved = reservedMaintenance
 				t := byHost[name]
@@ -76,28 +76,25 @@
 }
 
 // nextHosts returns the hosts of a wave to drain now.
-func (l *Leader) nextHosts(w *work.Wave, byHost map[string]*work.Target) []string {
-	var open []string
+func (l *Leader) nextHosts(v *work.View, w *work.Wave, byHost map[string]*work.Target) []string {
+	now := l.now()
+	choice := &drain.Wave{
+		Room: w.MaxDown - w.Down(), LeftMS: w.StartedMS + w.DurationMS - now.UnixMilli(),
+		HostMS: l.cfg.Timing.Maintenance.Milliseconds(),
+	}
 	for _, name := range w.Hosts {
 		h := l.fleet.host(name)
-		if _, begun := w.Begun[name]; begun || h.ordering || h.reserved == reservedMove || !l.free(name) ||
-			l.now().Before(h.retryAt) {
+		if _, begun := w.Begun[name]; begun || h.ordering || h.reserved == reservedMove || !l.free(name) || now.Before(h.retryAt) {
 			continue
 		}
-		open = append(open, name)
-	}
-	load := func(name string) int {
-		h := l.fleet.host(name)
-		if h.reserved == reservedMaintenance {
-			return -1 // draining already
-		}
+		open := drain.Host{Name: name, Draining: h.reserved == reservedMaintenance, Spare: l.fleet.spare[name]}
 		if t := byHost[name]; t != nil {
-			return t.Runs()
+			open.Lasting = len(lastingRuns(v, t))
+			open.Short = t.Runs() - open.Lasting
 		}
-		return 0
+		choice.Hosts = append(choice.Hosts, open)
 	}
-	slices.SortStableFunc(open, func(a, b string) int { return cmp.Compare(load(a), load(b)) })
-	return open[:min(len(open), max(0, w.MaxDown-w.Down()))]
+	return drain.Choose(choice)
 }
 
 // budget counts how many tasks of each step are away.
--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -76,6 +76,8 @@
 	// Closing holds the hosts that take no new work, since their pool has too
 	// many: they become idle and can move.
 	Closing map[string]bool
+	// Spare holds the hosts that can move and that no pool needs.
+	Spare map[string]bool
 }
 
 // Plan compares the pools' demand with their hosts.
@@ -105,7 +107,29 @@
 		n.want = p.want(n.pool, size)
 	}
 	closing := closeSurplus(order, hosts)
-	return Decision{Moves: p.assign(order, needs, hosts, standby), Closing: closing}
+	moves := p.assign(order, needs, hosts, standby)
+	return Decision{Moves: moves, Closing: closing, Spare: spare(needs, hosts, moves)}
+}
+
+// spare returns the hosts that are left after the moves to pools that lack
+// some: those on standby, and as many of each pool as it has too many.
+func spare(needs map[string]*need, hosts []Host, moves []Move) map[string]bool {
+	moved := map[string]bool{}
+	for _, m := range moves {
+		moved[m.Host] = true
+	}
+	left := map[string]int{}
+	for name, n := range needs {
+		left[name] = n.hosts - n.want
+	}
+	out := map[string]bool{}
+	for _, h := range hosts {
+		if n := needs[h.Pool]; n != nil && h.Movable && !h.Reserved && !moved[h.Name] && (n.pool.Standby || left[h.Pool] > 0) {
+			left[h.Pool]--
+			out[h.Name] = true
+		}
+	}
+	return out
 }
 
 // closeSurplus chooses the hosts of each pool beyond what it wants: those
--- a/internal/poolsize/poolsize_test.go
+++ b/internal/poolsize/poolsize_test.go
@@ -105,6 +105,15 @@
 		Expect(to(idle(policy.IdleMS), "off")).To(Equal(3))
 	})
 
+	It("names the hosts that no pool needs", func() {
+		// Maintenance takes these first.
+		d := poolsize.Plan(poolsize.Default(), pools(poolsize.Pool{Waiting: 60 * core}, poolsize.Pool{}),
+			append(append(hosts("desk", 1, busy), hosts("cuts", 4, nil)...), hosts("off", 2, nil)...))
+		Expect(to(d, "desk")).To(Equal(2)) // 60 cores need 3 hosts of 32 filled to 0.9
+		Expect(d.Spare).To(HaveLen(3), "one of two idle hosts stays in the idle pool")
+		Expect(d.Spare).To(HaveKey("off0"))
+	})
+
 	It("gives hosts to the pool that lacks the largest share", func() {
 		// Two queues ask at the same time for more than there is.
 		d := poolsize.Plan(poolsize.Default(),
