Order maintenance without a known outcome again

Cause: a leader that was frozen between its orders for a wave and the record of their outcome left as many hosts ordered as may be down at once. Change: hosts that are ordered and not begun are always chosen again. The platform answers an order that is done already like a new one. Ruled out: orders that the platform lost; it had carried out all ten. Test: TestNewLeaderRepeatsMaintenanceWithoutOutcome.

--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -441,6 +441,27 @@
 	})
 }
 
+// Answers a leader that is frozen between its orders for a wave and the record
+// of their outcome: its successor orders these hosts again, though as many
+// count as down as may be.
+func TestNewLeaderRepeatsMaintenanceWithoutOutcome(t *testing.T) {
+	play(t, func(w *world) {
+		for i := range 4 {
+			n := strconv.Itoa(i)
+			w.add("a"+n, "h"+n, "1:"+n, "desk")
+		}
+		w.propose(&work.Command{Wave: &work.Wave{ID: 1, Hosts: []string{"h0", "h1", "h2", "h3"}, MaxDown: 2}})
+		w.propose(&work.Command{WaveSteps: []work.WaveStep{
+			{Wave: 1, Host: "h0", Kind: work.MaintenanceOrdered}, {Wave: 1, Host: "h1", Kind: work.MaintenanceOrdered},
+		}})
+		_, stop := w.lead(2)
+		defer stop()
+		after(15 * time.Second)
+		complete, _ := w.machine.WaveComplete(1)
+		NewWithT(t).Expect(complete).To(BeTrue())
+	})
+}
+
 // Guards against a wave that never ends because one of its hosts left: the
 // platform lists it, and takes no order for it, until it is gone.
 func TestWaveEndsWhenAHostLeaves(t *testing.T) {
--- a/internal/leader/maintenance.go
+++ b/internal/leader/maintenance.go
@@ -75,7 +75,9 @@
 	return ready, evacuate
 }
 
-// nextHosts returns the hosts of a wave to drain now.
+// nextHosts returns the hosts of a wave to drain now. Those whose maintenance
+// was ordered without a known outcome, as by a former leader, count as down
+// already and are ordered again.
 func (l *Leader) nextHosts(v *work.View, w *work.Wave, byHost map[string]*work.Target) []string {
 	now := l.now()
 	choice := &drain.Wave{
@@ -87,7 +89,11 @@
 		if _, begun := w.Begun[name]; begun || h.ordering || h.reserved == reservedMove || !l.free(name) || now.Before(h.retryAt) {
 			continue
 		}
-		open := drain.Host{Name: name, Draining: h.reserved == reservedMaintenance, Spare: l.fleet.spare[name]}
+		_, ordered := w.Ordered[name]
+		if ordered {
+			choice.Room++
+		}
+		open := drain.Host{Name: name, Draining: ordered || h.reserved == reservedMaintenance, Spare: l.fleet.spare[name]}
 		if t := byHost[name]; t != nil {
 			open.Lasting = len(lastingRuns(v, t))
 			open.Short = t.Runs() - open.Lasting
