Name the planning lock and the wake-ups of loops for what they are

The lock of decisions had the glossary's name of a queue's turn, two types had the same method to wake a loop, two decoded fields were never used, and silent targets were looked for with every change of the state instead of once a second. No behaviour changes otherwise.

--- a/internal/leader/announce.go
+++ b/internal/leader/announce.go
@@ -13,8 +13,6 @@
 	// Sequence rises with each announcement of a target.
 	Sequence int64
 	ClockMS  int64
-	// RemainingMS is the least time that a draining target still runs.
-	RemainingMS int64
 }
 
 const (
@@ -43,11 +41,11 @@
 	c.announced, c.heard = now, now
 	c.clock.learn(a.ClockMS, now)
 	if s := l.sessions[key]; s != nil && s.silent {
-		s.poke()
+		s.wake.poke()
 	}
 	l.mu.Unlock()
 	if first {
-		l.poke()
+		l.wake.poke()
 	}
 	if !l.differs(&a.Target) {
 		return nil
@@ -62,7 +60,7 @@
 	}
 	l.log.Info().Str("target", key).Str("host", a.Target.Host).Str("pool", a.Target.Pool).
 		Bool("draining", a.Target.Draining).Str("address", a.Target.Address).Msg("target registered")
-	l.poke()
+	l.wake.poke()
 	return nil
 }
 
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -197,9 +197,9 @@
 
 // resize moves hosts between pools.
 func (l *Leader) resize() {
-	l.planning.take()
+	l.planning.lock()
 	moves := l.chooseMoves()
-	l.planning.end()
+	l.planning.unlock()
 	if len(moves) == 0 {
 		return
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -37,8 +37,6 @@
 	Announce time.Duration
 	// MaxLease bounds the lease of a run.
 	MaxLease time.Duration
-	// Stop is how long a stop takes at most.
-	Stop time.Duration
 	// Move and Maintenance are how long a host is away for them.
 	Move, Maintenance time.Duration
 	// HolderPause separates the orders of two holders for one host.
@@ -75,24 +73,35 @@
 
 	// planning is held from a decision about hosts or starts to its commit, so
 	// that no two decisions use the same room.
-	planning turn
+	planning planLock
 
 	mu       sync.Mutex
 	sessions map[string]*session
 	contacts map[string]*contact
 	fences   uint64
 	fleet    fleet
-	wake     chan struct{}
+	wake     wakeup
 	learned  durations
 	permits  permits
 }
 
-// turn is a lock that is held while a commit is awaited. It is a channel, so
-// that tests with simulated time see its holder wait.
-type turn chan struct{}
+// planLock is a lock that is held while a commit is awaited. It is a channel,
+// so that tests with simulated time see its holder wait.
+type planLock chan struct{}
 
-func (t turn) take() { t <- struct{}{} }
-func (t turn) end()  { <-t }
+func (p planLock) lock()   { p <- struct{}{} }
+func (p planLock) unlock() { <-p }
+
+// wakeup tells a loop that there is something to do.
+type wakeup chan struct{}
+
+// poke wakes the loop, or leaves a wake-up that is pending.
+func (w wakeup) poke() {
+	select {
+	case w <- struct{}{}:
+	default:
+	}
+}
 
 // contact is what the leader knows of a target beyond the replicated state.
 type contact struct {
@@ -116,8 +125,8 @@
 func New(cfg Config, term uint64) *Leader {
 	return &Leader{
 		cfg: cfg, term: term, log: cfg.Log.With().Uint64("term", term).Logger(),
-		sessions: map[string]*session{}, contacts: map[string]*contact{}, wake: make(chan struct{}, 1),
-		planning: make(turn, 1), fleet: newFleet(), learned: newDurations(), permits: newPermits(),
+		sessions: map[string]*session{}, contacts: map[string]*contact{}, wake: make(wakeup, 1),
+		planning: make(planLock, 1), fleet: newFleet(), learned: newDurations(), permits: newPermits(),
 	}
 }
 
@@ -154,7 +163,7 @@
 		if err == nil {
 			if l.confirmed.Swap(started.UnixNano()) == 0 {
 				l.log.Info().Msg("leadership confirmed")
-				l.poke()
+				l.wake.poke()
 			}
 		}
 		if !l.sleep(confirmEvery) {
@@ -170,14 +179,6 @@
 	return at != 0 && age >= 0 && age < confirmValid
 }
 
-// poke makes the planner look at the state.
-func (l *Leader) poke() {
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
-}
-
 // Propose commits a command. Errors are those of replica.Group; a refusal by
 // the state machine is in the result.
 func (l *Leader) Propose(ctx context.Context, c *work.Command) (*work.Result, error) {
--- a/internal/leader/maintenance.go
+++ b/internal/leader/maintenance.go
@@ -21,9 +21,9 @@
 
 // maintain drains and maintains the hosts of waves.
 func (l *Leader) maintain() {
-	l.planning.take()
+	l.planning.lock()
 	ready, evacuate := l.chooseMaintenance()
-	l.planning.end()
+	l.planning.unlock()
 	for _, r := range ready {
 		l.wg.Go(func() { l.maintainHost(r) })
 	}
--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -30,7 +30,7 @@
 	if busy {
 		return
 	}
-	s.poke()
+	s.wake.poke()
 	s.l.wg.Go(func() {
 		s.tryStart(ref, r, doubtful)
 		s.l.mu.Lock()
@@ -136,7 +136,7 @@
 func (s *session) settle(ref work.RunRef, reason string) {
 	s.logRun(ref).Str("reason", reason).Msg("run never began")
 	s.l.record(&work.Command{Report: &work.Report{Target: s.key, Settled: []work.RunRef{ref}}}, reason)
-	s.l.poke()
+	s.l.wake.poke()
 }
 
 // wanted reports whether the run is held and its job goes on.
@@ -182,7 +182,7 @@
 		s.l.mu.Lock()
 		o.stopping = false
 		s.l.mu.Unlock()
-		s.poke()
+		s.wake.poke()
 	})
 }
 
--- a/internal/leader/permits.go
+++ b/internal/leader/permits.go
@@ -109,7 +109,7 @@
 	}
 	l.log.Info().Str("job", q.step.Job).Int("step", q.step.Step).Int("asked", len(q.targets)).Int("permitted", len(tickets)).
 		Int64("valid_ms", validMS).Msg("hosts permitted")
-	l.poke()
+	l.wake.poke()
 }
 
 // permitted reports whether a step may start on a target now, and asks the
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -40,8 +40,8 @@
 
 // startWanted plans, commits the plan and orders what was accepted.
 func (l *Leader) startWanted() {
-	l.planning.take()
-	defer l.planning.end()
+	l.planning.lock()
+	defer l.planning.unlock()
 	starts := l.plan()
 	if len(starts) == 0 {
 		return
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -44,7 +44,7 @@
 	key   string
 	to    Address
 	fence uint64
-	wake  chan struct{}
+	wake  wakeup
 	ended context.CancelFunc
 
 	// leaseEnd is when every lease that was granted has ended, on the leader's
@@ -84,10 +84,14 @@
 
 // sessionLoop opens a session for each target with runs.
 func (l *Leader) sessionLoop() {
+	var forgot time.Time
 	for {
 		changed := l.cfg.Machine.Changed()
 		l.openSessions()
-		l.forgetTargets()
+		if now := l.now(); now.Sub(forgot) > forgetEvery {
+			forgot = now
+			l.forgetTargets()
+		}
 		select {
 		case <-l.ctx.Done():
 			return
@@ -132,6 +136,10 @@
 	}
 }
 
+// forgetEvery is how often silent targets are looked for, against seconds of
+// silence.
+const forgetEvery = time.Second
+
 // forgetAfter is how long a target without runs is kept after its last sign of
 // life. One that returns later registers again.
 const forgetAfter = 15 * time.Second
@@ -166,7 +174,7 @@
 	// Runs may hold leases of an earlier leader, which ends its orders when it
 	// can no longer prove that it leads.
 	s := &session{
-		l: l, key: key, to: to, fence: l.nextFence(), wake: make(chan struct{}, 1), ended: cancel,
+		l: l, key: key, to: to, fence: l.nextFence(), wake: make(wakeup, 1), ended: cancel,
 		leaseEnd: l.elected.Add(confirmValid + l.longest(l.lease())), answered: l.now(), orders: map[work.RunRef]*order{},
 	}
 	l.sessions[key] = s
@@ -237,13 +245,6 @@
 	return needed
 }
 
-func (s *session) poke() {
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
-}
-
 // until returns the end of a lease granted now on the target's clock, and
 // notes when it has certainly ended. It is 0 if the clock is not known yet. A
 // target that does not answer gets no longer lease than it has.
@@ -402,7 +403,7 @@
 			countEnds(report.Ends)
 			s.l.noteEnds(s.key, report.Ends)
 			s.l.logEnds(s.key, report.Ends)
-			s.l.poke()
+			s.l.wake.poke()
 		}
 	}
 }
@@ -552,7 +553,7 @@
 	s.raiseFence()
 	leasesEnded.Inc()
 	s.l.record(&work.Command{End: s.key}, "end of a lease")
-	s.l.poke()
+	s.l.wake.poke()
 }
 
 // noteFailure keeps new runs away from a target that does not answer or says
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -158,7 +158,7 @@
 		Host: "core-" + strconv.FormatUint(term, 10), Group: w, Machine: w.machine, Targets: w, Platform: w, Policy: w, Clock: clock.System{},
 		Log: zerolog.New(zerolog.SyncWriter(&w.logs)).With().Timestamp().Logger(), Orders: leader.NewOrderLog(clock.System{}),
 		Timing: leader.Timing{
-			Announce: worldAnnounce, MaxLease: worldLease, Stop: worldStop, Move: 1500 * time.Millisecond,
+			Announce: worldAnnounce, MaxLease: worldLease, Move: 1500 * time.Millisecond,
 			Maintenance: 2 * time.Second, HolderPause: 3 * time.Second,
 		},
 	}, term)
