Send new entries to standby replicas with heartbeats only

Cause: each commit's entries went to every member at once, so that on the grown deployment the leader made a call to, and served one from, three replicas for whose answers nothing waits. Change: a standby replica that is less than 256 entries behind gets new ones with the next heartbeat.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -53,7 +53,10 @@
 	Bootstrap bool
 	Dir       string
 	// Port is the port of the link on every host.
-	Port     string
+	Port string
+	// Listen is the address on which this process serves the link, "" for its
+	// host and port. It differs where a proxy stands in front of it.
+	Listen   string
 	Targets  leader.Targets
 	Platform leader.Platform
 	Policy   leader.Policy
@@ -117,7 +120,11 @@
 
 // Run serves the link until ctx ends. Then it hands over its leadership.
 func (c *Core) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", net.JoinHostPort(c.cfg.Host, c.cfg.Port))
+	address := c.cfg.Listen
+	if address == "" {
+		address = net.JoinHostPort(c.cfg.Host, c.cfg.Port)
+	}
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return &fault.Unavailable{What: "listener of the link", Reason: err.Error()}
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -91,7 +91,7 @@
 		Eventually(e.Ready).Should(BeTrue())
 		core.leads.Store(false)
 		Eventually(e.Ready, "3s").Should(BeFalse())
-		time.Sleep(500 * time.Millisecond) // until two seconds have passed
+		<-time.After(500 * time.Millisecond) // until two seconds have passed
 		code, took := submit()
 		Expect(code).To(Equal(link.NotReady))
 		Expect(took).To(BeNumerically("<", 600*time.Millisecond)) // a fifth of the callers' time limit
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -133,9 +133,13 @@
 func (n *Node) trackMembers() {
 	config := n.log.config()
 	for _, m := range config.Members {
-		if m.ID != n.id && n.progress[m.ID] == nil {
+		if m.ID == n.id {
+			continue
+		}
+		if n.progress[m.ID] == nil {
 			n.progress[m.ID] = &progress{next: n.log.last() + 1, activeAt: n.now}
 		}
+		n.progress[m.ID].standby = m.Standby
 	}
 	for id := range n.progress {
 		if _, ok := config.Find(id); !ok {
--- a/internal/raft/progress.go
+++ b/internal/raft/progress.go
@@ -22,6 +22,9 @@
 	paused bool
 	// inflight lists the last index of each append sent in stateReplicate.
 	inflight []uint64
+	// standby members get new entries with heartbeats only, as long as they are
+	// not far behind: no commit waits for them.
+	standby bool
 	// activeAt is the tick of the last message received from the member.
 	activeAt uint64
 	// readAcked is the last heartbeat round acknowledged.
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -58,13 +58,17 @@
 	}
 }
 
+// standbyLag is by how many entries a standby member may be behind before it
+// gets more without a heartbeat.
+const standbyLag = 256
+
 // sendAppend sends one append, if flow control allows it. It reports whether
 // more can follow. With force set, an append without entries is sent too.
 func (n *Node) sendAppend(to string, p *progress, force bool) bool {
 	if p.state == stateSnapshot || p.paused || len(p.inflight) >= n.opts.MaxInflight {
 		return false
 	}
-	if !force && p.next > n.log.last() {
+	if !force && (p.next > n.log.last() || (p.standby && p.state == stateReplicate && p.next+standbyLag > n.log.last())) {
 		return false
 	}
 	prevTerm, ok := n.log.term(p.next - 1)
