--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -12,6 +12,7 @@
 	"agatehaven.dev/agatehaven/internal/codec"
 	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/replica"
+	"agatehaven.dev/agatehaven/internal/ring"
 	"agatehaven.dev/agatehaven/internal/work"
 )
 
@@ -83,6 +84,7 @@
 	wake     wakeup
 	learned  durations
 	permits  permits
+	reports  *ring.Ring[pendingReport]
 }
 
 // planLock is a lock that is held while a commit is awaited. It is a channel,
@@ -126,7 +128,7 @@
 	return &Leader{
 		cfg: cfg, term: term, log: cfg.Log.With().Uint64("term", term).Logger(),
 		sessions: map[string]*session{}, contacts: map[string]*contact{}, wake: make(wakeup, 1),
-		planning: make(planLock, 1), fleet: newFleet(), learned: newDurations(), permits: newPermits(),
+		planning: make(planLock, 1), fleet: newFleet(), learned: newDurations(), permits: newPermits(), reports: newReports(),
 	}
 }
 
@@ -134,7 +136,7 @@
 func (l *Leader) Run(ctx context.Context) {
 	l.ctx = ctx
 	l.elected = l.now()
-	duties := []func(){l.confirmLoop, l.planLoop, l.sessionLoop, l.fleetLoop, l.permitLoop}
+	duties := []func(){l.confirmLoop, l.planLoop, l.sessionLoop, l.fleetLoop, l.permitLoop, l.reportLoop}
 	for _, duty := range duties {
 		l.wg.Go(duty)
 	}
--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -135,7 +135,7 @@
 // settle records that a run never began, so that its task can start elsewhere.
 func (s *session) settle(ref work.RunRef, reason string) {
 	s.logRun(ref).Str("reason", reason).Msg("run never began")
-	s.l.record(&work.Command{Report: &work.Report{Target: s.key, Settled: []work.RunRef{ref}}}, reason)
+	s.l.report(&work.Report{Target: s.key, Settled: []work.RunRef{ref}})
 	s.l.wake.poke()
 }
 
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -9,8 +9,8 @@
 
 const (
 	// planPace gathers what changes within a few ms into one plan and one
-	// commit, at a tenth of what a task's duration allows.
-	planPace = 5 * time.Millisecond
+	// commit, at a hundredth of the duration of a short task.
+	planPace = 10 * time.Millisecond
 	// planEvery bounds the time without a plan, for what only time changes.
 	planEvery = 100 * time.Millisecond
 	// maxStarts bounds the starts of one plan and so its log entry.
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -399,7 +399,7 @@
 func (s *session) take(h *Holding, sent time.Time, acknowledged int64) {
 	report := s.compare(h, sent, acknowledged)
 	if report != nil {
-		if s.l.record(&work.Command{Report: report}, "report of a target") {
+		if s.l.report(report) {
 			countEnds(report.Ends)
 			s.l.noteEnds(s.key, report.Ends)
 			s.l.logEnds(s.key, report.Ends)
--- a/internal/work/apply.go
+++ b/internal/work/apply.go
@@ -156,8 +156,10 @@
 		s.endTarget(c.End, c.Gone)
 	case c.Start != nil:
 		return s.start(c.Start)
-	case c.Report != nil:
-		s.report(c.Report)
+	case len(c.Reports) > 0:
+		for i := range c.Reports {
+			s.report(&c.Reports[i])
+		}
 	case c.Wave != nil:
 		return s.addWave(c.Wave)
 	case len(c.WaveSteps) > 0:
--- a/internal/work/command.go
+++ b/internal/work/command.go
@@ -11,14 +11,15 @@
 	// End is the key of a target whose runs have all ended.
 	End string `cbor:"6,keyasint,omitempty"`
 	// Gone is set with End if the target itself has ended.
-	Gone   bool    `cbor:"7,keyasint,omitempty"`
-	Start  []Start `cbor:"8,keyasint,omitempty"`
-	Report *Report `cbor:"9,keyasint,omitempty"`
-	Wave   *Wave   `cbor:"10,keyasint,omitempty"`
+	Gone  bool    `cbor:"7,keyasint,omitempty"`
+	Start []Start `cbor:"8,keyasint,omitempty"`
+	// Numbers 9 and 11 stood for single reports and steps of a wave.
+	Wave *Wave `cbor:"10,keyasint,omitempty"`
 	// Orders announces orders to the platform before they are sent.
 	Orders []HostOrder `cbor:"12,keyasint,omitempty"`
 	// WaveSteps are applied one by one; the result has the first error.
 	WaveSteps []WaveStep `cbor:"13,keyasint,omitempty"`
+	Reports   []Report   `cbor:"14,keyasint,omitempty"`
 }
 
 // HostOrder is an order for a host that a holder is about to send.
--- a/internal/work/work_test.go
+++ b/internal/work/work_test.go
@@ -74,7 +74,7 @@
 
 // end reports the end of a run.
 func (r *region) end(target string, number int64, run work.RunRef, outcome work.Outcome) {
-	r.do(&work.Command{Report: &work.Report{Target: target, Ends: []work.End{{Number: number, Run: run, Outcome: outcome}}}})
+	r.do(&work.Command{Reports: []work.Report{{Target: target, Ends: []work.End{{Number: number, Run: run, Outcome: outcome}}}}})
 }
 
 func (r *region) state(job string) work.JobState {
