Use hosts on standby again once their maintenance or move has ended

Cause: a new leader reads the platform's list while hosts on standby are in maintenance or moving, as after a frozen leader whose orders were carried out. Change: the list is read again when such a host should be back, until it is up. Hosts that this leader ordered are taken to be up at their time. Ruled out: the platform, which took orders for them under the next leader. Test: TestHostsOnStandbyAreUsedOnceTheirMaintenanceEnds.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -135,12 +135,17 @@
 	for _, h := range l.fleet.hosts {
 		h.unlisted = true
 	}
+	cfg := l.cfg.Machine.Configuration()
 	for _, s := range hosts {
 		h := l.fleet.host(s.Host)
 		h.unlisted = false
-		if !h.ordering && now.After(h.away) {
-			h.state = s
-			h.away = time.Time{}
+		if h.ordering || !now.After(h.away) {
+			continue
+		}
+		h.state, h.away = s, time.Time{}
+		if pool, ok := cfg.Pool(s.Pool); ok && pool.Standby && !s.Up {
+			// It announces nothing once it is back, so the list is read again.
+			h.away = now.Add(l.cfg.Timing.Maintenance)
 		}
 	}
 	l.fleet.listed, l.fleet.stale = now, false
@@ -180,6 +185,7 @@
 			}
 			if pool, ok := v.Config.Pool(h.state.Pool); ok && pool.Standby {
 				h.away, h.reserved = time.Time{}, "" // switched off hosts do not announce themselves
+				l.fleet.stale = l.fleet.stale || !h.state.Up
 			} else if now.Sub(h.away) > joinMargin {
 				h.away = now
 				l.fleet.stale = true
@@ -510,6 +516,7 @@
 	l.mu.Lock()
 	h := l.fleet.host(name)
 	h.left, h.away, h.idleSince = key, l.now().Add(away), time.Time{}
+	h.state.Up = true // once it is back
 	if pool != "" {
 		h.state.Pool = pool
 	}
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -462,6 +462,26 @@
 	})
 }
 
+// Guards against hosts on standby that are never used again: they announce
+// nothing, and the list that a new leader read showed them in maintenance.
+func TestHostsOnStandbyAreUsedOnceTheirMaintenanceEnds(t *testing.T) {
+	play(t, func(w *world) {
+		w.off = map[string]bool{"h0": false, "h1": false}
+		w.add("a", "ha", "1:1", "desk")
+		_, stop := w.lead(2)
+		defer stop()
+		after(time.Second)
+		w.mu.Lock()
+		w.off = map[string]bool{"h0": true, "h1": true}
+		w.mu.Unlock()
+		w.submit("j", "/draw/", small(20))
+		after(5 * time.Second)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		NewWithT(t).Expect(w.moves).To(ContainElements(HavePrefix("h0 to"), HavePrefix("h1 to")))
+	})
+}
+
 // Guards against a wave that never ends because one of its hosts left: the
 // platform lists it, and takes no order for it, until it is gone.
 func TestWaveEndsWhenAHostLeaves(t *testing.T) {
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -51,6 +51,8 @@
 	// step is how many tasks of a lasting step have to be alive when one of them
 	// is stopped, 0 to check nothing.
 	step int
+	// off are the hosts on standby, with whether they can be ordered.
+	off map[string]bool
 	// leaving are the hosts for which the platform takes no orders.
 	leaving map[string]bool
 	// checked is set if every start needs a ticket of the policy service.
@@ -498,6 +500,9 @@
 	for _, t := range w.targets {
 		out = append(out, leader.HostState{Host: t.state.Host, Pool: t.state.Pool, Up: true, Room: t.state.Room, TargetID: t.state.ID})
 	}
+	for host, up := range w.off {
+		out = append(out, leader.HostState{Host: host, Pool: "off", Up: up, Room: work.Demand{MilliCPU: 4000, MemoryMB: 4000}})
+	}
 	return out, nil
 }
 
@@ -505,6 +510,9 @@
 func (w *world) Move(_ context.Context, host, pool string, _ leader.Token) (leader.PlatformAnswer, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if up, off := w.off[host]; off && !up {
+		return leader.PlatformBusy, nil
+	}
 	w.moves = append(w.moves, host+" to "+pool)
 	for address, t := range w.targets {
 		if t.state.Host != host {
