--- a/internal/leader/maintenance.go
+++ b/internal/leader/maintenance.go
@@ -95,6 +95,7 @@
 		}
 		open := drain.Host{Name: name, Draining: ordered || h.reserved == reservedMaintenance, Spare: l.fleet.spare[name]}
 		if t := byHost[name]; t != nil {
+			open.Pool = t.Pool
 			open.Lasting = len(lastingRuns(v, t))
 			open.Short = t.Runs() - open.Lasting
 		}
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -13,6 +13,10 @@
 	// holdWait is how long a hold waits for an end. A longer one would find a
 	// silent target later; a shorter one costs more calls.
 	holdWait = time.Second
+	// startingWait is how long a hold waits while a lasting task starts, which
+	// takes about a second: the next task of its step may leave its host only
+	// once it is at work.
+	startingWait = 300 * time.Millisecond
 	// holdMargin is added to holdWait before a hold counts as unanswered.
 	holdMargin = 400 * time.Millisecond
 	// orderTimeout bounds one start or stop. Targets are a few ms away.
@@ -54,6 +58,8 @@
 	answered time.Time
 	// first is set after the first list of runs.
 	first bool
+	// starting is set while a listed lasting task is not fully at work yet.
+	starting bool
 	// silent is set while the last hold was not answered. No lease is extended
 	// then, so that the granted ones end.
 	silent bool
@@ -275,7 +281,10 @@
 	state := s.snapshot()
 	fence, _ := s.token()
 	o := &HoldOrder{Fence: fence, Acknowledged: state.acknowledged, UntilMS: s.until()}
-	if s.known() && state.runs > 0 {
+	if known, starting := s.known(); known && state.runs > 0 {
+		if starting {
+			wait = min(wait, startingWait)
+		}
 		o.WaitMS = wait.Milliseconds()
 	}
 	sent := s.l.now()
@@ -375,11 +384,12 @@
 	return out
 }
 
-// known reports whether the list of runs was read once.
-func (s *session) known() bool {
+// known reports whether the list of runs was read once, and whether it shows a
+// lasting task that is not at work yet.
+func (s *session) known() (known, starting bool) {
 	s.l.mu.Lock()
 	defer s.l.mu.Unlock()
-	return s.first
+	return s.first, s.starting
 }
 
 func (l *Leader) learnClock(key string, ms int64) {
@@ -455,6 +465,7 @@
 	for _, e := range h.Ended {
 		ended[e.Run] = true
 	}
+	s.starting = false
 	for _, r := range h.Running {
 		listed[r.Run] = true
 		if !held[r.Run] {
@@ -464,7 +475,9 @@
 		o := s.orderOf(r.Run)
 		o.seen(sent)
 		o.atWork = r.Percent >= 100
-		if _, task := v.Find(r.Run.Task); task != nil && r.Checkpoint != "" && task.Checkpoint != r.Checkpoint {
+		job, task := v.Find(r.Run.Task)
+		s.starting = s.starting || (task != nil && !o.atWork && job.Spec.Steps[task.Step].Lasting)
+		if task != nil && r.Checkpoint != "" && task.Checkpoint != r.Checkpoint {
 			c.report.Checkpoints = append(c.report.Checkpoints, work.Checkpoint{Run: r.Run, Value: r.Checkpoint})
 		}
 	}
