Follow a rise of the arriving work; look at waiting jobs only in plans

And each plan ranked every live job, and looked at every host for every job that waits, though one of the same size had just found no room. Plans rank jobs with waiting tasks only and remember what had no room. The plans' part was not measured alone. Tests: TestArrivalsShowARise..., 'turns down large tasks'.

--- /dev/null
+++ b/internal/leader/arrivals_test.go
@@ -0,0 +1,47 @@
+package leader
+
+import (
+	"strconv"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+// Answers the beginning of a queue's turn, when each tenth of a second brings
+// more work than the last one: the pool is sized for what arrives once moved
+// hosts are there. Steady arrivals show no rise, though their number varies.
+func TestArrivalsShowARiseOnlyWhereItIsMoreThanChance(t *testing.T) {
+	g := NewWithT(t)
+	var a arrivals
+	v := &work.View{Live: map[string]*work.Job{}}
+	now, n := int64(10_000), 0
+	tick := func(jobs int) {
+		now += 100
+		for range jobs {
+			n++
+			id := strconv.Itoa(n)
+			v.Live[id] = &work.Job{
+				ID: id, Pool: "desk", SubmittedMS: now, Sequence: uint64(n),
+				Spec:  work.Spec{Steps: []work.Step{{Tasks: 1, Demand: work.Demand{MilliCPU: 2000}}}},
+				Tasks: []work.Task{{}},
+			}
+		}
+		a.add(v, now, func(*work.Job, int) int64 { return 500 })
+	}
+	for _, jobs := range []int{3, 1, 2, 4, 2, 3, 2, 1, 4, 2} {
+		tick(jobs)
+	}
+	rate, rise := a.rate("desk")
+	g.Expect(rate).To(BeNumerically("~", 24_000, 6_000)) // 24 jobs a second of one core-second each
+	g.Expect(rise).To(BeZero())
+	for _, jobs := range []int{4, 6, 8, 10, 12} {
+		tick(jobs)
+	}
+	rate, rise = a.rate("desk")
+	g.Expect(rate).To(BeNumerically("~", 80_000, 20_000))
+	g.Expect(rise).To(BeNumerically(">", 50_000))
+	rate, _ = a.rate("cuts")
+	g.Expect(rate).To(BeZero())
+}
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -13,9 +13,6 @@
 	fleetPace = 100 * time.Millisecond
 	// platformTimeout bounds one call to the platform.
 	platformTimeout = time.Second
-	// arrivalWindow is the time over which arriving work is measured: long
-	// enough for several jobs, short against a turn of the demand of 4 s.
-	arrivalWindow = 500 * time.Millisecond
 	// joinMargin is how long after its due time a host that moved is awaited
 	// before the platform's list is read again.
 	joinMargin = 3 * time.Second
@@ -388,7 +385,7 @@
 	}
 	for _, p := range demand {
 		l.log.Info().Str("pool", p.Name).Int("hosts", count[p.Name]).Int("movable", movable[p.Name]).
-			Int64("running_mcpu", p.Running).Int64("waiting_mcpu", p.Waiting).Float64("arriving_mcpu", p.Arriving).
+			Int64("running_mcpu", p.Running).Int64("waiting_mcpu", p.Waiting).Float64("arriving_mcpu", p.Arriving).Float64("rising_mcpu", p.Rising).
 			Int("spread", p.Spread).Int("moves", moves).Msg("pool size")
 	}
 }
@@ -404,7 +401,7 @@
 		durations[p.Name] = &mean{}
 	}
 	away := l.awayDataCentres(v)
-	since := l.now().UnixMilli() - arrivalWindow.Milliseconds()
+	l.arrivals.add(v, l.now().UnixMilli(), l.learned.expect)
 	for _, j := range v.Live {
 		p := index[j.Pool]
 		if p == nil || j.State.Final() {
@@ -424,12 +421,8 @@
 			case !t.Done && j.Ready(t):
 				p.Waiting += cpu
 			}
-			if !step.Lasting && (t.Active() || j.SubmittedMS > since) {
-				expected := float64(l.learned.expect(j, t.Step))
-				durations[j.Pool].add(expected/1000, float64(cpu))
-				if j.SubmittedMS > since {
-					p.Arriving += float64(cpu) * expected / float64(arrivalWindow.Milliseconds())
-				}
+			if !step.Lasting && !t.Done {
+				durations[j.Pool].add(float64(l.learned.expect(j, t.Step))/1000, float64(cpu))
 			}
 			if step.Lasting && step.MaxPerHost > 0 {
 				p.Spread = max(p.Spread, (step.Tasks+step.MaxPerHost-1)/step.MaxPerHost)
@@ -437,6 +430,7 @@
 		}
 	}
 	for name, p := range index {
+		p.Arriving, p.Rising = l.arrivals.rate(name)
 		p.DurationS = durations[name].value()
 	}
 	return pools
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -83,6 +83,7 @@
 	fleet    fleet
 	wake     wakeup
 	learned  durations
+	arrivals arrivals
 	permits  permits
 	reports  *ring.Ring[pendingReport]
 }
--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -17,6 +17,8 @@
 	// Arriving is the work that arrives each second, in thousandths of a
 	// core-second.
 	Arriving float64
+	// Rising is by how much more arrives after each second.
+	Rising float64
 	// DurationS is how long its tasks run on average, 0 if that is not known.
 	DurationS float64
 	// Spread is the least number of hosts that lasting work needs.
@@ -50,12 +52,15 @@
 	// AheadS is how far the demand is looked ahead, in seconds: what a move takes
 	// and some time to notice the change.
 	AheadS float64
+	// Trend is the share of a rise of the arriving work that is expected to go on
+	// for that time.
+	Trend float64
 	// Spare is how many hosts a pool keeps beyond its demand.
 	Spare int
 }
 
 // Default returns the policy in use.
-func Default() Policy { return Policy{IdleMS: 700, Fill: 0.9, AheadS: 1.7, Spare: 0} }
+func Default() Policy { return Policy{IdleMS: 700, Fill: 0.9, AheadS: 1.7, Trend: 0.5, Spare: 0} }
 
 // Move is one decision with its reason.
 type Move struct {
@@ -176,7 +181,8 @@
 		duration = unknownDurationS
 	}
 	remaining := math.Exp(-p.AheadS / duration)
-	ahead := remaining*float64(pool.Running) + (1-remaining)*pool.Arriving
+	arriving := pool.Arriving + p.Trend*p.AheadS*pool.Rising
+	ahead := remaining*float64(pool.Running) + (1-remaining)*arriving
 	cpu := float64(pool.Waiting) + max(float64(pool.Running), ahead)
 	return max(1, pool.Spread, int(math.Ceil(cpu/(float64(size)*p.Fill)))) + p.Spare
 }
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -58,7 +58,7 @@
 	// Permitted, if set, reports whether a task may run on a target, one of the
 	// hosts, by an outside policy.
 	Permitted func(j *work.Job, t *work.Task, target *work.Target, hosts []*Host) bool
-	pools     map[string][]*Host
+	pools     map[string]*pool
 
 	// Duration returns the expected duration of a task in ms.
 	Duration func(j *work.Job, step int) int64
@@ -82,7 +82,7 @@
 func Plan(r *Request) []work.Start {
 	order := make([]urgency, 0, len(r.Jobs))
 	for _, j := range r.Jobs {
-		if !j.State.Final() {
+		if !j.State.Final() && j.Waiting() {
 			order = append(order, r.rank(j))
 		}
 	}
@@ -90,7 +90,7 @@
 		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.rank, b.rank),
 			cmp.Compare(a.latest, b.latest), cmp.Compare(a.job.Sequence, b.job.Sequence))
 	})
-	r.pools = map[string][]*Host{}
+	r.pools = map[string]*pool{}
 	var starts []work.Start
 	for _, u := range order {
 		starts = r.planJob(u.job, starts)
@@ -101,20 +101,37 @@
 	return starts
 }
 
-// hostsOf returns the usable hosts of a pool.
-func (r *Request) hostsOf(pool string) []*Host {
-	hosts, known := r.pools[pool]
-	if !known {
-		hosts = r.Hosts(pool)
-		r.pools[pool] = hosts
+// pool holds the usable hosts of a pool during a plan.
+type pool struct {
+	hosts []*Host
+	// full holds demands for which no host has room. Hosts only fill up during a
+	// plan, but for gangs that are undone. While many jobs wait, most of them are
+	// turned down by it without a look at every host.
+	full []work.Demand
+}
+
+// maxFull bounds the demands that are kept: jobs of a queue are similar.
+const maxFull = 4
+
+// turnsDown reports whether a demand has no room on any host.
+func (p *pool) turnsDown(need work.Demand) bool {
+	return slices.ContainsFunc(p.full, func(full work.Demand) bool { return full.Within(need) })
+}
+
+// poolOf returns the pool with its usable hosts.
+func (r *Request) poolOf(name string) *pool {
+	p := r.pools[name]
+	if p == nil {
+		p = &pool{hosts: r.Hosts(name)}
+		r.pools[name] = p
 	}
-	return hosts
+	return p
 }
 
 // rank tells how urgent a job is.
 func (r *Request) rank(j *work.Job) urgency {
 	u := urgency{job: j, priority: j.Priority}
-	if len(j.Spec.Steps) > 0 && j.Spec.Steps[0].Lasting {
+	if j.Spec.Lasting() {
 		return u
 	}
 	chain, rest := r.chains(j)
@@ -188,6 +205,7 @@
 		for _, h := range used {
 			h.add(s, -1)
 		}
+		r.poolOf(j.Pool).full = nil
 		return starts
 	}
 	return append(starts, chosen...)
@@ -210,9 +228,14 @@
 		}
 		return a.Target.ID < b.Target.ID
 	}
-	hosts := r.hostsOf(j.Pool)
-	for _, h := range hosts {
-		if t.FailedOn != "" && h.Target.Host == t.FailedOn && len(hosts) > 1 {
+	p := r.poolOf(j.Pool)
+	if p.turnsDown(need) {
+		return nil
+	}
+	room := false
+	for _, h := range p.hosts {
+		room = room || need.Within(h.Free)
+		if t.FailedOn != "" && h.Target.Host == t.FailedOn && len(p.hosts) > 1 {
 			continue
 		}
 		if !need.Within(h.Free) || !h.suits(s) || (s.Label != "" && !slices.Contains(h.Target.Labels, s.Label)) {
@@ -221,9 +244,12 @@
 		if s.MaxPerHost > 0 && placed[h]+h.Target.RunsOfStep(j.ID, t.Occurrence, t.Step) >= s.MaxPerHost {
 			continue
 		}
-		if (best == nil || better(h, best)) && (r.Permitted == nil || r.Permitted(j, t, h.Target, hosts)) {
+		if (best == nil || better(h, best)) && (r.Permitted == nil || r.Permitted(j, t, h.Target, p.hosts)) {
 			best = h
 		}
 	}
+	if !room && len(p.full) < maxFull {
+		p.full = append(p.full, need)
+	}
 	return best
 }
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -151,6 +151,15 @@
 		Expect(plan(2000, jobs(job("f", "/patient/", fill)), host("a", "", 2500))).To(HaveLen(2))
 	})
 
+	It("turns down large tasks without turning down small ones, and takes room back from gangs", func() {
+		// Many jobs wait for room: what one of them lacked must not hide the room
+		// that a smaller one fits into, or that an undone gang leaves.
+		g := step(2, 1500)
+		g.Gang = true
+		js := jobs(job("g", "/urgent/", g), job("l", "/urgent/", step(1, 3000)), job("s", "/urgent/", step(1, 2000)))
+		Expect(order(plan(2000, js, host("a", "", 2000)))).To(Equal([]string{"s"}))
+	})
+
 	It("starts occurrences at their times", func() {
 		// Guards against a start before it is due.
 		s := job("j", "/urgent/", step(1, 100))
--- a/internal/work/model.go
+++ b/internal/work/model.go
@@ -75,6 +75,9 @@
 	IntervalMS  int64 `cbor:"5,keyasint,omitempty"`
 }
 
+// Lasting reports whether the tasks run until the job is cancelled.
+func (s *Spec) Lasting() bool { return len(s.Steps) > 0 && s.Steps[0].Lasting }
+
 // Step is a set of equal tasks.
 type Step struct {
 	Tasks      int    `cbor:"1,keyasint"`
--- a/internal/work/queries.go
+++ b/internal/work/queries.go
@@ -94,6 +94,9 @@
 	return true
 }
 
+// Waiting reports whether some task is neither done nor running.
+func (j *Job) Waiting() bool { return j.open > j.active }
+
 // Changed returns a channel that is closed at the next change.
 func (m *Machine) Changed() <-chan struct{} {
 	m.mu.RLock()
