Let the test of late starts provoke the second run

The stand-in moved the other host away and the late order came before the next lease, so the test passed without the raised token. Now it fails without it: two runs of the task at the same time.

--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -262,15 +262,16 @@
 	play(t, func(w *world) {
 		a := w.add("a", "ha", "1:1", "desk")
 		a.duration = 5 * time.Second
+		w.add("c", "hc", "2:1", "cuts") // so that b stays in its pool
 		_, stop := w.lead(2)
 		defer stop()
 		after(time.Second)
 		w.mu.Lock()
-		a.late = 7 * time.Second
+		a.late = 9 * time.Second
 		w.mu.Unlock()
 		w.submit("j", "/draw/", small(1))
 		after(100 * time.Millisecond)
-		w.add("b", "hb", "1:2", "desk").lasts(5 * time.Second)
+		w.add("b", "hb", "1:2", "desk").lasts(6 * time.Second)
 		after(6400 * time.Millisecond)
 		w.mu.Lock()
 		a.late = 0
