Choose the hosts that lasting tasks leave by job, not by pool

Cause: a pool has several lasting jobs. Change: one or two hosts for each lasting job, the job with the most hosts left first.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -11,12 +11,12 @@
 // Host is a host whose maintenance has not begun.
 type Host struct {
 	Name string
-	Pool string
 	// Draining is set if the host was chosen before.
 	Draining bool
-	// Lasting is how many runs have to be stopped, since they do not end by
-	// themselves; Short is how many do.
-	Lasting, Short int
+	// Lasting has the job of each run that has to be stopped, since it does not
+	// end by itself; Short is how many do.
+	Lasting []string
+	Short   int
 	// Spare is set if the host is empty and its pool does not need it.
 	Spare bool
 }
@@ -39,9 +39,9 @@
 	stopMS = 1500
 	// endMS is how long the short runs of a host take to end.
 	endMS = 2000
-	// maxEvacuating bounds the hosts of a pool that lasting runs leave at the same
-	// time: one whose runs move, one whose short runs end, one that is next.
-	maxEvacuating = 3
+	// maxEvacuating bounds the hosts that runs of one lasting job leave at the same
+	// time: one whose run moves, and one that is next.
+	maxEvacuating = 2
 	// margin is the share of the time left that a plan uses. The rest is for
 	// hosts that fail or do not come back in time.
 	margin = 0.6
@@ -49,7 +49,7 @@
 
 // costMS is how long a host needs until it is back.
 func (w *Wave) costMS(h *Host) int64 {
-	cost := w.HostMS + int64(h.Lasting)*stopMS
+	cost := w.HostMS + int64(len(h.Lasting))*stopMS
 	if h.Short > 0 {
 		cost += endMS
 	}
@@ -62,52 +62,68 @@
 // as many others as have to be down at the same time for the order to end in
 // time. So little capacity is missing while a queue's turn needs every host.
 func Choose(w *Wave) []string {
+	left := map[string]int{} // hosts with a run of the lasting job
+	for i := range w.Hosts {
+		for _, job := range distinct(w.Hosts[i].Lasting) {
+			left[job]++
+		}
+	}
+	longest := func(h *Host) (hosts int) {
+		for _, job := range h.Lasting {
+			hosts = max(hosts, left[job])
+		}
+		return hosts
+	}
 	order := slices.Clone(w.Hosts)
 	slices.SortStableFunc(order, func(a, b Host) int {
-		return cmp.Or(compareSet(a.Draining, b.Draining), compareSet(a.Lasting > 0, b.Lasting > 0), compareSet(a.Spare, b.Spare),
-			cmp.Compare(a.Lasting+a.Short, b.Lasting+b.Short))
+		return cmp.Or(compareSet(a.Draining, b.Draining), cmp.Compare(longest(&b), longest(&a)), compareSet(a.Spare, b.Spare),
+			cmp.Compare(len(a.Lasting)+a.Short, len(b.Lasting)+b.Short))
 	})
 	usable := margin * float64(w.LeftMS)
-	paced, atOnce := w.pace(usable)
+	paced := w.pace(usable)
 	evacuating := map[string]int{}
+	// next reports whether one of the host's lasting runs could move now.
+	next := func(h *Host) bool {
+		return slices.ContainsFunc(h.Lasting, func(job string) bool {
+			return evacuating[job] < min(maxEvacuating, 1+int(2*stopMS*float64(left[job])/usable))
+		})
+	}
 	var chosen []string
 	for i := range order {
 		h := &order[i]
 		wanted := h.Draining || h.Spare || len(chosen) < paced
-		if h.Lasting > 0 && usable > 0 {
-			wanted = h.Draining || evacuating[h.Pool] < atOnce[h.Pool]
+		if len(h.Lasting) > 0 && usable > 0 {
+			wanted = h.Draining || next(h)
 		}
 		if len(chosen) >= w.Room || !wanted {
 			continue
 		}
-		if h.Lasting > 0 {
-			evacuating[h.Pool]++
+		for _, job := range distinct(h.Lasting) {
+			evacuating[job]++
 		}
 		chosen = append(chosen, h.Name)
 	}
 	return chosen
 }
 
+// distinct returns the jobs without repetition.
+func distinct(jobs []string) []string {
+	jobs = slices.Clone(jobs)
+	slices.Sort(jobs)
+	return slices.Compact(jobs)
+}
+
 // pace returns how many hosts have to drain at the same time for the order to
-// end within the usable time in ms, and how many of each pool that lasting runs
-// have to leave. These runs move one by one, so a few hosts keep them moving:
-// more would only wait.
-func (w *Wave) pace(usable float64) (hosts int, atOnce map[string]int) {
-	atOnce = map[string]int{}
+// end within the usable time in ms.
+func (w *Wave) pace(usable float64) int {
 	if usable <= 0 {
-		return w.Room, atOnce
+		return w.Room
 	}
 	var all float64
-	moving := map[string]float64{}
 	for i := range w.Hosts {
-		h := &w.Hosts[i]
-		all += float64(w.costMS(h))
-		moving[h.Pool] += float64(h.Lasting) * stopMS
-	}
-	for pool, ms := range moving {
-		atOnce[pool] = min(maxEvacuating, 1+int(2*ms/usable))
+		all += float64(w.costMS(&w.Hosts[i]))
 	}
-	return int(math.Ceil(all / usable)), atOnce
+	return int(math.Ceil(all / usable))
 }
 
 // compareSet orders true before false.
--- a/internal/leader/maintenance.go
+++ b/internal/leader/maintenance.go
@@ -95,9 +95,10 @@
 		}
 		open := drain.Host{Name: name, Draining: ordered || h.reserved == reservedMaintenance, Spare: l.fleet.spare[name]}
 		if t := byHost[name]; t != nil {
-			open.Pool = t.Pool
-			open.Lasting = len(lastingRuns(v, t))
-			open.Short = t.Runs() - open.Lasting
+			for _, r := range lastingRuns(v, t) {
+				open.Lasting = append(open.Lasting, r.Task.Job)
+			}
+			open.Short = t.Runs() - len(open.Lasting)
 		}
 		choice.Hosts = append(choice.Hosts, open)
 	}
