Keep idle hosts for 1.5 s before they go to standby

Cause: a move there and back costs as much as two seconds in a pool, so a host that idles for less than that should stay; 0.7 s was tuned before hosts were taken directly by the pools that lack them.

--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -60,7 +60,7 @@
 }
 
 // Default returns the policy in use.
-func Default() Policy { return Policy{IdleMS: 700, Fill: 0.9, AheadS: 1.7, Trend: 0.5, Spare: 0} }
+func Default() Policy { return Policy{IdleMS: 1500, Fill: 0.9, AheadS: 1.7, Trend: 0.5, Spare: 0} }
 
 // Move is one decision with its reason.
 type Move struct {
