Hand over the leadership when the leader's disk is slow

Cause: the leader's loop waits for each sync of its own log. Ruled out: the queue of that turn; moves and starts went on, each a commit late. Test: TestSlowDiskHandsOverTheLeadership.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -35,6 +35,8 @@
 	joinTimeout = 2 * time.Second
 	// handOverTimeout bounds the transfer of leadership before a planned stop.
 	handOverTimeout = 2 * time.Second
+	// slowSync is ten times the sync of the platform's slowest sound disks.
+	slowSync = 100 * time.Millisecond
 	// snapshotEntries keeps the replay after a restart below a second.
 	snapshotEntries = 8000
 )
@@ -101,7 +103,7 @@
 	}
 	r, err := replica.Start(ctx, replica.Config{
 		Group: group, Self: replica.Member{Host: cfg.Host}, Bootstrap: initial, Dir: cfg.Dir,
-		SnapshotEntries: snapshotEntries, HLC: hlc.NewClock(logicalTime{}), Transport: c.sender,
+		SnapshotEntries: snapshotEntries, SlowSync: slowSync, HLC: hlc.NewClock(logicalTime{}), Transport: c.sender,
 		Machine: c.machine, Logger: cfg.Log,
 	})
 	if err != nil {
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -72,6 +72,9 @@
 	// or bytes of them, a snapshot is taken.
 	SnapshotEntries uint64
 	SnapshotBytes   uint64
+	// SlowSync is how long a sync of the log may take on a leader: after some
+	// longer ones in a row it hands over its leadership. 0 is any time.
+	SlowSync time.Duration
 	// MaxInflight bounds the proposals that have not been applied yet.
 	MaxInflight int
 	// Seed determines the election timeouts together with the group and host.
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -31,6 +31,10 @@
 	// refusedTerm is ignored.
 	ticks, refusedTerm, refusedUntil uint64
 
+	disk slowDisk
+	// handOver is set while the leadership has to be handed over for the disk.
+	handOver bool
+
 	// published is what Status shows.
 	published raft.Status
 	wasLeader bool
@@ -48,6 +52,7 @@
 		case <-tick:
 			c.ticks++
 			c.checkClock()
+			c.checkDisk()
 			c.node.Tick()
 			tick = r.cfg.Clock.After(r.cfg.TickInterval)
 		case messages := <-r.inbox.Items():
@@ -124,6 +129,17 @@
 	c.transfers = append(c.transfers, done)
 }
 
+// checkDisk hands over the leadership of a host whose disk is slow.
+func (c *core) checkDisk() {
+	if !c.handOver {
+		return
+	}
+	c.handOver = false
+	to, err := c.node.TransferLeadership()
+	c.r.cfg.Logger.Warn().AnErr("refused", err).Str("to", to).Str("group", c.r.cfg.Group).
+		Msg("leadership handed over because of the disk")
+}
+
 // compact forgets entries that a durable snapshot covers.
 func (c *core) compact(s raft.SnapshotMeta) error {
 	c.node.Compact(s, raft.Retention{Entries: c.r.cfg.SnapshotEntries / 2, Bytes: c.r.cfg.SnapshotBytes / 4})
@@ -178,7 +194,9 @@
 			return err
 		}
 		c.r.metrics.logBytes.Set(uint64(c.r.log.Written()))
-		c.r.metrics.syncSeconds.Update(c.r.cfg.Clock.Now().Sub(started).Seconds())
+		now := c.r.cfg.Clock.Now()
+		c.r.metrics.syncSeconds.Update(now.Sub(started).Seconds())
+		c.handOver = c.handOver || c.disk.note(now.Sub(started), c.node.Status().Role == raft.Leader, now)
 	}
 	c.r.observe(rd.Entries)
 	c.times.append(rd.Entries)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -115,7 +115,7 @@
 		}
 	}
 	r.observe(state.Entries)
-	c := &core{r: r, reads: map[uint64]chan outcome{}, identity: identity}
+	c := &core{r: r, reads: map[uint64]chan outcome{}, identity: identity, disk: slowDisk{limit: r.cfg.SlowSync}}
 	c.times.install(a.time)
 	c.times.append(state.Entries)
 	c.options = raft.Options{
--- /dev/null
+++ b/internal/replica/slowdisk_test.go
@@ -0,0 +1,42 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Answers a leader's disk that takes thirty times as long for some seconds:
+// the leadership goes to a host with a faster one.
+func TestSlowDiskHandsOverTheLeadership(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	s := slowDisk{limit: 100 * time.Millisecond}
+	sync := func(ms int, leads bool) bool {
+		took := time.Duration(ms) * time.Millisecond
+		now = now.Add(took)
+		return s.note(took, leads, now)
+	}
+	for range 3 {
+		g.Expect(sync(270, true)).To(BeFalse())
+	}
+	g.Expect(sync(5, true)).To(BeFalse(), "one fast sync shows a pause, not a slow disk")
+	for range 3 {
+		g.Expect(sync(270, true)).To(BeFalse())
+	}
+	g.Expect(sync(270, true)).To(BeTrue())
+	for range 20 {
+		g.Expect(sync(270, true)).To(BeFalse(), "the next hand-over waits")
+	}
+	now = now.Add(handOverPause)
+	g.Expect(sync(270, true)).To(BeTrue())
+	now = now.Add(handOverPause)
+	for range 10 {
+		g.Expect(sync(270, false)).To(BeFalse(), "a follower has nothing to hand over")
+	}
+	off := slowDisk{}
+	for range 10 {
+		g.Expect(off.note(time.Minute, true, now)).To(BeFalse())
+	}
+}
