--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"agatehaven.dev/agatehaven/internal/poolsize"
@@ -23,6 +24,9 @@
 	// awayPace is how often data centres that are cut off are looked for, against
 	// the seconds that silence takes to show.
 	awayPace = 50 * time.Millisecond
+	// maxIdleMoves bounds the orders under way beside which hosts move to standby:
+	// about what the platform takes in a second.
+	maxIdleMoves = 32
 	// silentForAway is how many silent targets show that a data centre is cut
 	// off: more than the loss of one host.
 	silentForAway = 2
@@ -251,7 +255,7 @@
 		}
 		demand, hosts := l.demand(v), l.sizeable(v)
 		decision := poolsize.Plan(poolsize.Default(), demand, hosts)
-		moves, l.fleet.spare = decision.Moves, decision.Spare
+		moves, l.fleet.spare = l.boundIdle(v, decision.Moves), decision.Spare
 		l.closeHosts(decision.Closing)
 		l.logSizes(demand, hosts, len(moves))
 	})
@@ -262,6 +266,25 @@
 	return moves
 }
 
+// boundIdle leaves out moves to standby beyond those that may be under way. The
+// platform takes some tens of orders a second, for which moves to pools that
+// lack hosts would otherwise wait. The mutex is held.
+func (l *Leader) boundIdle(v *work.View, moves []poolsize.Move) []poolsize.Move {
+	under := 0
+	for _, h := range l.fleet.hosts {
+		if h.ordering {
+			under++
+		}
+	}
+	return slices.DeleteFunc(moves, func(m poolsize.Move) bool {
+		if pool, ok := v.Config.Pool(m.To); !ok || !pool.Standby {
+			return false
+		}
+		under++
+		return under > maxIdleMoves
+	})
+}
+
 // sizeable returns the hosts that are capacity of a pool, now or once they are
 // back. The mutex is held.
 func (l *Leader) sizeable(v *work.View) []poolsize.Host {
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -483,6 +483,34 @@
 	})
 }
 
+// Answers a fleet of which most hosts are idle as a queue's turn begins, on a
+// platform that takes twenty moves a second: moves to standby do not hold up
+// those to the pool that lacks hosts.
+func TestIdleHostsDoNotHoldUpTheMovesOfATurn(t *testing.T) {
+	play(t, func(w *world) {
+		w.rate = 20
+		for i := range 300 {
+			n := strconv.Itoa(i)
+			w.add("c"+n, "hc"+n, "2:"+n, "cuts")
+		}
+		w.add("a", "ha", "1:1", "desk")
+		_, stop := w.lead(2)
+		defer stop()
+		after(3 * time.Second) // the hosts idle for long enough
+		w.submit("j", "/draw/", small(40))
+		after(3 * time.Second)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		var toDesk []string
+		for _, m := range w.moves {
+			if strings.HasSuffix(m, "to desk") {
+				toDesk = append(toDesk, m)
+			}
+		}
+		NewWithT(t).Expect(len(toDesk)).To(BeNumerically(">=", 5), "moves: %v", toDesk)
+	})
+}
+
 // Guards against a wave that never ends because one of its hosts left: the
 // platform lists it, and takes no order for it, until it is gone.
 func TestWaveEndsWhenAHostLeaves(t *testing.T) {
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -53,6 +53,10 @@
 	step int
 	// off are the hosts on standby, with whether they can be ordered.
 	off map[string]bool
+	// rate is how many moves the platform takes each second, 0 for any number;
+	// taken counts those of the second that began at taking.
+	rate, taken int
+	taking      time.Time
 	// leaving are the hosts for which the platform takes no orders.
 	leaving map[string]bool
 	// checked is set if every start needs a ticket of the policy service.
@@ -513,6 +517,12 @@
 	if up, off := w.off[host]; off && !up {
 		return leader.PlatformBusy, nil
 	}
+	if time.Since(w.taking) > time.Second {
+		w.taking, w.taken = time.Now(), 0
+	}
+	if w.taken++; w.rate > 0 && w.taken > w.rate {
+		return leader.PlatformThrottled, nil
+	}
 	w.moves = append(w.moves, host+" to "+pool)
 	for address, t := range w.targets {
 		if t.state.Host != host {
