Start a failed task again on its host once no other has room

Cause: a task did not return to the host on which it failed as long as its pool had another host, whether that one had room or not. Change: the host is used if no other fits and runs were done there since, or 3 s have passed since the start of the failed run. Ruled out: the plan's memory of demands without room, which counts this host. Test: 'repeats a failed task on the same host once no other has room'.

--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -211,45 +211,59 @@
 	return append(starts, chosen...)
 }
 
-// choose returns the host for a task: never the one on which it failed, unless
-// it is the only one; then one with few failures, near its data, and with the least
+// failedPauseMS is how long after the start of a failed run its host is not used
+// for the task although no other has room, unless runs were done there since:
+// other hosts get room, and bad ones are set aside, within a few seconds.
+const failedPauseMS = 3000
+
+// choose returns the host for a task: one on which it has not failed, if such a
+// host has room; then one with few failures, near its data, and with the least
 // room that it still fits, so that other hosts become idle.
 func (r *Request) choose(j *work.Job, t *work.Task, s *work.Step, need work.Demand, placed map[*Host]int) *Host {
-	var best *Host
-	better := func(a, b *Host) bool {
-		if a.Penalty != b.Penalty {
-			return a.Penalty < b.Penalty
-		}
-		if s.DataRack != "" && (a.Target.Rack == s.DataRack) != (b.Target.Rack == s.DataRack) {
-			return a.Target.Rack == s.DataRack
-		}
-		if a.Free.MilliCPU != b.Free.MilliCPU {
-			return a.Free.MilliCPU < b.Free.MilliCPU
-		}
-		return a.Target.ID < b.Target.ID
-	}
 	p := r.poolOf(j.Pool)
 	if p.turnsDown(need) {
 		return nil
 	}
+	permitted := func(h *Host) bool { return r.Permitted == nil || r.Permitted(j, t, h.Target, p.hosts) }
+	var best, failed *Host // failed is the one on which the task failed
 	room := false
 	for _, h := range p.hosts {
 		room = room || need.Within(h.Free)
-		if t.FailedOn != "" && h.Target.Host == t.FailedOn && len(p.hosts) > 1 {
-			continue
-		}
-		if !need.Within(h.Free) || !h.suits(s) || (s.Label != "" && !slices.Contains(h.Target.Labels, s.Label)) {
-			continue
-		}
-		if s.MaxPerHost > 0 && placed[h]+h.Target.RunsOfStep(j.ID, t.Occurrence, t.Step) >= s.MaxPerHost {
-			continue
-		}
-		if (best == nil || better(h, best)) && (r.Permitted == nil || r.Permitted(j, t, h.Target, p.hosts)) {
+		switch {
+		case !need.Within(h.Free) || !h.takes(j, t, s, placed[h]):
+		case t.FailedOn != "" && h.Target.Host == t.FailedOn:
+			failed = h
+		case (best == nil || better(s, h, best)) && permitted(h):
 			best = h
 		}
 	}
 	if !room && len(p.full) < maxFull {
 		p.full = append(p.full, need)
 	}
+	if best == nil && failed != nil && permitted(failed) &&
+		(len(p.hosts) == 1 || failed.Penalty == 0 || r.NowMS-t.StartedMS >= failedPauseMS) {
+		return failed
+	}
 	return best
 }
+
+// takes reports whether a host with room may run a task of a step, of which
+// this plan has placed some there already.
+func (h *Host) takes(j *work.Job, t *work.Task, s *work.Step, placed int) bool {
+	return h.suits(s) && (s.Label == "" || slices.Contains(h.Target.Labels, s.Label)) &&
+		(s.MaxPerHost == 0 || placed+h.Target.RunsOfStep(j.ID, t.Occurrence, t.Step) < s.MaxPerHost)
+}
+
+// better reports whether a suits a task of a step better than b.
+func better(s *work.Step, a, b *Host) bool {
+	if a.Penalty != b.Penalty {
+		return a.Penalty < b.Penalty
+	}
+	if s.DataRack != "" && (a.Target.Rack == s.DataRack) != (b.Target.Rack == s.DataRack) {
+		return a.Target.Rack == s.DataRack
+	}
+	if a.Free.MilliCPU != b.Free.MilliCPU {
+		return a.Free.MilliCPU < b.Free.MilliCPU
+	}
+	return a.Target.ID < b.Target.ID
+}
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -127,6 +127,21 @@
 		Expect(plan(2000, js, host("a", "", 500))).To(HaveLen(1))
 	})
 
+	It("repeats a failed task on the same host once no other has room", func() {
+		// Guards against a task that never runs again, since the other hosts of its
+		// pool are full for good.
+		js := jobs(job("j", "/urgent/", step(1, 100)))
+		js[0].Tasks[0].FailedOn, js[0].Tasks[0].StartedMS = "ha", 10_000
+		at := func(nowMS int64, failures int) []work.Start {
+			a, b := host("a", "", 500), host("b", "", 50)
+			a.Target.Host, a.Penalty = "ha", failures
+			return plan(nowMS, js, a, b)
+		}
+		Expect(at(12_000, 1)).To(BeEmpty())
+		Expect(at(12_000, 0)).To(HaveLen(1), "other runs were done there since")
+		Expect(at(13_000, 1)).To(HaveLen(1))
+	})
+
 	It("starts a gang whole or not at all", func() {
 		// Guards against members that hold room while they wait for the others.
 		g := step(3, 1000)
