Log what becomes of configurations, and the part of the demand that is late

Each one now has a line with its version, size, duration and error, and a histogram. The lines on pool sizes tell how much of the running and waiting work belongs to jobs that miss their objective in any case.

--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"slices"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 
 	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/leader"
@@ -102,9 +105,36 @@
 	return &link.Answer{Code: link.Done}, nil
 }
 
-// Configure accepts a configuration. Errors: those of leaderHere, or of
-// replica.Group.
+// Configure accepts a configuration. Errors: *fault.Invalid, or those of
+// leaderHere or replica.Group.
 func (c *Core) Configure(ctx context.Context, cfg *work.Configuration) error {
+	started := time.Now()
+	err := cfg.Check()
+	if err == nil {
+		err = c.configure(ctx, cfg)
+	}
+	took := time.Since(started)
+	var notLeader *fault.NotLeader
+	if errors.As(err, &notLeader) {
+		return err // the leader logs what becomes of it
+	}
+	line, result := c.cfg.Log.Info(), "accepted"
+	if err != nil {
+		line, result = c.cfg.Log.Warn().Err(err), "not accepted"
+	}
+	configureSeconds[result].Update(took.Seconds())
+	line.Uint64("version", cfg.Version).Int("queues", len(cfg.Queues)).Int("bytes", len(cfg.Document)).
+		Dur("took", took).Msg("configuration " + result)
+	return err
+}
+
+// configureSeconds holds how long configurations take, by their result.
+var configureSeconds = map[string]*metrics.Histogram{
+	"accepted":     metrics.GetOrCreateHistogram(`agatehaven_configure_seconds{result="accepted"}`),
+	"not accepted": metrics.GetOrCreateHistogram(`agatehaven_configure_seconds{result="not_accepted"}`),
+}
+
+func (c *Core) configure(ctx context.Context, cfg *work.Configuration) error {
 	l, err := c.leaderHere()
 	if err != nil {
 		return err
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"agatehaven.dev/agatehaven/internal/poolsize"
+	"agatehaven.dev/agatehaven/internal/schedule"
 	"agatehaven.dev/agatehaven/internal/work"
 )
 
@@ -408,7 +409,8 @@
 	}
 	for _, p := range demand {
 		l.log.Info().Str("pool", p.Name).Int("hosts", count[p.Name]).Int("movable", movable[p.Name]).
-			Int64("running_mcpu", p.Running).Int64("waiting_mcpu", p.Waiting).Float64("arriving_mcpu", p.Arriving).Float64("rising_mcpu", p.Rising).
+			Int64("running_mcpu", p.Running).Int64("waiting_mcpu", p.Waiting).
+			Int64("missed_running_mcpu", p.MissedRunning).Int64("missed_waiting_mcpu", p.MissedWaiting).Float64("arriving_mcpu", p.Arriving).Float64("rising_mcpu", p.Rising).
 			Int("spread", p.Spread).Int("moves", moves).Msg("pool size")
 	}
 }
@@ -430,6 +432,7 @@
 		if p == nil || j.State.Final() {
 			continue
 		}
+		missed := schedule.ProspectOf(j, l.now().UnixMilli(), l.learned.expect) > schedule.InTime
 		for i := range j.Tasks {
 			t := &j.Tasks[i]
 			step := &j.Spec.Steps[t.Step]
@@ -440,9 +443,15 @@
 				// leases end.
 				if on := v.Targets[t.Target]; on != nil && l.heard(on) && !away[on.DataCentre] {
 					p.Running += cpu
+					if missed {
+						p.MissedRunning += cpu
+					}
 				}
 			case !t.Done && j.Ready(t):
 				p.Waiting += cpu
+				if missed {
+					p.MissedWaiting += cpu
+				}
 			}
 			if !step.Lasting && !t.Done {
 				durations[j.Pool].add(float64(l.learned.expect(j, t.Step))/1000, float64(cpu))
--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -14,6 +14,9 @@
 	Standby bool
 	// Running and Waiting are what runs and what could start now.
 	Running, Waiting int64
+	// MissedRunning and MissedWaiting are the parts of them that belong to jobs
+	// which miss their objective in any case.
+	MissedRunning, MissedWaiting int64
 	// Arriving is the work that arrives each second, in thousandths of a
 	// core-second.
 	Arriving float64
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -68,13 +68,27 @@
 type urgency struct {
 	job      *work.Job
 	priority int
-	// rank is 0 for lasting work, 1 for jobs that can still meet their
-	// objective, 2 for those that can still be of use, 3 for the rest.
-	rank int
+	rank     Prospect
 	// latest is when the job has to go on to meet its objective, in Unix ms.
 	latest int64
 }
 
+// Prospect is what the caller of a job can still expect. Jobs are served in
+// this order.
+type Prospect int
+
+// Prospects of jobs.
+const (
+	// Lasting jobs run until they are cancelled.
+	Lasting Prospect = iota
+	// InTime jobs can still meet their objective.
+	InTime
+	// Late jobs can still end while their result counts.
+	Late
+	// Overdue jobs are done only because they were accepted.
+	Overdue
+)
+
 // lateFactor is how many times the objective a late result still counts.
 const lateFactor = 3
 
@@ -128,6 +142,12 @@
 	return p
 }
 
+// ProspectOf returns what the caller of a job can expect at a time in Unix ms.
+func ProspectOf(j *work.Job, nowMS int64, duration func(j *work.Job, step int) int64) Prospect {
+	r := Request{NowMS: nowMS, Duration: duration}
+	return r.rank(j).rank
+}
+
 // rank tells how urgent a job is.
 func (r *Request) rank(j *work.Job) urgency {
 	u := urgency{job: j, priority: j.Priority}
@@ -139,11 +159,11 @@
 	u.latest = j.SubmittedMS + objective - rest
 	switch {
 	case r.NowMS <= u.latest:
-		u.rank = 1
+		u.rank = InTime
 	case r.NowMS+rest <= j.SubmittedMS+lateFactor*objective:
-		u.rank = 2
+		u.rank = Late
 	default:
-		u.rank = 3
+		u.rank = Overdue
 		u.latest = j.SubmittedMS
 	}
 	return u
