Commit commands of any length, in parts of a log entry each

Cause: a log entry may have 1 MiB, the control address takes 4 MiB, and an entry holds a configuration twice, as written and as records. The bounds of the layers did not follow from each other, and no test passed a long configuration through all of them.

Ruled out: late delivery (the refusal comes at once, from the leader itself) and missing processor time (0.14 of a core of 0.62). Raising the bound was decided against: an entry of 7 MiB needs 300 ms on a link of 200 Mbit/s, which holds up heartbeats and exceeds the 400 ms of one delivery, so that the group would commit nothing any more.

A leader now proposes a longer command in parts of 256 KiB. A later leader continues none of them, and at most eight are incomplete at a time. A configuration is carried on when its operator stops waiting, so that the next attempt finds it in force.

The leader's test failed before: the stand-in of the log refuses long entries now, as the log does.

--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -139,7 +139,8 @@
 	if err != nil {
 		return err
 	}
-	result, err := l.Propose(ctx, &work.Command{Configure: cfg})
+	// An operator who stops waiting asks again; the change is then in force.
+	result, err := l.Propose(context.WithoutCancel(ctx), &work.Command{Configure: cfg})
 	if err != nil {
 		return err
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -54,6 +54,9 @@
 	confirmValid = 600 * time.Millisecond
 	// proposeTimeout bounds the wait for a commit. Slow disks take up to 1 s.
 	proposeTimeout = 3 * time.Second
+	// partBytes bounds the log entry of a command. One that is longer would hold
+	// up the heartbeats and commits behind it on a link of 200 Mbit/s.
+	partBytes = 256 << 10
 	// fenceSessions is how many sessions with targets a term can open.
 	fenceSessions = 1 << 20
 	// clockSlow is by how much a target's clock may be slow.
@@ -71,6 +74,8 @@
 	// confirmed is the Unix time in ns of the start of the last proof.
 	confirmed atomic.Int64
 	elected   time.Time
+	// uploads counts the commands that were proposed in parts.
+	uploads atomic.Uint64
 
 	// planning is held from a decision about hosts or starts to its commit, so
 	// that no two decisions use the same room.
@@ -182,7 +187,7 @@
 	return at != 0 && age >= 0 && age < confirmValid
 }
 
-// Propose commits a command. Errors are those of replica.Group; a refusal by
+// Propose commits a command of any length. Errors are those of replica.Group; a refusal by
 // the state machine is in the result.
 func (l *Leader) Propose(ctx context.Context, c *work.Command) (*work.Result, error) {
 	c.NowMS = l.now().UnixMilli()
@@ -190,6 +195,33 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(data) > partBytes {
+		return l.proposeParts(ctx, c.NowMS, data)
+	}
+	return l.proposeEntry(ctx, data)
+}
+
+// proposeParts commits a command that is too long for one log entry in parts.
+func (l *Leader) proposeParts(ctx context.Context, nowMS int64, data []byte) (*work.Result, error) {
+	upload := l.uploads.Add(1)
+	for offset := 0; ; {
+		end := min(len(data), offset+partBytes)
+		part, err := codec.Marshal(&work.Command{NowMS: nowMS, Part: &work.Part{
+			Upload: upload, Offset: offset, Bytes: len(data), Data: data[offset:end],
+		}})
+		if err != nil {
+			return nil, err
+		}
+		result, err := l.proposeEntry(ctx, part)
+		if err != nil || result.Err != nil || end == len(data) {
+			return result, err
+		}
+		offset = end
+	}
+}
+
+// proposeEntry commits one log entry.
+func (l *Leader) proposeEntry(ctx context.Context, data []byte) (*work.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	started := l.now()
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -1,6 +1,8 @@
 package leader_test
 
 import (
+	"bytes"
+	"context"
 	"math/rand/v2"
 	"strconv"
 	"strings"
@@ -11,6 +13,7 @@
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"agatehaven.dev/agatehaven/internal/replica"
 	"agatehaven.dev/agatehaven/internal/work"
 )
 
@@ -348,6 +351,25 @@
 	})
 }
 
+// Guards against a valid configuration that is refused for good because it is
+// longer than one log entry may be.
+func TestConfigurationLongerThanALogEntryIsAccepted(t *testing.T) {
+	play(t, func(w *world) {
+		l, stop := w.lead(2)
+		defer stop()
+		long := &work.Configuration{Version: 2, Document: bytes.Repeat([]byte("route "), replica.MaxProposalBytes/2)}
+		for i := range 10_000 {
+			n := strconv.Itoa(i)
+			long.Queues = append(long.Queues, work.Queue{Name: "q" + n, Domain: "d", Prefix: "/" + n + "/", Pool: "desk", TimeoutMS: 3000})
+		}
+		result, err := l.Propose(context.Background(), &work.Command{Configure: long})
+		g := NewWithT(t)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(result.Err).NotTo(HaveOccurred())
+		g.Expect(w.machine.Configuration()).To(Equal(long))
+	})
+}
+
 // Answers a data centre that is cut off as another queue's turn begins: what
 // ran on the silent hosts needs no room in their pool until its leases end, so
 // the idle hosts of that pool serve the turn.
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -117,6 +117,9 @@
 
 // Propose implements replica.Group.
 func (w *world) Propose(ctx context.Context, data []byte) (any, error) {
+	if len(data) > replica.MaxProposalBytes {
+		return nil, &fault.LimitExceeded{What: "proposal bytes", Limit: replica.MaxProposalBytes}
+	}
 	select {
 	case <-ctx.Done():
 		return nil, &fault.ProposalUnknown{}
--- a/internal/work/apply.go
+++ b/internal/work/apply.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"sync"
 
 	"agatehaven.dev/agatehaven/internal/codec"
@@ -46,6 +47,7 @@
 	Waves    map[int64]*Wave    `cbor:"6,keyasint,omitempty"`
 	// Finished lists final jobs in the order of their end.
 	Finished []string `cbor:"7,keyasint,omitempty"`
+	Uploads  uploads  `cbor:"8,keyasint,omitempty"`
 
 	// live holds the jobs with open or active tasks.
 	live map[string]*Job
@@ -105,6 +107,16 @@
 	if err := codec.UnmarshalStrict(e.Data, &c); err != nil {
 		return replica.Refusal(err, &Result{Err: err})
 	}
+	if c.Part != nil {
+		whole, err := m.addPart(e.Term, c.Part)
+		if whole == nil {
+			return &Result{Err: err}
+		}
+		c = Command{}
+		if err := codec.UnmarshalStrict(whole, &c); err != nil {
+			return replica.Refusal(err, &Result{Err: err})
+		}
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	result := m.state.apply(&c)
@@ -118,6 +130,13 @@
 	return result
 }
 
+// addPart returns the whole command with its last part.
+func (m *Machine) addPart(term uint64, p *Part) ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.Uploads.add(term, p)
+}
+
 // Snapshot implements replica.StateMachine.
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.RLock()
@@ -487,7 +506,7 @@
 		return &Result{}
 	}
 	if len(w.Hosts) > MaxHosts {
-		return &Result{Err: &fault.LimitExceeded{What: "hosts of a wave", Limit: MaxHosts}}
+		return &Result{Err: &fault.Invalid{Field: "hosts of a wave", Reason: "too many", Allowed: "up to " + strconv.Itoa(MaxHosts)}}
 	}
 	w.StartedMS = s.NowMS
 	w.Ordered, w.Begun, w.Returned = map[string]int64{}, map[string]int64{}, map[string]bool{}
--- a/internal/work/command.go
+++ b/internal/work/command.go
@@ -20,6 +20,18 @@
 	// WaveSteps are applied one by one; the result has the first error.
 	WaveSteps []WaveStep `cbor:"13,keyasint,omitempty"`
 	Reports   []Report   `cbor:"14,keyasint,omitempty"`
+	Part      *Part      `cbor:"15,keyasint,omitempty"`
+}
+
+// Part is a piece of an encoded command that is too long for one log entry.
+// The last part carries the command out.
+type Part struct {
+	// Upload names the command among those of one leader, in rising order.
+	Upload uint64 `cbor:"1,keyasint"`
+	// Offset is where Data begins, and Bytes the length of the whole command.
+	Offset int    `cbor:"2,keyasint,omitempty"`
+	Bytes  int    `cbor:"3,keyasint"`
+	Data   []byte `cbor:"4,keyasint"`
 }
 
 // HostOrder is an order for a host that a holder is about to send.
--- a/internal/work/work_test.go
+++ b/internal/work/work_test.go
@@ -314,6 +314,57 @@
 	})
 })
 
+var _ = Describe("a command in parts", func() {
+	whole := func(version uint64) []byte {
+		data, err := codec.Marshal(&work.Command{Configure: &work.Configuration{Version: version}})
+		Expect(err).NotTo(HaveOccurred())
+		return data
+	}
+	// part proposes a part in a term.
+	part := func(r *region, term, upload uint64, data []byte, from, to int) error {
+		GinkgoHelper()
+		r.index++
+		encoded, err := codec.Marshal(&work.Command{Part: &work.Part{Upload: upload, Offset: from, Bytes: len(data), Data: data[from:to]}})
+		Expect(err).NotTo(HaveOccurred())
+		return r.Apply(replica.Entry{Index: r.index, Term: term, Data: encoded}).(*work.Result).Err
+	}
+
+	It("takes effect with its last part, also after a snapshot in between", func() {
+		// Guards against a long configuration that a restart tears apart.
+		r, data := newRegion(), whole(7)
+		Expect(part(r, 1, 1, data, 0, 5)).To(Succeed())
+		Expect(part(r, 1, 2, whole(8), 0, 3)).To(Succeed(), "another one in between")
+		Expect(r.Configuration().Version).To(Equal(uint64(1)))
+		snapshot, err := r.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		again := newRegion()
+		Expect(again.Restore(snapshot)).To(Succeed())
+		for _, replica := range []*region{r, again} {
+			Expect(part(replica, 1, 1, data, 5, len(data))).To(Succeed())
+			Expect(replica.Configuration().Version).To(Equal(uint64(7)))
+		}
+	})
+
+	It("is not continued by a later leader, nor without its first part", func() {
+		// Guards against a command that is put together from those of two leaders.
+		r, data := newRegion(), whole(7)
+		Expect(part(r, 1, 1, data, 0, 5)).To(Succeed())
+		Expect(part(r, 2, 1, data, 5, len(data))).NotTo(Succeed())
+		Expect(part(r, 2, 3, data, 5, len(data))).NotTo(Succeed())
+		Expect(r.Configuration().Version).To(Equal(uint64(1)))
+	})
+
+	It("gives way to newer ones if it is never completed", func() {
+		// Guards against uploads that fill the memory of every replica.
+		r, data := newRegion(), whole(7)
+		for n := range uint64(work.MaxUploads + 1) {
+			Expect(part(r, 1, n+1, data, 0, 5)).To(Succeed())
+		}
+		Expect(part(r, 1, 1, data, 5, len(data))).NotTo(Succeed())
+		Expect(part(r, 1, 2, data, 5, len(data))).To(Succeed())
+	})
+})
+
 var _ = Describe("a wave", func() {
 	It("never has more hosts down than allowed, and is complete only once all have begun", func() {
 		// Guards against maintenance that takes more capacity than promised.
