Let a backlog that is late give its hosts to work that can be in time

The queue whose turn began at 22 s had 2 of 49 hosts until 31 s.

The backlog of the first burst, 6 to 9 million millicores of which 0.95 belonged to jobs that missed their objective in any case, kept 42 hosts until it was done.

Pools now tell apart what work that can be in time needs, which is given hosts first. While a pool lacks hosts for it, pools with late work want as many fewer. Without such a lack the backlog keeps its hosts. The test of the turn failed before.

The decision also tells what CPU each pool can have, for the order of jobs.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -45,6 +45,8 @@
 	stale  bool
 	// spare holds the hosts that no pool needs.
 	spare map[string]bool
+	// potential is the CPU that each pool can have, in thousandths of a core.
+	potential map[string]int64
 	// logged is when the sizes of the pools were logged.
 	logged time.Time
 	// away holds the data centres that were cut off at awayAt.
@@ -257,6 +259,7 @@
 		demand, hosts := l.demand(v), l.sizeable(v)
 		decision := poolsize.Plan(poolsize.Default(), demand, hosts)
 		moves, l.fleet.spare = l.boundIdle(v, decision.Moves), decision.Spare
+		l.fleet.potential = decision.Potential
 		l.closeHosts(decision.Closing)
 		l.logSizes(demand, hosts, len(moves))
 	})
--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -71,11 +71,12 @@
 	Reason         string
 }
 
-// need is how many hosts a pool lacks, or has too many if it is negative.
+// need is how many hosts a pool has, and should have.
 type need struct {
 	pool  *Pool
 	hosts int
-	want  int
+	// due is for work that can be in time, want for all work.
+	due, want int
 }
 
 // Decision is what to do now.
@@ -86,6 +87,9 @@
 	Closing map[string]bool
 	// Spare holds the hosts that can move and that no pool needs.
 	Spare map[string]bool
+	// Potential is the CPU of the hosts that each pool can have, in thousandths of
+	// a core: all but those that others need for work that can be in time.
+	Potential map[string]int64
 }
 
 // Plan compares the pools' demand with their hosts.
@@ -113,12 +117,61 @@
 	}
 	for _, n := range order {
 		n.want = p.want(n.pool, size)
+		n.due = min(n.want, p.want(n.pool.withoutMissed(), size))
 	}
+	potential := potential(order, needs, size)
+	giveUp(order, needs, standby)
 	closing := closeSurplus(order, hosts)
 	moves := p.assign(order, needs, hosts, standby)
-	return Decision{Moves: moves, Closing: closing, Spare: spare(needs, hosts, moves)}
+	return Decision{Moves: moves, Closing: closing, Spare: spare(needs, hosts, moves), Potential: potential}
 }
 
+func potential(order []*need, needs map[string]*need, size int64) map[string]int64 {
+	total, due := 0, 0
+	for _, n := range needs {
+		total += n.hosts
+	}
+	for _, n := range order {
+		due += n.due
+	}
+	out := map[string]int64{}
+	for _, n := range order {
+		out[n.pool.Name] = int64(max(n.hosts, total-(due-n.due))) * size
+	}
+	return out
+}
+
+// withoutMissed returns the demand of jobs that can be in time.
+func (p *Pool) withoutMissed() *Pool {
+	due := *p
+	due.Running -= p.MissedRunning
+	due.Waiting -= p.MissedWaiting
+	return &due
+}
+
+// giveUp lets pools want fewer hosts for work that is late in any case, as many
+// as others lack for work that can be in time. A backlog would otherwise keep
+// its hosts until it is done, and the next queue's work would be late as well.
+func giveUp(order []*need, needs map[string]*need, standby string) {
+	short := 0
+	for _, n := range order {
+		short += max(0, n.due-n.hosts) - max(0, n.hosts-n.want)
+	}
+	if off := needs[standby]; off != nil {
+		short -= off.hosts
+	}
+	for ; short > 0; short-- {
+		most := slices.MaxFunc(order, func(a, b *need) int { return cmp.Compare(a.givable(), b.givable()) })
+		if most.givable() <= 0 {
+			return
+		}
+		most.want = min(most.want, most.hosts) - 1
+	}
+}
+
+// givable returns how many hosts a pool has for work that is late.
+func (n *need) givable() int { return min(n.hosts, n.want) - n.due }
+
 // spare returns the hosts that are left after the moves to pools that lack
 // some: those on standby, and as many of each pool as it has too many.
 func spare(needs map[string]*need, hosts []Host, moves []Move) map[string]bool {
@@ -191,7 +244,8 @@
 }
 
 // assign gives idle hosts of pools with too many, and then those on standby,
-// to the pools that lack the largest share.
+// to the pools that lack the largest share: first of what their work in time
+// needs, then of what all their work needs.
 func (p Policy) assign(order []*need, needs map[string]*need, hosts []Host, standby string) []Move {
 	free := slices.Clone(hosts)
 	slices.SortFunc(free, func(a, b Host) int {
@@ -217,10 +271,12 @@
 		return n != nil && !n.pool.Standby && n.hosts > n.want
 	}
 	off := func(h *Host) bool { return h.Pool == standby }
-	for {
-		worst := mostLacking(order)
-		if worst == nil || (!take(worst, surplus) && !take(worst, off)) {
-			break
+	for _, target := range []func(n *need) int{dueOf, wantOf} {
+		for {
+			worst := mostLacking(order, target)
+			if worst == nil || (!take(worst, surplus) && !take(worst, off)) {
+				break
+			}
 		}
 	}
 	if standby == "" {
@@ -237,12 +293,15 @@
 	return moves
 }
 
-// mostLacking returns the pool with the smallest share of what it wants.
-func mostLacking(order []*need) *need {
+func dueOf(n *need) int  { return n.due }
+func wantOf(n *need) int { return n.want }
+
+// mostLacking returns the pool with the smallest share of its target.
+func mostLacking(order []*need, target func(n *need) int) *need {
 	var worst *need
-	share := func(n *need) float64 { return float64(n.hosts) / float64(n.want) }
+	share := func(n *need) float64 { return float64(n.hosts) / float64(target(n)) }
 	for _, n := range order {
-		if n.hosts < n.want && (worst == nil || share(n) < share(worst)) {
+		if n.hosts < target(n) && (worst == nil || share(n) < share(worst)) {
 			worst = n
 		}
 	}
--- a/internal/poolsize/poolsize_test.go
+++ b/internal/poolsize/poolsize_test.go
@@ -122,4 +122,41 @@
 		Expect(to(d, "desk")).To(Equal(1))
 		Expect(to(d, "cuts")).To(Equal(5))
 	})
+
+	It("takes hosts from a backlog that is late in any case for a turn that can be in time", func() {
+		// Guards against a burst whose backlog keeps all hosts until it is done,
+		// while the work of the next queue's turn becomes late as well.
+		backlog := poolsize.Pool{Running: 1200 * core, Waiting: 8000 * core, MissedRunning: 1100 * core, MissedWaiting: 7800 * core}
+		turn := poolsize.Pool{Running: 60 * core, Waiting: 500 * core}
+		full := append(hosts("desk", 42, busy), hosts("cuts", 3, busy)...)
+		d := poolsize.Plan(poolsize.Default(), pools(backlog, turn), full)
+		Expect(d.Moves).To(BeEmpty(), "no host is idle yet")
+		Expect(d.Closing).To(HaveLen(17)) // 560 cores need 20 hosts of 32 that fill to 0.9
+		for i := range full {
+			if d.Closing[full[i].Name] {
+				full[i].Movable, full[i].Load = true, 0
+			}
+		}
+		d = poolsize.Plan(poolsize.Default(), pools(backlog, turn), full)
+		Expect(to(d, "cuts")).To(Equal(17))
+		Expect(to(d, "desk")).To(BeZero())
+	})
+
+	It("leaves a backlog its hosts while no other pool lacks them", func() {
+		// Guards against hosts that idle beside work that was accepted.
+		backlog := poolsize.Pool{Running: 600 * core, Waiting: 8000 * core, MissedRunning: 600 * core, MissedWaiting: 8000 * core}
+		d := poolsize.Plan(poolsize.Default(), pools(backlog, poolsize.Pool{Running: 20 * core}),
+			append(append(hosts("desk", 20, busy), hosts("cuts", 1, busy)...), hosts("off", 5, nil)...))
+		Expect(d.Closing).To(BeEmpty())
+		Expect(to(d, "desk")).To(Equal(5))
+	})
+
+	It("gives the last hosts on standby to work that can be in time", func() {
+		// Guards against a large backlog that comes before a small turn, as it lacks
+		// the larger share.
+		backlog := poolsize.Pool{Running: 600 * core, Waiting: 8000 * core, MissedRunning: 600 * core, MissedWaiting: 8000 * core}
+		d := poolsize.Plan(poolsize.Default(), pools(backlog, poolsize.Pool{Running: 60 * core, Waiting: 100 * core}),
+			append(append(hosts("desk", 20, busy), hosts("cuts", 3, busy)...), hosts("off", 3, nil)...))
+		Expect(to(d, "cuts")).To(Equal(3))
+	})
 })
