Serve in an overload some jobs whole instead of all in part

Callers saw: after hosts had followed the demand, three quarters of the jobs of a burst were late all the same.

With more work than hosts each job then waits until it can only just be in time, gets a step done, and is late with the next one. This is how earliest-deadline order is known to fail under overload.

A plan now goes through the jobs in the order of their acceptance, those that have begun first, and postpones those that the hosts that their pool can have cannot end in time. Postponed jobs still come before late ones, and no host idles for them. The remaining time of steps that run counts what has passed.

--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"math"
 	"time"
 
 	"agatehaven.dev/agatehaven/internal/schedule"
@@ -87,7 +88,7 @@
 	l.cfg.Machine.Read(func(v *work.View) {
 		r := &schedule.Request{
 			NowMS: l.now().UnixMilli(), MaxStarts: maxStarts, Duration: l.learned.expect,
-			Permitted: l.permitted,
+			Permitted: l.permitted, Capacity: l.capacity,
 		}
 		l.forgetPermits(v)
 		disturbs := false // some task may disturb, or be disturbed by, others on its host
@@ -103,6 +104,15 @@
 	return starts
 }
 
+// capacity returns the CPU that a pool can have. The mutex is held. Before the
+// first look at the hosts nothing is known to be out of reach.
+func (l *Leader) capacity(pool string) int64 {
+	if cpu, ok := l.fleet.potential[pool]; ok {
+		return cpu
+	}
+	return math.MaxInt64
+}
+
 // usable returns the targets of a pool that may take new runs. What runs on
 // them is looked at if some tasks disturb others.
 func (l *Leader) usable(v *work.View, pool string, disturbs bool) []*schedule.Host {
--- /dev/null
+++ b/internal/schedule/overload_test.go
@@ -0,0 +1,158 @@
+package schedule_test
+
+import (
+	"strconv"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatehaven.dev/agatehaven/internal/codec"
+	"agatehaven.dev/agatehaven/internal/replica"
+	"agatehaven.dev/agatehaven/internal/schedule"
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+// Times and sizes of the simulated pool.
+const (
+	simTickMS = 50
+	simTaskMS = 1000
+	simHosts  = 4
+	simSlots  = 8 // tasks that fit on a host
+	// simObjectiveMS is 1.6 times the two steps, and 600 ms more.
+	simObjectiveMS = 3800
+)
+
+// pool simulates hosts that run jobs of two steps of four tasks.
+type pool struct {
+	machine *work.Machine
+	index   uint64
+	nowMS   int64
+	jobs    int
+	ends    map[work.RunRef]int64
+	number  map[string]int64 // of the last end, by target
+}
+
+func newPool() *pool {
+	p := &pool{machine: work.New(), nowMS: 1_000_000, ends: map[work.RunRef]int64{}, number: map[string]int64{}}
+	p.do(&work.Command{Configure: &work.Configuration{
+		Version: 1, Pools: []work.Pool{{Name: "desk"}},
+		Queues: []work.Queue{{Name: "q", Domain: "d", Prefix: "/q/", Pool: "desk", Attempts: 2, Stretch: 1.6, SlackMS: 600}},
+	}})
+	for i := range simHosts {
+		n := strconv.Itoa(i)
+		p.do(&work.Command{Register: &work.Target{
+			ID: n, Born: 1, Host: n, Pool: "desk", Address: n, Room: work.Demand{MilliCPU: simSlots * 1000},
+		}})
+	}
+	return p
+}
+
+func (p *pool) do(c *work.Command) *work.Result {
+	GinkgoHelper()
+	p.index++
+	c.NowMS = p.nowMS
+	data, err := codec.Marshal(c)
+	Expect(err).NotTo(HaveOccurred())
+	result := p.machine.Apply(replica.Entry{Index: p.index, Term: 1, Data: data}).(*work.Result)
+	Expect(result.Err).NotTo(HaveOccurred())
+	return result
+}
+
+// tick submits jobs, ends the runs whose time is over, and starts what is
+// planned. Every third task takes half as long again as expected.
+func (p *pool) tick(jobs int) {
+	GinkgoHelper()
+	p.nowMS += simTickMS
+	for range jobs {
+		p.jobs++
+		second := step(4, 1000)
+		second.After = []int{0}
+		p.do(&work.Command{Submit: &work.Submission{
+			ID: strconv.Itoa(p.jobs), Domain: "d", Path: "/q/", Spec: work.Spec{Steps: []work.Step{step(4, 1000), second}},
+		}})
+	}
+	reports := map[string]*work.Report{}
+	p.machine.Read(func(v *work.View) {
+		for r, at := range p.ends {
+			if at > p.nowMS {
+				continue
+			}
+			delete(p.ends, r)
+			_, t := v.Find(r.Task)
+			if reports[t.Target] == nil {
+				reports[t.Target] = &work.Report{Target: t.Target}
+			}
+			p.number[t.Target]++
+			reports[t.Target].Ends = append(reports[t.Target].Ends, work.End{Number: p.number[t.Target], Run: r, Outcome: work.OutcomeDone})
+		}
+	})
+	for _, r := range reports {
+		p.do(&work.Command{Reports: []work.Report{*r}})
+	}
+	if starts := p.plan(); len(starts) > 0 {
+		for i, s := range p.do(&work.Command{Start: starts}).Started {
+			took := int64(simTaskMS * 8 / 10)
+			if i%3 == 0 {
+				took = simTaskMS * 14 / 10
+			}
+			p.ends[work.RunRef{Task: s.Task, Run: s.Run}] = p.nowMS + took
+		}
+	}
+}
+
+func (p *pool) plan() (starts []work.Start) {
+	p.machine.Read(func(v *work.View) {
+		r := &schedule.Request{
+			NowMS: p.nowMS, MaxStarts: 1000, Duration: func(*work.Job, int) int64 { return simTaskMS },
+			Capacity: func(string) int64 { return simHosts * simSlots * 1000 },
+			Hosts: func(string) (hosts []*schedule.Host) {
+				for _, t := range v.Targets {
+					hosts = append(hosts, &schedule.Host{Target: t, Free: v.Free(t)})
+				}
+				return hosts
+			},
+		}
+		for _, j := range v.Live {
+			r.Jobs = append(r.Jobs, j)
+		}
+		starts = schedule.Plan(r)
+	})
+	return starts
+}
+
+// inTime counts the jobs that were done within their objective.
+func (p *pool) inTime() (n int) {
+	for i := range p.jobs {
+		if f, ok := p.machine.Finished(strconv.Itoa(i + 1)); ok && f.TookMS <= simObjectiveMS {
+			n++
+		}
+	}
+	return n
+}
+
+var _ = Describe("a pool", func() {
+	It("serves in a burst of twice its capacity most of what it can serve in time", func() {
+		// Guards against a burst in which hosts work all the time and nearly every
+		// job is late.
+		p := newPool()
+		const seconds, jobsPerSecond = 15, 8 // hosts can end 4 jobs a second
+		for range seconds {
+			for tick := range 1000 / simTickMS {
+				jobs := 0
+				if tick%2 == 0 && tick < 2*jobsPerSecond {
+					jobs = 1
+				}
+				p.tick(jobs)
+			}
+		}
+		for range 40 * 1000 / simTickMS {
+			p.tick(0)
+		}
+		Expect(p.jobs).To(Equal(seconds * jobsPerSecond))
+		Expect(p.inTime()).To(BeNumerically(">=", 7*seconds*4/10), "seven tenths of what the hosts can end")
+		for i := range p.jobs {
+			state, _ := p.machine.JobState(strconv.Itoa(i + 1))
+			Expect(state).To(Equal(work.Completed), "accepted work is done, also when it is late")
+		}
+	})
+})
--- /dev/null
+++ b/internal/schedule/postpone.go
@@ -0,0 +1,90 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+const (
+	// usableShare is the share of the hosts that tasks of mixed sizes can use.
+	usableShare = 0.9
+	// reserveShare is the part of a job's remaining duration that is kept in
+	// reserve, since durations vary by a factor of about 1.6.
+	reserveShare = 0.3
+)
+
+// postpone puts jobs behind those that can be in time if the hosts that their
+// pool can have cannot end them in time beside the jobs that were accepted before. Otherwise
+// an overload lets all jobs wait until they can only just be in time, and most
+// of them are late: each gets a part of its work done, few get all of it.
+func (r *Request) postpone(order []urgency) {
+	candidates := map[string][]*urgency{}
+	for i := range order {
+		if u := &order[i]; u.rank == InTime {
+			candidates[u.job.Pool] = append(candidates[u.job.Pool], u)
+		}
+	}
+	if len(candidates) == 0 || r.Capacity == nil {
+		return
+	}
+	taken := r.running(candidates)
+	for name, jobs := range candidates {
+		capacity := usableShare * float64(r.Capacity(name))
+		slices.SortFunc(jobs, func(a, b *urgency) int {
+			return cmp.Or(cmp.Compare(a.turn(), b.turn()), cmp.Compare(a.job.Sequence, b.job.Sequence))
+		})
+		ahead := taken[name]
+		for _, u := range jobs {
+			reserve := reserveShare * float64(u.rest)
+			if !u.job.Begun() && float64(r.NowMS)+reserve+ahead/max(1, capacity) > float64(u.latest) {
+				u.rank = Postponed
+				continue
+			}
+			ahead += r.waitingWork(u.job)
+		}
+	}
+}
+
+// running returns what the runs on the hosts of each pool still take, in
+// thousandths of a core times ms.
+func (r *Request) running(pools map[string][]*urgency) map[string]float64 {
+	sums := map[string]float64{}
+	for _, j := range r.Jobs {
+		if pools[j.Pool] == nil || j.Spec.Lasting() || !j.Begun() {
+			continue
+		}
+		for i := range j.Tasks {
+			t := &j.Tasks[i]
+			if t.Active() {
+				d := r.Duration(j, t.Step)
+				left := max(d-(r.NowMS-t.StartedMS), d/leastRemaining)
+				sums[j.Pool] += float64(left * j.Spec.Steps[t.Step].Reserved().MilliCPU)
+			}
+		}
+	}
+	return sums
+}
+
+// waitingWork returns the work of a job that was not started, in thousandths of
+// a core times ms.
+func (r *Request) waitingWork(j *work.Job) float64 {
+	sum := 0.0
+	for i := range j.Spec.Steps {
+		waiting := j.Spec.Steps[i].Tasks
+		if j.Begun() {
+			waiting = j.Unstarted(0, i)
+		}
+		sum += float64(int64(waiting) * r.Duration(j, i) * j.Spec.Steps[i].Reserved().MilliCPU)
+	}
+	return sum
+}
+
+// turn is 0 for jobs that have begun, which come first.
+func (u *urgency) turn() int {
+	if u.job.Begun() {
+		return 0
+	}
+	return 1
+}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -60,6 +60,9 @@
 	Permitted func(j *work.Job, t *work.Task, target *work.Target, hosts []*Host) bool
 	pools     map[string]*pool
 
+	// Capacity returns what a pool can have, in thousandths of a core: its hosts
+	// and those that other pools do not need.
+	Capacity func(pool string) int64
 	// Duration returns the expected duration of a task in ms.
 	Duration func(j *work.Job, step int) int64
 }
@@ -71,6 +74,17 @@
 	rank     Prospect
 	// latest is when the job has to go on to meet its objective, in Unix ms.
 	latest int64
+	// rest is the expected longest chain of work that is not done, in ms.
+	rest int64
+}
+
+// by orders jobs of one prospect: the most urgent first. Of postponed jobs those
+// with most time left come first, since they are the likeliest to be in time.
+func (u *urgency) by() int64 {
+	if u.rank == Postponed {
+		return -u.latest
+	}
+	return u.latest
 }
 
 // Prospect is what the caller of a job can still expect. Jobs are served in
@@ -83,6 +97,8 @@
 	Lasting Prospect = iota
 	// InTime jobs can still meet their objective.
 	InTime
+	// Postponed jobs could, but not beside the jobs accepted before them.
+	Postponed
 	// Late jobs can still end while their result counts.
 	Late
 	// Overdue jobs are done only because they were accepted.
@@ -100,11 +116,12 @@
 			order = append(order, r.rank(j))
 		}
 	}
+	r.pools = map[string]*pool{}
+	r.postpone(order)
 	slices.SortFunc(order, func(a, b urgency) int {
 		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.rank, b.rank),
-			cmp.Compare(a.latest, b.latest), cmp.Compare(a.job.Sequence, b.job.Sequence))
+			cmp.Compare(a.by(), b.by()), cmp.Compare(a.job.Sequence, b.job.Sequence))
 	})
-	r.pools = map[string]*pool{}
 	var starts []work.Start
 	for _, u := range order {
 		starts = r.planJob(u.job, starts)
@@ -156,7 +173,7 @@
 	}
 	chain, rest := r.chains(j)
 	objective := int64(j.Stretch*float64(chain)) + j.SlackMS
-	u.latest = j.SubmittedMS + objective - rest
+	u.latest, u.rest = j.SubmittedMS+objective-rest, rest
 	switch {
 	case r.NowMS <= u.latest:
 		u.rank = InTime
@@ -181,14 +198,29 @@
 			open[i] = max(open[i], open[before])
 		}
 		ends[i] += d
-		if !j.StepDone(0, i) {
-			open[i] += d
-		}
+		open[i] += r.remaining(j, i, d)
 		whole, rest = max(whole, ends[i]), max(rest, open[i])
 	}
 	return whole, rest
 }
 
+// remaining returns how long a step of a job still takes, if its tasks take d
+// ms. Tasks that run have done a part of it, though none is sure to end at once.
+func (r *Request) remaining(j *work.Job, step int, d int64) int64 {
+	if j.StepDone(0, step) {
+		return 0
+	}
+	started, all := j.StepStarted(0, step)
+	if !all {
+		return d
+	}
+	return max(d-(r.NowMS-started), d/leastRemaining)
+}
+
+// leastRemaining is the part of its expected duration that a run is expected to
+// go on for when it has exceeded it.
+const leastRemaining = 4
+
 // planJob adds the starts of a job's tasks that fit.
 func (r *Request) planJob(j *work.Job, starts []work.Start) []work.Start {
 	for k := range max(1, j.Spec.Occurrences) {
--- a/internal/work/queries.go
+++ b/internal/work/queries.go
@@ -194,6 +194,37 @@
 	return true
 }
 
+// StepStarted returns when the last task of a step that is not done was started,
+// in ms of the leader's clock, and whether all of them run.
+func (j *Job) StepStarted(occurrence, step int) (lastMS int64, all bool) {
+	first := j.position(TaskRef{j.ID, occurrence, step, 0})
+	for i := range j.Spec.Steps[step].Tasks {
+		t := &j.Tasks[first+i]
+		switch {
+		case t.Done:
+		case !t.Active():
+			return 0, false
+		default:
+			lastMS = max(lastMS, t.StartedMS)
+		}
+	}
+	return lastMS, true
+}
+
+// Unstarted counts the tasks of a step that are neither done nor running.
+func (j *Job) Unstarted(occurrence, step int) int {
+	first, n := j.position(TaskRef{j.ID, occurrence, step, 0}), 0
+	for i := range j.Spec.Steps[step].Tasks {
+		if t := &j.Tasks[first+i]; !t.Done && !t.Active() {
+			n++
+		}
+	}
+	return n
+}
+
+// Begun reports whether a run of the job has been started.
+func (j *Job) Begun() bool { return j.State != Queued }
+
 // Startable returns the tasks of a step that wait for a run. A gang starts
 // again only after all its members have ended.
 func (j *Job) Startable(occurrence, step int) []*Task {
