Give a lasting task that no host takes another host

Cause: pools were sized by CPU alone. The pool had 50 of 64 cores free, but its two hosts ran fill-in work, beside which no task that serves is placed; so it wanted no further host. The host in maintenance meanwhile waited for its other task of the same step, whose budget the first one used up.

A plan now tells which pools have a lasting task that no host takes although one has the CPU. After half a second such a pool wants one empty host more than it uses.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -414,7 +414,7 @@
 		l.log.Info().Str("pool", p.Name).Int("hosts", count[p.Name]).Int("movable", movable[p.Name]).
 			Int64("running_mcpu", p.Running).Int64("waiting_mcpu", p.Waiting).
 			Int64("missed_running_mcpu", p.MissedRunning).Int64("missed_waiting_mcpu", p.MissedWaiting).Float64("arriving_mcpu", p.Arriving).Float64("rising_mcpu", p.Rising).
-			Int("spread", p.Spread).Int("moves", moves).Msg("pool size")
+			Int("spread", p.Spread).Bool("unplaced", p.Unplaced).Int("moves", moves).Msg("pool size")
 	}
 }
 
@@ -467,6 +467,8 @@
 	for name, p := range index {
 		p.Arriving, p.Rising = l.arrivals.rate(name)
 		p.DurationS = durations[name].value()
+		since, unplaced := l.unplaced[name]
+		p.Unplaced = unplaced && l.now().Sub(since) >= unplacedPause
 	}
 	return pools
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -89,6 +89,8 @@
 	wake     wakeup
 	learned  durations
 	arrivals arrivals
+	// unplaced holds since when pools have tasks that no host takes.
+	unplaced map[string]time.Time
 	permits  permits
 	reports  *ring.Ring[pendingReport]
 }
@@ -135,6 +137,7 @@
 		cfg: cfg, term: term, log: cfg.Log.With().Uint64("term", term).Logger(),
 		sessions: map[string]*session{}, contacts: map[string]*contact{}, wake: make(wakeup, 1),
 		planning: make(planLock, 1), fleet: newFleet(), learned: newDurations(), permits: newPermits(), reports: newReports(),
+		unplaced: map[string]time.Time{},
 	}
 }
 
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -413,6 +413,30 @@
 	})
 }
 
+// Guards against a lasting task that never runs, since the hosts of its pool have
+// CPU enough for it but run what would disturb it.
+func TestLastingTaskThatNoHostTakesGetsAnotherHost(t *testing.T) {
+	play(t, func(w *world) {
+		w.add("a", "ha", "1:1", "desk").duration = 0
+		for i := range 3 {
+			n := strconv.Itoa(i)
+			w.add("c"+n, "hc"+n, "2:"+n, "cuts").duration = 0
+		}
+		_, stop := w.lead(2)
+		defer stop()
+		after(time.Second)
+		fill, serve := lasting(1), lasting(1)
+		fill.FillIn, serve.TailTargetMS = true, 40
+		w.submit("fill", "/draw/", fill)
+		after(time.Second)
+		w.submit("serve", "/draw/", serve)
+		after(6 * time.Second)
+		g := NewWithT(t)
+		g.Expect(w.state("fill")).To(Equal(work.Running))
+		g.Expect(w.state("serve")).To(Equal(work.Running))
+	})
+}
+
 // Guards against maintenance that ends running work, interrupts two tasks of
 // a step at once, or never ends.
 func TestWaveMaintainsHostsWithLastingTasks(t *testing.T) {
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -100,10 +100,30 @@
 		}
 		r.Hosts = func(pool string) []*schedule.Host { return l.usable(v, pool, disturbs) }
 		starts = schedule.Plan(r)
+		l.noteUnplaced(r.Unplaced)
 	})
 	return starts
 }
 
+// unplacedPause is how long a lasting task waits for a host that takes it before
+// its pool gets another one: other tasks end meanwhile.
+const unplacedPause = 500 * time.Millisecond
+
+// noteUnplaced notes since when pools have lasting tasks that no host takes for
+// another reason than its CPU. The mutex is held.
+func (l *Leader) noteUnplaced(pools map[string]bool) {
+	for name := range l.unplaced {
+		if !pools[name] {
+			delete(l.unplaced, name)
+		}
+	}
+	for name := range pools {
+		if _, known := l.unplaced[name]; !known {
+			l.unplaced[name] = l.now()
+		}
+	}
+}
+
 // capacity returns the CPU that a pool can have. The mutex is held. Before the
 // first look at the hosts nothing is known to be out of reach.
 func (l *Leader) capacity(pool string) int64 {
--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -26,6 +26,9 @@
 	DurationS float64
 	// Spread is the least number of hosts that lasting work needs.
 	Spread int
+	// Unplaced is set if a lasting task waits that no host takes for another reason
+	// than its CPU, such as memory or what runs beside it.
+	Unplaced bool
 }
 
 // Host is one host. Hosts that are away count for the pool that they join.
@@ -75,6 +78,8 @@
 type need struct {
 	pool  *Pool
 	hosts int
+	// used counts the hosts on which something runs.
+	used int
 	// due is for work that can be in time, want for all work.
 	due, want int
 }
@@ -113,11 +118,18 @@
 	for _, h := range hosts {
 		if n := needs[h.Pool]; n != nil && !h.Reserved {
 			n.hosts++
+			if h.Load > 0 || h.Lasting {
+				n.used++
+			}
 		}
 	}
 	for _, n := range order {
 		n.want = p.want(n.pool, size)
 		n.due = min(n.want, p.want(n.pool.withoutMissed(), size))
+		if n.pool.Unplaced {
+			// An empty host takes what the others do not.
+			n.want, n.due = max(n.want, n.used+1), max(n.due, n.used+1)
+		}
 	}
 	potential := potential(order, needs, size)
 	giveUp(order, needs, standby)
--- a/internal/poolsize/poolsize_test.go
+++ b/internal/poolsize/poolsize_test.go
@@ -1,6 +1,7 @@
 package poolsize_test
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 
@@ -159,4 +160,16 @@
 			append(append(hosts("desk", 20, busy), hosts("cuts", 3, busy)...), hosts("off", 3, nil)...))
 		Expect(to(d, "cuts")).To(Equal(3))
 	})
+
+	It("adds one empty host for a task that no host takes though CPU is left", func() {
+		// Guards against a lasting task that never runs again, since its pool has
+		// CPU enough but no host with the memory, or without work that disturbs it.
+		one := poolsize.Pool{Running: 14 * core, Waiting: 2 * core, Unplaced: true}
+		used := hosts("desk", 2, func(_ int, h *poolsize.Host) { h.Movable, h.Load, h.Lasting = false, 7*core, true })
+		Expect(to(poolsize.Plan(poolsize.Default(), pools(one, poolsize.Pool{}), append(slices.Clone(used), hosts("off", 3, nil)...)), "desk")).To(Equal(1))
+		coming := append(slices.Clone(used), hosts("desk", 1, func(_ int, h *poolsize.Host) { h.Name, h.Movable = "new", false })...)
+		d := poolsize.Plan(poolsize.Default(), pools(one, poolsize.Pool{}), append(coming, hosts("off", 3, nil)...))
+		Expect(to(d, "desk")).To(BeZero(), "it is on its way")
+		Expect(d.Closing["new"]).To(BeFalse())
+	})
 })
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -59,6 +59,9 @@
 	// hosts, by an outside policy.
 	Permitted func(j *work.Job, t *work.Task, target *work.Target, hosts []*Host) bool
 	pools     map[string]*pool
+	// Unplaced is set by a plan for the pools that have a lasting task which no
+	// host takes, though one has the CPU for it. Other tasks soon make room.
+	Unplaced map[string]bool
 
 	// Capacity returns what a pool can have, in thousandths of a core: its hosts
 	// and those that other pools do not need.
@@ -116,7 +119,7 @@
 			order = append(order, r.rank(j))
 		}
 	}
-	r.pools = map[string]*pool{}
+	r.pools, r.Unplaced = map[string]*pool{}, map[string]bool{}
 	r.postpone(order)
 	slices.SortFunc(order, func(a, b urgency) int {
 		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.rank, b.rank),
@@ -292,6 +295,9 @@
 	if !room && len(p.full) < maxFull {
 		p.full = append(p.full, need)
 	}
+	if s.Lasting && best == nil && failed == nil && slices.ContainsFunc(p.hosts, func(h *Host) bool { return need.MilliCPU <= h.Free.MilliCPU }) {
+		r.Unplaced[j.Pool] = true
+	}
 	if best == nil && failed != nil && permitted(failed) &&
 		(len(p.hosts) == 1 || failed.Penalty == 0 || r.NowMS-t.StartedMS >= failedPauseMS) {
 		return failed
