--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -116,7 +116,8 @@
 	took := time.Since(started)
 	var notLeader *fault.NotLeader
 	if errors.As(err, &notLeader) {
-		return err // the leader logs what becomes of it
+		c.cfg.Log.Info().Uint64("version", cfg.Version).Str("leader", notLeader.Leader).Msg("configuration redirected")
+		return err
 	}
 	line, result := c.cfg.Log.Info(), "accepted"
 	if err != nil {
