Carry out operators' orders through each host of the core

A redirect spends two of three hosts on one attempt, so that only the frozen former leader was left, at a second an attempt. The class of fault: the confirmation of something durable depended on one host and on one answer, though each replica knows it.

A host that does not lead now forwards orders to the leader, waits for the next one during an election, and confirms by itself what its replica has applied: an applied entry is committed, so no leader is needed to know that. A host without a leader for 2 s refuses at once, so that the operator asks elsewhere. Waves are treated alike.

--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -4,9 +4,6 @@
 	"context"
 	"errors"
 	"slices"
-	"time"
-
-	"github.com/VictoriaMetrics/metrics"
 
 	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/leader"
@@ -45,6 +42,7 @@
 func (c *Core) answerOf(err error) *link.Answer {
 	var notLeader *fault.NotLeader
 	var notFound *fault.NotFound
+	var invalid *fault.Invalid
 	var limit *fault.LimitExceeded
 	var unavailable *fault.Unavailable
 	switch {
@@ -56,6 +54,8 @@
 		return &link.Answer{Code: link.NoQueue, Reason: err.Error()}
 	case errors.As(err, &notFound):
 		return &link.Answer{Code: link.NoJob, Reason: err.Error()}
+	case errors.As(err, &invalid):
+		return &link.Answer{Code: link.Invalid, Reason: err.Error()}
 	case errors.As(err, &limit):
 		return &link.Answer{Code: link.Refused, RetryAfterMS: retryAfterMS, Reason: err.Error()}
 	case errors.As(err, &unavailable):
@@ -105,49 +105,6 @@
 	return &link.Answer{Code: link.Done}, nil
 }
 
-// Configure accepts a configuration. Errors: *fault.Invalid, or those of
-// leaderHere or replica.Group.
-func (c *Core) Configure(ctx context.Context, cfg *work.Configuration) error {
-	started := time.Now()
-	err := cfg.Check()
-	if err == nil {
-		err = c.configure(ctx, cfg)
-	}
-	took := time.Since(started)
-	var notLeader *fault.NotLeader
-	if errors.As(err, &notLeader) {
-		c.cfg.Log.Info().Uint64("version", cfg.Version).Str("leader", notLeader.Leader).Msg("configuration redirected")
-		return err
-	}
-	line, result := c.cfg.Log.Info(), "accepted"
-	if err != nil {
-		line, result = c.cfg.Log.Warn().Err(err), "not accepted"
-	}
-	configureSeconds[result].Update(took.Seconds())
-	line.Uint64("version", cfg.Version).Int("queues", len(cfg.Queues)).Int("bytes", len(cfg.Document)).
-		Dur("took", took).Msg("configuration " + result)
-	return err
-}
-
-// configureSeconds holds how long configurations take, by their result.
-var configureSeconds = map[string]*metrics.Histogram{
-	"accepted":     metrics.GetOrCreateHistogram(`agatehaven_configure_seconds{result="accepted"}`),
-	"not accepted": metrics.GetOrCreateHistogram(`agatehaven_configure_seconds{result="not_accepted"}`),
-}
-
-func (c *Core) configure(ctx context.Context, cfg *work.Configuration) error {
-	l, err := c.leaderHere()
-	if err != nil {
-		return err
-	}
-	// An operator who stops waiting asks again; the change is then in force.
-	result, err := l.Propose(context.WithoutCancel(ctx), &work.Command{Configure: cfg})
-	if err != nil {
-		return err
-	}
-	return result.Err
-}
-
 // Announce takes an announcement of a target.
 func (c *Core) Announce(ctx context.Context, a *leader.Announcement) error {
 	l, err := c.leaderHere()
@@ -166,15 +123,6 @@
 	return l.Leave(ctx, id)
 }
 
-// StartWave records a maintenance wave.
-func (c *Core) StartWave(ctx context.Context, w *work.Wave) error {
-	l, err := c.leaderHere()
-	if err != nil {
-		return err
-	}
-	return l.StartWave(ctx, w)
-}
-
 // Step implements link.Handler.
 func (c *Core) Step(_ context.Context, r *link.StepRequest) (*link.Empty, error) {
 	for _, m := range r.Messages {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -79,6 +79,8 @@
 
 	mu      sync.Mutex
 	leading *leader.Leader
+	// leaderless is since when no leader is known, zero if one is.
+	leaderless time.Time
 }
 
 // logicalTime is the source of the entries' timestamps. The state machine
@@ -177,6 +179,7 @@
 	for {
 		changed := c.replica.Changed()
 		s := c.replica.Status()
+		c.noteLeader(s)
 		leads := s.Role == replica.RoleLeader
 		if term != 0 && (!leads || s.Term != term) {
 			stop()
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 
 	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/work"
 )
 
 const (
@@ -59,14 +60,16 @@
 // *fault.Unavailable if nothing was sent, *fault.ConnectionLost if the effect
 // is unknown.
 type Client struct {
-	host    string
-	submit  *connect.Client[SubmitRequest, Answer]
-	cancel  *connect.Client[Subject, Answer]
-	look    *connect.Client[Subject, Answer]
-	count   *connect.Client[Subject, Answer]
-	members *connect.Client[Empty, Members]
-	step    *connect.Client[StepRequest, Empty]
-	join    *connect.Client[JoinRequest, Answer]
+	host      string
+	submit    *connect.Client[SubmitRequest, Answer]
+	cancel    *connect.Client[Subject, Answer]
+	look      *connect.Client[Subject, Answer]
+	count     *connect.Client[Subject, Answer]
+	configure *connect.Client[work.Configuration, Answer]
+	startWave *connect.Client[work.Wave, Answer]
+	members   *connect.Client[Empty, Members]
+	step      *connect.Client[StepRequest, Empty]
+	join      *connect.Client[JoinRequest, Answer]
 }
 
 func newClient(c *http.Client, host, address string) *Client {
@@ -74,7 +77,9 @@
 		host:   host,
 		submit: procedure[SubmitRequest, Answer](c, address, "Submit"), cancel: procedure[Subject, Answer](c, address, "Cancel"),
 		look: procedure[Subject, Answer](c, address, "Look"), count: procedure[Subject, Answer](c, address, "Count"),
-		members: procedure[Empty, Members](c, address, "Members"), step: procedure[StepRequest, Empty](c, address, "Step"),
+		configure: procedure[work.Configuration, Answer](c, address, "Configure"),
+		startWave: procedure[work.Wave, Answer](c, address, "StartWave"),
+		members:   procedure[Empty, Members](c, address, "Members"), step: procedure[StepRequest, Empty](c, address, "Step"),
 		join: procedure[JoinRequest, Answer](c, address, "Join"),
 	}
 }
@@ -119,6 +124,16 @@
 	return call(ctx, c, c.count, s)
 }
 
+// Configure implements Handler.
+func (c *Client) Configure(ctx context.Context, cfg *work.Configuration) (*Answer, error) {
+	return call(ctx, c, c.configure, cfg)
+}
+
+// StartWave implements Handler.
+func (c *Client) StartWave(ctx context.Context, w *work.Wave) (*Answer, error) {
+	return call(ctx, c, c.startWave, w)
+}
+
 // Members implements Handler.
 func (c *Client) Members(ctx context.Context, e *Empty) (*Members, error) {
 	return call(ctx, c, c.members, e)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -29,6 +29,8 @@
 	NoJob Code = "no_job"
 	// Refused jobs never run. RetryAfterMS tells when to try again.
 	Refused Code = "refused"
+	// Invalid orders are never carried out.
+	Invalid Code = "invalid"
 )
 
 // Answer settles a call of an entry host.
@@ -89,6 +91,10 @@
 	Look(ctx context.Context, s *Subject) (*Answer, error)
 	// Count returns how many jobs of a queue have not begun.
 	Count(ctx context.Context, s *Subject) (*Answer, error)
+	// Configure accepts a configuration.
+	Configure(ctx context.Context, cfg *work.Configuration) (*Answer, error)
+	// StartWave records a maintenance wave.
+	StartWave(ctx context.Context, w *work.Wave) (*Answer, error)
 	// Members returns where the core is.
 	Members(ctx context.Context, e *Empty) (*Members, error)
 	// Step takes raft messages.
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -40,6 +40,8 @@
 	handle(mux, "Cancel", h.Cancel, options)
 	handle(mux, "Look", h.Look, options)
 	handle(mux, "Count", h.Count, options)
+	handle(mux, "Configure", h.Configure, options)
+	handle(mux, "StartWave", h.StartWave, options)
 	handle(mux, "Members", h.Members, options)
 	handle(mux, "Step", h.Step, options)
 	handle(mux, "Join", h.Join, options)
