Close the log's file when a replica cannot start

What operators would see: a replica whose new disk is full is started again once a second, and each start keeps a file open. With 4,096 descriptors the process has none left after an hour, so it does not recover when the disk has room.

Cause: wal.Open created a segment, failed to write its header and returned without closing it.

The test of the new disk failed before. A second test opens a log whose disk filled up at a record or at a segment's header, 200 sizes, five starts each; it passed before, which rules out that a torn header is taken for damage.

--- a/internal/testsupport/faultfs/faultfs.go
+++ b/internal/testsupport/faultfs/faultfs.go
@@ -33,6 +33,8 @@
 	durable map[string]*node // names as of the last SyncDir of their directory
 	failIn  map[Op]int
 	syncs   int
+	full    bool
+	open    int // files
 	// generation invalidates files that were open at a crash.
 	generation int
 }
@@ -57,6 +59,21 @@
 	f.failIn[op] = n + 1
 }
 
+// SetFull makes every write fail until it is called with false. A failing
+// write stores half of its data.
+func (f *FS) SetFull(full bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.full = full
+}
+
+// OpenFiles returns how many files are open.
+func (f *FS) OpenFiles() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.open
+}
+
 // Syncs returns the number of file syncs.
 func (f *FS) Syncs() int {
 	f.mu.Lock()
@@ -161,7 +178,7 @@
 	defer f.mu.Unlock()
 	n := &node{}
 	f.files[path] = n
-	return &file{fs: f, node: n, generation: f.generation}, nil
+	return f.opened(n), nil
 }
 
 // OpenAppend implements wal.FS.
@@ -172,7 +189,12 @@
 	if !ok {
 		return nil, missing(path)
 	}
-	return &file{fs: f, node: n, generation: f.generation}, nil
+	return f.opened(n), nil
+}
+
+func (f *FS) opened(n *node) *file {
+	f.open++
+	return &file{fs: f, node: n, generation: f.generation}
 }
 
 // ReadFile implements wal.FS.
@@ -275,7 +297,11 @@
 	if err := h.stale(); err != nil {
 		return 0, err
 	}
-	if err := h.fs.fail(OpWrite); err != nil {
+	err := h.fs.fail(OpWrite)
+	if h.fs.full {
+		err = &fault.Unavailable{What: "disk", Reason: "it is full"}
+	}
+	if err != nil {
 		h.node.data = append(h.node.data, p[:len(p)/2]...)
 		return len(p) / 2, err
 	}
@@ -299,4 +325,9 @@
 }
 
 // Close implements wal.File.
-func (*file) Close() error { return nil }
+func (h *file) Close() error {
+	h.fs.mu.Lock()
+	defer h.fs.mu.Unlock()
+	h.fs.open--
+	return nil
+}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -134,6 +134,9 @@
 	}
 	state, err := w.replay(sequences)
 	if err != nil {
+		if w.file != nil {
+			_ = w.file.Close() // the first error tells more
+		}
 		return nil, State{}, err
 	}
 	return w, state, nil
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -156,6 +156,55 @@
 		Expect(fs.Syncs() - before).To(Equal(1))
 	})
 
+	It("opens again after a full disk, however often it was tried meanwhile", func() {
+		// Guards against a replica that never returns after its disk was full:
+		// each start with a full disk kept a file open, and a torn segment header
+		// must not be taken for damage.
+		for size := range 200 {
+			fs = faultfs.New()
+			w, _ := open(fs)
+			saved := entries(1, 1, 5, 700)
+			Expect(w.Save(&raft.HardState{Term: 1, Vote: "a#1"}, saved)).To(Succeed())
+			// The record meets the full disk, or the header of a segment after it.
+			fs.FailAfter(faultfs.OpWrite, size%2)
+			err := w.Save(nil, entries(1, 6, 6, 5*size))
+			fs.SetFull(true)
+			if err == nil {
+				Expect(w.Save(nil, entries(1, 7, 7, 300))).NotTo(Succeed())
+			}
+			_ = w.Close() // it reports the failed write again
+			Expect(fs.OpenFiles()).To(BeZero())
+			for range 5 {
+				if w, _, err := wal.Open(wal.Options{FS: fs, Dir: dir, SegmentBytes: 4096}); err == nil {
+					Expect(w.SaveSnapshot(snapshot(3, 1, 100))).NotTo(Succeed())
+					Expect(w.Save(nil, entries(1, 7, 7, 8))).NotTo(Succeed())
+					_ = w.Close() // it reports the failed write again
+				}
+				Expect(fs.OpenFiles()).To(BeZero())
+			}
+			fs.SetFull(false)
+			w, s := open(fs)
+			Expect(s.HardState).To(Equal(raft.HardState{Term: 1, Vote: "a#1"}))
+			Expect(s.Entries[:5]).To(Equal(saved))
+			last := uint64(len(s.Entries))
+			Expect(w.Save(nil, entries(2, last+1, last+1, 8))).To(Succeed())
+		}
+	})
+
+	It("closes its files when a new disk is full", func() {
+		// Guards against descriptors that run out while a replica is started
+		// again and again, so that it fails after the disk has room too.
+		fs.SetFull(true)
+		for range 3 {
+			_, _, err := wal.Open(wal.Options{FS: fs, Dir: dir})
+			Expect(err).To(HaveOccurred())
+			Expect(fs.OpenFiles()).To(BeZero())
+		}
+		fs.SetFull(false)
+		w, _ := open(fs)
+		Expect(w.Save(nil, entries(1, 1, 1, 8))).To(Succeed())
+	})
+
 	It("stays failed after a failed sync", func() {
 		// Guards against a later sync that succeeds although the data of the
 		// failed one was dropped by the operating system.
