Restart replicas in the core, and test full disks one after another

Not reproduced here. A replica stops at a failed write, and the process starts it again from its disk after a second, with its identity, vote and log; so it returns as the voter that it was.

The test fails without the restart.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -19,6 +19,7 @@
 	"agatehaven.dev/agatehaven/internal/link"
 	"agatehaven.dev/agatehaven/internal/outbound"
 	"agatehaven.dev/agatehaven/internal/replica"
+	"agatehaven.dev/agatehaven/internal/wal"
 	"agatehaven.dev/agatehaven/internal/work"
 )
 
@@ -54,6 +55,8 @@
 	// Bootstrap is set at the very first start of the region.
 	Bootstrap bool
 	Dir       string
+	// FS holds Dir. It defaults to the operating system's.
+	FS wal.FS
 	// Port is the port of the link on every host.
 	Port string
 	// Listen is the address on which this process serves the link, "" for its
@@ -104,7 +107,7 @@
 		}
 	}
 	r, err := replica.Start(ctx, replica.Config{
-		Group: group, Self: replica.Member{Host: cfg.Host}, Bootstrap: initial, Dir: cfg.Dir,
+		Group: group, Self: replica.Member{Host: cfg.Host}, Bootstrap: initial, Dir: cfg.Dir, FS: cfg.FS,
 		SnapshotEntries: snapshotEntries, SlowSync: slowSync, HLC: hlc.NewClock(logicalTime{}), Transport: c.sender,
 		Machine: c.machine, Logger: cfg.Log,
 	})
--- a/internal/core/orders_test.go
+++ b/internal/core/orders_test.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"net"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -16,6 +18,7 @@
 	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/leader"
 	"agatehaven.dev/agatehaven/internal/replica"
+	"agatehaven.dev/agatehaven/internal/testsupport/faultfs"
 	"agatehaven.dev/agatehaven/internal/work"
 )
 
@@ -30,23 +33,32 @@
 	stop context.CancelFunc
 }
 
-// startCore starts three processes of a core on loopback addresses that no
-// other test uses, and waits until one leads.
-func startCore() []*running {
+// loopback returns three addresses that no other test uses, and a free port.
+func loopback() (hosts []string, port string) {
 	network := fmt.Sprintf("127.%d.%d.", 64+rand.IntN(128), rand.IntN(256))
 	listener, err := net.Listen("tcp", network+"1:0")
 	Expect(err).NotTo(HaveOccurred())
-	_, port, err := net.SplitHostPort(listener.Addr().String())
+	_, port, err = net.SplitHostPort(listener.Addr().String())
 	Expect(err).NotTo(HaveOccurred())
 	Expect(listener.Close()).To(Succeed())
-	seeds := []string{network + "1", network + "2", network + "3"}
+	return []string{network + "1", network + "2", network + "3"}, port
+}
+
+// coreConfig configures the process on hosts[i].
+func coreConfig(hosts []string, i int, port string) Config {
+	return Config{
+		Host: hosts[i], Name: hosts[i], Seeds: hosts, Bootstrap: true, Dir: GinkgoT().TempDir(), Port: port,
+		Platform: absent{}, Timing: leader.Timing{Announce: time.Second, MaxLease: time.Second}, Log: zerolog.Nop(),
+	}
+}
+
+// startCore starts three processes of a core and waits until one leads.
+func startCore() []*running {
+	seeds, port := loopback()
 	var out []*running
-	for _, host := range seeds {
+	for i := range seeds {
 		ctx, cancel := context.WithCancel(context.Background())
-		c, err := New(ctx, Config{
-			Host: host, Name: host, Seeds: seeds, Bootstrap: true, Dir: GinkgoT().TempDir(), Port: port,
-			Platform: absent{}, Timing: leader.Timing{Announce: time.Second, MaxLease: time.Second}, Log: zerolog.Nop(),
-		})
+		c, err := New(ctx, coreConfig(seeds, i, port))
 		Expect(err).NotTo(HaveOccurred())
 		done := make(chan struct{})
 		go func() {
@@ -171,3 +183,59 @@
 		Expect(former.replica.Status().Role).To(Equal(replica.RoleLeader))
 	})
 })
+
+// supervised is a process of the core whose disk can be full.
+type supervised struct {
+	disk    *faultfs.FS
+	running atomic.Pointer[Core]
+}
+
+var _ = Describe("full disks", func() {
+	It("one after another leave a core that carries out orders", func() {
+		// Guards against orders that are refused after the last disk has room
+		// again, while all processes run: each spell ends a replica, which has to
+		// return before the next one.
+		seeds, port := loopback()
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		DeferCleanup(func() { cancel(); wg.Wait() })
+		processes := make([]*supervised, len(seeds))
+		for i := range seeds {
+			p := &supervised{disk: faultfs.New()}
+			cfg := coreConfig(seeds, i, port)
+			cfg.FS = p.disk
+			wg.Go(func() { Supervise(ctx, cfg, p.running.Store) })
+			processes[i] = p
+		}
+		version := uint64(0)
+		accepts := func(p *supervised) func() error {
+			version++
+			cfg := configuration(version, 0)
+			return func() error {
+				c := p.running.Load()
+				if c == nil {
+					return &fault.Unavailable{What: "replica", Reason: "it is not running"}
+				}
+				return c.OrderConfiguration(context.Background(), cfg)
+			}
+		}
+		Eventually(accepts(processes[0]), "10s").Should(Succeed())
+		for range 2 {
+			for i, p := range processes {
+				p.disk.SetFull(true)
+				Eventually(accepts(processes[(i+1)%3]), "5s").Should(Succeed())
+				Eventually(p.running.Load, "5s").Should(BeNil())
+				p.disk.SetFull(false)
+				Eventually(p.running.Load, "5s").ShouldNot(BeNil())
+			}
+		}
+		for _, p := range processes {
+			Eventually(accepts(p), "5s").Should(Succeed())
+		}
+		Eventually(func(g Gomega) {
+			for _, p := range processes {
+				g.Expect(p.running.Load().machine.Configuration().Version).To(Equal(version))
+			}
+		}, "5s").Should(Succeed())
+	})
+})
