Confirm leaving targets through each host of the core

What targets would see: a target that drains has no confirmation while the leader's host is frozen, since each other host redirects it there, a second an attempt. It then ends while hosts still start work on it.

Announcements that a target drains, and the last message of a target, are forwarded as operators' orders are.

Found with it: a leader took the repetition of an announcement for an old one, and confirmed a draining whose commit had failed. It now leaves out only older ones.

Announcements are a type of the state's package now, so that the link can carry them.

--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -105,24 +105,6 @@
 	return &link.Answer{Code: link.Done}, nil
 }
 
-// Announce takes an announcement of a target.
-func (c *Core) Announce(ctx context.Context, a *leader.Announcement) error {
-	l, err := c.leaderHere()
-	if err != nil {
-		return err
-	}
-	return l.Announce(ctx, a)
-}
-
-// Leave takes the last message of a target.
-func (c *Core) Leave(ctx context.Context, id string) error {
-	l, err := c.leaderHere()
-	if err != nil {
-		return err
-	}
-	return l.Leave(ctx, id)
-}
-
 // Step implements link.Handler.
 func (c *Core) Step(_ context.Context, r *link.StepRequest) (*link.Empty, error) {
 	for _, m := range r.Messages {
--- a/internal/core/orders_test.go
+++ b/internal/core/orders_test.go
@@ -27,6 +27,13 @@
 
 func (absent) Hosts(context.Context) ([]leader.HostState, error) { return nil, nil }
 
+// unreachable are targets that answer nothing.
+type unreachable struct{ leader.Targets }
+
+func (unreachable) Hold(context.Context, leader.Address, *leader.HoldOrder) (*leader.Holding, error) {
+	return nil, &fault.Unavailable{What: "target", Reason: "it does not answer"}
+}
+
 // running is a process of the core in a test.
 type running struct {
 	*Core
@@ -48,7 +55,7 @@
 func coreConfig(hosts []string, i int, port string) Config {
 	return Config{
 		Host: hosts[i], Name: hosts[i], Seeds: hosts, Bootstrap: true, Dir: GinkgoT().TempDir(), Port: port,
-		Platform: absent{}, Timing: leader.Timing{Announce: time.Second, MaxLease: time.Second}, Log: zerolog.Nop(),
+		Platform: absent{}, Targets: unreachable{}, Timing: leader.Timing{Announce: time.Second, MaxLease: time.Second}, Log: zerolog.Nop(),
 	}
 }
 
--- a/internal/leader/announce.go
+++ b/internal/leader/announce.go
@@ -7,14 +7,6 @@
 	"agatehaven.dev/agatehaven/internal/work"
 )
 
-// Announcement is what a target says of itself.
-type Announcement struct {
-	Target work.Target
-	// Sequence rises with each announcement of a target.
-	Sequence int64
-	ClockMS  int64
-}
-
 const (
 	// announceMissed is after how many announcement intervals without one a
 	// target gets no new runs.
@@ -23,7 +15,7 @@
 
 // Announce takes an announcement. What it changes is committed before it
 // returns, so that it is known to the next leader once it is acknowledged.
-func (l *Leader) Announce(ctx context.Context, a *Announcement) error {
+func (l *Leader) Announce(ctx context.Context, a *work.Announcement) error {
 	key := a.Target.Key()
 	now := l.now()
 	l.mu.Lock()
@@ -32,7 +24,7 @@
 		c = &contact{}
 		l.contacts[key] = c
 	}
-	if c.sequence > 0 && a.Sequence <= c.sequence {
+	if a.Sequence < c.sequence {
 		l.mu.Unlock()
 		return nil
 	}
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -65,6 +65,28 @@
 	})
 }
 
+// Guards against a target's leave that is confirmed and not known to the next
+// leader: the first commit failed, and its repetition was taken for an old one.
+func TestRepeatedAnnouncementIsCommitted(t *testing.T) {
+	play(t, func(w *world) {
+		target := w.add("a", "ha", "1:1", "desk")
+		l, stop := w.lead(2)
+		defer stop()
+		after(4 * time.Second)
+		w.mu.Lock()
+		w.quorum, target.silent = false, true
+		a := &work.Announcement{Target: target.state, Sequence: w.seq + 100, ClockMS: target.clockMS()}
+		w.mu.Unlock()
+		a.Target.Draining = true
+		NewWithT(t).Expect(l.Announce(context.Background(), a)).NotTo(Succeed())
+		w.mu.Lock()
+		w.quorum = true
+		w.mu.Unlock()
+		NewWithT(t).Expect(l.Announce(context.Background(), a)).To(Succeed())
+		NewWithT(t).Expect(w.machine.Drains(a.Target.Key())).To(BeTrue())
+	})
+}
+
 // Guards against work that is never started again after its target went
 // silent: every unanswered hold extended the lease.
 func TestWorkOfASilentTargetStartsElsewhereOnceItsLeaseHasEnded(t *testing.T) {
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -185,11 +185,11 @@
 func (w *world) announceLoop(ctx context.Context, l *leader.Leader) {
 	for {
 		w.mu.Lock()
-		var all []*leader.Announcement
+		var all []*work.Announcement
 		for _, t := range w.targets {
 			if !t.silent && !t.dead {
 				w.seq++
-				all = append(all, &leader.Announcement{Target: t.state, Sequence: w.seq, ClockMS: t.clockMS()})
+				all = append(all, &work.Announcement{Target: t.state, Sequence: w.seq, ClockMS: t.clockMS()})
 			}
 		}
 		w.mu.Unlock()
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -67,6 +67,8 @@
 	count     *connect.Client[Subject, Answer]
 	configure *connect.Client[work.Configuration, Answer]
 	startWave *connect.Client[work.Wave, Answer]
+	announce  *connect.Client[work.Announcement, Answer]
+	leave     *connect.Client[LeaveRequest, Answer]
 	members   *connect.Client[Empty, Members]
 	step      *connect.Client[StepRequest, Empty]
 	join      *connect.Client[JoinRequest, Answer]
@@ -79,6 +81,8 @@
 		look: procedure[Subject, Answer](c, address, "Look"), count: procedure[Subject, Answer](c, address, "Count"),
 		configure: procedure[work.Configuration, Answer](c, address, "Configure"),
 		startWave: procedure[work.Wave, Answer](c, address, "StartWave"),
+		announce:  procedure[work.Announcement, Answer](c, address, "Announce"),
+		leave:     procedure[LeaveRequest, Answer](c, address, "Leave"),
 		members:   procedure[Empty, Members](c, address, "Members"), step: procedure[StepRequest, Empty](c, address, "Step"),
 		join: procedure[JoinRequest, Answer](c, address, "Join"),
 	}
@@ -134,6 +138,16 @@
 	return call(ctx, c, c.startWave, w)
 }
 
+// Announce implements Handler.
+func (c *Client) Announce(ctx context.Context, a *work.Announcement) (*Answer, error) {
+	return call(ctx, c, c.announce, a)
+}
+
+// Leave implements Handler.
+func (c *Client) Leave(ctx context.Context, r *LeaveRequest) (*Answer, error) {
+	return call(ctx, c, c.leave, r)
+}
+
 // Members implements Handler.
 func (c *Client) Members(ctx context.Context, e *Empty) (*Members, error) {
 	return call(ctx, c, c.members, e)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -81,6 +81,11 @@
 	Term   uint64   `cbor:"3,keyasint,omitempty"`
 }
 
+// LeaveRequest is the last message of a target.
+type LeaveRequest struct {
+	Target string `cbor:"1,keyasint"`
+}
+
 // Handler is what a process of the core serves.
 type Handler interface {
 	// Submit accepts a job durably.
@@ -95,6 +100,10 @@
 	Configure(ctx context.Context, cfg *work.Configuration) (*Answer, error)
 	// StartWave records a maintenance wave.
 	StartWave(ctx context.Context, w *work.Wave) (*Answer, error)
+	// Announce takes an announcement of a target.
+	Announce(ctx context.Context, a *work.Announcement) (*Answer, error)
+	// Leave takes the last message of a target.
+	Leave(ctx context.Context, r *LeaveRequest) (*Answer, error)
 	// Members returns where the core is.
 	Members(ctx context.Context, e *Empty) (*Members, error)
 	// Step takes raft messages.
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -42,6 +42,8 @@
 	handle(mux, "Count", h.Count, options)
 	handle(mux, "Configure", h.Configure, options)
 	handle(mux, "StartWave", h.StartWave, options)
+	handle(mux, "Announce", h.Announce, options)
+	handle(mux, "Leave", h.Leave, options)
 	handle(mux, "Members", h.Members, options)
 	handle(mux, "Step", h.Step, options)
 	handle(mux, "Join", h.Join, options)
--- a/internal/work/model.go
+++ b/internal/work/model.go
@@ -218,6 +218,14 @@
 	used Demand              // what they reserve
 }
 
+// Announcement is what a target says of itself.
+type Announcement struct {
+	Target Target `cbor:"1,keyasint"`
+	// Sequence rises with each announcement of a target.
+	Sequence int64 `cbor:"2,keyasint"`
+	ClockMS  int64 `cbor:"3,keyasint"` // its steady clock
+}
+
 // heldRun is a run that may be alive on a target.
 type heldRun struct {
 	number int
--- a/internal/work/queries.go
+++ b/internal/work/queries.go
@@ -164,6 +164,14 @@
 	return w != nil && w.Complete(), w != nil
 }
 
+// Drains reports whether a target is known to leave, or to have left.
+func (m *Machine) Drains(key string) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	t := m.state.Targets[key]
+	return t != nil && (t.Draining || t.Ended)
+}
+
 // View is a read-only look at the state.
 type View struct {
 	NowMS   int64
