Log the lasting tasks that are not at work for long

The log could not tell whether the state still holds the former run, or whether no host takes the task: each such task now has a line with what is known of its run, or with the reasons for which the hosts of its pool take no runs.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -91,6 +91,7 @@
 	arrivals arrivals
 	// unplaced holds since when pools have tasks that no host takes.
 	unplaced map[string]time.Time
+	starved  starved
 	permits  permits
 	reports  *ring.Ring[pendingReport]
 }
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -101,6 +101,7 @@
 		r.Hosts = func(pool string) []*schedule.Host { return l.usable(v, pool, disturbs) }
 		starts = schedule.Plan(r)
 		l.noteUnplaced(r.Unplaced)
+		l.logStarved(v)
 	})
 	return starts
 }
@@ -137,11 +138,9 @@
 // them is looked at if some tasks disturb others.
 func (l *Leader) usable(v *work.View, pool string, disturbs bool) []*schedule.Host {
 	var hosts []*schedule.Host
-	now := l.now()
 	away := l.awayDataCentres(v)
 	for key, t := range v.Targets {
-		if t.Pool != pool || t.Ended || t.Draining || v.Succeeds(t) || away[t.DataCentre] || !l.heard(t) ||
-			now.Before(l.contacts[key].avoidUntil) || l.fleet.reserved(t.Host) {
+		if t.Pool != pool || l.exclusion(v, key, t, away) != "" {
 			continue
 		}
 		h := &schedule.Host{Target: t, Free: v.Free(t), Penalty: l.contacts[key].failures}
--- /dev/null
+++ b/internal/leader/starved.go
@@ -0,0 +1,114 @@
+package leader
+
+import (
+	"time"
+
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+const (
+	// starvedAfter is how long a lasting task is without a run that is at work
+	// before it is logged: twice the time of a lease, in which most losses are
+	// made good.
+	starvedAfter = 2 * preferredLease
+	// starvedEvery is how often such tasks are looked for and logged again.
+	starvedEvery = 2 * time.Second
+	// starvedLines bounds the lines of one look.
+	starvedLines = 8
+)
+
+// starved holds since when lasting tasks are not at work.
+type starved struct {
+	looked time.Time
+	since  map[work.TaskRef]time.Time
+}
+
+// logStarved logs the lasting tasks that have not been at work for long, with
+// what became of their last run and which hosts of their pool take no runs. The
+// mutex is held.
+func (l *Leader) logStarved(v *work.View) {
+	now := l.now()
+	if now.Sub(l.starved.looked) < starvedEvery {
+		return
+	}
+	l.starved.looked = now
+	since := map[work.TaskRef]time.Time{}
+	lines := 0
+	for _, j := range v.Live {
+		if j.State.Final() || !j.Spec.Lasting() {
+			continue
+		}
+		for i := range j.Tasks {
+			t := &j.Tasks[i]
+			if l.atWork(j, t) {
+				continue
+			}
+			ref := j.Ref(t)
+			since[ref] = now
+			if before, known := l.starved.since[ref]; known {
+				since[ref] = before
+			}
+			if waited := now.Sub(since[ref]); waited >= starvedAfter && lines < starvedLines {
+				lines++
+				l.logStarvedTask(v, j, t, waited)
+			}
+		}
+	}
+	l.starved.since = since
+}
+
+func (l *Leader) logStarvedTask(v *work.View, j *work.Job, t *work.Task, waited time.Duration) {
+	line := l.log.Warn().Str("job", j.ID).Int("step", t.Step).Int("index", t.Index).Int("run", t.Run).Dur("waited", waited)
+	if t.Active() {
+		line.Str("target", t.Target)
+		if s := l.sessions[t.Target]; s != nil {
+			o := s.orders[work.RunRef{Task: j.Ref(t), Run: t.Run}]
+			line.Bool("silent", s.silent).Bool("replaced", s.replaced).Dur("answered_before", l.now().Sub(s.answered)).
+				Dur("lease_left", s.leaseEnd.Sub(l.now()))
+			if o != nil {
+				line.Bool("confirmed", !o.startedAt.IsZero()).Bool("stopped", !o.stoppedAt.IsZero()).
+					Bool("starting", o.starting).Bool("stopping", o.stopping)
+			}
+		}
+		line.Msg("lasting task is not at work")
+		return
+	}
+	hosts := map[string]int{}
+	need := j.Spec.Steps[t.Step].Reserved()
+	away := l.awayDataCentres(v)
+	for key, target := range v.Targets {
+		if target.Pool == j.Pool {
+			reason := l.exclusion(v, key, target, away)
+			if reason == "" {
+				reason = "takes it not"
+				if !need.Within(v.Free(target)) {
+					reason = "full"
+				}
+			}
+			hosts[reason]++
+		}
+	}
+	line.Str("pool", j.Pool).Interface("hosts", hosts).Msg("lasting task has no host")
+}
+
+// exclusion tells why a target takes no new runs, "" if it does. The mutex is
+// held.
+func (l *Leader) exclusion(v *work.View, key string, t *work.Target, away map[string]bool) string {
+	switch {
+	case t.Ended:
+		return "ended"
+	case t.Draining:
+		return "drains"
+	case v.Succeeds(t):
+		return "follows an earlier life"
+	case away[t.DataCentre]:
+		return "data centre is away"
+	case !l.heard(t):
+		return "silent"
+	case l.now().Before(l.contacts[key].avoidUntil):
+		return "set aside"
+	case l.fleet.reserved(t.Host):
+		return l.fleet.host(t.Host).reserved
+	}
+	return ""
+}
