--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -421,58 +421,72 @@
 // demand measures what the pools need. The mutex is held.
 func (l *Leader) demand(v *work.View) []poolsize.Pool {
 	pools := make([]poolsize.Pool, len(v.Config.Pools))
-	index := map[string]*poolsize.Pool{}
-	durations := map[string]*mean{}
+	index := map[string]*poolDemand{}
 	for i, p := range v.Config.Pools {
 		pools[i] = poolsize.Pool{Name: p.Name, Standby: p.Standby}
-		index[p.Name] = &pools[i]
-		durations[p.Name] = &mean{}
+		index[p.Name] = &poolDemand{Pool: &pools[i]}
 	}
+	now := l.now().UnixMilli()
 	away := l.awayDataCentres(v)
-	l.arrivals.add(v, l.now().UnixMilli(), l.learned.expect)
+	l.arrivals.add(v, now, l.learned.expect)
 	for _, j := range v.Live {
-		p := index[j.Pool]
-		if p == nil || j.State.Final() {
-			continue
-		}
-		missed := schedule.ProspectOf(j, l.now().UnixMilli(), l.learned.expect) > schedule.InTime
-		for i := range j.Tasks {
-			t := &j.Tasks[i]
-			step := &j.Spec.Steps[t.Step]
-			cpu := step.Reserved().MilliCPU
-			switch {
-			case t.Active():
-				// What runs on silent hosts needs no room on the others until its
-				// leases end.
-				if on := v.Targets[t.Target]; on != nil && l.heard(on) && !away[on.DataCentre] {
-					p.Running += cpu
-					if missed {
-						p.MissedRunning += cpu
-					}
-				}
-			case !t.Done && j.Ready(t):
-				p.Waiting += cpu
-				if missed {
-					p.MissedWaiting += cpu
-				}
-			}
-			if !step.Lasting && !t.Done {
-				durations[j.Pool].add(float64(l.learned.expect(j, t.Step))/1000, float64(cpu))
-			}
-			if step.Lasting && step.MaxPerHost > 0 {
-				p.Spread = max(p.Spread, (step.Tasks+step.MaxPerHost-1)/step.MaxPerHost)
+		if d := index[j.Pool]; d != nil && !j.State.Final() {
+			d.missed = schedule.ProspectOf(j, now, l.learned.expect) > schedule.InTime
+			for i := range j.Tasks {
+				d.add(l, v, j, &j.Tasks[i], away)
 			}
 		}
 	}
-	for name, p := range index {
-		p.Arriving, p.Rising = l.arrivals.rate(name)
-		p.DurationS = durations[name].value()
+	for name, d := range index {
+		d.Arriving, d.Rising = l.arrivals.rate(name)
+		d.DurationS = d.durations.value()
 		since, unplaced := l.unplaced[name]
-		p.Unplaced = unplaced && l.now().Sub(since) >= unplacedPause
+		d.Unplaced = unplaced && l.now().Sub(since) >= unplacedPause
 	}
 	return pools
 }
 
+// poolDemand adds up the demand of a pool.
+type poolDemand struct {
+	*poolsize.Pool
+	durations mean
+	// missed is set while the tasks of a job are added that misses its objective.
+	missed bool
+}
+
+// add adds a task. The leader's mutex is held.
+func (d *poolDemand) add(l *Leader, v *work.View, j *work.Job, t *work.Task, away map[string]bool) {
+	step := &j.Spec.Steps[t.Step]
+	cpu := step.Reserved().MilliCPU
+	switch {
+	case t.Active():
+		// What runs on silent hosts needs no room on the others until its leases
+		// end.
+		if on := v.Targets[t.Target]; on != nil && l.heard(on) && !away[on.DataCentre] {
+			d.Running += cpu
+			d.MissedRunning += d.ifMissed(cpu)
+		}
+	case !t.Done && j.Ready(t):
+		d.Waiting += cpu
+		d.MissedWaiting += d.ifMissed(cpu)
+	}
+	if !step.Lasting && !t.Done {
+		d.durations.add(float64(l.learned.expect(j, t.Step))/1000, float64(cpu))
+	}
+	if step.Lasting && step.MaxPerHost > 0 {
+		d.Spread = max(d.Spread, (step.Tasks+step.MaxPerHost-1)/step.MaxPerHost)
+	}
+}
+
+// ifMissed returns the part of a demand that belongs to a job which misses its
+// objective.
+func (d *poolDemand) ifMissed(cpu int64) int64 {
+	if d.missed {
+		return cpu
+	}
+	return 0
+}
+
 // mean is a weighted mean.
 type mean struct{ sum, weight float64 }
 
