Take orders of operators and leaving targets at entry hosts as well

Cause: each attempt that meets the frozen host costs the operator a second. With three hosts that take orders it meets it with a probability of a third, and of the few attempts in four seconds the others lose their answers.

Ruled out: a slow or refusing leader (it took 10 ms); further causes in the core, whose running hosts confirmed each attempt that reached them.

Entry hosts, 7 to 97 in a region, now serve operators and targets. A seed may be an entry host, so the core agrees on its first members (package founding), replicas are sent on to the leader when they join through an entry host, and entry hosts keep the hosts of the core apart from the seeds.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -14,6 +14,7 @@
 
 	"agatehaven.dev/agatehaven/internal/clock"
 	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/founding"
 	"agatehaven.dev/agatehaven/internal/hlc"
 	"agatehaven.dev/agatehaven/internal/leader"
 	"agatehaven.dev/agatehaven/internal/link"
@@ -50,11 +51,12 @@
 	Name string
 	// DataCentre is where this host is.
 	DataCentre string
-	// Seeds are hosts of the core, this one perhaps among them.
+	// Seeds are hosts of the region, this one perhaps among them.
 	Seeds []string
-	// Bootstrap is set at the very first start of the region.
-	Bootstrap bool
-	Dir       string
+	// FirstStart is set at the very first start of the region. The hosts of the
+	// core then agree on the first members.
+	FirstStart bool
+	Dir        string
 	// FS holds Dir. It defaults to the operating system's.
 	FS wal.FS
 	// Port is the port of the link on every host.
@@ -67,6 +69,11 @@
 	Policy   leader.Policy
 	Timing   leader.Timing
 	Log      zerolog.Logger
+	// acceptor is this host's part in the founding of the group, which lasts as
+	// long as the process.
+	acceptor *founding.Acceptor
+	// founders are the hosts of the first members, none if the group exists.
+	founders []string
 }
 
 // Core is a running process of the core.
@@ -99,11 +106,9 @@
 	c.machine.OnOrder = c.orders.Note
 	c.sender = outbound.New(c.deliver, cfg.Log)
 	var initial []replica.Member
-	if cfg.Bootstrap && slices.Contains(cfg.Seeds, cfg.Host) {
-		seeds := slices.Clone(cfg.Seeds)
-		slices.Sort(seeds)
-		for _, s := range seeds {
-			initial = append(initial, replica.Member{Host: s})
+	if slices.Contains(cfg.founders, cfg.Host) {
+		for _, host := range cfg.founders {
+			initial = append(initial, replica.Member{Host: host})
 		}
 	}
 	r, err := replica.Start(ctx, replica.Config{
@@ -127,13 +132,9 @@
 
 // Run serves the link until ctx ends. Then it hands over its leadership.
 func (c *Core) Run(ctx context.Context) error {
-	address := c.cfg.Listen
-	if address == "" {
-		address = net.JoinHostPort(c.cfg.Host, c.cfg.Port)
-	}
-	listener, err := net.Listen("tcp", address)
+	listener, err := c.cfg.listen()
 	if err != nil {
-		return &fault.Unavailable{What: "listener of the link", Reason: err.Error()}
+		return err
 	}
 	server := link.NewServer(c)
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -162,6 +163,19 @@
 	return err
 }
 
+// listen opens the link.
+func (c *Config) listen() (net.Listener, error) {
+	address := c.Listen
+	if address == "" {
+		address = net.JoinHostPort(c.Host, c.Port)
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, &fault.Unavailable{What: "listener of the link", Reason: err.Error()}
+	}
+	return listener, nil
+}
+
 // handOver gives the leadership to another replica before a planned stop.
 func (c *Core) handOver(ctx context.Context) {
 	if c.replica.Status().Role != replica.RoleLeader {
@@ -231,7 +245,7 @@
 }
 
 func (c *Core) join(ctx context.Context, s replica.Status) {
-	hosts := append([]string{}, c.cfg.Seeds...)
+	hosts := slices.Concat(c.cfg.Seeds, c.cfg.founders)
 	if s.Leader != "" {
 		hosts = append([]string{s.Leader}, hosts...)
 	}
--- a/internal/core/forward.go
+++ b/internal/core/forward.go
@@ -91,15 +91,7 @@
 	if err != nil {
 		return err
 	}
-	switch a.Code {
-	case link.Done:
-		return nil
-	case link.Invalid:
-		return &fault.Invalid{Field: "call", Reason: a.Reason}
-	case link.Unknown:
-		return &fault.ProposalUnknown{Group: group}
-	}
-	return &fault.Unavailable{What: "leader", Reason: a.Reason}
+	return a.Err(group)
 }
 
 // mayRepeat reports whether a call that ended with err may yet succeed.
--- /dev/null
+++ b/internal/core/found.go
@@ -0,0 +1,50 @@
+package core
+
+import (
+	"context"
+	"errors"
+
+	"agatehaven.dev/agatehaven/internal/clock"
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/founding"
+	"agatehaven.dev/agatehaven/internal/link"
+	"agatehaven.dev/agatehaven/internal/wal"
+)
+
+// found agrees on the first members if this is the first start of the region and
+// the disk holds no replica yet. Meanwhile it serves the others' agreement.
+func (c *Config) found(ctx context.Context) error {
+	if !c.FirstStart {
+		return nil
+	}
+	if c.FS == nil {
+		c.FS = wal.OSFS{}
+	}
+	_, err := wal.LoadIdentity(c.FS, c.Dir)
+	var missing *fault.NotFound
+	if !errors.As(err, &missing) {
+		return err
+	}
+	listener, err := c.listen()
+	if err != nil {
+		return err
+	}
+	server := link.NewServer(link.Bystander{Acceptor: c.acceptor, Region: func() link.Members { return link.Members{} }})
+	go func() { _ = server.Serve(listener) }() // it ends when it is closed
+	clients := link.NewClients(c.Port)
+	c.founders = founding.Agree(ctx, founding.Config{
+		Self: founding.Candidate{Host: c.Host, DataCentre: c.DataCentre}, Seeds: c.Seeds,
+		Call: func(ctx context.Context, seed string, r *founding.Request) (*founding.Answer, error) {
+			return clients.To(seed).Found(ctx, r)
+		},
+		Clock: clock.System{}, Log: c.Log,
+	})
+	return server.Close()
+}
+
+// Found implements link.Handler.
+func (c *Core) Found(_ context.Context, r *founding.Request) (*founding.Answer, error) {
+	a := c.cfg.acceptor.Take(r)
+	a.Exists = c.replica.Status().Leader != ""
+	return a, nil
+}
--- /dev/null
+++ b/internal/core/found_test.go
@@ -0,0 +1,70 @@
+package core
+
+import (
+	"context"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatehaven.dev/agatehaven/internal/founding"
+	"agatehaven.dev/agatehaven/internal/link"
+)
+
+// serveBystander serves the link of a host outside the core.
+func serveBystander(host, port string) {
+	listener, err := net.Listen("tcp", net.JoinHostPort(host, port))
+	Expect(err).NotTo(HaveOccurred())
+	server := link.NewServer(link.Bystander{
+		Acceptor: founding.NewAcceptor(true), Region: func() link.Members { return link.Members{} },
+	})
+	go func() { _ = server.Serve(listener) }() // ends with an error when it is closed
+	DeferCleanup(server.Close)
+}
+
+// supervise runs a process of the core and returns what it serves.
+func supervise(cfg Config) *atomic.Pointer[Core] {
+	ctx, cancel := context.WithCancel(context.Background())
+	var served atomic.Pointer[Core]
+	var wg sync.WaitGroup
+	wg.Go(func() { Supervise(ctx, cfg, served.Store) })
+	DeferCleanup(func() { cancel(); wg.Wait() })
+	return &served
+}
+
+var _ = Describe("the first start of a core", func() {
+	It("forms one group although two of three seeds are entry hosts", func() {
+		// Guards against a region without a leader, since the core takes its seeds
+		// for its members while entry hosts take orders as well.
+		hosts, port := loopback()
+		network := strings.TrimSuffix(hosts[0], "1")
+		seeds := []string{network + "11", network + "12", hosts[1]}
+		serveBystander(seeds[0], port)
+		serveBystander(seeds[1], port)
+		var processes []*atomic.Pointer[Core]
+		for i := range hosts {
+			cfg := coreConfig(hosts, i, port)
+			cfg.Seeds, cfg.founders = seeds, nil
+			processes = append(processes, supervise(cfg))
+		}
+		leaders := func() int {
+			n := 0
+			for _, p := range processes {
+				if c := p.Load(); c != nil {
+					if _, err := c.leaderHere(); err == nil {
+						n++
+					}
+				}
+			}
+			return n
+		}
+		Eventually(leaders, "15s").Should(Equal(1))
+		for _, p := range processes {
+			Eventually(p.Load, "15s").ShouldNot(BeNil())
+			Eventually(func() []string { return p.Load().memberHosts() }, "15s").Should(Equal(hosts))
+		}
+	})
+})
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -11,10 +11,6 @@
 	"agatehaven.dev/agatehaven/internal/work"
 )
 
-// forwardBytes bounds a configuration that is forwarded. The commit of a
-// longer one can take more than forwardTimeout, so its operator is redirected.
-const forwardBytes = 128 << 10
-
 // Orders of operators are carried out through any host of the core: a host that
 // does not lead forwards them, and confirms by itself those that have taken
 // effect. An operator whose confirmation was lost can then ask each host that
@@ -37,7 +33,7 @@
 	if !servedElsewhere(err) {
 		return err
 	}
-	if len(cfg.Document) > forwardBytes {
+	if len(cfg.Document) > link.MaxForwardBytes {
 		c.logConfigure(cfg, 0, err)
 		return err
 	}
--- a/internal/core/orders_test.go
+++ b/internal/core/orders_test.go
@@ -17,6 +17,7 @@
 
 	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/leader"
+	"agatehaven.dev/agatehaven/internal/link"
 	"agatehaven.dev/agatehaven/internal/replica"
 	"agatehaven.dev/agatehaven/internal/testsupport/faultfs"
 	"agatehaven.dev/agatehaven/internal/work"
@@ -54,7 +55,7 @@
 // coreConfig configures the process on hosts[i].
 func coreConfig(hosts []string, i int, port string) Config {
 	return Config{
-		Host: hosts[i], Name: hosts[i], Seeds: hosts, Bootstrap: true, Dir: GinkgoT().TempDir(), Port: port,
+		Host: hosts[i], Name: hosts[i], Seeds: hosts, FirstStart: true, founders: hosts, Dir: GinkgoT().TempDir(), Port: port,
 		Platform: absent{}, Targets: unreachable{}, Timing: leader.Timing{Announce: time.Second, MaxLease: time.Second}, Log: zerolog.Nop(),
 	}
 }
@@ -182,7 +183,7 @@
 		processes := startCore()
 		former := leading(processes)
 		for _, p := range processes {
-			err := p.OrderConfiguration(context.Background(), configuration(1, forwardBytes+1))
+			err := p.OrderConfiguration(context.Background(), configuration(1, link.MaxForwardBytes+1))
 			var notLeader *fault.NotLeader
 			Expect(err == nil).To(Equal(p == former))
 			Expect(errors.As(err, &notLeader)).To(Equal(p != former))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -1,5 +1,6 @@
-// Package entry is the part of an entry host that forwards callers' requests
-// to the leader of the region. It holds no state beyond where the core is.
+// Package entry is the part of an entry host that forwards requests of callers,
+// and orders of operators and targets, to the leader of the region. It holds no
+// state beyond where the core is.
 package entry
 
 import (
@@ -13,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/founding"
 	"agatehaven.dev/agatehaven/internal/link"
 )
 
@@ -44,10 +46,24 @@
 	retryAfterMS = 1000
 )
 
+// Config configures an entry host.
+type Config struct {
+	// Host is the address of this host without port, and Port that of the link on
+	// every host.
+	Host, Port string
+	// Seeds are hosts of the region, this one perhaps among them.
+	Seeds []string
+	// FirstStart is set at the very first start of the region.
+	FirstStart bool
+	Log        zerolog.Logger
+}
+
 // Entry forwards requests.
 type Entry struct {
-	clients *link.Clients
-	log     zerolog.Logger
+	self     string
+	clients  *link.Clients
+	log      zerolog.Logger
+	acceptor *founding.Acceptor
 
 	mu sync.Mutex
 	// leader is the leader of term, empty if it is not known. changed is closed
@@ -55,8 +71,10 @@
 	leader  string
 	term    uint64
 	changed chan struct{}
-	hosts   []string // known hosts of the core
-	next    int
+	// seeds are hosts of the region that know where the core is; hosts are those of
+	// the core as a leader told them.
+	seeds, hosts []string
+	next         int
 	// doubted is the host that did not answer as the leader of term, and until
 	// when no answer of that term is believed to name it rightly.
 	doubted string
@@ -66,10 +84,18 @@
 }
 
 // New returns an entry that begins with the seeds.
-func New(port string, seeds []string, log zerolog.Logger) *Entry {
-	return &Entry{clients: link.NewClients(port), log: log, hosts: slices.Clone(seeds), changed: make(chan struct{})}
+func New(cfg Config) *Entry {
+	e := &Entry{
+		self: cfg.Host, clients: link.NewClients(cfg.Port), log: cfg.Log, acceptor: founding.NewAcceptor(cfg.FirstStart),
+		changed: make(chan struct{}),
+	}
+	e.SetSeeds(cfg.Seeds)
+	return e
 }
 
+// Link returns what this host serves to the other processes of the region.
+func (e *Entry) Link() link.Handler { return link.Bystander{Acceptor: e.acceptor, Region: e.Region} }
+
 // Run learns where the core is until ctx ends.
 func (e *Entry) Run(ctx context.Context) {
 	for {
@@ -82,14 +108,20 @@
 	}
 }
 
-// AddSeeds adds hosts that the settings name now.
-func (e *Entry) AddSeeds(seeds []string) {
+// SetSeeds takes the seeds that the settings name now.
+func (e *Entry) SetSeeds(seeds []string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, s := range seeds {
-		if !slices.Contains(e.hosts, s) {
-			e.hosts = append(e.hosts, s)
-		}
+	e.seeds = slices.DeleteFunc(slices.Clone(seeds), func(s string) bool { return s == e.self })
+}
+
+// setHosts takes the hosts of the core, as a leader or the first host that was
+// asked tells them.
+func (e *Entry) setHosts(hosts []string, byLeader bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(hosts) > 0 && (byLeader || len(e.hosts) == 0) {
+		e.hosts = hosts
 	}
 }
 
@@ -104,7 +136,7 @@
 			e.doubt(host)
 			continue
 		}
-		e.AddSeeds(m.Hosts)
+		e.setHosts(m.Hosts, m.Leader == host)
 		e.hear(m.Leader, m.Term)
 		if m.Leader == host {
 			e.noteLed()
@@ -130,16 +162,24 @@
 	e.led = time.Now()
 }
 
-// choose returns the leader if it is known, and the known hosts in turn if
-// not, with a channel that is closed when another leader is known.
+// choose returns the leader if it is known, and the known hosts of the core in
+// turn if not, with a channel that is closed when another leader is known. In a
+// long outage the seeds are asked as well: the core may have moved.
 func (e *Entry) choose() (string, <-chan struct{}) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.leader != "" {
 		return e.leader, e.changed
 	}
+	hosts := e.hosts
+	if len(hosts) == 0 || time.Since(e.led) > outagePatience {
+		hosts = slices.Concat(e.hosts, e.seeds)
+	}
+	if len(hosts) == 0 {
+		return "", e.changed
+	}
 	e.next++
-	return e.hosts[e.next%len(e.hosts)], e.changed
+	return hosts[e.next%len(hosts)], e.changed
 }
 
 // hear takes what a host of the core says of the leader.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -62,7 +62,7 @@
 		DeferCleanup(server.Close)
 		_, port, err := net.SplitHostPort(listener.Addr().String())
 		Expect(err).NotTo(HaveOccurred())
-		e = entry.New(port, []string{address}, zerolog.Nop())
+		e = entry.New(entry.Config{Port: port, Seeds: []string{address}, Log: zerolog.Nop()})
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
 		go e.Run(ctx)
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 
 	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/founding"
 	"agatehaven.dev/agatehaven/internal/work"
 )
 
@@ -25,7 +26,7 @@
 	idleConnections = 32
 )
 
-// Clients calls the processes of the core by host and port.
+// Clients calls the processes of the region by host and port.
 type Clients struct {
 	port string
 	http *http.Client
@@ -72,6 +73,7 @@
 	members   *connect.Client[Empty, Members]
 	step      *connect.Client[StepRequest, Empty]
 	join      *connect.Client[JoinRequest, Answer]
+	found     *connect.Client[founding.Request, founding.Answer]
 }
 
 func newClient(c *http.Client, host, address string) *Client {
@@ -84,7 +86,7 @@
 		announce:  procedure[work.Announcement, Answer](c, address, "Announce"),
 		leave:     procedure[LeaveRequest, Answer](c, address, "Leave"),
 		members:   procedure[Empty, Members](c, address, "Members"), step: procedure[StepRequest, Empty](c, address, "Step"),
-		join: procedure[JoinRequest, Answer](c, address, "Join"),
+		join: procedure[JoinRequest, Answer](c, address, "Join"), found: procedure[founding.Request, founding.Answer](c, address, "Found"),
 	}
 }
 
@@ -162,3 +164,8 @@
 func (c *Client) Join(ctx context.Context, r *JoinRequest) (*Answer, error) {
 	return call(ctx, c, c.join, r)
 }
+
+// Found implements Handler.
+func (c *Client) Found(ctx context.Context, r *founding.Request) (*founding.Answer, error) {
+	return call(ctx, c, c.found, r)
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -6,9 +6,16 @@
 import (
 	"context"
 
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/founding"
 	"agatehaven.dev/agatehaven/internal/work"
 )
 
+// MaxForwardBytes bounds a configuration that a host forwards for an operator.
+// The commit of a longer one can take more time than operators wait for an
+// answer, so they are sent to the leader.
+const MaxForwardBytes = 128 << 10
+
 // Code tells how a call was settled.
 type Code string
 
@@ -46,6 +53,21 @@
 	Reason       string        `cbor:"6,keyasint,omitempty"`
 }
 
+// Err returns nil if the call took effect, and the failure if not: *fault.Invalid,
+// *fault.ProposalUnknown for a group if it may have taken effect, or
+// *fault.Unavailable.
+func (a *Answer) Err(group string) error {
+	switch a.Code {
+	case Done:
+		return nil
+	case Invalid:
+		return &fault.Invalid{Field: "call", Reason: a.Reason}
+	case Unknown:
+		return &fault.ProposalUnknown{Group: group}
+	}
+	return &fault.Unavailable{What: "leader", Reason: a.Reason}
+}
+
 // Subject names a queue by domain and path, and a job of it by its id.
 type Subject struct {
 	Domain string `cbor:"1,keyasint"`
@@ -86,7 +108,7 @@
 	Target string `cbor:"1,keyasint"`
 }
 
-// Handler is what a process of the core serves.
+// Handler is what a process of the region serves.
 type Handler interface {
 	// Submit accepts a job durably.
 	Submit(ctx context.Context, r *SubmitRequest) (*Answer, error)
@@ -110,4 +132,6 @@
 	Step(ctx context.Context, r *StepRequest) (*Empty, error)
 	// Join adds a replica to the group.
 	Join(ctx context.Context, r *JoinRequest) (*Answer, error)
+	// Found takes part in the agreement on the first members.
+	Found(ctx context.Context, r *founding.Request) (*founding.Answer, error)
 }
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -47,6 +47,7 @@
 	handle(mux, "Members", h.Members, options)
 	handle(mux, "Step", h.Step, options)
 	handle(mux, "Join", h.Join, options)
+	handle(mux, "Found", h.Found, options)
 	return &http.Server{Handler: mux, ReadHeaderTimeout: serverHeaderTimeout, IdleTimeout: serverIdleTimeout}
 }
 
