Tell seeds outside the core where the core is

Cause: entry hosts keep nothing on disk. Started again, they ask the seeds where the core is, which are entry hosts that know as little. The core took no notice of changed seeds while it ran.

The test fails without it.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -51,8 +51,9 @@
 	Name string
 	// DataCentre is where this host is.
 	DataCentre string
-	// Seeds are hosts of the region, this one perhaps among them.
-	Seeds []string
+	// Seeds returns hosts of the region, this one perhaps among them. They change
+	// while the process runs.
+	Seeds func() []string
 	// FirstStart is set at the very first start of the region. The hosts of the
 	// core then agree on the first members.
 	FirstStart bool
@@ -144,6 +145,7 @@
 	wg.Go(func() { c.leadLoop(run) })
 	wg.Go(func() { c.joinLoop(run) })
 	wg.Go(func() { c.membersLoop(run) })
+	wg.Go(func() { c.tellLoop(run) })
 	wg.Go(func() {
 		if err := server.Serve(listener); err != nil && run.Err() == nil {
 			c.cfg.Log.Error().Err(err).Msg("link ended")
@@ -245,7 +247,7 @@
 }
 
 func (c *Core) join(ctx context.Context, s replica.Status) {
-	hosts := slices.Concat(c.cfg.Seeds, c.cfg.founders)
+	hosts := slices.Concat(c.cfg.Seeds(), c.cfg.founders)
 	if s.Leader != "" {
 		hosts = append([]string{s.Leader}, hosts...)
 	}
--- a/internal/core/found.go
+++ b/internal/core/found.go
@@ -29,11 +29,13 @@
 	if err != nil {
 		return err
 	}
-	server := link.NewServer(link.Bystander{Acceptor: c.acceptor, Region: func() link.Members { return link.Members{} }})
+	server := link.NewServer(link.Bystander{
+		Acceptor: c.acceptor, Region: func() link.Members { return link.Members{} }, Told: func(*link.Members) {},
+	})
 	go func() { _ = server.Serve(listener) }() // it ends when it is closed
 	clients := link.NewClients(c.Port)
 	c.founders = founding.Agree(ctx, founding.Config{
-		Self: founding.Candidate{Host: c.Host, DataCentre: c.DataCentre}, Seeds: c.Seeds,
+		Self: founding.Candidate{Host: c.Host, DataCentre: c.DataCentre}, Seeds: c.Seeds(),
 		Call: func(ctx context.Context, seed string, r *founding.Request) (*founding.Answer, error) {
 			return clients.To(seed).Found(ctx, r)
 		},
--- a/internal/core/found_test.go
+++ b/internal/core/found_test.go
@@ -14,15 +14,18 @@
 	"agatehaven.dev/agatehaven/internal/link"
 )
 
-// serveBystander serves the link of a host outside the core.
-func serveBystander(host, port string) {
+// serveBystander serves the link of a host outside the core, and returns what the
+// host is told.
+func serveBystander(host, port string) *atomic.Pointer[link.Members] {
+	var told atomic.Pointer[link.Members]
 	listener, err := net.Listen("tcp", net.JoinHostPort(host, port))
 	Expect(err).NotTo(HaveOccurred())
 	server := link.NewServer(link.Bystander{
-		Acceptor: founding.NewAcceptor(true), Region: func() link.Members { return link.Members{} },
+		Acceptor: founding.NewAcceptor(true), Region: func() link.Members { return link.Members{} }, Told: told.Store,
 	})
 	go func() { _ = server.Serve(listener) }() // ends with an error when it is closed
 	DeferCleanup(server.Close)
+	return &told
 }
 
 // supervise runs a process of the core and returns what it serves.
@@ -47,7 +50,7 @@
 		var processes []*atomic.Pointer[Core]
 		for i := range hosts {
 			cfg := coreConfig(hosts, i, port)
-			cfg.Seeds, cfg.founders = seeds, nil
+			cfg.Seeds, cfg.founders = func() []string { return seeds }, nil
 			processes = append(processes, supervise(cfg))
 		}
 		leaders := func() int {
@@ -68,3 +71,28 @@
 		}
 	})
 })
+
+var _ = Describe("a leader", func() {
+	It("tells seeds outside the core where the core is, also after the seeds have changed", func() {
+		// Guards against a region that no caller reaches: entry hosts that all lost
+		// power know only the seeds, and these are entry hosts as well.
+		hosts, port := loopback()
+		outside := strings.TrimSuffix(hosts[0], "1") + "11"
+		told := serveBystander(outside, port)
+		var changed atomic.Bool
+		for i := range hosts {
+			cfg := coreConfig(hosts, i, port)
+			cfg.Seeds = func() []string {
+				if changed.Load() {
+					return []string{outside}
+				}
+				return hosts
+			}
+			supervise(cfg)
+		}
+		changed.Store(true)
+		Eventually(told.Load, "15s").ShouldNot(BeNil())
+		Expect(told.Load().Hosts).To(Equal(hosts))
+		Expect(hosts).To(ContainElement(told.Load().Leader))
+	})
+})
--- a/internal/core/orders_test.go
+++ b/internal/core/orders_test.go
@@ -55,7 +55,7 @@
 // coreConfig configures the process on hosts[i].
 func coreConfig(hosts []string, i int, port string) Config {
 	return Config{
-		Host: hosts[i], Name: hosts[i], Seeds: hosts, FirstStart: true, founders: hosts, Dir: GinkgoT().TempDir(), Port: port,
+		Host: hosts[i], Name: hosts[i], Seeds: func() []string { return hosts }, FirstStart: true, founders: hosts, Dir: GinkgoT().TempDir(), Port: port,
 		Platform: absent{}, Targets: unreachable{}, Timing: leader.Timing{Announce: time.Second, MaxLease: time.Second}, Log: zerolog.Nop(),
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -94,7 +94,15 @@
 }
 
 // Link returns what this host serves to the other processes of the region.
-func (e *Entry) Link() link.Handler { return link.Bystander{Acceptor: e.acceptor, Region: e.Region} }
+func (e *Entry) Link() link.Handler {
+	return link.Bystander{Acceptor: e.acceptor, Region: e.Region, Told: e.told}
+}
+
+// told takes from the leader where the core is.
+func (e *Entry) told(m *link.Members) {
+	e.setHosts(m.Hosts, true)
+	e.hear(m.Leader, m.Term)
+}
 
 // Run learns where the core is until ctx ends.
 func (e *Entry) Run(ctx context.Context) {
--- a/internal/link/bystander.go
+++ b/internal/link/bystander.go
@@ -14,6 +14,8 @@
 	Acceptor *founding.Acceptor
 	// Region returns what is known of the core.
 	Region func() Members
+	// Told takes what the leader tells of the core.
+	Told func(m *Members)
 }
 
 var _ Handler = Bystander{}
@@ -60,6 +62,12 @@
 	return &m, nil
 }
 
+// Tell implements Handler.
+func (b Bystander) Tell(_ context.Context, m *Members) (*Empty, error) {
+	b.Told(m)
+	return &Empty{}, nil
+}
+
 // Step implements Handler. Messages for a replica that is not there are lost.
 func (b Bystander) Step(context.Context, *StepRequest) (*Empty, error) {
 	return nil, &fault.Unavailable{What: "replica", Reason: "it is not running"}
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -71,6 +71,7 @@
 	announce  *connect.Client[work.Announcement, Answer]
 	leave     *connect.Client[LeaveRequest, Answer]
 	members   *connect.Client[Empty, Members]
+	tell      *connect.Client[Members, Empty]
 	step      *connect.Client[StepRequest, Empty]
 	join      *connect.Client[JoinRequest, Answer]
 	found     *connect.Client[founding.Request, founding.Answer]
@@ -85,7 +86,8 @@
 		startWave: procedure[work.Wave, Answer](c, address, "StartWave"),
 		announce:  procedure[work.Announcement, Answer](c, address, "Announce"),
 		leave:     procedure[LeaveRequest, Answer](c, address, "Leave"),
-		members:   procedure[Empty, Members](c, address, "Members"), step: procedure[StepRequest, Empty](c, address, "Step"),
+		members:   procedure[Empty, Members](c, address, "Members"),
+		tell:      procedure[Members, Empty](c, address, "Tell"), step: procedure[StepRequest, Empty](c, address, "Step"),
 		join: procedure[JoinRequest, Answer](c, address, "Join"), found: procedure[founding.Request, founding.Answer](c, address, "Found"),
 	}
 }
@@ -155,6 +157,11 @@
 	return call(ctx, c, c.members, e)
 }
 
+// Tell implements Handler.
+func (c *Client) Tell(ctx context.Context, m *Members) (*Empty, error) {
+	return call(ctx, c, c.tell, m)
+}
+
 // Step implements Handler.
 func (c *Client) Step(ctx context.Context, r *StepRequest) (*Empty, error) {
 	return call(ctx, c, c.step, r)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -128,6 +128,8 @@
 	Leave(ctx context.Context, r *LeaveRequest) (*Answer, error)
 	// Members returns where the core is.
 	Members(ctx context.Context, e *Empty) (*Members, error)
+	// Tell takes from the leader where the core is.
+	Tell(ctx context.Context, m *Members) (*Empty, error)
 	// Step takes raft messages.
 	Step(ctx context.Context, r *StepRequest) (*Empty, error)
 	// Join adds a replica to the group.
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -45,6 +45,7 @@
 	handle(mux, "Announce", h.Announce, options)
 	handle(mux, "Leave", h.Leave, options)
 	handle(mux, "Members", h.Members, options)
+	handle(mux, "Tell", h.Tell, options)
 	handle(mux, "Step", h.Step, options)
 	handle(mux, "Join", h.Join, options)
 	handle(mux, "Found", h.Found, options)
