Send long configurations on to the leader before their body has arrived

Cause: attempts met entry hosts, whose links carry 2 Mbit/s. The body took a second or more on the way in, beside callers' traffic, and only then was the operator sent to the leader.

An entry host now decides by the length that the header tells, and answers while the body is still on its way. Above 32 KB, a quarter of a second for two passes of such a link, it names the leader.

--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -16,6 +16,10 @@
 // effect. An operator whose confirmation was lost can then ask each host that
 // runs, where a redirect would spend two of them on one try.
 
+// AdmitConfiguration admits any length: also a host that does not lead confirms a
+// configuration that is in force.
+func (c *Core) AdmitConfiguration(int64) error { return nil }
+
 // OrderConfiguration accepts a configuration. Errors: *fault.Invalid, *fault.NotLeader
 // for one that has to be handed in to the leader, or *fault.Unavailable,
 // *fault.LimitExceeded and *fault.ProposalUnknown, after which it may be
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -14,6 +14,9 @@
 	// orderTimeout bounds an order that the leader carries out. Operators and
 	// targets ask the next host after a second without an answer.
 	orderTimeout = 800 * time.Millisecond
+	// maxOrderBytes bounds a configuration that is handed on: it passes a link of
+	// 2 Mbit/s twice in a quarter of a second.
+	maxOrderBytes = 32 << 10
 	// group names the region's group in errors.
 	group = "region"
 )
@@ -22,14 +25,24 @@
 // are only a few hosts in the core, so that an operator whose confirmations are
 // lost would have to ask one that is frozen again and again, a second each time.
 
+// AdmitConfiguration sends the operator with a long configuration to the leader:
+// links of entry hosts are slow, and it would have to pass one twice.
+func (e *Entry) AdmitConfiguration(bytes int64) error {
+	if bytes > maxOrderBytes {
+		e.log.Info().Int64("bytes", bytes).Str("leader", e.Region().Leader).Msg("long configuration is to go to the leader")
+		return e.elsewhere()
+	}
+	return nil
+}
+
 // OrderConfiguration hands a configuration to the leader. Errors are those of
 // core.Core.
 func (e *Entry) OrderConfiguration(ctx context.Context, cfg *work.Configuration) error {
 	if err := cfg.Check(); err != nil {
 		return err
 	}
-	if len(cfg.Document) > link.MaxForwardBytes {
-		return e.elsewhere()
+	if err := e.AdmitConfiguration(int64(len(cfg.Document))); err != nil {
+		return err // its length was not told before
 	}
 	return e.order(ctx, "configuration", strconv.FormatUint(cfg.Version, 10),
 		func(ctx context.Context, c *link.Client) (*link.Answer, error) { return c.Configure(ctx, cfg) })
--- a/internal/entry/orders_test.go
+++ b/internal/entry/orders_test.go
@@ -141,7 +141,8 @@
 		// a configuration that takes longer on two links than its operator waits.
 		_, second, e := startOrderHosts()
 		for _, err := range []error{
-			e.OrderConfiguration(ctx, configuration(link.MaxForwardBytes+1)),
+			e.AdmitConfiguration(40 << 10),
+			e.OrderConfiguration(ctx, configuration(40<<10)),
 			e.TakeAnnouncement(ctx, &work.Announcement{}),
 		} {
 			var notLeader *fault.NotLeader
