Count no host as capacity that takes no new runs

Cause: a target that drains takes no runs, nor does one whose earlier life is not closed, but both counted as hosts that their pool has. A pool with tasks of which a host takes one each then never wanted another host.

Such hosts are left out, as those in maintenance are; what still runs there counts in the demand. The test failed before: one of two tasks ran.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -329,7 +329,8 @@
 		p.Movable = orderable && standby
 		return p
 	}
-	p.Movable = orderable && t.Runs() == 0 && !t.Draining && !v.Succeeds(t)
+	takesNone := t.Draining || v.Succeeds(t)
+	p.Movable, p.Reserved = orderable && t.Runs() == 0 && !takesNone, p.Reserved || takesNone
 	p.Load, p.Lasting = t.Room.Sub(v.Free(t)).MilliCPU, len(lastingRuns(v, t)) > 0
 	if c := l.contacts[t.Key()]; c != nil && c.suspected > 0 {
 		// A host that fails what it starts is no capacity, and no help elsewhere.
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -459,6 +459,27 @@
 	})
 }
 
+// Guards against a lasting task without a run, since a host that takes no new runs
+// counts as one that its pool has.
+func TestLastingTaskGetsAHostBesideOneThatDrains(t *testing.T) {
+	play(t, func(w *world) {
+		w.add("a", "ha", "1:0", "desk").duration = 0
+		w.add("b", "hb", "1:1", "desk").state.Draining = true
+		for i := range 3 {
+			n := strconv.Itoa(i)
+			w.add("c"+n, "hc"+n, "2:"+n, "cuts").duration = 0
+		}
+		_, stop := w.lead(2)
+		defer stop()
+		after(time.Second)
+		step := lasting(2)
+		step.MaxPerHost = 1
+		w.submit("j", "/draw/", step)
+		after(6 * time.Second)
+		NewWithT(t).Expect(w.running()).To(Equal(2))
+	})
+}
+
 // Guards against maintenance that ends running work, interrupts two tasks of
 // a step at once, or never ends.
 func TestWaveMaintainsHostsWithLastingTasks(t *testing.T) {
