Restore waves of which nothing was done yet

The entry is applied again with each start.

Ruled out elsewhere: incomplete commands and the ids of targets that have left make their maps, jobs and targets have none.

The test failed before (assignment to entry in nil map).

--- a/internal/work/apply.go
+++ b/internal/work/apply.go
@@ -86,6 +86,9 @@
 			s.ended[key] = t
 		}
 	}
+	for _, w := range s.Waves {
+		w.makeMaps()
+	}
 	for _, j := range s.Jobs {
 		j.open, j.active = 0, 0
 		for i := range j.Tasks {
@@ -532,7 +535,7 @@
 		return &Result{Err: &fault.Invalid{Field: "hosts of a wave", Reason: "too many", Allowed: "up to " + strconv.Itoa(MaxHosts)}}
 	}
 	w.StartedMS = s.NowMS
-	w.Ordered, w.Begun, w.Returned = map[string]int64{}, map[string]int64{}, map[string]bool{}
+	w.makeMaps()
 	s.Waves[w.ID] = w
 	return &Result{}
 }
--- a/internal/work/model.go
+++ b/internal/work/model.go
@@ -287,6 +287,19 @@
 	Returned map[string]bool `cbor:"8,keyasint,omitempty"`
 }
 
+// makeMaps makes what a snapshot leaves out if it is empty.
+func (w *Wave) makeMaps() {
+	if w.Ordered == nil {
+		w.Ordered = map[string]int64{}
+	}
+	if w.Begun == nil {
+		w.Begun = map[string]int64{}
+	}
+	if w.Returned == nil {
+		w.Returned = map[string]bool{}
+	}
+}
+
 // Complete reports whether the maintenance of every host has begun.
 func (w *Wave) Complete() bool { return len(w.Begun) >= len(w.Hosts) }
 
--- a/internal/work/work_test.go
+++ b/internal/work/work_test.go
@@ -388,6 +388,24 @@
 })
 
 var _ = Describe("a snapshot", func() {
+	It("goes on with a wave at each of its steps", func() {
+		// Guards against a process that ends with each start: the snapshot of its disk
+		// holds a wave of which no host has returned, begun or been ordered yet.
+		r := newRegion()
+		Expect(r.do(&work.Command{Wave: &work.Wave{ID: 1, Hosts: []string{"h1", "h2"}, MaxDown: 1, DurationMS: 9000}}).Err).NotTo(HaveOccurred())
+		for _, host := range []string{"h1", "h2"} {
+			for _, kind := range []work.StepKind{work.MaintenanceOrdered, work.MaintenanceBegun, work.MaintenanceReturned} {
+				data, err := r.Snapshot()
+				Expect(err).NotTo(HaveOccurred())
+				r.Machine = work.New()
+				Expect(r.Restore(data)).To(Succeed())
+				Expect(r.do(&work.Command{WaveSteps: []work.WaveStep{{Wave: 1, Host: host, Kind: kind}}}).Err).NotTo(HaveOccurred())
+			}
+		}
+		complete, found := r.WaveComplete(1)
+		Expect(found && complete).To(BeTrue())
+	})
+
 	It("restores the same state", func() {
 		// Guards against fields that are left out, and against an index that
 		// does not match after a restart.
