--- a/internal/leader/lasting_test.go
+++ b/internal/leader/lasting_test.go
@@ -19,7 +19,7 @@
 // Guards against a lasting task that nothing starts again after a fault: it would
 // be without a run to the end of its job. Targets fall silent until their leases
 // end, return as another life, carry orders out late, drain and leave; hosts are
-// maintained, and leaders change.
+// maintained, data centres cut off, and leaders start from a snapshot.
 func TestLastingTasksRunAgainAfterAnyFaults(t *testing.T) {
 	for seed := range uint64(lastingSeeds) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
@@ -53,21 +53,24 @@
 		if !used {
 			continue
 		}
-		switch r.IntN(10) {
+		switch r.IntN(11) {
 		case 0, 1:
 			w.add(next.ID, host, next.Address, next.Pool).duration = 0
 		case 2:
 			stop()
 			after(time.Duration(r.IntN(2000)) * time.Millisecond)
+			w.restart()
 			term++
 			_, stop = w.lead(term)
 		case 3:
 			w.propose(&work.Command{Wave: &work.Wave{ID: int64(i), Hosts: []string{host}, MaxDown: 1, DurationMS: 5000}})
+		case 4:
+			w.cutOff(string(dataCentres[r.IntN(len(dataCentres))]), time.Duration(3000+r.IntN(5000))*time.Millisecond)
 		}
 		after(time.Duration(r.IntN(1500)) * time.Millisecond)
 	}
 	w.healAll()
-	w.replaceDraining(r)
+	w.replaceDraining()
 	after(30 * time.Second)
 	w.mu.Lock()
 	running, logs := w.running(), w.logs.String()
@@ -105,14 +108,37 @@
 	return next, t.state.Host, true
 }
 
-// replaceDraining lets about half of the targets that drain end, and others take
-// their place.
-func (w *world) replaceDraining(r *rand.Rand) {
+// restart restores the state from a snapshot, as after a power loss.
+func (w *world) restart() {
+	data, err := w.machine.Snapshot()
+	NewWithT(w.t).Expect(err).NotTo(HaveOccurred())
+	w.machine = work.New()
+	NewWithT(w.t).Expect(w.machine.Restore(data)).To(Succeed())
+}
+
+// cutOff silences the targets of a data centre for a time.
+func (w *world) cutOff(dataCentre string, d time.Duration) {
+	set := func(silent bool) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for _, t := range w.targets {
+			if t.state.DataCentre == dataCentre {
+				t.silent = silent
+			}
+		}
+	}
+	set(true)
+	after(d)
+	set(false)
+}
+
+// replaceDraining lets the targets that drain end, and others take their place.
+func (w *world) replaceDraining() {
 	w.mu.Lock()
 	var ended []work.Target
 	for _, address := range slices.Sorted(maps.Keys(w.targets)) {
 		t := w.targets[address]
-		if t.state.Draining && w.parked[t.state.Host] == "" && r.IntN(2) == 0 {
+		if t.state.Draining && w.parked[t.state.Host] == "" {
 			ended = append(ended, work.Target{ID: "end" + address, Host: t.state.Host, Address: address, Pool: t.state.Pool})
 		}
 	}
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -209,6 +209,14 @@
 	}
 }
 
+// dataCentres are the names of the data centres.
+const dataCentres = "ab"
+
+// dataCentreOf returns where a host is, by the last character of its name.
+func dataCentreOf(host string) string {
+	return string(dataCentres[int(host[len(host)-1])%len(dataCentres)])
+}
+
 // add starts a target at an address, in place of the one that was there.
 func (w *world) add(id, host, address, pool string) *target {
 	w.mu.Lock()
@@ -224,7 +232,7 @@
 		w: w, start: time.Now(), runs: map[work.RunRef]*time.Timer{}, stopped: map[work.TaskRef]int{},
 		changed: make(chan struct{}), duration: time.Second,
 		state: work.Target{
-			ID: id, Born: time.Now().UnixMilli(), Host: host, Pool: pool, Address: address, DataCentre: "a",
+			ID: id, Born: time.Now().UnixMilli(), Host: host, Pool: pool, Address: address, DataCentre: dataCentreOf(host),
 			Room: work.Demand{MilliCPU: 4000, MemoryMB: 4000},
 		},
 	}
