--- a/internal/leader/lasting_test.go
+++ b/internal/leader/lasting_test.go
@@ -32,6 +32,7 @@
 var lastingHosts = map[string]int{"desk": 5, "cuts": 4}
 
 func lastingDay(t *testing.T, w *world, r *rand.Rand) {
+	w.spread = true
 	var addresses []string
 	for _, pool := range []string{"desk", "cuts"} {
 		for i := range lastingHosts[pool] {
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -46,6 +46,8 @@
 	alive map[work.TaskRef]int
 	moves []string
 	seq   int64
+	// spread is set if the hosts are spread over the data centres.
+	spread bool
 	// lives counts the targets that took the place of others.
 	lives int
 	// closed is set at the end: hosts that return later start no target.
@@ -212,8 +214,12 @@
 // dataCentres are the names of the data centres.
 const dataCentres = "ab"
 
-// dataCentreOf returns where a host is, by the last character of its name.
-func dataCentreOf(host string) string {
+// dataCentreOf returns where a host is: by the last character of its name, or all
+// in the first data centre.
+func (w *world) dataCentreOf(host string) string {
+	if !w.spread {
+		return dataCentres[:1]
+	}
 	return string(dataCentres[int(host[len(host)-1])%len(dataCentres)])
 }
 
@@ -232,7 +238,7 @@
 		w: w, start: time.Now(), runs: map[work.RunRef]*time.Timer{}, stopped: map[work.TaskRef]int{},
 		changed: make(chan struct{}), duration: time.Second,
 		state: work.Target{
-			ID: id, Born: time.Now().UnixMilli(), Host: host, Pool: pool, Address: address, DataCentre: dataCentreOf(host),
+			ID: id, Born: time.Now().UnixMilli(), Host: host, Pool: pool, Address: address, DataCentre: w.dataCentreOf(host),
 			Room: work.Demand{MilliCPU: 4000, MemoryMB: 4000},
 		},
 	}
