Log what keeps each host from a lasting task that waits

The planner's checks are one function now that returns the obstacle, and the line has the task's needs with the hosts counted by it. The plan is unchanged.

--- a/internal/leader/starved.go
+++ b/internal/leader/starved.go
@@ -1,8 +1,10 @@
 package leader
 
 import (
+	"cmp"
 	"time"
 
+	"agatehaven.dev/agatehaven/internal/schedule"
 	"agatehaven.dev/agatehaven/internal/work"
 )
 
@@ -74,21 +76,22 @@
 		return
 	}
 	hosts := map[string]int{}
-	need := j.Spec.Steps[t.Step].Reserved()
+	step := &j.Spec.Steps[t.Step]
 	away := l.awayDataCentres(v)
 	for key, target := range v.Targets {
 		if target.Pool == j.Pool {
 			reason := l.exclusion(v, key, target, away)
 			if reason == "" {
-				reason = "takes it not"
-				if !need.Within(v.Free(target)) {
-					reason = "full"
-				}
+				h := &schedule.Host{Target: target, Free: v.Free(target)}
+				noteSharing(v, h)
+				reason = cmp.Or(string(h.Obstacle(j, t, step, 0)), "free")
 			}
 			hosts[reason]++
 		}
 	}
-	line.Str("pool", j.Pool).Interface("hosts", hosts).Msg("lasting task has no host")
+	line.Str("pool", j.Pool).Int64("mcpu", step.Reserved().MilliCPU).Int64("memory_mb", step.Reserved().MemoryMB).
+		Int("most_per_host", step.MaxPerHost).Bool("fill_in", step.FillIn).Bool("serves", step.TailTargetMS > 0).
+		Bool("policy", j.PolicyChecked).Interface("hosts", hosts).Msg("lasting task has no host")
 }
 
 // exclusion tells why a target takes no new runs, "" if it does. The mutex is
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -24,17 +24,6 @@
 	Filling int64
 }
 
-// suits reports whether a task of a step may run beside what runs on the host.
-func (h *Host) suits(s *work.Step) bool {
-	switch {
-	case s.FillIn:
-		return !h.Serves && h.Filling+s.Demand.MilliCPU <= h.Free.MilliCPU
-	case s.TailTargetMS > 0:
-		return h.Filling == 0
-	}
-	return true
-}
-
 // add accounts for one more task of a step, or one less with n = -1.
 func (h *Host) add(s *work.Step, n int64) {
 	need := s.Reserved()
@@ -285,7 +274,7 @@
 	for _, h := range p.hosts {
 		room = room || need.Within(h.Free)
 		switch {
-		case !need.Within(h.Free) || !h.takes(j, t, s, placed[h]):
+		case h.Obstacle(j, t, s, placed[h]) != "":
 		case t.FailedOn != "" && h.Target.Host == t.FailedOn:
 			failed = h
 		case (best == nil || better(s, h, best)) && permitted(h):
@@ -305,11 +294,44 @@
 	return best
 }
 
-// takes reports whether a host with room may run a task of a step, of which
-// this plan has placed some there already.
-func (h *Host) takes(j *work.Job, t *work.Task, s *work.Step, placed int) bool {
-	return h.suits(s) && (s.Label == "" || slices.Contains(h.Target.Labels, s.Label)) &&
-		(s.MaxPerHost == 0 || placed+h.Target.RunsOfStep(j.ID, t.Occurrence, t.Step) < s.MaxPerHost)
+// Obstacle is why a host does not take a task, empty if it does.
+type Obstacle string
+
+// Obstacles of a host.
+const (
+	NoCPU    Obstacle = "no CPU"
+	NoMemory Obstacle = "no memory"
+	NoGPU    Obstacle = "no GPU"
+	NoLabel  Obstacle = "no label"
+	// Serving hosts take no fill-in work, which would disturb it.
+	Serving Obstacle = "serving work"
+	// Filling hosts take no serving work, and fill-in work only up to their room.
+	Filling Obstacle = "fill-in work"
+	// MostOfStep hosts have as many tasks of the step as it allows.
+	MostOfStep Obstacle = "most of the step"
+)
+
+// Obstacle returns why the host does not take a task of a step, of which a plan
+// has placed some there already.
+func (h *Host) Obstacle(j *work.Job, t *work.Task, s *work.Step, placed int) Obstacle {
+	need := s.Reserved()
+	switch {
+	case need.MilliCPU > h.Free.MilliCPU:
+		return NoCPU
+	case need.MemoryMB > h.Free.MemoryMB:
+		return NoMemory
+	case need.GPUs > h.Free.GPUs:
+		return NoGPU
+	case s.FillIn && h.Serves:
+		return Serving
+	case s.FillIn && h.Filling+s.Demand.MilliCPU > h.Free.MilliCPU, !s.FillIn && s.TailTargetMS > 0 && h.Filling > 0:
+		return Filling
+	case s.Label != "" && !slices.Contains(h.Target.Labels, s.Label):
+		return NoLabel
+	case s.MaxPerHost > 0 && placed+h.Target.RunsOfStep(j.ID, t.Occurrence, t.Step) >= s.MaxPerHost:
+		return MostOfStep
+	}
+	return ""
 }
 
 // better reports whether a suits a task of a step better than b.
