--- a/internal/leader/lasting_test.go
+++ b/internal/leader/lasting_test.go
@@ -149,6 +149,53 @@
 	}
 }
 
+// lostAfter is how long a lasting task may be without a run in calm.
+const lostAfter = 6 * time.Second
+
+// Guards against accepted lasting tasks that wait for a run while hosts are to be
+// had: their pool was given hosts by its demand of CPU, and one at a time for all
+// else that keeps a task from a host.
+func TestLastingTasksGetAllHostsThatTheyNeed(t *testing.T) {
+	one := func(cpu, memory int64) work.Step {
+		s := lasting(1)
+		s.Demand = work.Demand{MilliCPU: cpu, MemoryMB: memory}
+		return s
+	}
+	many := func(n int, s work.Step) work.Step { s.Tasks = n; return s }
+	apart := func(s work.Step) work.Step { s.MaxPerHost = 1; return s }
+	serves := func(s work.Step) work.Step { s.TailTargetMS = 40; return s }
+	fills := func(s work.Step) work.Step { s.FillIn = true; return s }
+	for name, steps := range map[string][]work.Step{
+		"memory":                 {many(10, one(500, 2500))},
+		"parts of their CPU":     {many(6, one(2500, 100))},
+		"the most per host":      {many(8, one(500, 2500)), apart(many(8, one(500, 2500)))},
+		"fill-in beside serving": {many(3, serves(one(2500, 100))), many(9, fills(one(3000, 100)))},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(w *world) {
+				for i := range 20 {
+					n := strconv.Itoa(i)
+					w.add("a"+n, "h"+n, "1:"+n, "desk").duration = 0
+				}
+				w.add("c", "hc", "2:1", "cuts").duration = 0
+				_, stop := w.lead(2)
+				after(5 * time.Second) // all but one go to standby
+				tasks := 0
+				for i, s := range steps {
+					tasks += s.Tasks
+					w.submit("j"+strconv.Itoa(i), "/draw/", s)
+				}
+				after(lostAfter)
+				w.mu.Lock()
+				running, logs := w.running(), w.logs.String()
+				w.mu.Unlock()
+				stop()
+				NewWithT(t).Expect(running).To(Equal(tasks), logs)
+			})
+		})
+	}
+}
+
 // Guards against two runs of a task: orders to an earlier life carry a time on its
 // clock, which is ahead of that of the later life under the same id, so that this
 // one takes the longest lease.
