Give pools all hosts that their waiting lasting tasks need

What callers saw: lasting tasks of accepted jobs without a run for 8 s and longer at a calm time, in the worst case for as long as the pool's demand stays as it is.

Cause: the size of a pool followed its demand of CPU. What else keeps a task from a host was a flag that asked for one empty host, and again only once that one was there and full; a move takes 1.6 s. Where each host has a part of the CPU left that is smaller than the task, the flag was not set at all, so that the task waited for good.

Now the plan puts the lasting tasks that no host takes on empty hosts, by the same checks as on real ones, and the pool wants as many beside the hosts in use. The pause of 0.5 s, in which other tasks may end, stays.

Ruled out: a longer list of single reasons in the demand (memory, the most per host, fill-in work), since rooms in parts would remain.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -1,7 +1,9 @@
 package leader
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -92,6 +94,19 @@
 	return h != nil && h.reserved != ""
 }
 
+// emptyRooms returns the room of the hosts, that of most of them first.
+func (f *fleet) emptyRooms() []work.Demand {
+	count := map[work.Demand]int{}
+	for _, h := range f.hosts {
+		if h.state.Room != (work.Demand{}) {
+			count[h.state.Room]++
+		}
+	}
+	return slices.SortedFunc(maps.Keys(count), func(a, b work.Demand) int {
+		return cmp.Or(cmp.Compare(count[b], count[a]), cmp.Compare(b.MilliCPU, a.MilliCPU), cmp.Compare(b.MemoryMB, a.MemoryMB))
+	})
+}
+
 // host returns the entry of a host, which it makes if needed.
 func (f *fleet) host(name string) *host {
 	h := f.hosts[name]
@@ -415,7 +430,7 @@
 		l.log.Info().Str("pool", p.Name).Int("hosts", count[p.Name]).Int("movable", movable[p.Name]).
 			Int64("running_mcpu", p.Running).Int64("waiting_mcpu", p.Waiting).
 			Int64("missed_running_mcpu", p.MissedRunning).Int64("missed_waiting_mcpu", p.MissedWaiting).Float64("arriving_mcpu", p.Arriving).Float64("rising_mcpu", p.Rising).
-			Int("spread", p.Spread).Bool("unplaced", p.Unplaced).Int("moves", moves).Msg("pool size")
+			Int("spread", p.Spread).Int("lacking", p.Lacking).Int("moves", moves).Msg("pool size")
 	}
 }
 
@@ -441,8 +456,9 @@
 	for name, d := range index {
 		d.Arriving, d.Rising = l.arrivals.rate(name)
 		d.DurationS = d.durations.value()
-		since, unplaced := l.unplaced[name]
-		d.Unplaced = unplaced && l.now().Sub(since) >= unplacedPause
+		if lacks, ok := l.lacking[name]; ok && l.now().Sub(lacks.since) >= lackingPause {
+			d.Lacking = lacks.hosts
+		}
 	}
 	return pools
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -89,11 +89,11 @@
 	wake     wakeup
 	learned  durations
 	arrivals arrivals
-	// unplaced holds since when pools have tasks that no host takes.
-	unplaced map[string]time.Time
-	starved  starved
-	permits  permits
-	reports  *ring.Ring[pendingReport]
+	// lacking holds what pools need for tasks that no host takes.
+	lacking map[string]lacking
+	starved starved
+	permits permits
+	reports *ring.Ring[pendingReport]
 }
 
 // planLock is a lock that is held while a commit is awaited. It is a channel,
@@ -138,7 +138,7 @@
 		cfg: cfg, term: term, log: cfg.Log.With().Uint64("term", term).Logger(),
 		sessions: map[string]*session{}, contacts: map[string]*contact{}, wake: make(wakeup, 1),
 		planning: make(planLock, 1), fleet: newFleet(), learned: newDurations(), permits: newPermits(), reports: newReports(),
-		unplaced: map[string]time.Time{},
+		lacking: map[string]lacking{},
 	}
 }
 
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -88,7 +88,7 @@
 	l.cfg.Machine.Read(func(v *work.View) {
 		r := &schedule.Request{
 			NowMS: l.now().UnixMilli(), MaxStarts: maxStarts, Duration: l.learned.expect,
-			Permitted: l.permitted, Capacity: l.capacity,
+			Permitted: l.permitted, Capacity: l.capacity, Empty: l.fleet.emptyRooms,
 		}
 		l.forgetPermits(v)
 		disturbs := false // some task may disturb, or be disturbed by, others on its host
@@ -100,28 +100,35 @@
 		}
 		r.Hosts = func(pool string) []*schedule.Host { return l.usable(v, pool, disturbs) }
 		starts = schedule.Plan(r)
-		l.noteUnplaced(r.Unplaced)
+		l.noteLacking(r.Lacking)
 		l.logStarved(v)
 	})
 	return starts
 }
 
-// unplacedPause is how long a lasting task waits for a host that takes it before
-// its pool gets another one: other tasks end meanwhile.
-const unplacedPause = 500 * time.Millisecond
+// lackingPause is how long a lasting task waits for a host that takes it before
+// its pool gets more hosts: other tasks end meanwhile.
+const lackingPause = 500 * time.Millisecond
 
-// noteUnplaced notes since when pools have lasting tasks that no host takes for
-// another reason than its CPU. The mutex is held.
-func (l *Leader) noteUnplaced(pools map[string]bool) {
-	for name := range l.unplaced {
-		if !pools[name] {
-			delete(l.unplaced, name)
+// lacking is what a pool needs for the lasting tasks that no host takes.
+type lacking struct {
+	since time.Time
+	hosts int
+}
+
+// noteLacking notes since when pools lack how many hosts. The mutex is held.
+func (l *Leader) noteLacking(pools map[string]int) {
+	for name := range l.lacking {
+		if pools[name] == 0 {
+			delete(l.lacking, name)
 		}
 	}
-	for name := range pools {
-		if _, known := l.unplaced[name]; !known {
-			l.unplaced[name] = l.now()
+	for name, hosts := range pools {
+		since := l.now()
+		if known, ok := l.lacking[name]; ok {
+			since = known.since
 		}
+		l.lacking[name] = lacking{since, hosts}
 	}
 }
 
--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -26,9 +26,9 @@
 	DurationS float64
 	// Spread is the least number of hosts that lasting work needs.
 	Spread int
-	// Unplaced is set if a lasting task waits that no host takes for another reason
-	// than its CPU, such as memory or what runs beside it.
-	Unplaced bool
+	// Lacking is how many empty hosts the lasting tasks need that no host takes, for
+	// whichever reason: memory, room in parts, or what runs beside them.
+	Lacking int
 }
 
 // Host is one host. Hosts that are away count for the pool that they join.
@@ -126,9 +126,8 @@
 	for _, n := range order {
 		n.want = p.want(n.pool, size)
 		n.due = min(n.want, p.want(n.pool.withoutMissed(), size))
-		if n.pool.Unplaced {
-			// An empty host takes what the others do not.
-			n.want, n.due = max(n.want, n.used+1), max(n.due, n.used+1)
+		if lacking := n.pool.Lacking; lacking > 0 {
+			n.want, n.due = max(n.want, n.used+lacking), max(n.due, n.used+lacking)
 		}
 	}
 	potential := potential(order, needs, size)
--- a/internal/poolsize/poolsize_test.go
+++ b/internal/poolsize/poolsize_test.go
@@ -161,12 +161,14 @@
 		Expect(to(d, "cuts")).To(Equal(3))
 	})
 
-	It("adds one empty host for a task that no host takes though CPU is left", func() {
+	It("adds the empty hosts that tasks lack which no host takes though CPU is left", func() {
 		// Guards against a lasting task that never runs again, since its pool has
 		// CPU enough but no host with the memory, or without work that disturbs it.
-		one := poolsize.Pool{Running: 14 * core, Waiting: 2 * core, Unplaced: true}
+		one := poolsize.Pool{Running: 14 * core, Waiting: 2 * core, Lacking: 1}
 		used := hosts("desk", 2, func(_ int, h *poolsize.Host) { h.Movable, h.Load, h.Lasting = false, 7*core, true })
 		Expect(to(poolsize.Plan(poolsize.Default(), pools(one, poolsize.Pool{}), append(slices.Clone(used), hosts("off", 3, nil)...)), "desk")).To(Equal(1))
+		three := poolsize.Pool{Running: 14 * core, Waiting: 2 * core, Lacking: 3}
+		Expect(to(poolsize.Plan(poolsize.Default(), pools(three, poolsize.Pool{}), append(slices.Clone(used), hosts("off", 4, nil)...)), "desk")).To(Equal(3), "one of four goes to the other pool")
 		coming := append(slices.Clone(used), hosts("desk", 1, func(_ int, h *poolsize.Host) { h.Name, h.Movable = "new", false })...)
 		d := poolsize.Plan(poolsize.Default(), pools(one, poolsize.Pool{}), append(coming, hosts("off", 3, nil)...))
 		Expect(to(d, "desk")).To(BeZero(), "it is on its way")
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -48,9 +48,12 @@
 	// hosts, by an outside policy.
 	Permitted func(j *work.Job, t *work.Task, target *work.Target, hosts []*Host) bool
 	pools     map[string]*pool
-	// Unplaced is set by a plan for the pools that have a lasting task which no
-	// host takes, though one has the CPU for it. Other tasks soon make room.
-	Unplaced map[string]bool
+	// Empty returns the room of hosts that can join a pool, the usual ones first.
+	// Without it, pools lack no hosts.
+	Empty func() []work.Demand
+	// Lacking is set by a plan to the number of empty hosts that each pool needs
+	// for the lasting tasks that none of its hosts takes.
+	Lacking map[string]int
 
 	// Capacity returns what a pool can have, in thousandths of a core: its hosts
 	// and those that other pools do not need.
@@ -108,7 +111,7 @@
 			order = append(order, r.rank(j))
 		}
 	}
-	r.pools, r.Unplaced = map[string]*pool{}, map[string]bool{}
+	r.pools, r.Lacking = map[string]*pool{}, map[string]int{}
 	r.postpone(order)
 	slices.SortFunc(order, func(a, b urgency) int {
 		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.rank, b.rank),
@@ -131,6 +134,8 @@
 	// plan, but for gangs that are undone. While many jobs wait, most of them are
 	// turned down by it without a look at every host.
 	full []work.Demand
+	// lacking are empty hosts, filled with the lasting tasks that no host takes.
+	lacking []*Host
 }
 
 // maxFull bounds the demands that are kept: jobs of a queue are similar.
@@ -234,9 +239,12 @@
 	var chosen []work.Start
 	var used []*Host
 	placed := map[*Host]int{}
-	for _, t := range tasks {
+	for i, t := range tasks {
 		h := r.choose(j, t, s, need, placed)
 		if h == nil {
+			if s.Lasting {
+				r.lack(j, s, tasks[i:])
+			}
 			break // the other tasks need the same
 		}
 		h.add(s, 1)
@@ -255,6 +263,49 @@
 	return append(starts, chosen...)
 }
 
+// lack fills empty hosts with the tasks of a step that no host of the pool takes.
+// A task that not even an empty host takes is left out.
+func (r *Request) lack(j *work.Job, s *work.Step, tasks []*work.Task) {
+	p := r.poolOf(j.Pool)
+	for i := 0; len(tasks) > 0; i++ {
+		opened := i == len(p.lacking)
+		if opened {
+			h := r.emptyHost(s)
+			if h == nil {
+				break
+			}
+			p.lacking = append(p.lacking, h)
+		}
+		h, n := p.lacking[i], 0
+		for len(tasks) > 0 && h.Obstacle(j, tasks[0], s, n) == "" {
+			h.add(s, 1)
+			tasks = tasks[1:]
+			n++
+		}
+		if opened && n == 0 {
+			p.lacking = p.lacking[:i]
+			break
+		}
+	}
+	if len(p.lacking) > 0 {
+		r.Lacking[j.Pool] = len(p.lacking)
+	}
+}
+
+// emptyHost returns an empty host for tasks of a step, nil if none has the room.
+// Which labels a host that joins has is not known before.
+func (r *Request) emptyHost(s *work.Step) *Host {
+	if r.Empty == nil {
+		return nil
+	}
+	for _, room := range r.Empty() {
+		if s.Reserved().Within(room) {
+			return &Host{Target: &work.Target{Labels: []string{s.Label}}, Free: room}
+		}
+	}
+	return nil
+}
+
 // failedPauseMS is how long after the start of a failed run its host is not used
 // for the task although no other has room, unless runs were done there since:
 // other hosts get room, and bad ones are set aside, within a few seconds.
@@ -284,9 +335,6 @@
 	if !room && len(p.full) < maxFull {
 		p.full = append(p.full, need)
 	}
-	if s.Lasting && best == nil && failed == nil && slices.ContainsFunc(p.hosts, func(h *Host) bool { return need.MilliCPU <= h.Free.MilliCPU }) {
-		r.Unplaced[j.Pool] = true
-	}
 	if best == nil && failed != nil && permitted(failed) &&
 		(len(p.hosts) == 1 || failed.Penalty == 0 || r.NowMS-t.StartedMS >= failedPauseMS) {
 		return failed
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -175,6 +175,25 @@
 		Expect(order(plan(2000, js, host("a", "", 2000)))).To(Equal([]string{"s"}))
 	})
 
+	It("tells how many empty hosts the lasting tasks need that no host takes", func() {
+		// Guards against pools that get hosts for them one after another, or none
+		// where each host has a part of the CPU left.
+		lasting := func(tasks int, cpu, memory int64) work.Step {
+			return work.Step{Tasks: tasks, Lasting: true, Demand: work.Demand{MilliCPU: cpu, MemoryMB: memory}}
+		}
+		apart := lasting(4, 400, 10)
+		apart.MaxPerHost = 1
+		r := &schedule.Request{
+			NowMS: 2000, MaxStarts: 100, Duration: func(*work.Job, int) int64 { return 1000 },
+			Jobs: jobs(job("parts", "/urgent/", lasting(3, 3000, 10)), job("memory", "/urgent/", lasting(3, 500, 60)),
+				job("apart", "/urgent/", apart), job("large", "/urgent/", lasting(1, 9000, 10)), job("short", "/urgent/", step(9, 4000))),
+			Hosts: func(string) []*schedule.Host { return []*schedule.Host{host("a", "", 2500)} },
+			Empty: func() []work.Demand { return []work.Demand{{MilliCPU: 4000, MemoryMB: 100}} },
+		}
+		Expect(schedule.Plan(r)).To(BeEmpty())
+		Expect(r.Lacking).To(Equal(map[string]int{"desk": 4}), "one of each kind on three, and the fourth that stays apart")
+	})
+
 	It("starts occurrences at their times", func() {
 		// Guards against a start before it is due.
 		s := job("j", "/urgent/", step(1, 100))
