--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -372,7 +372,18 @@
 // were found at most awayPace before. The mutex is held.
 func (l *Leader) awayDataCentres(v *work.View) map[string]bool {
 	if now := l.now(); l.fleet.away == nil || now.Sub(l.fleet.awayAt) >= awayPace {
+		before := l.fleet.away
 		l.fleet.away, l.fleet.awayAt = l.findAway(v), now
+		for name, away := range l.fleet.away {
+			if away && !before[name] {
+				l.log.Warn().Str("data_centre", name).Msg("data centre seems to be cut off")
+			}
+		}
+		for name, away := range before {
+			if away && !l.fleet.away[name] {
+				l.log.Info().Str("data_centre", name).Msg("data centre answers again")
+			}
+		}
 	}
 	return l.fleet.away
 }
