Ask idle targets before a data centre is left out for long

What callers saw: accepted lasting tasks without a run for long at a calm time, while idle hosts were there that could run them; less served after a cut.

Cause: a data centre counts as cut off while several of its targets are silent and none with runs answers. When a cut is over, nothing runs there any more, and idle targets were not asked. Two targets that were lost meanwhile kept all hosts of the data centre out of use, which kept runs from them, until the lost ones were forgotten 15 s after their last sign of life and their last run was closed. Class: an exclusion whose end needs the excluded to be used.

Now one idle target of such a data centre is asked twice a second; an answer within 2 s puts the data centre back in use.

Evidence: TestLossOfBusyHostsLeavesTheIdleOnesOfTheirDataCentreInUse found 0 of 2 tasks running after 9 s (they ran after 14 and 16.6 s) and passes.

Ruled out: announcements as signs of life. They pass a cut of one direction; with them, TestIdleHostsThatAnnounceButDoNotAnswerTakeNoRuns fails with two starts on targets that do not answer.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -33,6 +33,9 @@
 	// silentForAway is how many silent targets show that a data centre is cut
 	// off: more than the loss of one host.
 	silentForAway = 2
+	// probeEvery is how often an idle target of a data centre that seems to be cut
+	// off is asked whether it answers.
+	probeEvery = 500 * time.Millisecond
 	// busyBeforeList is after how many refused orders the list is read again, and
 	// after each further one: a host that leaves stays listed until it is gone.
 	busyBeforeList = 3
@@ -388,30 +391,52 @@
 	return l.fleet.away
 }
 
-// findAway finds the data centres of which several targets do not answer and
-// none does. Idle targets are not asked, so they count only once their
-// announcements stop. The mutex is held.
+// findAway finds the data centres of which several targets are silent and none
+// has answered lately. Where only idle targets are left, one is asked now and
+// then: their announcements come through a cut of one direction. The mutex is
+// held.
 func (l *Leader) findAway(v *work.View) map[string]bool {
-	silent, heard := map[string]int{}, map[string]int{}
+	now := l.now()
+	silent, answers, idle := map[string]int{}, map[string]bool{}, map[string]*work.Target{}
 	for key, t := range v.Targets {
 		if t.Ended {
 			continue
 		}
-		s := l.sessions[key]
+		c := l.contacts[key]
 		switch {
+		case c != nil && now.Sub(c.answered) < 2*holdWait:
+			answers[t.DataCentre] = true
 		case !l.heard(t):
 			silent[t.DataCentre]++
-		case s != nil && t.Runs() > 0 && l.now().Sub(s.answered) < 2*holdWait:
-			heard[t.DataCentre]++
+		default:
+			if other := idle[t.DataCentre]; other == nil || c.probed.Before(l.contacts[other.Key()].probed) {
+				idle[t.DataCentre] = t
+			}
 		}
 	}
 	away := map[string]bool{}
 	for name, n := range silent {
-		away[name] = n >= silentForAway && heard[name] == 0
+		away[name] = n >= silentForAway && !answers[name]
+		if t := idle[name]; away[name] && t != nil && now.Sub(l.contacts[t.Key()].probed) >= probeEvery {
+			l.probe(t)
+		}
 	}
 	return away
 }
 
+// probe asks an idle target for its runs, to learn whether it answers. The mutex
+// is held.
+func (l *Leader) probe(t *work.Target) {
+	key := t.Key()
+	l.contacts[key].probed = l.now()
+	s := l.sessions[key]
+	if s == nil {
+		s = l.openSession(key, Address{t.Address, t.ID}, l.succeededLately(t))
+	}
+	s.probing = true
+	s.wake.poke()
+}
+
 // closeHosts keeps new runs away from the hosts that their pool does not need.
 func (l *Leader) closeHosts(closing map[string]bool) {
 	for name, h := range l.fleet.hosts {
--- a/internal/leader/lasting_test.go
+++ b/internal/leader/lasting_test.go
@@ -149,8 +149,12 @@
 	}
 }
 
-// lostAfter is how long a lasting task may be without a run in calm.
-const lostAfter = 6 * time.Second
+const (
+	// lostAfter is how long a lasting task may be without a run in calm.
+	lostAfter = 6 * time.Second
+	// lostFor is for how long beyond that it must lack a run to count as lost.
+	lostFor = 3 * time.Second
+)
 
 // Guards against accepted lasting tasks that wait for a run while hosts are to be
 // had: their pool was given hosts by its demand of CPU, and one at a time for all
@@ -196,6 +200,81 @@
 	}
 }
 
+// Guards against lasting tasks without a run beside idle hosts of a data centre
+// that counted as cut off: two of its hosts are lost, and no run is left there to
+// show that the others answer.
+func TestLossOfBusyHostsLeavesTheIdleOnesOfTheirDataCentreInUse(t *testing.T) {
+	play(t, func(w *world) {
+		w.spread = true
+		for _, n := range []string{"0", "2", "4", "6", "8"} {
+			w.add("a"+n, "h"+n, "1:"+n, "desk").duration = 0
+		}
+		_, stop := w.lead(2)
+		defer stop()
+		after(time.Second)
+		step := lasting(2)
+		step.MaxPerHost = 1
+		w.submit("j", "/draw/", step)
+		after(2 * time.Second)
+		w.mu.Lock()
+		lost := 0
+		for _, target := range w.targets {
+			if len(target.runs) > 0 {
+				target.die()
+				target.silent = true
+				lost++
+			}
+		}
+		w.mu.Unlock()
+		NewWithT(t).Expect(lost).To(Equal(2))
+		after(lostAfter + lostFor)
+		w.mu.Lock()
+		running, logs := w.running(), w.logs.String()
+		w.mu.Unlock()
+		NewWithT(t).Expect(running).To(Equal(2), logs)
+	})
+}
+
+// Guards against starts on idle hosts of a data centre that is cut off in one
+// direction: their announcements arrive, but no answer does.
+func TestIdleHostsThatAnnounceButDoNotAnswerTakeNoRuns(t *testing.T) {
+	play(t, func(w *world) {
+		w.spread = true
+		add := func(pool string, names ...string) {
+			for _, n := range names {
+				w.add("a"+n, "h"+n, "1:"+n, pool).duration = 0
+			}
+		}
+		add("cuts", "1")
+		add("desk", "0", "2", "4")
+		_, stop := w.lead(2)
+		defer stop()
+		after(time.Second)
+		step := lasting(3)
+		step.MaxPerHost = 1
+		w.submit("j", "/draw/", step)
+		after(2 * time.Second)
+		w.mu.Lock()
+		w.unanswered = "a"
+		w.mu.Unlock()
+		add("desk", "3", "5", "6", "7", "8")
+		after(lostAfter + lostFor) // the leases end
+		for range 20 {
+			w.mu.Lock()
+			running, inA := w.running(), 0
+			for _, target := range w.targets {
+				if target.state.DataCentre == "a" {
+					inA += len(target.runs)
+				}
+			}
+			logs := w.logs.String()
+			w.mu.Unlock()
+			NewWithT(t).Expect([]int{running, inA}).To(Equal([]int{3, 0}), logs)
+			after(time.Second)
+		}
+	})
+}
+
 // Guards against two runs of a task: orders to an earlier life carry a time on its
 // clock, which is ahead of that of the later life under the same id, so that this
 // one takes the longest lease.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -118,7 +118,11 @@
 type contact struct {
 	announced time.Time
 	// heard is when the target last announced itself or answered.
-	heard    time.Time
+	heard time.Time
+	// answered is when it last answered a call, and probed when it was last asked
+	// although it ran nothing.
+	answered, probed time.Time
+
 	sequence int64
 	clock    targetClock
 	// avoidUntil is until when no run is started, after failures.
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -69,6 +69,8 @@
 	// was sent last.
 	granted int64
 	sentAt  time.Time
+	// probing is set if the target is to be asked although it runs nothing.
+	probing bool
 	// replaced is set once a later life with the same id answered.
 	replaced bool
 	// acknowledged is the number that the target has been told.
@@ -266,11 +268,11 @@
 
 // needed reports whether the target has runs, or ends that it does not know to
 // be recorded, or was not asked yet, or has announced itself since it was
-// silent.
+// silent, or is probed.
 func (s *session) needed() bool {
-	needed := false
 	s.l.mu.Lock()
-	acknowledged, first := s.acknowledged, s.first
+	acknowledged, first, needed := s.acknowledged, s.first, s.probing
+	s.probing = false
 	if c := s.l.contacts[s.key]; c != nil && s.silent && c.announced.After(s.silentAt) {
 		needed = true
 	}
@@ -436,7 +438,7 @@
 	}
 	now := l.now()
 	c.clock.learn(ms, now)
-	c.heard = now
+	c.heard, c.answered = now, now
 }
 
 // take records the ends of a list, and orders what the list calls for.
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -46,6 +46,8 @@
 	alive map[work.TaskRef]int
 	moves []string
 	seq   int64
+	// unanswered is a data centre whose targets carry orders out without an answer.
+	unanswered string
 	// spread is set if the hosts are spread over the data centres.
 	spread bool
 	// lives counts the targets that took the place of others.
@@ -344,8 +346,9 @@
 		}
 		return leader.Reply{ClockMS: t.clockMS(), Refusal: f(t)}
 	}
-	if t == nil || t.silent || t.deaf || t.late > 0 {
-		if t != nil && t.deaf {
+	deaf := t != nil && (t.deaf || t.state.DataCentre == w.unanswered)
+	if t == nil || t.silent || deaf || t.late > 0 {
+		if deaf {
 			carry()
 		}
 		if t != nil && t.late > 0 && !t.silent {
