Start the work of a lost target again once its lease has ended

What callers saw: after a target was lost, its lasting tasks had no run for 6 to 9 s, part of which is the time after which an accepted task counts as lost.

Cause: two delays on top of the lease of 4 s. A hold that is repeated because its answer did not come granted a new lease, 1.4 s later; and a silent target was asked with a wait of 1 s and asked again after that, so that the end of its lease was looked for every 2.3 s only. Now the repeated hold grants nothing, a silent target is asked without a wait, and the pause ends with the lease.

Evidence: TestRunsOfALostTargetStartElsewhereOnceTheirLeaseHasEnded allows the lease on a slow clock, one hold without an answer and 0.2 s for the next start.

Ruled out: shorter leases. They end in an election.

--- a/internal/leader/lasting_test.go
+++ b/internal/leader/lasting_test.go
@@ -275,6 +275,41 @@
 	})
 }
 
+// Guards against work of a lost target that waits much longer than its lease: the
+// lease was extended by a second try after an answer that had not come, and its end
+// was looked for every two seconds only.
+func TestRunsOfALostTargetStartElsewhereOnceTheirLeaseHasEnded(t *testing.T) {
+	const (
+		lease = 4 * time.Second
+		// slow covers a clock that is 2 % slow, a margin of 0.3 s and a hold without
+		// an answer.
+		slow = lease/50 + 300*time.Millisecond + 400*time.Millisecond
+		// plan covers the commits and the plan of the next start.
+		plan = 200 * time.Millisecond
+	)
+	for ms := range 10 {
+		play(t, func(w *world) {
+			w.add("a", "ha", "1:1", "desk").duration = 0
+			w.add("c", "hc", "2:1", "cuts").duration = 0
+			_, stop := w.lead(2)
+			defer stop()
+			after(time.Second)
+			w.submit("j", "/draw/", lasting(1))
+			after(2*time.Second + time.Duration(ms)*150*time.Millisecond)
+			w.mu.Lock()
+			w.targets["1:1"].die()
+			w.targets["1:1"].silent = true
+			w.mu.Unlock()
+			w.add("b", "hb", "1:2", "desk").duration = 0
+			after(lease + slow + plan)
+			w.mu.Lock()
+			running, logs := w.running(), w.logs.String()
+			w.mu.Unlock()
+			NewWithT(t).Expect(running).To(Equal(1), logs)
+		})
+	}
+}
+
 // Guards against two runs of a task: orders to an earlier life carry a time on its
 // clock, which is ahead of that of the later life under the same id, so that this
 // one takes the longest lease.
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -60,9 +60,9 @@
 	first bool
 	// starting is set while a listed lasting task is not fully at work yet.
 	starting bool
-	// silent is set while the last hold was not answered. No lease is extended
-	// then, so that the granted ones end.
-	silent bool
+	// unanswered is set while the last hold was not answered. No lease is extended
+	// then, so that the granted ones end. silent is set once the second one was not.
+	unanswered, silent bool
 	// silentAt is when the last hold failed.
 	silentAt time.Time
 	// granted is the latest end of a lease on the target's clock, and sentAt when it
@@ -247,25 +247,43 @@
 			}
 			continue
 		}
-		answered := s.hold(ctx, holdWait) || s.hold(ctx, 0) // one lost answer is no silence
-		s.l.mu.Lock()
-		if s.silent = !answered; s.silent {
-			s.silentAt = s.l.now()
-		}
-		s.l.mu.Unlock()
-		if answered {
+		if s.ask(ctx) {
 			failures = 0
 			continue
 		}
 		failures++
 		s.l.noteFailure(s.key)
 		s.checkLapse()
-		if !s.l.sleep(min(retryPause*time.Duration(failures), maxRetryPause)) {
+		if !s.l.sleep(min(retryPause*time.Duration(failures), maxRetryPause, s.leaseLeft())) {
 			return
 		}
 	}
 }
 
+// ask holds, a second time if the answer does not come: one lost answer is no
+// silence. It reports whether the target answered.
+func (s *session) ask(ctx context.Context) bool {
+	s.l.mu.Lock()
+	unanswered := s.unanswered
+	s.l.mu.Unlock()
+	if !unanswered {
+		if s.hold(ctx, holdWait) {
+			return true
+		}
+		s.l.mu.Lock()
+		s.unanswered = true
+		s.l.mu.Unlock()
+	}
+	answered := s.hold(ctx, 0)
+	s.l.mu.Lock()
+	defer s.l.mu.Unlock()
+	s.unanswered = !answered
+	if s.silent = !answered; s.silent {
+		s.silentAt = s.l.now()
+	}
+	return answered
+}
+
 // needed reports whether the target has runs, or ends that it does not know to
 // be recorded, or was not asked yet, or has announced itself since it was
 // silent, or is probed.
@@ -296,7 +314,7 @@
 	if s.replaced {
 		return 0 // the time would be on the clock of the earlier life
 	}
-	if s.sentAt = now; c == nil || c.clock.now(now) == 0 || s.silent {
+	if s.sentAt = now; c == nil || c.clock.now(now) == 0 || s.unanswered {
 		return s.granted
 	}
 	s.leaseEnd = latest(s.leaseEnd, now.Add(l.longest(l.lease())))
@@ -584,6 +602,17 @@
 	}
 }
 
+// leaseLeft returns for how long leases of the target may last, and the longest
+// pause once they have ended.
+func (s *session) leaseLeft() time.Duration {
+	s.l.mu.Lock()
+	defer s.l.mu.Unlock()
+	if left := s.leaseEnd.Sub(s.l.now()); left > 0 {
+		return left
+	}
+	return maxRetryPause
+}
+
 // checkLapse closes the runs of a target whose lease has certainly ended.
 func (s *session) checkLapse() {
 	state := s.snapshot()
