Give pools hosts for jobs without a run that lack memory

What callers see: an accepted job of short tasks stays queued for as long as lasting tasks hold the memory of its pool's hosts. Found by reading, shown by a test.

The hosts that the plan finds lacking now include those for jobs without a run whose tasks no host takes although one has the CPU. For others, work that ends makes room.

--- a/internal/leader/lasting_test.go
+++ b/internal/leader/lasting_test.go
@@ -200,6 +200,34 @@
 	}
 }
 
+// Guards against an accepted job that nothing runs for as long as lasting tasks hold
+// the memory of its pool's hosts: by its demand of CPU the pool needs no other.
+func TestShortTasksGetHostsWithMemory(t *testing.T) {
+	play(t, func(w *world) {
+		for i := range 6 {
+			n := strconv.Itoa(i)
+			w.add("a"+n, "h"+n, "1:"+n, "desk").lasts(time.Second)
+		}
+		w.add("c", "hc", "2:1", "cuts").duration = 0
+		_, stop := w.lead(2)
+		defer stop()
+		after(5 * time.Second) // all but one go to standby
+		for _, target := range w.targets {
+			target.lasts(0)
+		}
+		step := lasting(1)
+		step.Demand = work.Demand{MilliCPU: 500, MemoryMB: 3500}
+		w.submit("lasting", "/draw/", step)
+		after(time.Second)
+		for _, target := range w.targets {
+			target.lasts(time.Second)
+		}
+		w.submit("short", "/once/", work.Step{Tasks: 3, Demand: work.Demand{MilliCPU: 500, MemoryMB: 2500}})
+		after(lostAfter)
+		NewWithT(t).Expect(w.state("short")).To(Equal(work.Completed), w.logs.String())
+	})
+}
+
 // Guards against lasting tasks without a run beside idle hosts of a data centre
 // that counted as cut off: two of its hosts are lost, and no run is left there to
 // show that the others answer.
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -52,7 +52,8 @@
 	// Without it, pools lack no hosts.
 	Empty func() []work.Demand
 	// Lacking is set by a plan to the number of empty hosts that each pool needs
-	// for the lasting tasks that none of its hosts takes.
+	// for the tasks that none of its hosts takes: lasting ones, and those of jobs
+	// without a run for which a host has the CPU.
 	Lacking map[string]int
 
 	// Capacity returns what a pool can have, in thousandths of a core: its hosts
@@ -134,7 +135,7 @@
 	// plan, but for gangs that are undone. While many jobs wait, most of them are
 	// turned down by it without a look at every host.
 	full []work.Demand
-	// lacking are empty hosts, filled with the lasting tasks that no host takes.
+	// lacking are empty hosts, filled with the tasks for which the pool lacks some.
 	lacking []*Host
 }
 
@@ -242,7 +243,7 @@
 	for i, t := range tasks {
 		h := r.choose(j, t, s, need, placed)
 		if h == nil {
-			if s.Lasting {
+			if s.Lasting || (!j.Active() && r.hasCPU(j.Pool, need)) {
 				r.lack(j, s, tasks[i:])
 			}
 			break // the other tasks need the same
@@ -263,6 +264,12 @@
 	return append(starts, chosen...)
 }
 
+// hasCPU reports whether a host of a pool has the CPU for a task, so that the pool's
+// demand of CPU asks for no further host.
+func (r *Request) hasCPU(pool string, need work.Demand) bool {
+	return slices.ContainsFunc(r.poolOf(pool).hosts, func(h *Host) bool { return need.MilliCPU <= h.Free.MilliCPU })
+}
+
 // lack fills empty hosts with the tasks of a step that no host of the pool takes.
 // A task that not even an empty host takes is left out.
 func (r *Request) lack(j *work.Job, s *work.Step, tasks []*work.Task) {
--- a/internal/work/queries.go
+++ b/internal/work/queries.go
@@ -97,6 +97,9 @@
 // Waiting reports whether some task is neither done nor running.
 func (j *Job) Waiting() bool { return j.open > j.active }
 
+// Active reports whether a run of the job may be alive.
+func (j *Job) Active() bool { return j.active > 0 }
+
 // Changed returns a channel that is closed at the next change.
 func (m *Machine) Changed() <-chan struct{} {
 	m.mu.RLock()
