Keep a target that answers when a later life is announced

An announcement under another id that names the host or the address of a live target, with a later start, ended that target at once: all its runs were closed and started again while they went on. One under the same id marked the target as ended, and while a lasting run went on there it never took new runs again. A real later life and one odd announcement look the same.

Cause: the later start alone was the proof. The leader now also asks what it knows of the earlier life: one with runs is called each second, and while its last answer is less than two seconds old and its last call was answered, the announcement is refused with *fault.Precondition and logged. A later life that is real repeats it 1.5 s later, and is taken as soon as a call to the earlier one fails or meets another target. The state machine is unchanged.

TestALaterLifeDoesNotEndATargetThatAnswers failed for host, address and id before the change ("Expected <nil>: nil to be assignable to the type: *fault.Precondition"); without that expectation the world noted "two runs of {j 0 0 0} at the same time" for the address, and "it takes new runs: Expected <int>: 1 to be > <int>: 1" for the id. TestALaterLifeIsTakenOnceTheEarlierOneIsSilent passed before and after: a real later life has the task within two announcements.

--- a/internal/leader/announce.go
+++ b/internal/leader/announce.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/work"
 )
 
@@ -11,13 +12,21 @@
 	// announceMissed is after how many announcement intervals without one a
 	// target gets no new runs.
 	announceMissed = 3
+	// answersFor is how long a target with runs counts as alive after an answer. It
+	// is asked every holdWait, and one that has ended is found silent sooner.
+	answersFor = 2 * holdWait
 )
 
 // Announce takes an announcement. What it changes is committed before it
-// returns, so that it is known to the next leader once it is acknowledged.
+// returns, so that it is known to the next leader once it is acknowledged. It
+// returns *fault.Invalid, *fault.Precondition or *fault.LimitExceeded for one that
+// names no target to use, and the errors of replica.Group.
 func (l *Leader) Announce(ctx context.Context, a *work.Announcement) error {
 	key := a.Target.Key()
 	now := l.now()
+	if err := l.admit(&a.Target, now); err != nil {
+		return l.refuse(&a.Target, err)
+	}
 	l.mu.Lock()
 	c := l.contacts[key]
 	if c == nil {
@@ -56,6 +65,43 @@
 	return nil
 }
 
+// admit returns why a target is not taken into the region, nil if it is.
+func (l *Leader) admit(t *work.Target, now time.Time) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var err error
+	l.cfg.Machine.Read(func(v *work.View) {
+		if v.Targets[t.Key()] == nil {
+			err = l.admitNew(v, t, now)
+		}
+	})
+	return err
+}
+
+// admitNew is admit for a target that the state does not hold. The mutex is held.
+func (l *Leader) admitNew(v *work.View, t *work.Target, now time.Time) error {
+	for _, key := range v.ReplacedBy(t) {
+		if l.answers(key, now) {
+			return &fault.Precondition{What: "registration of " + t.Key(), Reason: key + " still answers"}
+		}
+	}
+	return nil
+}
+
+// answers reports whether a target with runs has answered lately. The mutex is
+// held.
+func (l *Leader) answers(key string, now time.Time) bool {
+	s := l.sessions[key]
+	return s != nil && s.first && !s.silent && !s.replaced && now.Sub(s.answered) < answersFor
+}
+
+// refuse logs why an announcement is refused.
+func (l *Leader) refuse(t *work.Target, err error) error {
+	l.log.Info().Err(err).Str("target", t.Key()).Str("host", t.Host).Str("pool", t.Pool).Str("address", t.Address).
+		Msg("announcement refused")
+	return err
+}
+
 // differs reports whether the state does not hold the announced target.
 func (l *Leader) differs(t *work.Target) bool {
 	differs := true
--- /dev/null
+++ b/internal/leader/announce_test.go
@@ -0,0 +1,102 @@
+package leader_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/leader"
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+// announcement returns what a target of its own says, at an address where nobody
+// answers.
+func announcement(id string) *work.Announcement {
+	return &work.Announcement{Sequence: 1, ClockMS: 1, Target: work.Target{
+		ID: id, Born: time.Now().UnixMilli(), Host: "h-" + id, Pool: "desk", Address: "9:" + id, DataCentre: dataCentres[:1],
+		Room: work.Demand{MilliCPU: 4000, MemoryMB: 4000},
+	}}
+}
+
+// known reports whether the region holds a target.
+func (w *world) known(key string) (found bool) {
+	w.machine.Read(func(v *work.View) { found = v.Targets[key] != nil })
+	return found
+}
+
+// runsOn counts the live runs of a target.
+func (w *world) runsOn(t *target) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(t.runs)
+}
+
+// serving plays a world in which a target runs a lasting task, with room for one
+// more of it on another.
+func serving(t *testing.T, f func(w *world, l *leader.Leader, a *target)) {
+	play(t, func(w *world) {
+		a := w.add("a", "ha", "1:1", "desk")
+		a.lasts(0)
+		l, stop := w.lead(2)
+		defer stop()
+		w.submit("j", "/draw/", lasting(1))
+		after(3 * time.Second)
+		g := NewWithT(w.t)
+		g.Expect(w.runsOn(a)).To(Equal(1))
+		w.add("b", "hb", "1:2", "desk").lasts(0)
+		after(2 * worldAnnounce)
+		f(w, l, a)
+		after(10 * time.Second)
+		g.Expect(w.runsOn(a)).To(Equal(1), "its run goes on")
+		w.submit("k", "/draw/", lasting(7))
+		after(10 * time.Second)
+		g.Expect(w.runsOn(a)).To(BeNumerically(">", 1), "it takes new runs")
+	})
+}
+
+// Guards against a run that is started a second time while it is alive: an
+// announcement under another id, with a later start, named the host or the address
+// of a target that answered.
+func TestALaterLifeDoesNotEndATargetThatAnswers(t *testing.T) {
+	for name, change := range map[string]func(o *work.Target){
+		"host":    func(o *work.Target) { o.Host = "ha" },
+		"address": func(o *work.Target) { o.Address = "1:1" },
+		"id":      func(o *work.Target) { o.ID = "a" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			serving(t, func(w *world, l *leader.Leader, a *target) {
+				odd := announcement("odd")
+				change(&odd.Target)
+				var refused *fault.Precondition
+				NewWithT(w.t).Expect(l.Announce(context.Background(), odd)).To(BeAssignableToTypeOf(refused))
+				NewWithT(w.t).Expect(w.known(odd.Target.Key())).To(BeFalse())
+			})
+		})
+	}
+}
+
+// Guards against a later life that is never taken, or whose tasks wait for a
+// lease to end, since the earlier one answered shortly before it crashed.
+func TestALaterLifeIsTakenOnceTheEarlierOneIsSilent(t *testing.T) {
+	play(t, func(w *world) {
+		a := w.add("a", "ha", "1:1", "desk")
+		a.lasts(0)
+		_, stop := w.lead(2)
+		defer stop()
+		w.submit("j", "/draw/", lasting(1))
+		after(3 * time.Second)
+		g := NewWithT(w.t)
+		g.Expect(w.runsOn(a)).To(Equal(1))
+		w.mu.Lock()
+		a.die()
+		delete(w.targets, "1:1")
+		w.mu.Unlock()
+		b := w.add("b", "ha", "1:2", "desk")
+		b.lasts(0)
+		after(2 * worldAnnounce)
+		g.Expect(w.runsOn(b)).To(Equal(1))
+	})
+}
--- a/internal/work/queries.go
+++ b/internal/work/queries.go
@@ -46,6 +46,18 @@
 	return later.Born > t.Born && (later.Host == t.Host || later.ID == t.ID || later.Address == t.Address)
 }
 
+// ReplacedBy returns the keys of the targets that have ended if t, which the
+// state does not hold yet, is a life after theirs.
+func (v *View) ReplacedBy(t *Target) []string {
+	var keys []string
+	for key, other := range v.Targets {
+		if !other.Ended && other.replacedBy(t) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 // Ref returns the name of a task of the job.
 func (j *Job) Ref(t *Task) TaskRef { return j.ref(t) }
 
