Refuse targets that are born in the future

An announcement with a start in the future was registered. It is later than every real one, so that all lives of its host, address and id were refused as replaced by it, for as long as it was kept.

The leader refuses a new target whose start is more than an hour ahead of its clock, with *fault.Invalid (400).

TestATargetIsNotBornInTheFuture failed before ("Expected <nil>: nil to be assignable to the type: *fault.Invalid"); without that expectation it failed with "Expected <work.JobState>: running to equal <work.JobState>: completed", as the start went to the odd target while the real one of its host was refused.

--- a/internal/leader/announce.go
+++ b/internal/leader/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"agatehaven.dev/agatehaven/internal/fault"
@@ -15,6 +16,9 @@
 	// answersFor is how long a target with runs counts as alive after an answer. It
 	// is asked every holdWait, and one that has ended is found silent sooner.
 	answersFor = 2 * holdWait
+	// maxBornAhead is by how much the start of a target may lie in the future. The
+	// clocks of hosts jump by some seconds.
+	maxBornAhead = time.Hour
 )
 
 // Announce takes an announcement. What it changes is committed before it
@@ -80,6 +84,9 @@
 
 // admitNew is admit for a target that the state does not hold. The mutex is held.
 func (l *Leader) admitNew(v *work.View, t *work.Target, now time.Time) error {
+	if latest := now.Add(maxBornAhead).UnixMilli(); t.Born > latest {
+		return &fault.Invalid{Field: "born", Reason: "lies in the future", Allowed: "up to " + strconv.FormatInt(latest, 10)}
+	}
 	for _, key := range v.ReplacedBy(t) {
 		if l.answers(key, now) {
 			return &fault.Precondition{What: "registration of " + t.Key(), Reason: key + " still answers"}
--- a/internal/leader/announce_test.go
+++ b/internal/leader/announce_test.go
@@ -100,3 +100,32 @@
 		g.Expect(w.runsOn(b)).To(Equal(1))
 	})
 }
+
+// Guards against a target that no later life can end, and against a host that is
+// lost for its real target: a start in the future is later than any other.
+func TestATargetIsNotBornInTheFuture(t *testing.T) {
+	play(t, func(w *world) {
+		l, stop := w.lead(2)
+		defer stop()
+		after(time.Second)
+		g := NewWithT(w.t)
+		odd := announcement("odd")
+		odd.Target.Host = "ha"
+		var invalid *fault.Invalid
+		for _, ahead := range []time.Duration{2 * time.Hour, 1000 * time.Hour} {
+			odd.Target.Born = time.Now().Add(ahead).UnixMilli()
+			g.Expect(l.Announce(context.Background(), odd)).To(BeAssignableToTypeOf(invalid))
+		}
+		odd.Target.Born = 1 << 53
+		g.Expect(l.Announce(context.Background(), odd)).To(BeAssignableToTypeOf(invalid))
+		w.add("a", "ha", "1:1", "desk")
+		after(2 * worldAnnounce)
+		w.submit("j", "/draw/", small(1))
+		after(3 * time.Second)
+		g.Expect(w.state("j")).To(Equal(work.Completed))
+		jumped := announcement("jumped")
+		jumped.Target.Born += (10 * time.Second).Milliseconds()
+		g.Expect(l.Announce(context.Background(), jumped)).To(Succeed(), "clocks jump by seconds")
+		g.Expect(w.known(jumped.Target.Key())).To(BeTrue())
+	})
+}
