Refuse targets of a pool that the configuration does not name

A target of a pool that no configuration names was registered. It takes no runs, but its registration ended the life before it on its host and address, and kept that host's real target away until the odd one had been silent for 15 s.

Once a configuration is known the leader refuses such a target with *fault.NotFound (404) and logs it, so that it replaces and ends no other. One that announces that it drains is confirmed without being registered: it waits for the confirmation before it ends, and nothing is started on it. Before the first configuration all targets are taken, since nothing runs then. A target of a pool that a coming configuration adds is taken with its first announcement after it.

TestATargetOfAnUnknownPoolIsRefused failed before ("Expected <nil>: nil to be assignable to the type: *fault.NotFound").

--- a/internal/leader/announce.go
+++ b/internal/leader/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"time"
 
@@ -23,8 +24,8 @@
 
 // Announce takes an announcement. What it changes is committed before it
 // returns, so that it is known to the next leader once it is acknowledged. It
-// returns *fault.Invalid, *fault.Precondition or *fault.LimitExceeded for one that
-// names no target to use, and the errors of replica.Group.
+// returns *fault.Invalid, *fault.NotFound or *fault.Precondition for one that names
+// no target to use, and the errors of replica.Group.
 func (l *Leader) Announce(ctx context.Context, a *work.Announcement) error {
 	key := a.Target.Key()
 	now := l.now()
@@ -87,6 +88,11 @@
 	if latest := now.Add(maxBornAhead).UnixMilli(); t.Born > latest {
 		return &fault.Invalid{Field: "born", Reason: "lies in the future", Allowed: "up to " + strconv.FormatInt(latest, 10)}
 	}
+	if v.Config != nil {
+		if _, named := v.Config.Pool(t.Pool); !named {
+			return &fault.NotFound{Kind: "pool", Name: t.Pool}
+		}
+	}
 	for _, key := range v.ReplacedBy(t) {
 		if l.answers(key, now) {
 			return &fault.Precondition{What: "registration of " + t.Key(), Reason: key + " still answers"}
@@ -102,10 +108,16 @@
 	return s != nil && s.first && !s.silent && !s.replaced && now.Sub(s.answered) < answersFor
 }
 
-// refuse logs why an announcement is refused.
+// refuse logs why an announcement is refused and returns the error for its sender:
+// none for a target of an unknown pool that drains. No run is ever started there,
+// and the target waits for a confirmation before it ends.
 func (l *Leader) refuse(t *work.Target, err error) error {
 	l.log.Info().Err(err).Str("target", t.Key()).Str("host", t.Host).Str("pool", t.Pool).Str("address", t.Address).
-		Msg("announcement refused")
+		Bool("draining", t.Draining).Msg("announcement refused")
+	var notFound *fault.NotFound
+	if t.Draining && errors.As(err, &notFound) {
+		return nil
+	}
 	return err
 }
 
--- a/internal/leader/announce_test.go
+++ b/internal/leader/announce_test.go
@@ -129,3 +129,23 @@
 		g.Expect(w.known(jumped.Target.Key())).To(BeTrue())
 	})
 }
+
+// Guards against a target that ends others, or keeps their later lives away,
+// although it belongs to no pool of the configuration.
+func TestATargetOfAnUnknownPoolIsRefused(t *testing.T) {
+	serving(t, func(w *world, l *leader.Leader, a *target) {
+		g := NewWithT(w.t)
+		odd := announcement("odd")
+		odd.Target.Pool, odd.Target.Host = "nowhere", "hb"
+		var notFound *fault.NotFound
+		g.Expect(l.Announce(context.Background(), odd)).To(BeAssignableToTypeOf(notFound))
+		g.Expect(w.known(odd.Target.Key())).To(BeFalse())
+		odd.Sequence, odd.Target.Draining = 2, true
+		g.Expect(l.Announce(context.Background(), odd)).To(Succeed(), "one that ends waits for its confirmation")
+		g.Expect(w.known(odd.Target.Key())).To(BeFalse())
+		g.Expect(l.Leave(context.Background(), "odd")).To(Succeed())
+		standby := announcement("standby")
+		standby.Target.Pool = "off"
+		g.Expect(l.Announce(context.Background(), standby)).To(Succeed())
+	})
+}
