Keep the host and pool of a target that announces others

An announcement with the id and start of a known target and another pool or host was taken over into the state until the next real one, up to 1.5 s later. In that time runs of the other pool were started on the target. A life of a target has one host and one pool, since a move ends it, so the leader refuses such an announcement with *fault.Precondition.

TestATargetKeepsItsHostAndPool failed before ("Expected <nil>: nil to be assignable to the type: *fault.Precondition"); without that expectation it failed with "its run goes on: Expected <int>: 2 to equal <int>: 1": the second run was one of the other pool. Address and room are still taken over from the newest announcement.

--- a/internal/leader/announce.go
+++ b/internal/leader/announce.go
@@ -76,8 +76,11 @@
 	defer l.mu.Unlock()
 	var err error
 	l.cfg.Machine.Read(func(v *work.View) {
-		if v.Targets[t.Key()] == nil {
+		switch known := v.Targets[t.Key()]; {
+		case known == nil:
 			err = l.admitNew(v, t, now)
+		case known.Host != t.Host || known.Pool != t.Pool: // a life keeps both
+			err = &fault.Precondition{What: "announcement of " + t.Key(), Reason: "it is on " + known.Host + " in pool " + known.Pool}
 		}
 	})
 	return err
--- a/internal/leader/announce_test.go
+++ b/internal/leader/announce_test.go
@@ -149,3 +149,21 @@
 		g.Expect(l.Announce(context.Background(), standby)).To(Succeed())
 	})
 }
+
+// Guards against a run on a target of another pool, and against a later life on
+// another host that ends a target: one announcement changed the pool or the host
+// of a life, which keeps both.
+func TestATargetKeepsItsHostAndPool(t *testing.T) {
+	serving(t, func(w *world, l *leader.Leader, a *target) {
+		w.submit("c", "/cut/", lasting(1))
+		w.mu.Lock()
+		other := work.Announcement{Target: a.state, Sequence: w.seq, ClockMS: a.clockMS()}
+		moved := other
+		w.mu.Unlock()
+		other.Target.Pool, moved.Target.Host = "cuts", "hc"
+		for _, odd := range []*work.Announcement{&moved, &other} {
+			var refused *fault.Precondition
+			NewWithT(w.t).Expect(l.Announce(context.Background(), odd)).To(BeAssignableToTypeOf(refused))
+		}
+	})
+}
