Hear a target again after a sequence far ahead

One announcement under a target's id and start with a sequence far ahead made all later ones of the target old: they were answered 200 and dropped for the rest of the term. A target without runs got none any more, and a leave that it announced was confirmed and not taken note of, so that runs were still started there.

Lower sequences count again once three have come in rising order and none has followed the higher one for three announcement intervals. Late announcements of a target that has ended stay old: fewer come, and not in order. An announcement that a known target drains is taken whatever its sequence, since draining is final.

TestATargetIsHeardAgainAfterASequenceFarAhead failed before ("Expected <work.JobState>: queued to equal <work.JobState>: completed", 40 s later), and so did TestATargetLeavesAfterASequenceFarAhead ("Expected <bool>: false to be true"). TestALateAnnouncementIsNoSignOfLife passed before and after.

--- a/internal/leader/announce.go
+++ b/internal/leader/announce.go
@@ -14,6 +14,9 @@
 	// announceMissed is after how many announcement intervals without one a
 	// target gets no new runs.
 	announceMissed = 3
+	// restartRises is how many announcements in rising order show that the numbers
+	// of a target are lower than the highest one that came under its name.
+	restartRises = 3
 	// answersFor is how long a target with runs counts as alive after an answer. It
 	// is asked every holdWait, and one that has ended is found silent sooner.
 	answersFor = 2 * holdWait
@@ -38,11 +41,13 @@
 		c = &contact{}
 		l.contacts[key] = c
 	}
-	if a.Sequence < c.sequence {
+	if !c.takes(a.Sequence, now, announceMissed*l.cfg.Timing.Announce) {
 		l.mu.Unlock()
+		if a.Target.Draining && l.holds(&a.Target) {
+			return l.register(ctx, &a.Target) // a target that drains does so until its end
+		}
 		return nil
 	}
-	c.sequence = a.Sequence
 	first := c.announced.IsZero()
 	c.announced, c.heard = now, now
 	c.clock.learn(a.ClockMS, now)
@@ -53,10 +58,16 @@
 	if first {
 		l.wake.poke()
 	}
-	if !l.differs(&a.Target) {
+	return l.register(ctx, &a.Target)
+}
+
+// register commits what an announcement changes.
+func (l *Leader) register(ctx context.Context, t *work.Target) error {
+	if !l.differs(t) {
 		return nil
 	}
-	result, err := l.Propose(ctx, &work.Command{Register: &a.Target})
+	key := t.Key()
+	result, err := l.Propose(ctx, &work.Command{Register: t})
 	if err != nil {
 		return err
 	}
@@ -64,8 +75,8 @@
 		l.log.Info().Err(result.Err).Str("target", key).Msg("announcement of an ended target")
 		return nil
 	}
-	l.log.Info().Str("target", key).Str("host", a.Target.Host).Str("pool", a.Target.Pool).
-		Bool("draining", a.Target.Draining).Str("address", a.Target.Address).Msg("target registered")
+	l.log.Info().Str("target", key).Str("host", t.Host).Str("pool", t.Pool).
+		Bool("draining", t.Draining).Str("address", t.Address).Msg("target registered")
 	l.wake.poke()
 	return nil
 }
@@ -124,6 +135,29 @@
 	return err
 }
 
+// takes reports whether an announcement is no older than those before it, and notes
+// its number. After one with a number far ahead, which another writer has sent, all
+// others are lower: they count again once several have come in rising order while
+// none has followed the higher number.
+func (c *contact) takes(sequence int64, now time.Time, silence time.Duration) bool {
+	if sequence < c.sequence {
+		if sequence > c.lower {
+			c.lower, c.rises = sequence, c.rises+1
+		}
+		if c.rises < restartRises || now.Sub(c.announced) <= silence {
+			return false
+		}
+	}
+	c.sequence, c.lower, c.rises = sequence, 0, 0
+	return true
+}
+
+// holds reports whether the state holds a target.
+func (l *Leader) holds(t *work.Target) (found bool) {
+	l.cfg.Machine.Read(func(v *work.View) { found = v.Targets[t.Key()] != nil })
+	return found
+}
+
 // differs reports whether the state does not hold the announced target.
 func (l *Leader) differs(t *work.Target) bool {
 	differs := true
--- a/internal/leader/announce_test.go
+++ b/internal/leader/announce_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 	"time"
 
@@ -167,3 +168,68 @@
 		}
 	})
 }
+
+// Guards against a target that is never heard again after one announcement with a
+// sequence far ahead.
+func TestATargetIsHeardAgainAfterASequenceFarAhead(t *testing.T) {
+	serving(t, func(w *world, l *leader.Leader, a *target) {
+		w.mu.Lock()
+		odd := &work.Announcement{Target: a.state, Sequence: 1 << 53, ClockMS: a.clockMS()}
+		w.mu.Unlock()
+		NewWithT(w.t).Expect(l.Announce(context.Background(), odd)).To(Succeed())
+	})
+	play(t, func(w *world) { // without a run nothing else shows that it is there
+		a := w.add("a", "ha", "1:1", "desk")
+		l, stop := w.lead(2)
+		defer stop()
+		after(2 * worldAnnounce)
+		odd := &work.Announcement{Target: a.state, Sequence: 1 << 53, ClockMS: 5000}
+		g := NewWithT(w.t)
+		g.Expect(l.Announce(context.Background(), odd)).To(Succeed())
+		after(40 * time.Second)
+		w.submit("j", "/draw/", small(1))
+		after(3 * time.Second)
+		g.Expect(w.state("j")).To(Equal(work.Completed))
+	})
+}
+
+// Guards against a target that is told that its leave is known while runs are still
+// started there: an announcement with a sequence far ahead made it an old one.
+func TestATargetLeavesAfterASequenceFarAhead(t *testing.T) {
+	play(t, func(w *world) {
+		a := w.add("a", "ha", "1:1", "desk")
+		l, stop := w.lead(2)
+		defer stop()
+		after(2 * worldAnnounce)
+		w.mu.Lock()
+		a.silent = true // its announcements are those below
+		said := &work.Announcement{Target: a.state, Sequence: 1 << 53, ClockMS: a.clockMS()}
+		w.mu.Unlock()
+		g := NewWithT(w.t)
+		g.Expect(l.Announce(context.Background(), said)).To(Succeed())
+		said.Sequence, said.Target.Draining = 100, true
+		g.Expect(l.Announce(context.Background(), said)).To(Succeed())
+		g.Expect(w.machine.Drains(said.Target.Key())).To(BeTrue())
+	})
+}
+
+// Guards against an announcement that arrives late and counts as a sign of life
+// of a target that has ended.
+func TestALateAnnouncementIsNoSignOfLife(t *testing.T) {
+	play(t, func(w *world) {
+		l, stop := w.lead(2)
+		defer stop()
+		after(time.Second)
+		a := announcement("a")
+		a.Sequence = 9
+		g := NewWithT(w.t)
+		g.Expect(l.Announce(context.Background(), a)).To(Succeed())
+		after(20 * time.Second)
+		g.Expect(w.known(a.Target.Key())).To(BeFalse())
+		for _, sequence := range []int64{7, 5, 7, 6, 8} {
+			a.Sequence = sequence
+			g.Expect(l.Announce(context.Background(), a)).To(Succeed())
+			g.Expect(w.known(a.Target.Key())).To(BeFalse(), strconv.FormatInt(sequence, 10))
+		}
+	})
+}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -118,9 +118,12 @@
 type contact struct {
 	announced time.Time
 	// heard is when the target last announced itself or answered.
-	heard    time.Time
-	sequence int64
-	clock    targetClock
+	heard time.Time
+	// sequence is the highest number of an announcement, lower the highest of the
+	// late ones since it, and rises counts those that came in rising order.
+	sequence, lower int64
+	rises           int
+	clock           targetClock
 	// avoidUntil is until when no run is started, after failures.
 	avoidUntil time.Time
 	// failures counts the runs that failed since the last that was done, and
