Grant no lease on an announced clock that is far ahead

One announcement with the id and start of a target and a clock an hour ahead moved the end of its lease by an hour. The target takes the longest time for such a lease, 10 s, while the leader counts on the 4 s that it meant: when the target fell silent its task was started elsewhere while it ran. The highest end that was granted stays, so that every later lease was as long.

An announced clock that is more than a second ahead of the estimate counts only once a later announcement agrees. The clock of an answer counts as before, since the target itself was called; it corrects an estimate that is behind. Readings above 2^53 or below 1 count nowhere: sums with them overflow.

TestALeaseDoesNotFollowAnAbsurdClock failed before for 2^53 and an hour ("the lease is the one that was meant: Expected <time.Duration>: to be <"); without that expectation the world noted "two runs of {j 0 0 0} at the same time". 2^63-1 and -2^63 did no harm in it.

--- a/internal/leader/announce.go
+++ b/internal/leader/announce.go
@@ -50,7 +50,7 @@
 	}
 	first := c.announced.IsZero()
 	c.announced, c.heard = now, now
-	c.clock.learn(a.ClockMS, now)
+	c.learnAnnounced(a.ClockMS, now)
 	if s := l.sessions[key]; s != nil && s.silent {
 		s.wake.poke()
 	}
@@ -188,6 +188,28 @@
 	return nil
 }
 
+// learnAnnounced takes the clock of an announcement. One that is far ahead counts
+// only once a later one agrees: a lease that ends on a clock ahead of the target's
+// is longer than was meant.
+func (c *contact) learnAnnounced(ms int64, at time.Time) {
+	if !c.clock.behind(ms, at) || (!c.doubted.at.IsZero() && !c.doubted.behind(ms, at)) {
+		c.clock.learn(ms, at)
+		c.doubted = targetClock{}
+		return
+	}
+	c.doubted = targetClock{}
+	c.doubted.learn(ms, at)
+}
+
+// maxClockLead is by how much the clock of an announcement may be ahead of the
+// estimate. A target gives up an announcement after a second, so the readings
+// before it were hardly later.
+const maxClockLead = time.Second
+
+// maxClockMS is the highest reading of a clock, which JSON keeps exactly: sums
+// with it do not overflow.
+const maxClockMS = 1 << 53
+
 // targetClock estimates the steady clock of a target.
 type targetClock struct {
 	ms int64
@@ -197,13 +219,19 @@
 // learn takes a reading that arrived at a time. A slow answer gives a value
 // that is behind, never one that is ahead.
 func (c *targetClock) learn(ms int64, at time.Time) {
-	if ms > 0 && ms >= c.now(at) {
-		c.ms, c.at = ms, at
-	} else if ms > 0 && at.Sub(c.at) > time.Second {
+	if ms <= 0 || ms > maxClockMS {
+		return // no clock shows it
+	}
+	if ms >= c.now(at) || at.Sub(c.at) > time.Second {
 		c.ms, c.at = ms, at
 	}
 }
 
+// behind reports whether the clock is known and far behind a reading.
+func (c *targetClock) behind(ms int64, at time.Time) bool {
+	return !c.at.IsZero() && ms-c.now(at) > maxClockLead.Milliseconds()
+}
+
 // now returns the estimated time in ms, 0 if it is not known.
 func (c *targetClock) now(at time.Time) int64 {
 	if c.at.IsZero() {
--- a/internal/leader/announce_test.go
+++ b/internal/leader/announce_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"strconv"
 	"testing"
 	"time"
@@ -233,3 +234,36 @@
 		}
 	})
 }
+
+// Guards against leases on a clock that is not the target's: the target takes
+// the longest time for one whose end lies far ahead, and its task is started
+// elsewhere once the shorter one that was meant has ended.
+func TestALeaseDoesNotFollowAnAbsurdClock(t *testing.T) {
+	for _, ms := range []int64{math.MaxInt64, 1 << 53, time.Hour.Milliseconds(), math.MinInt64} {
+		t.Run(strconv.FormatInt(ms, 10), func(t *testing.T) {
+			play(t, func(w *world) {
+				a := w.add("a", "ha", "1:1", "desk")
+				a.lasts(0)
+				w.add("c", "hc", "1:3", "cuts")
+				l, stop := w.lead(2)
+				defer stop()
+				w.submit("j", "/draw/", lasting(1))
+				after(3 * time.Second)
+				g := NewWithT(w.t)
+				g.Expect(w.runsOn(a)).To(Equal(1))
+				w.add("b", "hb", "1:2", "desk").lasts(0)
+				w.mu.Lock()
+				odd := &work.Announcement{Target: a.state, Sequence: w.seq, ClockMS: ms}
+				w.mu.Unlock()
+				g.Expect(l.Announce(context.Background(), odd)).To(Succeed())
+				after(3 * time.Second)
+				w.mu.Lock()
+				left := time.Until(a.until)
+				a.silent = true
+				w.mu.Unlock()
+				g.Expect(left).To(BeNumerically("<", worldLease-time.Second), "the lease is the one that was meant")
+				after(2 * worldLease) // the world notes two runs at the same time
+			})
+		})
+	}
+}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -124,6 +124,8 @@
 	sequence, lower int64
 	rises           int
 	clock           targetClock
+	// doubted is the last announced clock that was too far ahead to count.
+	doubted targetClock
 	// avoidUntil is until when no run is started, after failures.
 	avoidUntil time.Time
 	// failures counts the runs that failed since the last that was done, and
