Bound the targets of the region and forget what is gone

Every id under which anyone announced itself once became a target in the replicated state, and the number of targets had no bound. The leader kept a contact for each of them, and for each that the state machine refused, until its term ended. A refusal by the state machine other than "replaced" was answered 200.

The state holds up to 22,400 targets (MaxTargets), four for each of 5,600 hosts, and refuses more with *fault.LimitExceeded, which the sender hears as 503; a target that replaces another is always taken. Silent ones without runs are forgotten after 15 s as before. Contacts of targets that the state does not hold go after a minute, and at once if the state machine refuses the target.

Failed before: "is refused beyond the bound, until another has ended" ("Expected <nil>: nil to be assignable to the type: *fault.LimitExceeded"), TestTargetsThatAreGoneOrRefusedAreForgotten ("refused ones: Expected <int>: 103 to be < <int>: 10") and TestATargetBeyondTheBoundIsRefused ("Expected <nil>: nil to be assignable to the type: *fault.LimitExceeded").

The platform of the test world said that a move of a host that does not exist was done, so that hosts of odd announcements turned up on standby; it refuses such a move now, as the platform does.

--- a/internal/leader/announce.go
+++ b/internal/leader/announce.go
@@ -27,8 +27,9 @@
 
 // Announce takes an announcement. What it changes is committed before it
 // returns, so that it is known to the next leader once it is acknowledged. It
-// returns *fault.Invalid, *fault.NotFound or *fault.Precondition for one that names
-// no target to use, and the errors of replica.Group.
+// returns *fault.Invalid, *fault.NotFound, *fault.Precondition or
+// *fault.LimitExceeded for one that names no target to use, and the errors of
+// replica.Group.
 func (l *Leader) Announce(ctx context.Context, a *work.Announcement) error {
 	key := a.Target.Key()
 	now := l.now()
@@ -38,6 +39,7 @@
 	l.mu.Lock()
 	c := l.contacts[key]
 	if c == nil {
+		l.forgetContacts(now)
 		c = &contact{}
 		l.contacts[key] = c
 	}
@@ -72,8 +74,13 @@
 		return err
 	}
 	if result.Err != nil {
-		l.log.Info().Err(result.Err).Str("target", key).Msg("announcement of an ended target")
-		return nil
+		l.forgetContact(key)
+		var replaced *fault.Precondition
+		if errors.As(result.Err, &replaced) {
+			l.log.Info().Err(result.Err).Str("target", key).Msg("announcement of an ended target")
+			return nil
+		}
+		return l.refuse(t, result.Err)
 	}
 	l.log.Info().Str("target", key).Str("host", t.Host).Str("pool", t.Pool).
 		Bool("draining", t.Draining).Str("address", t.Address).Msg("target registered")
@@ -135,6 +142,37 @@
 	return err
 }
 
+// contactsFor is how long a target that the state does not hold is remembered, so
+// that announcements that arrive late are known to be old.
+const contactsFor = time.Minute
+
+// forgetContacts forgets silent targets that the state does not hold, at most once
+// in forgetAfter. The mutex is held.
+func (l *Leader) forgetContacts(now time.Time) {
+	if now.Sub(l.contactsAt) < forgetAfter {
+		return
+	}
+	l.contactsAt = now
+	l.cfg.Machine.Read(func(v *work.View) {
+		for key, c := range l.contacts {
+			if v.Targets[key] == nil && now.Sub(c.heard) > contactsFor {
+				delete(l.contacts, key)
+			}
+		}
+	})
+}
+
+// forgetContact forgets a target that the state machine has refused.
+func (l *Leader) forgetContact(key string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cfg.Machine.Read(func(v *work.View) {
+		if v.Targets[key] == nil {
+			delete(l.contacts, key)
+		}
+	})
+}
+
 // takes reports whether an announcement is no older than those before it, and notes
 // its number. After one with a number far ahead, which another writer has sent, all
 // others are lower: they count again once several have come in rising order while
--- a/internal/leader/announce_test.go
+++ b/internal/leader/announce_test.go
@@ -267,3 +267,50 @@
 		})
 	}
 }
+
+// Guards against memory that grows with every name under which anyone announces
+// itself once.
+func TestTargetsThatAreGoneOrRefusedAreForgotten(t *testing.T) {
+	play(t, func(w *world) {
+		w.add("a", "ha", "1:1", "desk")
+		l, stop := w.lead(2)
+		defer stop()
+		after(2 * worldAnnounce)
+		g := NewWithT(w.t)
+		w.add("late", "hlate", "1:9", "desk")
+		after(2 * worldAnnounce)
+		for i := range 100 {
+			before := announcement("before" + strconv.Itoa(i))
+			before.Target.Host, before.Target.Born = "hlate", 1
+			g.Expect(l.Announce(context.Background(), before)).To(Succeed(), "replaced by a later life")
+		}
+		g.Expect(l.Contacts()).To(BeNumerically("<", 10), "refused ones")
+		for i := range 100 {
+			g.Expect(l.Announce(context.Background(), announcement("once"+strconv.Itoa(i)))).To(Succeed())
+		}
+		g.Expect(l.Contacts()).To(BeNumerically(">=", 100))
+		after(2 * time.Minute)
+		g.Expect(l.Announce(context.Background(), announcement("new"))).To(Succeed())
+		g.Expect(l.Contacts()).To(BeNumerically("<", 10), "silent ones")
+		after(20 * time.Second)
+		w.submit("j", "/draw/", small(2))
+		after(4 * time.Second)
+		g.Expect(w.state("j")).To(Equal(work.Completed))
+	})
+}
+
+// Guards against a full region that acknowledges a target and does not use it.
+func TestATargetBeyondTheBoundIsRefused(t *testing.T) {
+	play(t, func(w *world) {
+		l, stop := w.lead(2)
+		defer stop()
+		after(time.Second)
+		w.mu.Lock()
+		w.refusal = &fault.LimitExceeded{What: "targets", Limit: work.MaxTargets}
+		w.mu.Unlock()
+		g := NewWithT(w.t)
+		var limit *fault.LimitExceeded
+		g.Expect(l.Announce(context.Background(), announcement("a"))).To(BeAssignableToTypeOf(limit))
+		g.Expect(l.Contacts()).To(BeZero())
+	})
+}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -84,11 +84,13 @@
 	mu       sync.Mutex
 	sessions map[string]*session
 	contacts map[string]*contact
-	fences   uint64
-	fleet    fleet
-	wake     wakeup
-	learned  durations
-	arrivals arrivals
+	// contactsAt is when contacts were last forgotten.
+	contactsAt time.Time
+	fences     uint64
+	fleet      fleet
+	wake       wakeup
+	learned    durations
+	arrivals   arrivals
 	// unplaced holds since when pools have tasks that no host takes.
 	unplaced map[string]time.Time
 	starved  starved
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -67,6 +67,8 @@
 	leaving map[string]bool
 	// checked is set if every start needs a ticket of the policy service.
 	checked bool
+	// refusal is what the state machine says to all commands, nil if it applies them.
+	refusal error
 	// logs holds the leaders' lines and what the targets did, for a failure.
 	logs bytes.Buffer
 }
@@ -137,6 +139,9 @@
 	if !w.quorum {
 		return nil, &fault.ProposalUnknown{}
 	}
+	if w.refusal != nil {
+		return &work.Result{Err: w.refusal}, nil
+	}
 	w.index++
 	return w.machine.Apply(replica.Entry{Index: w.index, Term: 1, Data: data}), nil
 }
@@ -576,10 +581,12 @@
 		delete(w.off, host)
 		return leader.PlatformDone, nil
 	}
+	answer := leader.PlatformRefused // there is no such host
 	for address, t := range w.targets {
 		if t.state.Host != host {
 			continue
 		}
+		answer = leader.PlatformDone
 		if len(t.runs) > 0 {
 			w.breaks("move of %s ended %d runs", host, len(t.runs))
 		}
@@ -590,7 +597,7 @@
 		}
 		time.AfterFunc(1500*time.Millisecond, func() { w.add(t.state.ID+"x", host, address, pool).lasts(t.duration) })
 	}
-	return leader.PlatformDone, nil
+	return answer, nil
 }
 
 // Maintain implements leader.Platform.
--- a/internal/work/apply.go
+++ b/internal/work/apply.go
@@ -23,6 +23,9 @@
 	MaxTasks = 10_000
 	// MaxHosts bounds the hosts of a wave.
 	MaxHosts = 10_000
+	// MaxTargets bounds the targets, ended ones with runs included: 5,600 hosts
+	// with two lives each, and as many again.
+	MaxTargets = 4 * 5_600
 )
 
 // Machine implements replica.StateMachine. Queries are safe for concurrent
@@ -280,7 +283,8 @@
 }
 
 // register records a target. An older life of its host, id or address has
-// ended.
+// ended. It refuses an older life itself with *fault.Precondition, and a target
+// beyond MaxTargets with *fault.LimitExceeded.
 func (s *state) register(t *Target) *Result {
 	key := t.Key()
 	if known := s.Targets[key]; known != nil {
@@ -294,6 +298,9 @@
 			return &Result{Err: &fault.Precondition{What: "registration of " + key, Reason: "replaced by " + other.Key()}}
 		}
 	}
+	if len(s.Targets) >= MaxTargets && !s.replacesAny(t) {
+		return &Result{Err: &fault.LimitExceeded{What: "targets", Limit: MaxTargets}}
+	}
 	for otherKey, other := range s.Targets {
 		switch {
 		case !other.replacedBy(t):
@@ -314,6 +321,16 @@
 	return &Result{}
 }
 
+// replacesAny reports whether some target has ended if t registers.
+func (s *state) replacesAny(t *Target) bool {
+	for _, other := range s.Targets {
+		if other.replacedBy(t) {
+			return true
+		}
+	}
+	return false
+}
+
 // dropEnded forgets ended targets whose runs are all settled.
 func (s *state) dropEnded() {
 	for key, t := range s.ended {
--- a/internal/work/work_test.go
+++ b/internal/work/work_test.go
@@ -261,6 +261,36 @@
 		Expect(r.start(later, task("j", 0, 0))).To(HaveLen(1))
 	})
 
+	It("is refused beyond the bound, until another has ended", func() {
+		// Guards against memory that fills with names under which nobody runs.
+		r := newRegion()
+		bound := func(i int) *work.Result {
+			return r.do(&work.Command{Register: &work.Target{
+				ID: "t" + strconv.Itoa(i), Born: 1, Host: "h" + strconv.Itoa(i), Pool: "desk", Address: "a" + strconv.Itoa(i),
+				Room: work.Demand{MilliCPU: 4000, MemoryMB: 4000},
+			}})
+		}
+		// Registrations compare with all others, so the state is restored full.
+		s := map[int]map[string]*work.Target{5: {}}
+		for i := range work.MaxTargets - 1 {
+			t := &work.Target{ID: "s" + strconv.Itoa(i), Born: 1, Host: "s" + strconv.Itoa(i), Pool: "desk", Address: "s" + strconv.Itoa(i)}
+			s[5][t.Key()] = t
+		}
+		data, err := codec.Marshal(s)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Restore(data)).To(Succeed())
+		Expect(bound(1).Err).NotTo(HaveOccurred())
+		var limit *fault.LimitExceeded
+		Expect(bound(2).Err).To(BeAssignableToTypeOf(limit))
+		Expect(bound(1).Err).NotTo(HaveOccurred(), "one that is known announces itself")
+		r.do(&work.Command{End: "s7@1", Gone: true})
+		Expect(bound(2).Err).NotTo(HaveOccurred())
+		Expect(bound(3).Err).To(BeAssignableToTypeOf(limit))
+		Expect(r.do(&work.Command{Register: &work.Target{
+			ID: "later", Born: 2, Host: "h1", Pool: "desk", Address: "later", Room: work.Demand{MilliCPU: 4000},
+		}}).Err).NotTo(HaveOccurred(), "a later life takes the place of the one before it")
+	})
+
 	It("is not replaced by an earlier life that announces itself late", func() {
 		// Guards against a delayed announcement.
 		r := newRegion()
