Keep the address of a target that answers at it

An announcement with the id and start of a target with runs and another address was taken over into the state until the next real one, up to 1.5 s later. A leader that is elected in that time looks for the target at that address, and where another target answers it closes all runs of the first, which go on. The leader refuses the announcement with *fault.Precondition while the target answers at its address; one that does not answer can still change it.

TestATargetThatAnswersKeepsItsAddress failed before ("Expected <nil>: nil to be assignable to the type: *fault.Precondition").

--- a/internal/leader/announce.go
+++ b/internal/leader/announce.go
@@ -99,6 +99,8 @@
 			err = l.admitNew(v, t, now)
 		case known.Host != t.Host || known.Pool != t.Pool: // a life keeps both
 			err = &fault.Precondition{What: "announcement of " + t.Key(), Reason: "it is on " + known.Host + " in pool " + known.Pool}
+		case known.Address != t.Address && l.answers(t.Key(), now):
+			err = &fault.Precondition{What: "announcement of " + t.Key(), Reason: "it answers at " + known.Address}
 		}
 	})
 	return err
--- a/internal/leader/announce_test.go
+++ b/internal/leader/announce_test.go
@@ -314,3 +314,19 @@
 		g.Expect(l.Contacts()).To(BeZero())
 	})
 }
+
+// Guards against a leader that looks for a target with runs at the address that one
+// announcement under its name gave: another target there says that it is gone.
+func TestATargetThatAnswersKeepsItsAddress(t *testing.T) {
+	serving(t, func(w *world, l *leader.Leader, a *target) {
+		w.mu.Lock()
+		odd := &work.Announcement{Target: a.state, Sequence: w.seq, ClockMS: a.clockMS()}
+		w.mu.Unlock()
+		odd.Target.Address = "1:2"
+		var refused *fault.Precondition
+		NewWithT(w.t).Expect(l.Announce(context.Background(), odd)).To(BeAssignableToTypeOf(refused))
+		w.machine.Read(func(v *work.View) {
+			NewWithT(w.t).Expect(v.Targets[odd.Target.Key()].Address).To(Equal("1:1"))
+		})
+	})
+}
