--- /dev/null
+++ b/internal/leader/announce_test.go
@@ -0,0 +1,332 @@
+package leader_test
+
+import (
+	"context"
+	"math"
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/leader"
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+// announcement returns what a target of its own says, at an address where nobody
+// answers.
+func announcement(id string) *work.Announcement {
+	return &work.Announcement{Sequence: 1, ClockMS: 1, Target: work.Target{
+		ID: id, Born: time.Now().UnixMilli(), Host: "h-" + id, Pool: "desk", Address: "9:" + id, DataCentre: dataCentres[:1],
+		Room: work.Demand{MilliCPU: 4000, MemoryMB: 4000},
+	}}
+}
+
+// known reports whether the region holds a target.
+func (w *world) known(key string) (found bool) {
+	w.machine.Read(func(v *work.View) { found = v.Targets[key] != nil })
+	return found
+}
+
+// runsOn counts the live runs of a target.
+func (w *world) runsOn(t *target) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(t.runs)
+}
+
+// serving plays a world in which a target runs a lasting task, with room for one
+// more of it on another.
+func serving(t *testing.T, f func(w *world, l *leader.Leader, a *target)) {
+	play(t, func(w *world) {
+		a := w.add("a", "ha", "1:1", "desk")
+		a.lasts(0)
+		l, stop := w.lead(2)
+		defer stop()
+		w.submit("j", "/draw/", lasting(1))
+		after(3 * time.Second)
+		g := NewWithT(w.t)
+		g.Expect(w.runsOn(a)).To(Equal(1))
+		w.add("b", "hb", "1:2", "desk").lasts(0)
+		after(2 * worldAnnounce)
+		f(w, l, a)
+		after(10 * time.Second)
+		g.Expect(w.runsOn(a)).To(Equal(1), "its run goes on")
+		w.submit("k", "/draw/", lasting(7))
+		after(10 * time.Second)
+		g.Expect(w.runsOn(a)).To(BeNumerically(">", 1), "it takes new runs")
+	})
+}
+
+// Guards against a run that is started a second time while it is alive: an
+// announcement under another id, with a later start, named the host or the address
+// of a target that answered.
+func TestALaterLifeDoesNotEndATargetThatAnswers(t *testing.T) {
+	for name, change := range map[string]func(o *work.Target){
+		"host":    func(o *work.Target) { o.Host = "ha" },
+		"address": func(o *work.Target) { o.Address = "1:1" },
+		"id":      func(o *work.Target) { o.ID = "a" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			serving(t, func(w *world, l *leader.Leader, a *target) {
+				odd := announcement("odd")
+				change(&odd.Target)
+				var refused *fault.Precondition
+				NewWithT(w.t).Expect(l.Announce(context.Background(), odd)).To(BeAssignableToTypeOf(refused))
+				NewWithT(w.t).Expect(w.known(odd.Target.Key())).To(BeFalse())
+			})
+		})
+	}
+}
+
+// Guards against a later life that is never taken, or whose tasks wait for a
+// lease to end, since the earlier one answered shortly before it crashed.
+func TestALaterLifeIsTakenOnceTheEarlierOneIsSilent(t *testing.T) {
+	play(t, func(w *world) {
+		a := w.add("a", "ha", "1:1", "desk")
+		a.lasts(0)
+		_, stop := w.lead(2)
+		defer stop()
+		w.submit("j", "/draw/", lasting(1))
+		after(3 * time.Second)
+		g := NewWithT(w.t)
+		g.Expect(w.runsOn(a)).To(Equal(1))
+		w.mu.Lock()
+		a.die()
+		delete(w.targets, "1:1")
+		w.mu.Unlock()
+		b := w.add("b", "ha", "1:2", "desk")
+		b.lasts(0)
+		after(2 * worldAnnounce)
+		g.Expect(w.runsOn(b)).To(Equal(1))
+	})
+}
+
+// Guards against a target that no later life can end, and against a host that is
+// lost for its real target: a start in the future is later than any other.
+func TestATargetIsNotBornInTheFuture(t *testing.T) {
+	play(t, func(w *world) {
+		l, stop := w.lead(2)
+		defer stop()
+		after(time.Second)
+		g := NewWithT(w.t)
+		odd := announcement("odd")
+		odd.Target.Host = "ha"
+		var invalid *fault.Invalid
+		for _, ahead := range []time.Duration{2 * time.Hour, 1000 * time.Hour} {
+			odd.Target.Born = time.Now().Add(ahead).UnixMilli()
+			g.Expect(l.Announce(context.Background(), odd)).To(BeAssignableToTypeOf(invalid))
+		}
+		odd.Target.Born = 1 << 53
+		g.Expect(l.Announce(context.Background(), odd)).To(BeAssignableToTypeOf(invalid))
+		w.add("a", "ha", "1:1", "desk")
+		after(2 * worldAnnounce)
+		w.submit("j", "/draw/", small(1))
+		after(3 * time.Second)
+		g.Expect(w.state("j")).To(Equal(work.Completed))
+		jumped := announcement("jumped")
+		jumped.Target.Born += (10 * time.Second).Milliseconds()
+		g.Expect(l.Announce(context.Background(), jumped)).To(Succeed(), "clocks jump by seconds")
+		g.Expect(w.known(jumped.Target.Key())).To(BeTrue())
+	})
+}
+
+// Guards against a target that ends others, or keeps their later lives away,
+// although it belongs to no pool of the configuration.
+func TestATargetOfAnUnknownPoolIsRefused(t *testing.T) {
+	serving(t, func(w *world, l *leader.Leader, a *target) {
+		g := NewWithT(w.t)
+		odd := announcement("odd")
+		odd.Target.Pool, odd.Target.Host = "nowhere", "hb"
+		var notFound *fault.NotFound
+		g.Expect(l.Announce(context.Background(), odd)).To(BeAssignableToTypeOf(notFound))
+		g.Expect(w.known(odd.Target.Key())).To(BeFalse())
+		odd.Sequence, odd.Target.Draining = 2, true
+		g.Expect(l.Announce(context.Background(), odd)).To(Succeed(), "one that ends waits for its confirmation")
+		g.Expect(w.known(odd.Target.Key())).To(BeFalse())
+		g.Expect(l.Leave(context.Background(), "odd")).To(Succeed())
+		standby := announcement("standby")
+		standby.Target.Pool = "off"
+		g.Expect(l.Announce(context.Background(), standby)).To(Succeed())
+	})
+}
+
+// Guards against a run on a target of another pool, and against a later life on
+// another host that ends a target: one announcement changed the pool or the host
+// of a life, which keeps both.
+func TestATargetKeepsItsHostAndPool(t *testing.T) {
+	serving(t, func(w *world, l *leader.Leader, a *target) {
+		w.submit("c", "/cut/", lasting(1))
+		w.mu.Lock()
+		other := work.Announcement{Target: a.state, Sequence: w.seq, ClockMS: a.clockMS()}
+		moved := other
+		w.mu.Unlock()
+		other.Target.Pool, moved.Target.Host = "cuts", "hc"
+		for _, odd := range []*work.Announcement{&moved, &other} {
+			var refused *fault.Precondition
+			NewWithT(w.t).Expect(l.Announce(context.Background(), odd)).To(BeAssignableToTypeOf(refused))
+		}
+	})
+}
+
+// Guards against a target that is never heard again after one announcement with a
+// sequence far ahead.
+func TestATargetIsHeardAgainAfterASequenceFarAhead(t *testing.T) {
+	serving(t, func(w *world, l *leader.Leader, a *target) {
+		w.mu.Lock()
+		odd := &work.Announcement{Target: a.state, Sequence: 1 << 53, ClockMS: a.clockMS()}
+		w.mu.Unlock()
+		NewWithT(w.t).Expect(l.Announce(context.Background(), odd)).To(Succeed())
+	})
+	play(t, func(w *world) { // without a run nothing else shows that it is there
+		a := w.add("a", "ha", "1:1", "desk")
+		l, stop := w.lead(2)
+		defer stop()
+		after(2 * worldAnnounce)
+		odd := &work.Announcement{Target: a.state, Sequence: 1 << 53, ClockMS: 5000}
+		g := NewWithT(w.t)
+		g.Expect(l.Announce(context.Background(), odd)).To(Succeed())
+		after(40 * time.Second)
+		w.submit("j", "/draw/", small(1))
+		after(3 * time.Second)
+		g.Expect(w.state("j")).To(Equal(work.Completed))
+	})
+}
+
+// Guards against a target that is told that its leave is known while runs are still
+// started there: an announcement with a sequence far ahead made it an old one.
+func TestATargetLeavesAfterASequenceFarAhead(t *testing.T) {
+	play(t, func(w *world) {
+		a := w.add("a", "ha", "1:1", "desk")
+		l, stop := w.lead(2)
+		defer stop()
+		after(2 * worldAnnounce)
+		w.mu.Lock()
+		a.silent = true // its announcements are those below
+		said := &work.Announcement{Target: a.state, Sequence: 1 << 53, ClockMS: a.clockMS()}
+		w.mu.Unlock()
+		g := NewWithT(w.t)
+		g.Expect(l.Announce(context.Background(), said)).To(Succeed())
+		said.Sequence, said.Target.Draining = 100, true
+		g.Expect(l.Announce(context.Background(), said)).To(Succeed())
+		g.Expect(w.machine.Drains(said.Target.Key())).To(BeTrue())
+	})
+}
+
+// Guards against an announcement that arrives late and counts as a sign of life
+// of a target that has ended.
+func TestALateAnnouncementIsNoSignOfLife(t *testing.T) {
+	play(t, func(w *world) {
+		l, stop := w.lead(2)
+		defer stop()
+		after(time.Second)
+		a := announcement("a")
+		a.Sequence = 9
+		g := NewWithT(w.t)
+		g.Expect(l.Announce(context.Background(), a)).To(Succeed())
+		after(20 * time.Second)
+		g.Expect(w.known(a.Target.Key())).To(BeFalse())
+		for _, sequence := range []int64{7, 5, 7, 6, 8} {
+			a.Sequence = sequence
+			g.Expect(l.Announce(context.Background(), a)).To(Succeed())
+			g.Expect(w.known(a.Target.Key())).To(BeFalse(), strconv.FormatInt(sequence, 10))
+		}
+	})
+}
+
+// Guards against leases on a clock that is not the target's: the target takes
+// the longest time for one whose end lies far ahead, and its task is started
+// elsewhere once the shorter one that was meant has ended.
+func TestALeaseDoesNotFollowAnAbsurdClock(t *testing.T) {
+	for _, ms := range []int64{math.MaxInt64, 1 << 53, time.Hour.Milliseconds(), math.MinInt64} {
+		t.Run(strconv.FormatInt(ms, 10), func(t *testing.T) {
+			play(t, func(w *world) {
+				a := w.add("a", "ha", "1:1", "desk")
+				a.lasts(0)
+				w.add("c", "hc", "1:3", "cuts")
+				l, stop := w.lead(2)
+				defer stop()
+				w.submit("j", "/draw/", lasting(1))
+				after(3 * time.Second)
+				g := NewWithT(w.t)
+				g.Expect(w.runsOn(a)).To(Equal(1))
+				w.add("b", "hb", "1:2", "desk").lasts(0)
+				w.mu.Lock()
+				odd := &work.Announcement{Target: a.state, Sequence: w.seq, ClockMS: ms}
+				w.mu.Unlock()
+				g.Expect(l.Announce(context.Background(), odd)).To(Succeed())
+				after(3 * time.Second)
+				w.mu.Lock()
+				left := time.Until(a.until)
+				a.silent = true
+				w.mu.Unlock()
+				g.Expect(left).To(BeNumerically("<", worldLease-time.Second), "the lease is the one that was meant")
+				after(2 * worldLease) // the world notes two runs at the same time
+			})
+		})
+	}
+}
+
+// Guards against memory that grows with every name under which anyone announces
+// itself once.
+func TestTargetsThatAreGoneOrRefusedAreForgotten(t *testing.T) {
+	play(t, func(w *world) {
+		w.add("a", "ha", "1:1", "desk")
+		l, stop := w.lead(2)
+		defer stop()
+		after(2 * worldAnnounce)
+		g := NewWithT(w.t)
+		w.add("late", "hlate", "1:9", "desk")
+		after(2 * worldAnnounce)
+		for i := range 100 {
+			before := announcement("before" + strconv.Itoa(i))
+			before.Target.Host, before.Target.Born = "hlate", 1
+			g.Expect(l.Announce(context.Background(), before)).To(Succeed(), "replaced by a later life")
+		}
+		g.Expect(l.Contacts()).To(BeNumerically("<", 10), "refused ones")
+		for i := range 100 {
+			g.Expect(l.Announce(context.Background(), announcement("once"+strconv.Itoa(i)))).To(Succeed())
+		}
+		g.Expect(l.Contacts()).To(BeNumerically(">=", 100))
+		after(2 * time.Minute)
+		g.Expect(l.Announce(context.Background(), announcement("new"))).To(Succeed())
+		g.Expect(l.Contacts()).To(BeNumerically("<", 10), "silent ones")
+		after(20 * time.Second)
+		w.submit("j", "/draw/", small(2))
+		after(4 * time.Second)
+		g.Expect(w.state("j")).To(Equal(work.Completed))
+	})
+}
+
+// Guards against a full region that acknowledges a target and does not use it.
+func TestATargetBeyondTheBoundIsRefused(t *testing.T) {
+	play(t, func(w *world) {
+		l, stop := w.lead(2)
+		defer stop()
+		after(time.Second)
+		w.mu.Lock()
+		w.refusal = &fault.LimitExceeded{What: "targets", Limit: work.MaxTargets}
+		w.mu.Unlock()
+		g := NewWithT(w.t)
+		var limit *fault.LimitExceeded
+		g.Expect(l.Announce(context.Background(), announcement("a"))).To(BeAssignableToTypeOf(limit))
+		g.Expect(l.Contacts()).To(BeZero())
+	})
+}
+
+// Guards against a leader that looks for a target with runs at the address that one
+// announcement under its name gave: another target there says that it is gone.
+func TestATargetThatAnswersKeepsItsAddress(t *testing.T) {
+	serving(t, func(w *world, l *leader.Leader, a *target) {
+		w.mu.Lock()
+		odd := &work.Announcement{Target: a.state, Sequence: w.seq, ClockMS: a.clockMS()}
+		w.mu.Unlock()
+		odd.Target.Address = "1:2"
+		var refused *fault.Precondition
+		NewWithT(w.t).Expect(l.Announce(context.Background(), odd)).To(BeAssignableToTypeOf(refused))
+		w.machine.Read(func(v *work.View) {
+			NewWithT(w.t).Expect(v.Targets[odd.Target.Key()].Address).To(Equal("1:1"))
+		})
+	})
+}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -84,11 +84,13 @@
 	mu       sync.Mutex
 	sessions map[string]*session
 	contacts map[string]*contact
-	fences   uint64
-	fleet    fleet
-	wake     wakeup
-	learned  durations
-	arrivals arrivals
+	// contactsAt is when contacts were last forgotten.
+	contactsAt time.Time
+	fences     uint64
+	fleet      fleet
+	wake       wakeup
+	learned    durations
+	arrivals   arrivals
 	// lacking holds what pools need for tasks that no host takes.
 	lacking map[string]lacking
 	starved starved
@@ -122,9 +124,13 @@
 	// answered is when it last answered a call, and probed when it was last asked
 	// although it ran nothing.
 	answered, probed time.Time
-
-	sequence int64
-	clock    targetClock
+	// sequence is the highest number of an announcement, lower the highest of the
+	// late ones since it, and rises counts those that came in rising order.
+	sequence, lower int64
+	rises           int
+	clock           targetClock
+	// doubted is the last announced clock that was too far ahead to count.
+	doubted targetClock
 	// avoidUntil is until when no run is started, after failures.
 	avoidUntil time.Time
 	// failures counts the runs that failed since the last that was done, and
