Take a later life as soon as one call to the earlier one has failed

The announcement of a later life was refused until two calls in a row had failed. One is noted apart now, and a target whose last call failed does not prove that it is alive.

--- a/internal/leader/announce.go
+++ b/internal/leader/announce.go
@@ -128,7 +128,7 @@
 // held.
 func (l *Leader) answers(key string, now time.Time) bool {
 	s := l.sessions[key]
-	return s != nil && s.first && !s.silent && !s.replaced && now.Sub(s.answered) < answersFor
+	return s != nil && s.first && !s.unanswered && !s.replaced && now.Sub(s.answered) < answersFor
 }
 
 // refuse logs why an announcement is refused and returns the error for its sender:
