Refuse jobs whose number of tasks overflows

A job of two tasks that repeats 2^63-1 times was accepted with 200: the number of its tasks overflowed to -2, which is below the bound of 10,000. Each host of the core that applies the submission, and each that replays the log, then makes tasks without end until it has no memory, so that the core ends again and again.

Seen before the fix: "a negative product: Expected <nil> to be assignable to the type: *fault.Invalid", likewise for products of 0 and 4. Negative numbers were refused before.

--- a/internal/work/check.go
+++ b/internal/work/check.go
@@ -53,7 +53,8 @@
 		}
 		total += step.Tasks
 	}
-	if total == 0 || s.Occurrences < 0 || total*max(1, s.Occurrences) > MaxTasks {
+	// The product of both may overflow.
+	if total == 0 || s.Occurrences < 0 || max(1, s.Occurrences) > MaxTasks/total {
 		return &fault.Invalid{Field: "steps", Reason: "too few or too many tasks", Allowed: "1 to " + strconv.Itoa(MaxTasks)}
 	}
 	return nil
--- /dev/null
+++ b/internal/work/check_test.go
@@ -0,0 +1,33 @@
+package work_test
+
+import (
+	"math"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+var _ = Describe("a job of odd size", func() {
+	DescribeTable("is refused", func(occurrences int, steps ...work.Step) {
+		// Guards against a job that is accepted since the number of its tasks
+		// overflows: every host that applies it makes them all, until it has no
+		// memory.
+		err := (&work.Spec{Occurrences: occurrences, Steps: steps}).Check()
+		var invalid *fault.Invalid
+		Expect(err).To(BeAssignableToTypeOf(invalid))
+	},
+		Entry("a negative product", math.MaxInt, one(1), one(1)),
+		Entry("a product of 0", 1<<62, one(1), one(1), one(1), one(1)),
+		Entry("a product of 4", 1<<62+1, one(1), one(1), one(1), one(1)),
+		Entry("negative occurrences", -1, one(1)),
+		Entry("too many occurrences", work.MaxTasks+1, one(1)),
+	)
+
+	It("is accepted with the most tasks", func() {
+		// Guards against a bound that refuses a job of the largest size.
+		Expect((&work.Spec{Occurrences: work.MaxTasks / 2, Steps: []work.Step{one(1), one(1)}}).Check()).To(Succeed())
+	})
+})
