Refuse jobs whose demand overflows in sums

A job of two tasks with 2^62 thousandths of a core each was accepted. It fits nowhere, but the demand of its pool is the sum over the tasks that wait, which overflows to below 0, so that the pool's hosts are moved to others; the work that waits before other jobs is a product that overflows likewise. Fill-in tasks of 2^63-1 pass the comparison with the room of a host. Such jobs are refused with 400, as negative demands are. The bound is 100,000 cores, beyond any host: with 10,000 tasks and durations of up to ten minutes no product overflows.

Seen before the fix: "CPU of which two overflow: Expected <nil> to be assignable to the type: *fault.Invalid", likewise for memory and GPUs.

--- a/internal/work/check.go
+++ b/internal/work/check.go
@@ -37,13 +37,22 @@
 	return nil
 }
 
+// maxDemand bounds each part of a task's demand: 100,000 cores, 100 TB. No host
+// has as much. The work of a job is the product of its demand, its tasks and
+// their duration in ms, which overflows with larger ones.
+const maxDemand = 100_000_000
+
+// inRange reports whether no part of a demand is negative or too large.
+func (d Demand) inRange() bool {
+	return min(d.MilliCPU, d.MemoryMB, d.GPUs) >= 0 && max(d.MilliCPU, d.MemoryMB, d.GPUs) <= maxDemand
+}
+
 // Check returns *fault.Invalid for a job that cannot be run as written.
 func (s *Spec) Check() error {
 	total := 0
 	for i, step := range s.Steps {
 		field := "step " + strconv.Itoa(i)
-		d := step.Demand
-		if step.Tasks < 1 || step.Tasks > MaxTasks || d.MilliCPU < 0 || d.MemoryMB < 0 || d.GPUs < 0 {
+		if step.Tasks < 1 || step.Tasks > MaxTasks || !step.Demand.inRange() {
 			return &fault.Invalid{Field: field, Reason: "its tasks or their demand are out of range"}
 		}
 		for _, before := range step.After {
--- a/internal/work/check_test.go
+++ b/internal/work/check_test.go
@@ -26,6 +26,21 @@
 		Entry("too many occurrences", work.MaxTasks+1, one(1)),
 	)
 
+	DescribeTable("is refused for its demand", func(demand work.Demand) {
+		// Guards against a sum over tasks, or a product with their number and
+		// duration, that overflows: the demand of a whole pool was below 0 then.
+		step := work.Step{Tasks: 2, Demand: demand, FillIn: true}
+		err := (&work.Spec{Steps: []work.Step{step}}).Check()
+		var invalid *fault.Invalid
+		Expect(err).To(BeAssignableToTypeOf(invalid))
+	},
+		Entry("CPU", work.Demand{MilliCPU: math.MaxInt64}),
+		Entry("CPU of which two overflow", work.Demand{MilliCPU: 1 << 62}),
+		Entry("memory", work.Demand{MemoryMB: math.MaxInt64}),
+		Entry("GPUs", work.Demand{GPUs: math.MaxInt64}),
+		Entry("negative GPUs", work.Demand{GPUs: -1}),
+	)
+
 	It("is accepted with the most tasks", func() {
 		// Guards against a bound that refuses a job of the largest size.
 		Expect((&work.Spec{Occurrences: work.MaxTasks / 2, Steps: []work.Step{one(1), one(1)}}).Check()).To(Succeed())
