Keep each step that a step of a job waits for once

'dependsOn' may repeat the number of a step as often as the body has room for, some 100,000 times in 256 KiB. Whether a step can start is looked at for each repetition and each task of the step named, in every plan, in the measure of the pools' demand and when a start is applied, while the state is locked.

Seen before the fix: "Expected [1, 0, 0, 1, 0] to equal [0, 1]".

--- a/internal/work/check.go
+++ b/internal/work/check.go
@@ -1,6 +1,7 @@
 package work
 
 import (
+	"slices"
 	"strconv"
 
 	"agatehaven.dev/agatehaven/internal/fault"
@@ -68,3 +69,14 @@
 	}
 	return nil
 }
+
+// Bound brings values of a job into the range that sums and loops over them
+// allow. It changes nothing of what the job asks for otherwise.
+func (s *Spec) Bound() {
+	for i := range s.Steps {
+		// A look at a step costs as much again for each repetition.
+		after := slices.Clone(s.Steps[i].After)
+		slices.Sort(after)
+		s.Steps[i].After = slices.Compact(after)
+	}
+}
--- a/internal/work/check_test.go
+++ b/internal/work/check_test.go
@@ -46,3 +46,23 @@
 		Expect((&work.Spec{Occurrences: work.MaxTasks / 2, Steps: []work.Step{one(1), one(1)}}).Check()).To(Succeed())
 	})
 })
+
+var _ = Describe("bounding a job", func() {
+	It("keeps each step that a step waits for once", func() {
+		// Guards against a plan that looks at every task of a step again for each
+		// repetition: a body holds 100,000 of them, and a step 10,000 tasks.
+		spec := work.Spec{Steps: []work.Step{one(1), one(1), {Tasks: 1, After: []int{1, 0, 0, 1, 0}}}}
+		spec.Bound()
+		Expect(spec.Steps[2].After).To(Equal([]int{0, 1}))
+	})
+
+	It("leaves a usual job as it is", func() {
+		// Guards against a bound that changes when a job is due.
+		spec := work.Spec{Occurrences: 100, FirstMS: 1_800_000_000_000, IntervalMS: 86_400_000, Steps: []work.Step{
+			{Tasks: 1, EstimateMS: 900}, {Tasks: 1, After: []int{0}, EstimateMS: -1},
+		}}
+		same := spec
+		spec.Bound()
+		Expect(spec).To(Equal(same))
+	})
+})
