Bound the times of jobs so that their sums do not overflow

'intervalMs' and 'firstMs' may have any whole number. The time of an occurrence is firstMs + K x intervalMs, which overflows to a time long past with 2^62: every second occurrence would start at once. Times are bounded where the job is read, at 2^52 ms, and intervals so that the last of 10,000 occurrences does not overflow, 14 years.

Seen before the fix: "occurrence 2: Expected false to equal true" for intervals of 2^62 and 2^63-1, and occurrence 1 for a first time of 2^63-1.

--- a/internal/work/check.go
+++ b/internal/work/check.go
@@ -70,10 +70,23 @@
 	return nil
 }
 
+const (
+	// maxTimeMS bounds times, in Unix ms, far beyond any clock.
+	maxTimeMS = 1 << 52
+	// maxIntervalMS bounds the time between two occurrences: 14 years. With the
+	// most occurrences the last one is not beyond twice maxTimeMS.
+	maxIntervalMS = maxTimeMS / MaxTasks
+	// maxDurationMS bounds durations: a day.
+	maxDurationMS = 86_400_000
+)
+
 // Bound brings values of a job into the range that sums and loops over them
 // allow. It changes nothing of what the job asks for otherwise.
 func (s *Spec) Bound() {
+	s.FirstMS = min(max(s.FirstMS, -maxTimeMS), maxTimeMS)
+	s.IntervalMS = min(max(s.IntervalMS, -maxIntervalMS), maxIntervalMS)
 	for i := range s.Steps {
+		s.Steps[i].EstimateMS = min(max(s.Steps[i].EstimateMS, 0), maxDurationMS)
 		// A look at a step costs as much again for each repetition.
 		after := slices.Clone(s.Steps[i].After)
 		slices.Sort(after)
