Read the lists of targets row by row

One row of 'running' or 'ended' that could not be read made the whole list an error: no end was recorded, no lease renewed, and after 4 s everything on the target was started elsewhere, for as long as the row was listed.

Each row is read by itself now. Of a row that names its run, unreadable fields are left out; another row is left out. Holding counts both, and the session logs them for each target every 10 s at most.

A row that was left out may be about a run that the list then lacks. While there is such a row, the run neither counts as vanished nor, after a confirmed stop, as settled, for 15 s after it was last listed or was stopped. Later ends are recorded and acknowledged: a row that cannot be read now can never be read. A list that answers at once because of such a row is asked for again after 100 ms.

--- a/internal/leader/ports.go
+++ b/internal/leader/ports.go
@@ -5,7 +5,10 @@
 
 import (
 	"context"
+	"fmt"
+	"strconv"
 
+	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/work"
 )
 
@@ -105,8 +108,39 @@
 	Born    int64
 	Running []RunningRun
 	Ended   []work.End
+	// Unreadable tells of rows that could not be read. The others hold.
+	Unreadable UnreadableRows
 }
 
+// UnreadableRows reports rows of a list that could not be read, in whole or in
+// part. It is an error if there are any.
+type UnreadableRows struct {
+	// Rows counts them, and LeftOut those of which nothing was taken.
+	Rows, LeftOut int
+	// First tells what is wrong with the first one.
+	First string
+}
+
+// Note counts a row at a position if odd tells what cannot be read of it.
+func (u *UnreadableRows) Note(position int, odd string, leftOut bool) {
+	if odd == "" {
+		return
+	}
+	if u.Rows++; u.Rows == 1 {
+		u.First = "row " + strconv.Itoa(position) + ": " + odd
+	}
+	if leftOut {
+		u.LeftOut++
+	}
+}
+
+func (u *UnreadableRows) Error() string {
+	return fmt.Sprintf("%d rows cannot be read, %d of them are left out: %s", u.Rows, u.LeftOut, u.First)
+}
+
+// Code implements fault.Coded.
+func (u *UnreadableRows) Code() fault.Code { return fault.CodeCorrupt }
+
 // HostState is the platform's view of a host.
 type HostState struct {
 	Host       string
--- /dev/null
+++ b/internal/leader/rows_test.go
@@ -0,0 +1,111 @@
+package leader_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"agatehaven.dev/agatehaven/internal/leader"
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+// change sets how the targets' lists are changed.
+func (w *world) change(f func(t *target, h *leader.Holding)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lists = f
+}
+
+// leaveOut notes a row that cannot be read.
+func leaveOut(h *leader.Holding) { h.Unreadable.Note(0, "odd", true) }
+
+// hideRuns lists runs in rows that cannot be read.
+func hideRuns(_ *target, h *leader.Holding) {
+	for range h.Running {
+		leaveOut(h)
+	}
+	h.Running = nil
+}
+
+func (w *world) log() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.logs.String()
+}
+
+// Guards against two runs of a task, and against a lasting task that is stopped:
+// a run whose row cannot be read counted as vanished, and as settled once a stop
+// was confirmed, though it takes a moment.
+func TestRunInAnUnreadableRowGoesOn(t *testing.T) {
+	play(t, func(w *world) {
+		a := w.add("a", "ha", "1:1", "desk")
+		a.lasts(0)
+		_, stop := w.lead(2)
+		defer stop()
+		w.submit("l", "/draw/", lasting(2))
+		after(3 * time.Second)
+		w.add("b", "hb", "1:2", "desk").lasts(0)
+		w.change(hideRuns)
+		after(10 * time.Second)
+		w.change(nil)
+		after(3 * time.Second)
+		g := NewWithT(t)
+		g.Expect(strings.Count(w.log(), "begin ")).To(Equal(2), w.log())
+		g.Expect(w.log()).NotTo(ContainSubstring(": stopped"))
+		g.Expect(strings.Count(w.log(), "list of runs not read in full")).To(BeNumerically("<=", 2), "at a bounded rate")
+		g.Expect(w.log()).To(ContainSubstring("of them are left out"), "rows are told of")
+	})
+}
+
+// Guards against a lasting task that never starts again, since an odd row that is
+// about something else may always be about its run.
+func TestLostRunStartsAgainBesideAnOddRow(t *testing.T) {
+	play(t, func(w *world) {
+		a := w.add("a", "ha", "1:1", "desk")
+		a.lasts(0)
+		w.change(func(_ *target, h *leader.Holding) { leaveOut(h) })
+		_, stop := w.lead(2)
+		defer stop()
+		w.submit("l", "/draw/", lasting(1))
+		after(3 * time.Second)
+		w.mu.Lock()
+		for ref, timer := range a.runs { // it is gone without an end
+			timer.Stop()
+			delete(a.runs, ref)
+			w.alive[ref.Task]--
+		}
+		w.mu.Unlock()
+		after(40 * time.Second)
+		w.mu.Lock()
+		running := w.running()
+		w.mu.Unlock()
+		NewWithT(t).Expect(running).To(Equal(1), w.log())
+	})
+}
+
+// Guards against jobs whose ends are not recorded while an odd row is listed, and
+// against a leader that asks for the list without a pause.
+func TestEndsAreRecordedBesideAnOddRow(t *testing.T) {
+	play(t, func(w *world) {
+		w.add("a", "ha", "1:1", "desk")
+		lists := 0
+		w.change(func(_ *target, h *leader.Holding) {
+			lists++
+			leaveOut(h)
+			if len(h.Ended) == 0 { // which would be waited for otherwise
+				h.Ended = []work.End{{Number: 0, Run: work.RunRef{Task: work.TaskRef{Job: "other"}, Run: 1}, Outcome: work.OutcomeDone}}
+			}
+		})
+		_, stop := w.lead(2)
+		defer stop()
+		w.submit("j", "/draw/", small(6))
+		after(6 * time.Second)
+		g := NewWithT(t)
+		g.Expect(w.state("j")).To(Equal(work.Completed), w.log())
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		g.Expect(lists).To(BeNumerically("<", 100))
+	})
+}
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -74,6 +74,8 @@
 	// acknowledged is the number that the target has been told.
 	acknowledged int64
 	orders       map[work.RunRef]*order
+	// rowsLogged is when rows that cannot be read were last logged. Only run uses it.
+	rowsLogged time.Time
 }
 
 // order is what the leader knows of a run beyond the replicated state.
@@ -82,6 +84,8 @@
 	// in a list.
 	startedAt time.Time
 	starting  bool
+	// listedAt is when the last list that shows the run was asked for.
+	listedAt time.Time
 	// stoppedAt is when a stop was confirmed. A run that is not listed
 	// afterwards has ended or can never begin.
 	stoppedAt time.Time
@@ -387,7 +391,9 @@
 			s.stop(r.Run)
 		}
 	}
-	if !alive {
+	s.logUnreadable(&h.Unreadable)
+	// A row that was left out may be one of these runs; then their leases end first.
+	if !alive && h.Unreadable.LeftOut == 0 {
 		s.l.record(&work.Command{End: s.key, Gone: true}, "end of an earlier life")
 	}
 }
@@ -441,6 +447,7 @@
 
 // take records the ends of a list, and orders what the list calls for.
 func (s *session) take(h *Holding, sent time.Time, acknowledged int64) {
+	s.logUnreadable(&h.Unreadable)
 	report := s.compare(h, sent, acknowledged)
 	if report != nil {
 		if s.l.report(report) {
@@ -450,6 +457,25 @@
 			s.l.wake.poke()
 		}
 	}
+	if h.Unreadable.LeftOut > 0 {
+		// An end that cannot be recorded is listed again at once, without a wait for
+		// the next one.
+		s.l.sleep(retryPause)
+	}
+}
+
+// rowsLogEvery is how often rows that cannot be read are logged for one target,
+// against several lists a second.
+const rowsLogEvery = 10 * time.Second
+
+// logUnreadable logs rows that are left out.
+func (s *session) logUnreadable(u *UnreadableRows) {
+	now := s.l.now()
+	if u.Rows == 0 || now.Sub(s.rowsLogged) < rowsLogEvery {
+		return
+	}
+	s.rowsLogged = now
+	s.l.log.Warn().Err(u).Str("target", s.key).Msg("list of runs not read in full")
 }
 
 // comparison is what a list calls for.
@@ -458,13 +484,23 @@
 	// stop holds runs that must not go on or begin, restart those whose start
 	// was committed by an earlier leader and is not listed.
 	stop, restart []work.RunRef
+	// incomplete is set if rows of the list were left out.
+	incomplete bool
+}
+
+// mayHide reports whether a run that a list lacks can be in a row that was left
+// out. A row that is left out for longer than this after the run was last listed,
+// or after it was stopped, is about something else: it would keep the task from
+// starting again for ever.
+func (c *comparison) mayHide(since, sent time.Time) bool {
+	return c.incomplete && sent.Sub(since) < maxOrderDelay
 }
 
 // compare matches a list with the runs that the state holds, and orders what
 // it calls for.
 func (s *session) compare(h *Holding, sent time.Time, acknowledged int64) *work.Report {
 	l := s.l
-	c := &comparison{report: &work.Report{Target: s.key, Ends: h.Ended}}
+	c := &comparison{report: &work.Report{Target: s.key, Ends: h.Ended}, incomplete: h.Unreadable.LeftOut > 0}
 	finished := l.finished(h.Ended)
 	l.mu.Lock()
 	l.cfg.Machine.Read(func(v *work.View) {
@@ -508,6 +544,7 @@
 		}
 		o := s.orderOf(r.Run)
 		o.seen(sent)
+		o.listedAt = sent
 		o.atWork = r.Percent >= 100
 		job, task := v.Find(r.Run.Task)
 		s.starting = s.starting || (task != nil && !o.atWork && job.Spec.Steps[task.Step].Lasting)
@@ -532,14 +569,16 @@
 	job, _ := v.Find(r.Task)
 	o := s.orderOf(r)
 	switch {
-	case !o.stoppedAt.IsZero() && o.stoppedAt.Before(sent) && !listed:
+	case !o.stoppedAt.IsZero() && o.stoppedAt.Before(sent) && !listed && !c.mayHide(o.stoppedAt, sent):
 		s.logRun(r).Msg("stopped run is not listed")
 		c.report.Settled = append(c.report.Settled, r)
 	case job == nil || job.State.Final():
 		c.stop = append(c.stop, r)
 	case listed:
 	case !o.startedAt.IsZero() && o.startedAt.Before(sent):
-		c.stop = append(c.stop, r) // it vanished: make sure that it cannot begin again
+		if !c.mayHide(latest(o.startedAt, o.listedAt), sent) {
+			c.stop = append(c.stop, r) // it vanished: make sure that it cannot begin again
+		}
 	case !o.starting && o.stoppedAt.IsZero():
 		c.restart = append(c.restart, r)
 	}
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -63,6 +63,8 @@
 	// taken counts those of the second that began at taking.
 	rate, taken int
 	taking      time.Time
+	// lists, if set, changes the lists that targets answer with.
+	lists func(t *target, h *leader.Holding)
 	// leaving are the hosts for which the platform takes no orders.
 	leaving map[string]bool
 	// checked is set if every start needs a ticket of the policy service.
@@ -484,6 +486,9 @@
 		for ref := range maps.Keys(t.runs) {
 			out.Running = append(out.Running, leader.RunningRun{Run: ref, Percent: 100})
 		}
+		if t.w.lists != nil {
+			t.w.lists(t, out)
+		}
 		changed = t.changed
 		return leader.Carried
 	}
