Leave out ends with an odd number, and record them in their order

Of a target's ends those above the last number that was recorded are recorded, and the target then forgets all up to it. One end with the number 2^53 was recorded as the last one: no later end of this life was ever recorded, its tasks counted as running until it ended. An end with a number of 0 or below, or one that was acknowledged, was handed to the log with each list and had no effect. Where a later end was listed before an earlier one, the earlier one was skipped and its task, though done, was run again.

Ends are put in the order of their numbers. Those that were acknowledged, or are more than 2^20 above the last one, are left out and told of as rows that cannot be read. An odd number below that bound cannot be told from a good one.

Seen before the change: for the number -5 "Expected 212 to be < 60" commits; for 5,000,000 without the bound "Expected running to equal completed"; for the order "Expected 15 to equal 12" runs of twelve tasks.

--- a/internal/leader/rows_test.go
+++ b/internal/leader/rows_test.go
@@ -1,6 +1,7 @@
 package leader_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -109,3 +110,41 @@
 		g.Expect(lists).To(BeNumerically("<", 100))
 	})
 }
+
+// Guards against ends that are never recorded, and that the target forgets: an end
+// of an odd number was recorded as the last one.
+func TestOddNumberOfAnEndHidesNoOthers(t *testing.T) {
+	for _, number := range []int64{-5, 0, 5_000_000, 1 << 53, 1<<63 - 1} {
+		play(t, func(w *world) {
+			w.add("a", "ha", "1:1", "desk")
+			odd := work.End{Number: number, Run: work.RunRef{Task: work.TaskRef{Job: "other"}, Run: 1}, Outcome: work.OutcomeDone}
+			w.change(func(_ *target, h *leader.Holding) { h.Ended = append(h.Ended, odd) })
+			_, stop := w.lead(2)
+			defer stop()
+			w.submit("j", "/draw/", small(6))
+			after(8 * time.Second)
+			w.mu.Lock()
+			proposals := w.index
+			w.mu.Unlock()
+			g := NewWithT(t)
+			g.Expect(w.state("j")).To(Equal(work.Completed), w.log())
+			g.Expect(strings.Count(w.log(), "begin ")).To(Equal(6), w.log())
+			g.Expect(proposals).To(BeNumerically("<", 60), "an odd end is not recorded again and again")
+		})
+	}
+}
+
+// Guards against ends that are never recorded, since a later one was listed before.
+func TestEndsAreRecordedInAnyOrder(t *testing.T) {
+	play(t, func(w *world) {
+		w.add("a", "ha", "1:1", "desk")
+		w.change(func(_ *target, h *leader.Holding) { slices.Reverse(h.Ended) })
+		_, stop := w.lead(2)
+		defer stop()
+		w.submit("j", "/draw/", small(12))
+		after(8 * time.Second)
+		g := NewWithT(t)
+		g.Expect(w.state("j")).To(Equal(work.Completed), w.log())
+		g.Expect(strings.Count(w.log(), "begin ")).To(Equal(12), w.log())
+	})
+}
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -1,8 +1,10 @@
 package leader
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"agatehaven.dev/agatehaven/internal/fault"
@@ -447,6 +449,7 @@
 
 // take records the ends of a list, and orders what the list calls for.
 func (s *session) take(h *Holding, sent time.Time, acknowledged int64) {
+	h.admitEnds(acknowledged)
 	s.logUnreadable(&h.Unreadable)
 	report := s.compare(h, sent, acknowledged)
 	if report != nil {
@@ -464,6 +467,30 @@
 	}
 }
 
+// maxEndGap is by how much the number of an end may exceed the last one that was
+// recorded. A target has far fewer ends between two looks at its list; it lists 500
+// at a time.
+const maxEndGap = 1 << 20
+
+// admitEnds puts the ends in the order of their numbers, since only higher ones than
+// the last are recorded, and leaves out those with an odd number. One that is too
+// high would stand for all ends up to it, which the target then forgets.
+func (h *Holding) admitEnds(acknowledged int64) {
+	slices.SortStableFunc(h.Ended, func(a, b work.End) int { return cmp.Compare(a.Number, b.Number) })
+	admitted := h.Ended[:0]
+	for i, e := range h.Ended {
+		switch {
+		case e.Number <= acknowledged:
+			h.Unreadable.Note(i, "an end that was acknowledged is listed again", true)
+		case e.Number-acknowledged > maxEndGap:
+			h.Unreadable.Note(i, "the number of the end is too high", true)
+		default:
+			admitted = append(admitted, e)
+		}
+	}
+	h.Ended = admitted
+}
+
 // rowsLogEvery is how often rows that cannot be read are logged for one target,
 // against several lists a second.
 const rowsLogEvery = 10 * time.Second
