Keep one stop of a listed run under way

A listed run that the state does not hold is stopped, and its order was forgotten with the next list, while the stop was still repeated: each list added one more loop of stops. For an entry that is no run, whose stop a target refuses as not valid, all of them went on until the target ended. An order whose stop is under way is kept now, and a stop that is refused as not valid ends; the next list that shows the run repeats it.

Seen before the change: "Expected 492 to be < 60" stops in 16 s.

--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -209,8 +209,8 @@
 			s.l.mu.Unlock()
 			return
 		}
-		if reply.Refusal == RefusedOther {
-			return
+		if reply.Refusal == RefusedOther || reply.Refusal == RefusedInvalid {
+			return // of an order that is not valid the next list tells whether the run is there
 		}
 	}
 }
--- a/internal/leader/rows_test.go
+++ b/internal/leader/rows_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -148,3 +149,30 @@
 		g.Expect(strings.Count(w.log(), "begin ")).To(Equal(12), w.log())
 	})
 }
+
+// Guards against stops that pile up, one more with each list, for a listed run that
+// no order ends: the target refuses the name of its task.
+func TestStopsOfAnUnknownRunDoNotPileUp(t *testing.T) {
+	play(t, func(w *world) {
+		w.add("a", "ha", "1:1", "desk")
+		odd := work.RunRef{Task: work.TaskRef{Job: "other"}, Run: 1}
+		stops := 0
+		w.change(func(_ *target, h *leader.Holding) { h.Running = append(h.Running, leader.RunningRun{Run: odd}) })
+		w.refuse = func(o *leader.StopOrder) leader.Refusal {
+			if o.Run != odd {
+				return leader.Carried
+			}
+			stops++
+			return leader.RefusedInvalid
+		}
+		_, stop := w.lead(2)
+		defer stop()
+		for i := range 8 {
+			w.submit("j"+strconv.Itoa(i), "/draw/", small(4))
+			after(2 * time.Second)
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		NewWithT(t).Expect(stops).To(And(BeNumerically(">", 0), BeNumerically("<", 60)))
+	})
+}
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -584,8 +584,9 @@
 			s.compareRun(v, r, listed[r], sent, c)
 		}
 	}
-	for r := range s.orders {
-		if !held[r] {
+	for r, o := range s.orders {
+		// A stop that is under way is kept, or the next list would add another one.
+		if !held[r] && !o.stopping {
 			delete(s.orders, r)
 		}
 	}
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -65,6 +65,8 @@
 	taking      time.Time
 	// lists, if set, changes the lists that targets answer with.
 	lists func(t *target, h *leader.Holding)
+	// refuse, if set, tells which stops are refused.
+	refuse func(o *leader.StopOrder) leader.Refusal
 	// leaving are the hosts for which the platform takes no orders.
 	leaving map[string]bool
 	// checked is set if every start needs a ticket of the policy service.
@@ -454,6 +456,11 @@
 		if t.fenced(o.Fence) {
 			return leader.RefusedFence
 		}
+		if w.refuse != nil {
+			if refusal := w.refuse(o); refusal != leader.Carried {
+				return refusal
+			}
+		}
 		if n := w.running(); n < w.step && t.stopped[o.Run.Task] < o.Run.Run {
 			w.breaks("%v is stopped while %d tasks are away", o.Run, w.step-n)
 		}
