Read the lists of hosts and of tickets row by row

One row of the platform's list of hosts, or of the policy service's answer, that could not be read made the whole answer an error: no host was moved or maintained by a new leader, and the step never started.

Each row is read by itself now; the others hold. The adapters return *UnreadableRows beside what they could read, which the leader logs. While a list of hosts has unreadable rows, no host counts as gone from it: the maintenance of a host in such a row would be left out of its wave, and the wave told as complete.

In the leader: "Expected queued to equal completed" for the ticket, and a wave complete without its host.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -129,15 +130,20 @@
 	ctx, cancel := context.WithTimeout(l.ctx, platformTimeout)
 	defer cancel()
 	hosts, err := l.cfg.Platform.Hosts(ctx)
-	if err != nil {
+	var unreadable *UnreadableRows
+	if err != nil && !errors.As(err, &unreadable) {
 		l.log.Warn().Err(err).Msg("list of hosts not read")
 		return false
 	}
+	if unreadable != nil {
+		l.log.Warn().Err(unreadable).Msg("list of hosts not read in full")
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
 	for _, h := range l.fleet.hosts {
-		h.unlisted = true
+		// A row that cannot be read may be about any host.
+		h.unlisted = unreadable == nil
 	}
 	cfg := l.cfg.Machine.Configuration()
 	for _, s := range hosts {
--- a/internal/leader/permits.go
+++ b/internal/leader/permits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -94,6 +95,11 @@
 	ctx, cancel := context.WithTimeout(l.ctx, permitTimeout)
 	defer cancel()
 	tickets, validMS, err := l.cfg.Policy.Permit(ctx, q.step, q.targets)
+	var unreadable *UnreadableRows
+	if errors.As(err, &unreadable) {
+		l.log.Warn().Err(unreadable).Str("job", q.step.Job).Int("step", q.step.Step).Msg("answer of the policy service not read in full")
+		err = nil // the other tickets hold
+	}
 	l.mu.Lock()
 	known := l.permits.steps[q.step]
 	known.asking = false
--- a/internal/leader/ports.go
+++ b/internal/leader/ports.go
@@ -134,6 +134,14 @@
 	}
 }
 
+// Fault returns the rows as an error, nil if there are none.
+func (u *UnreadableRows) Fault() error {
+	if u.Rows == 0 {
+		return nil
+	}
+	return u
+}
+
 func (u *UnreadableRows) Error() string {
 	return fmt.Sprintf("%d rows cannot be read, %d of them are left out: %s", u.Rows, u.LeftOut, u.First)
 }
@@ -175,6 +183,8 @@
 // Platform moves and maintains hosts. Everything that runs on the host ends at
 // once. An error means that the order may have been carried out.
 type Platform interface {
+	// Hosts returns the hosts, with *UnreadableRows beside those that could be read
+	// if the list has others.
 	Hosts(ctx context.Context) ([]HostState, error)
 	Move(ctx context.Context, host, pool string, t Token) (PlatformAnswer, error)
 	Maintain(ctx context.Context, host string, wave int64, t Token) (PlatformAnswer, error)
@@ -182,6 +192,7 @@
 
 // Policy is the outside service that knows which hosts may run a step.
 type Policy interface {
-	// Permit returns the tickets by target id, and how long they are valid.
+	// Permit returns the tickets by target id, and how long they are valid, with
+	// *UnreadableRows beside those that could be read if the answer has others.
 	Permit(ctx context.Context, step work.TaskRef, targets []string) (map[string]string, int64, error)
 }
--- a/internal/leader/rows_test.go
+++ b/internal/leader/rows_test.go
@@ -176,3 +176,45 @@
 		NewWithT(t).Expect(stops).To(And(BeNumerically(">", 0), BeNumerically("<", 60)))
 	})
 }
+
+// Guards against a wave that is told as complete though the maintenance of a host
+// has not begun, since its row cannot be read, and against a list of hosts of which
+// nothing is used then.
+func TestHostInAnUnreadableRowIsNotGone(t *testing.T) {
+	play(t, func(w *world) {
+		w.oddRows, w.hidden = &leader.UnreadableRows{Rows: 1, LeftOut: 1, First: "odd"}, "h1"
+		w.leaving = map[string]bool{"h1": true}
+		w.add("a0", "h0", "1:0", "desk")
+		w.add("a1", "h1", "1:1", "desk")
+		_, stop := w.lead(2)
+		defer stop()
+		after(time.Second)
+		w.propose(&work.Command{Wave: &work.Wave{ID: 1, Hosts: []string{"h0", "h1"}, MaxDown: 1}})
+		after(15 * time.Second)
+		g := NewWithT(t)
+		complete, _ := w.machine.WaveComplete(1)
+		g.Expect(complete).To(BeFalse(), w.log())
+		g.Expect(w.log()).To(ContainSubstring("list of hosts not read in full"))
+		w.mu.Lock()
+		delete(w.leaving, "h1")
+		w.mu.Unlock()
+		after(15 * time.Second)
+		complete, _ = w.machine.WaveComplete(1)
+		g.Expect(complete).To(BeTrue(), w.log())
+	})
+}
+
+// Guards against a step that never starts, since one row of the policy service
+// cannot be read.
+func TestOddTicketHidesNoOthers(t *testing.T) {
+	play(t, func(w *world) {
+		w.checked = true
+		w.oddRows = &leader.UnreadableRows{Rows: 1, LeftOut: 1, First: "odd"}
+		w.add("p", "hp", "1:2", "desk")
+		_, stop := w.lead(2)
+		defer stop()
+		w.submit("j", "/policy/", small(4))
+		after(5 * time.Second)
+		NewWithT(t).Expect(w.state("j")).To(Equal(work.Completed), w.log())
+	})
+}
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -67,6 +67,10 @@
 	lists func(t *target, h *leader.Holding)
 	// refuse, if set, tells which stops are refused.
 	refuse func(o *leader.StopOrder) leader.Refusal
+	// oddRows, if set, stand in the lists of hosts and of tickets. That of the hidden
+	// host is one of them.
+	oddRows error
+	hidden  string
 	// leaving are the hosts for which the platform takes no orders.
 	leaving map[string]bool
 	// checked is set if every start needs a ticket of the policy service.
@@ -534,7 +538,7 @@
 			tickets[id] = fmt.Sprintf("%s/%s/%d", id, step.Job, time.Now().Add(2*time.Second).UnixMilli())
 		}
 	}
-	return tickets, 2000, nil
+	return tickets, 2000, w.oddRows
 }
 
 // admits checks the ticket of a start.
@@ -556,7 +560,7 @@
 	defer w.mu.Unlock()
 	var out []leader.HostState
 	for _, t := range w.targets {
-		if _, parked := w.parked[t.state.Host]; parked {
+		if _, parked := w.parked[t.state.Host]; parked || t.state.Host == w.hidden {
 			continue
 		}
 		out = append(out, leader.HostState{Host: t.state.Host, Pool: t.state.Pool, Up: true, Room: t.state.Room, TargetID: t.state.ID})
@@ -564,7 +568,7 @@
 	for host, up := range w.off {
 		out = append(out, leader.HostState{Host: host, Pool: "off", Up: up, Room: work.Demand{MilliCPU: 4000, MemoryMB: 4000}})
 	}
-	return out, nil
+	return out, w.oddRows
 }
 
 // Move implements leader.Platform. It ends what runs on the host.
