Bound what an order of the operator says, and keep each host of a wave once

A wave that names a host twice was never complete: it needs as many hosts begun as it names, and a host begins once. It could also order the maintenance of that host twice at a time. A 'durationS' of 1e300 or -1e300 was converted to int64, which differs between amd64 and arm64, and overflowed when it was added to the start. A 'stretch' of 1e300 or a 'targetLatencyMs' of 2^63-1 made the objective of each job overflow, to the far past or the far future.

Looked at and left: negative or huge priority and attempts are only compared; 'maxCount' of 0 or below lets no host begin, as it says; a wave without hosts is complete at once.

--- a/internal/work/check.go
+++ b/internal/work/check.go
@@ -93,3 +93,29 @@
 		s.Steps[i].After = slices.Compact(after)
 	}
 }
+
+// maxStretch bounds how many times its longest chain of work a job may take.
+const maxStretch = 1_000_000
+
+// Bound brings values of a configuration into the range that sums allow. It is
+// valid with any of them.
+func (c *Configuration) Bound() {
+	for i := range c.Queues {
+		q := &c.Queues[i]
+		q.Stretch = min(max(q.Stretch, 0), maxStretch)
+		q.SlackMS = min(max(q.SlackMS, -maxTimeMS), maxTimeMS)
+	}
+}
+
+// Bound brings values of a wave into the range that sums allow, and keeps each
+// host once.
+func (w *Wave) Bound() {
+	w.DurationMS = min(max(w.DurationMS, 0), maxTimeMS)
+	w.MaxDown = min(w.MaxDown, MaxHosts)
+	seen := map[string]bool{}
+	w.Hosts = slices.DeleteFunc(w.Hosts, func(host string) bool {
+		again := seen[host]
+		seen[host] = true
+		return again
+	})
+}
--- a/internal/work/check_test.go
+++ b/internal/work/check_test.go
@@ -83,3 +83,53 @@
 		Expect(spec).To(Equal(same))
 	})
 })
+
+var _ = Describe("an odd wave", func() {
+	It("has each host once", func() {
+		// Guards against a wave that is never complete, and against two orders for one
+		// host at a time: it was counted as often as it was named.
+		r := newRegion()
+		w := &work.Wave{ID: 1, Hosts: []string{"b", "a", "b", "b"}, MaxDown: 1, DurationMS: 1000}
+		w.Bound()
+		Expect(r.do(&work.Command{Wave: w}).Err).NotTo(HaveOccurred())
+		for _, host := range []string{"a", "b"} {
+			for _, kind := range []work.StepKind{work.MaintenanceOrdered, work.MaintenanceBegun, work.MaintenanceReturned} {
+				Expect(r.do(&work.Command{WaveSteps: []work.WaveStep{{Wave: 1, Host: host, Kind: kind}}}).Err).NotTo(HaveOccurred())
+			}
+		}
+		complete, found := r.WaveComplete(1)
+		Expect(found).To(BeTrue())
+		Expect(complete).To(BeTrue())
+		Expect(w.Hosts).To(Equal([]string{"b", "a"}), "in their order")
+	})
+})
+
+var _ = Describe("an odd configuration", func() {
+	DescribeTable("has an objective that does not overflow", func(stretch float64, slackMS int64) {
+		// Guards against a job that counts as overdue when it is accepted, or never
+		// does: an objective that overflowed is as far as possible in the past on one
+		// processor and in the future on another.
+		c := work.Configuration{Version: 1, Pools: []work.Pool{{Name: "p"}}, Queues: []work.Queue{
+			{Name: "q", Domain: "d", Prefix: "/", Pool: "p", TimeoutMS: 1, Stretch: stretch, SlackMS: slackMS},
+		}}
+		c.Bound()
+		Expect(c.Check()).To(Succeed(), "it is valid")
+		q := c.Queues[0]
+		const chainMS = 1e9 // longer than the longest chain of work
+		objective := 3 * (q.Stretch*chainMS + float64(q.SlackMS))
+		Expect(math.Abs(objective)).To(BeNumerically("<", 1<<62))
+		Expect(q.Stretch).To(BeNumerically(">=", 0))
+	},
+		Entry("stretch", 1e300, int64(600)),
+		Entry("negative stretch", -1e300, int64(600)),
+		Entry("slack", 1.6, int64(math.MaxInt64)),
+		Entry("negative slack", 1.6, int64(math.MinInt64)),
+	)
+
+	It("is else left as it is", func() {
+		// Guards against a bound that changes a usual objective.
+		c := work.Configuration{Queues: []work.Queue{{Stretch: 2.2, SlackMS: 2500}, {Stretch: 0, SlackMS: -600}}}
+		c.Bound()
+		Expect(c.Queues).To(Equal([]work.Queue{{Stretch: 2.2, SlackMS: 2500}, {Stretch: 0, SlackMS: -600}}))
+	})
+})
