Go on with a target after one answer with an odd start time

A list with another start time than the target's is that of a later life: the session grants no lease and starts nothing from then on. One answer with an odd start time, followed by good ones, left the session so for good: its runs lapsed, and their tasks stayed on the target without ever beginning again. An answer with the session's own start time proves now that no later life has answered before, since a session has one list under way at a time.

Seen before the change: "Expected 0 to equal 3" running tasks, 33 s after the odd answer.

--- a/internal/leader/rows_test.go
+++ b/internal/leader/rows_test.go
@@ -218,3 +218,31 @@
 		NewWithT(t).Expect(w.state("j")).To(Equal(work.Completed), w.log())
 	})
 }
+
+// Guards against a target that gets no lease and no starts any more after one
+// answer with an odd start time, which was taken for that of a later life.
+func TestOddBirthInOneAnswerEndsNoSession(t *testing.T) {
+	for _, born := range []int64{1, 1 << 53} {
+		play(t, func(w *world) {
+			w.add("a", "ha", "1:1", "desk").lasts(0)
+			_, stop := w.lead(2)
+			defer stop()
+			w.submit("l", "/draw/", lasting(2))
+			after(3 * time.Second)
+			odd := 1
+			w.change(func(_ *target, h *leader.Holding) {
+				if odd--; odd >= 0 {
+					h.Born = born
+				}
+			})
+			after(30 * time.Second)
+			g := NewWithT(t)
+			g.Expect(strings.Count(w.log(), "begin ")).To(Equal(2), w.log())
+			w.submit("j", "/draw/", small(1))
+			after(3 * time.Second)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			g.Expect(w.running()).To(Equal(3))
+		})
+	}
+}
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -356,10 +356,22 @@
 		s.l.log.Info().Str("target", s.key).Str("refusal", string(h.Refusal)).Msg("hold refused")
 		return false
 	}
+	s.noteLife(h.Born)
 	s.take(h, sent, o.Acknowledged)
 	return true
 }
 
+// noteLife notes that the session's own life answers. Then no later life can have
+// answered before: a start time that said so was odd.
+func (s *session) noteLife(born int64) {
+	s.l.mu.Lock()
+	defer s.l.mu.Unlock()
+	if born != 0 && s.replaced {
+		s.replaced = false
+		s.l.log.Warn().Str("target", s.key).Msg("no later life of the target: it answers again")
+	}
+}
+
 // raiseFence takes a token above all that were used.
 func (s *session) raiseFence() {
 	s.l.mu.Lock()
