--- a/internal/leader/ports.go
+++ b/internal/leader/ports.go
@@ -5,7 +5,10 @@
 
 import (
 	"context"
+	"fmt"
+	"strconv"
 
+	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/work"
 )
 
@@ -105,8 +108,47 @@
 	Born    int64
 	Running []RunningRun
 	Ended   []work.End
+	// Unreadable tells of rows that could not be read. The others hold.
+	Unreadable UnreadableRows
 }
 
+// UnreadableRows reports rows of a list that could not be read, in whole or in
+// part. It is an error if there are any.
+type UnreadableRows struct {
+	// Rows counts them, and LeftOut those of which nothing was taken.
+	Rows, LeftOut int
+	// First tells what is wrong with the first one.
+	First string
+}
+
+// Note counts a row at a position if odd tells what cannot be read of it.
+func (u *UnreadableRows) Note(position int, odd string, leftOut bool) {
+	if odd == "" {
+		return
+	}
+	if u.Rows++; u.Rows == 1 {
+		u.First = "row " + strconv.Itoa(position) + ": " + odd
+	}
+	if leftOut {
+		u.LeftOut++
+	}
+}
+
+// Fault returns the rows as an error, nil if there are none.
+func (u *UnreadableRows) Fault() error {
+	if u.Rows == 0 {
+		return nil
+	}
+	return u
+}
+
+func (u *UnreadableRows) Error() string {
+	return fmt.Sprintf("%d rows cannot be read, %d of them are left out: %s", u.Rows, u.LeftOut, u.First)
+}
+
+// Code implements fault.Coded.
+func (u *UnreadableRows) Code() fault.Code { return fault.CodeCorrupt }
+
 // HostState is the platform's view of a host.
 type HostState struct {
 	Host       string
@@ -141,6 +183,8 @@
 // Platform moves and maintains hosts. Everything that runs on the host ends at
 // once. An error means that the order may have been carried out.
 type Platform interface {
+	// Hosts returns the hosts, with *UnreadableRows beside those that could be read
+	// if the list has others.
 	Hosts(ctx context.Context) ([]HostState, error)
 	Move(ctx context.Context, host, pool string, t Token) (PlatformAnswer, error)
 	Maintain(ctx context.Context, host string, wave int64, t Token) (PlatformAnswer, error)
@@ -148,6 +192,7 @@
 
 // Policy is the outside service that knows which hosts may run a step.
 type Policy interface {
-	// Permit returns the tickets by target id, and how long they are valid.
+	// Permit returns the tickets by target id, and how long they are valid, with
+	// *UnreadableRows beside those that could be read if the answer has others.
 	Permit(ctx context.Context, step work.TaskRef, targets []string) (map[string]string, int64, error)
 }
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -1,8 +1,10 @@
 package leader
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"agatehaven.dev/agatehaven/internal/fault"
@@ -76,6 +78,8 @@
 	// acknowledged is the number that the target has been told.
 	acknowledged int64
 	orders       map[work.RunRef]*order
+	// rowsLogged is when rows that cannot be read were last logged. Only run uses it.
+	rowsLogged time.Time
 }
 
 // order is what the leader knows of a run beyond the replicated state.
@@ -84,6 +88,8 @@
 	// in a list.
 	startedAt time.Time
 	starting  bool
+	// listedAt is when the last list that shows the run was asked for.
+	listedAt time.Time
 	// stoppedAt is when a stop was confirmed. A run that is not listed
 	// afterwards has ended or can never begin.
 	stoppedAt time.Time
@@ -370,10 +376,22 @@
 		s.l.log.Info().Str("target", s.key).Str("refusal", string(h.Refusal)).Msg("hold refused")
 		return false
 	}
+	s.noteLife(h.Born)
 	s.take(h, sent, o.Acknowledged)
 	return true
 }
 
+// noteLife notes that the session's own life answers. Then no later life can have
+// answered before: a start time that said so was odd.
+func (s *session) noteLife(born int64) {
+	s.l.mu.Lock()
+	defer s.l.mu.Unlock()
+	if born != 0 && s.replaced {
+		s.replaced = false
+		s.l.log.Warn().Str("target", s.key).Msg("no later life of the target: it answers again")
+	}
+}
+
 // raiseFence takes a token above all that were used.
 func (s *session) raiseFence() {
 	s.l.mu.Lock()
@@ -407,7 +425,9 @@
 			s.stop(r.Run)
 		}
 	}
-	if !alive {
+	s.logUnreadable(&h.Unreadable)
+	// A row that was left out may be one of these runs; then their leases end first.
+	if !alive && h.Unreadable.LeftOut == 0 {
 		s.l.record(&work.Command{End: s.key, Gone: true}, "end of an earlier life")
 	}
 }
@@ -461,6 +481,8 @@
 
 // take records the ends of a list, and orders what the list calls for.
 func (s *session) take(h *Holding, sent time.Time, acknowledged int64) {
+	h.admitEnds(acknowledged)
+	s.logUnreadable(&h.Unreadable)
 	report := s.compare(h, sent, acknowledged)
 	if report != nil {
 		if s.l.report(report) {
@@ -470,6 +492,49 @@
 			s.l.wake.poke()
 		}
 	}
+	if h.Unreadable.LeftOut > 0 {
+		// An end that cannot be recorded is listed again at once, without a wait for
+		// the next one.
+		s.l.sleep(retryPause)
+	}
+}
+
+// maxEndGap is by how much the number of an end may exceed the last one that was
+// recorded. A target has far fewer ends between two looks at its list; it lists 500
+// at a time.
+const maxEndGap = 1 << 20
+
+// admitEnds puts the ends in the order of their numbers, since only higher ones than
+// the last are recorded, and leaves out those with an odd number. One that is too
+// high would stand for all ends up to it, which the target then forgets.
+func (h *Holding) admitEnds(acknowledged int64) {
+	slices.SortStableFunc(h.Ended, func(a, b work.End) int { return cmp.Compare(a.Number, b.Number) })
+	admitted := h.Ended[:0]
+	for i, e := range h.Ended {
+		switch {
+		case e.Number <= acknowledged:
+			h.Unreadable.Note(i, "an end that was acknowledged is listed again", true)
+		case e.Number-acknowledged > maxEndGap:
+			h.Unreadable.Note(i, "the number of the end is too high", true)
+		default:
+			admitted = append(admitted, e)
+		}
+	}
+	h.Ended = admitted
+}
+
+// rowsLogEvery is how often rows that cannot be read are logged for one target,
+// against several lists a second.
+const rowsLogEvery = 10 * time.Second
+
+// logUnreadable logs rows that are left out.
+func (s *session) logUnreadable(u *UnreadableRows) {
+	now := s.l.now()
+	if u.Rows == 0 || now.Sub(s.rowsLogged) < rowsLogEvery {
+		return
+	}
+	s.rowsLogged = now
+	s.l.log.Warn().Err(u).Str("target", s.key).Msg("list of runs not read in full")
 }
 
 // comparison is what a list calls for.
@@ -478,13 +543,23 @@
 	// stop holds runs that must not go on or begin, restart those whose start
 	// was committed by an earlier leader and is not listed.
 	stop, restart []work.RunRef
+	// incomplete is set if rows of the list were left out.
+	incomplete bool
+}
+
+// mayHide reports whether a run that a list lacks can be in a row that was left
+// out. A row that is left out for longer than this after the run was last listed,
+// or after it was stopped, is about something else: it would keep the task from
+// starting again for ever.
+func (c *comparison) mayHide(since, sent time.Time) bool {
+	return c.incomplete && sent.Sub(since) < maxOrderDelay
 }
 
 // compare matches a list with the runs that the state holds, and orders what
 // it calls for.
 func (s *session) compare(h *Holding, sent time.Time, acknowledged int64) *work.Report {
 	l := s.l
-	c := &comparison{report: &work.Report{Target: s.key, Ends: h.Ended}}
+	c := &comparison{report: &work.Report{Target: s.key, Ends: h.Ended}, incomplete: h.Unreadable.LeftOut > 0}
 	finished := l.finished(h.Ended)
 	l.mu.Lock()
 	l.cfg.Machine.Read(func(v *work.View) {
@@ -528,6 +603,7 @@
 		}
 		o := s.orderOf(r.Run)
 		o.seen(sent)
+		o.listedAt = sent
 		o.atWork = r.Percent >= 100
 		job, task := v.Find(r.Run.Task)
 		s.starting = s.starting || (task != nil && !o.atWork && job.Spec.Steps[task.Step].Lasting)
@@ -540,8 +616,9 @@
 			s.compareRun(v, r, listed[r], sent, c)
 		}
 	}
-	for r := range s.orders {
-		if !held[r] {
+	for r, o := range s.orders {
+		// A stop that is under way is kept, or the next list would add another one.
+		if !held[r] && !o.stopping {
 			delete(s.orders, r)
 		}
 	}
@@ -552,14 +629,16 @@
 	job, _ := v.Find(r.Task)
 	o := s.orderOf(r)
 	switch {
-	case !o.stoppedAt.IsZero() && o.stoppedAt.Before(sent) && !listed:
+	case !o.stoppedAt.IsZero() && o.stoppedAt.Before(sent) && !listed && !c.mayHide(o.stoppedAt, sent):
 		s.logRun(r).Msg("stopped run is not listed")
 		c.report.Settled = append(c.report.Settled, r)
 	case job == nil || job.State.Final():
 		c.stop = append(c.stop, r)
 	case listed:
 	case !o.startedAt.IsZero() && o.startedAt.Before(sent):
-		c.stop = append(c.stop, r) // it vanished: make sure that it cannot begin again
+		if !c.mayHide(latest(o.startedAt, o.listedAt), sent) {
+			c.stop = append(c.stop, r) // it vanished: make sure that it cannot begin again
+		}
 	case !o.starting && o.stoppedAt.IsZero():
 		c.restart = append(c.restart, r)
 	}
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -65,6 +65,14 @@
 	// taken counts those of the second that began at taking.
 	rate, taken int
 	taking      time.Time
+	// lists, if set, changes the lists that targets answer with.
+	lists func(t *target, h *leader.Holding)
+	// refuse, if set, tells which stops are refused.
+	refuse func(o *leader.StopOrder) leader.Refusal
+	// oddRows, if set, stand in the lists of hosts and of tickets. That of the hidden
+	// host is one of them.
+	oddRows error
+	hidden  string
 	// leaving are the hosts for which the platform takes no orders.
 	leaving map[string]bool
 	// checked is set if every start needs a ticket of the policy service.
@@ -460,6 +468,11 @@
 		if t.fenced(o.Fence) {
 			return leader.RefusedFence
 		}
+		if w.refuse != nil {
+			if refusal := w.refuse(o); refusal != leader.Carried {
+				return refusal
+			}
+		}
 		if n := w.running(); n < w.step && t.stopped[o.Run.Task] < o.Run.Run {
 			w.breaks("%v is stopped while %d tasks are away", o.Run, w.step-n)
 		}
@@ -492,6 +505,9 @@
 		for ref := range maps.Keys(t.runs) {
 			out.Running = append(out.Running, leader.RunningRun{Run: ref, Percent: 100})
 		}
+		if t.w.lists != nil {
+			t.w.lists(t, out)
+		}
 		changed = t.changed
 		return leader.Carried
 	}
@@ -530,7 +546,7 @@
 			tickets[id] = fmt.Sprintf("%s/%s/%d", id, step.Job, time.Now().Add(2*time.Second).UnixMilli())
 		}
 	}
-	return tickets, 2000, nil
+	return tickets, 2000, w.oddRows
 }
 
 // admits checks the ticket of a start.
@@ -552,7 +568,7 @@
 	defer w.mu.Unlock()
 	var out []leader.HostState
 	for _, t := range w.targets {
-		if _, parked := w.parked[t.state.Host]; parked {
+		if _, parked := w.parked[t.state.Host]; parked || t.state.Host == w.hidden {
 			continue
 		}
 		out = append(out, leader.HostState{Host: t.state.Host, Pool: t.state.Pool, Up: true, Room: t.state.Room, TargetID: t.state.ID})
@@ -560,7 +576,7 @@
 	for host, up := range w.off {
 		out = append(out, leader.HostState{Host: host, Pool: "off", Up: up, Room: work.Demand{MilliCPU: 4000, MemoryMB: 4000}})
 	}
-	return out, nil
+	return out, w.oddRows
 }
 
 // Move implements leader.Platform. It ends what runs on the host.
--- /dev/null
+++ b/internal/work/check_test.go
@@ -0,0 +1,166 @@
+package work_test
+
+import (
+	"math"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/schedule"
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+var _ = Describe("a job of odd size", func() {
+	DescribeTable("is refused", func(occurrences int, steps ...work.Step) {
+		// Guards against a job that is accepted since the number of its tasks
+		// overflows: every host that applies it makes them all, until it has no
+		// memory.
+		err := (&work.Spec{Occurrences: occurrences, Steps: steps}).Check()
+		var invalid *fault.Invalid
+		Expect(err).To(BeAssignableToTypeOf(invalid))
+	},
+		Entry("a negative product", math.MaxInt, one(1), one(1)),
+		Entry("a product of 0", 1<<62, one(1), one(1), one(1), one(1)),
+		Entry("a product of 4", 1<<62+1, one(1), one(1), one(1), one(1)),
+		Entry("negative occurrences", -1, one(1)),
+		Entry("too many occurrences", work.MaxTasks+1, one(1)),
+	)
+
+	DescribeTable("is refused for its demand", func(demand work.Demand) {
+		// Guards against a sum over tasks, or a product with their number and
+		// duration, that overflows: the demand of a whole pool was below 0 then.
+		step := work.Step{Tasks: 2, Demand: demand, FillIn: true}
+		err := (&work.Spec{Steps: []work.Step{step}}).Check()
+		var invalid *fault.Invalid
+		Expect(err).To(BeAssignableToTypeOf(invalid))
+	},
+		Entry("CPU", work.Demand{MilliCPU: math.MaxInt64}),
+		Entry("CPU of which two overflow", work.Demand{MilliCPU: 1 << 62}),
+		Entry("memory", work.Demand{MemoryMB: math.MaxInt64}),
+		Entry("GPUs", work.Demand{GPUs: math.MaxInt64}),
+		Entry("negative GPUs", work.Demand{GPUs: -1}),
+	)
+
+	It("is accepted with the most tasks", func() {
+		// Guards against a bound that refuses a job of the largest size.
+		Expect((&work.Spec{Occurrences: work.MaxTasks / 2, Steps: []work.Step{one(1), one(1)}}).Check()).To(Succeed())
+	})
+})
+
+var _ = Describe("bounding a job", func() {
+	It("keeps each step that a step waits for once", func() {
+		// Guards against a plan that looks at every task of a step again for each
+		// repetition: a body holds 100,000 of them, and a step 10,000 tasks.
+		spec := work.Spec{Steps: []work.Step{one(1), one(1), {Tasks: 1, After: []int{1, 0, 0, 1, 0}}}}
+		spec.Bound()
+		Expect(spec.Steps[2].After).To(Equal([]int{0, 1}))
+	})
+
+	DescribeTable("keeps its times from overflowing", func(firstMS, intervalMS int64) {
+		// Guards against an occurrence that starts long before its time, which has
+		// overflowed.
+		spec := work.Spec{Occurrences: work.MaxTasks, FirstMS: firstMS, IntervalMS: intervalMS, Steps: []work.Step{one(1)}}
+		spec.Bound()
+		Expect(spec.Check()).To(Succeed())
+		for k := int64(1); k < work.MaxTasks; k++ {
+			before, due := spec.FirstMS+(k-1)*spec.IntervalMS, spec.FirstMS+k*spec.IntervalMS
+			Expect(due >= before).To(Equal(intervalMS >= 0), "occurrence %d", k)
+		}
+	},
+		Entry("long interval", int64(1_700_000_000_000), int64(1)<<62),
+		Entry("longest interval", int64(0), int64(math.MaxInt64)),
+		Entry("late and long", int64(math.MaxInt64), int64(math.MaxInt64)),
+		Entry("early and negative", int64(math.MinInt64), int64(math.MinInt64)),
+	)
+
+	It("leaves a usual job as it is", func() {
+		// Guards against a bound that changes when a job is due.
+		spec := work.Spec{Occurrences: 100, FirstMS: 1_800_000_000_000, IntervalMS: 86_400_000, Steps: []work.Step{
+			{Tasks: 1, EstimateMS: 900}, {Tasks: 1, After: []int{0}, EstimateMS: 60_000},
+		}}
+		same := spec
+		spec.Bound()
+		Expect(spec).To(Equal(same))
+	})
+})
+
+var _ = Describe("an odd wave", func() {
+	It("has each host once", func() {
+		// Guards against a wave that is never complete, and against two orders for one
+		// host at a time: it was counted as often as it was named.
+		r := newRegion()
+		w := &work.Wave{ID: 1, Hosts: []string{"b", "a", "b", "b"}, MaxDown: 1, DurationMS: 1000}
+		w.Bound()
+		Expect(r.do(&work.Command{Wave: w}).Err).NotTo(HaveOccurred())
+		for _, host := range []string{"a", "b"} {
+			for _, kind := range []work.StepKind{work.MaintenanceOrdered, work.MaintenanceBegun, work.MaintenanceReturned} {
+				Expect(r.do(&work.Command{WaveSteps: []work.WaveStep{{Wave: 1, Host: host, Kind: kind}}}).Err).NotTo(HaveOccurred())
+			}
+		}
+		complete, found := r.WaveComplete(1)
+		Expect(found).To(BeTrue())
+		Expect(complete).To(BeTrue())
+		Expect(w.Hosts).To(Equal([]string{"b", "a"}), "in their order")
+	})
+})
+
+var _ = Describe("an odd configuration", func() {
+	DescribeTable("has an objective that does not overflow", func(stretch float64, slackMS int64) {
+		// Guards against a job that counts as overdue when it is accepted, or never
+		// does: an objective that overflowed is as far as possible in the past on one
+		// processor and in the future on another.
+		c := work.Configuration{Version: 1, Pools: []work.Pool{{Name: "p"}}, Queues: []work.Queue{
+			{Name: "q", Domain: "d", Prefix: "/", Pool: "p", TimeoutMS: 1, Stretch: stretch, SlackMS: slackMS},
+		}}
+		c.Bound()
+		Expect(c.Check()).To(Succeed(), "it is valid")
+		q := c.Queues[0]
+		const chainMS = 1e9 // longer than the longest chain of work
+		objective := 3 * (q.Stretch*chainMS + float64(q.SlackMS))
+		Expect(math.Abs(objective)).To(BeNumerically("<", 1<<62))
+		Expect(q.Stretch).To(BeNumerically(">=", 0))
+	},
+		Entry("stretch", 1e300, int64(600)),
+		Entry("negative stretch", -1e300, int64(600)),
+		Entry("slack", 1.6, int64(math.MaxInt64)),
+		Entry("negative slack", 1.6, int64(math.MinInt64)),
+	)
+
+	It("is else left as it is", func() {
+		// Guards against a bound that changes a usual objective.
+		c := work.Configuration{Queues: []work.Queue{{Stretch: 2.2, SlackMS: 2500}, {Stretch: 0, SlackMS: -600}}}
+		c.Bound()
+		Expect(c.Queues).To(Equal([]work.Queue{{Stretch: 2.2, SlackMS: 2500}, {Stretch: 0, SlackMS: -600}}))
+	})
+})
+
+var _ = Describe("a job of very many steps", func() {
+	It("is planned quickly", func() {
+		// Guards against a leader that plans for a second while it holds its lock, so
+		// that leases lapse: each look at a step cost a loop over all steps. The bound
+		// is far above what it takes now, and the quickest of several plans counts.
+		r := newRegion()
+		steps := make([]work.Step, work.MaxTasks)
+		for i := range steps {
+			if steps[i] = one(1); i > 0 {
+				steps[i].After = []int{i - 1}
+			}
+		}
+		r.submit("j", steps...)
+		quickest := time.Hour
+		r.Read(func(v *work.View) {
+			for range 5 {
+				started := time.Now()
+				schedule.Plan(&schedule.Request{
+					NowMS: v.NowMS, MaxStarts: 256, Jobs: []*work.Job{v.Live["j"]},
+					Hosts:    func(string) []*schedule.Host { return nil },
+					Duration: func(*work.Job, int) int64 { return 1000 },
+				})
+				quickest = min(quickest, time.Since(started))
+			}
+		})
+		Expect(quickest).To(BeNumerically("<", 200*time.Millisecond))
+	})
+})
