Give up the runs of an earlier life once no start can be on its way

What callers saw: a lasting task without a run for 20 s and longer, 36 s if the leader changed twice meanwhile, on a target that had started again under the same id and then fell silent.

Cause: once a later life has registered, the region kept the runs of the earlier one as alive until 15 s after the last lease, since a start that is carried out late could begin them in the later life. It did so for runs that had been started long before, of which no start was on its way, and each new leader counted the whole time anew.

Change: runs whose last start was sent longer ago than a late order can have an effect are settled at once, the others as before. A new leader goes by the time at which the later life registered. For this no start is sent to an ended life, a hold for it extends no lease, and a later life gets its first start only after it has answered a hold and so has seen a higher token: orders to the earlier life that are still on their way are ignored afterwards. A start that was never sent to a silent target is settled at once instead of at the end of a lease.

Test seen failing before: "0 tasks run after 0 elections", "0 tasks run after 2 elections".

--- a/internal/leader/lasting_test.go
+++ b/internal/leader/lasting_test.go
@@ -182,3 +182,50 @@
 		})
 	}
 }
+
+// Guards against a lasting task without a run for the delay of orders that were
+// never sent: its target starts again under the same id and falls silent at once,
+// long after the run was started.
+func TestRunOfAnEarlierLifeIsGivenUpOnceNoStartCanBeOnItsWay(t *testing.T) {
+	for _, elections := range []int{0, 2} {
+		play(t, func(w *world) {
+			w.refuseDead = true
+			w.add("a", "ha", "1:1", "desk").duration = 0
+			w.add("c", "hc", "2:1", "cuts").duration = 0
+			_, stop := w.lead(2)
+			defer func() { stop() }()
+			after(time.Second)
+			w.submit("j", "/draw/", lasting(1))
+			after(40 * time.Second)
+			w.mu.Lock()
+			w.targets["1:1"].die()
+			w.mu.Unlock()
+			b := w.add("b", "hb", "1:2", "desk")
+			b.duration = 0
+			after(time.Second)
+			w.mu.Lock()
+			w.addsDeaf = true
+			w.mu.Unlock()
+			later := w.add("a", "ha", "1:1", "desk")
+			after(worldAnnounce + 100*time.Millisecond)
+			w.mu.Lock()
+			later.die()
+			w.mu.Unlock()
+			allowed := 6 * time.Second
+			for i := range elections {
+				after(10 * time.Second)
+				stop()
+				after(time.Second)
+				_, stop = w.lead(uint64(3 + i))
+				allowed = 12 * time.Second
+			}
+			after(allowed)
+			w.mu.Lock()
+			running, logs := w.running(), w.logs.String()
+			w.mu.Unlock()
+			if running != 1 {
+				t.Errorf("%d tasks run after %d elections\n%s", running, elections, logs)
+			}
+		})
+	}
+}
--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -51,10 +51,17 @@
 		until := s.until()
 		fence, mayStart := s.token()
 		ticket, permitted := s.l.ticketFor(ref.Task, s.to.ID)
-		if until == 0 || !mayStart || !permitted || !s.l.Confirmed() || !s.answeredSince(sent) || !s.wanted(ref) {
+		if until == 0 || !mayStart || !permitted || !s.l.Confirmed() || !s.answeredSince(sent) {
+			if sent.IsZero() && !doubtful && s.isSilent() {
+				s.settle(ref, "target is silent and no start was sent")
+				return
+			}
 			continue
 		}
-		sent = s.l.now()
+		sent = s.noteStart(ref)
+		if !s.wanted(ref) {
+			return // the target ended meanwhile
+		}
 		startsOrdered.Inc()
 		ctx, cancel := context.WithTimeout(s.l.ctx, orderTimeout)
 		reply, err := s.l.cfg.Targets.Start(ctx, s.to, &StartOrder{
@@ -85,6 +92,22 @@
 	}
 }
 
+// isSilent reports whether the target left the last hold without answer.
+func (s *session) isSilent() bool {
+	s.l.mu.Lock()
+	defer s.l.mu.Unlock()
+	return s.silent
+}
+
+// noteStart notes that a start is sent now.
+func (s *session) noteStart(ref work.RunRef) time.Time {
+	s.l.mu.Lock()
+	defer s.l.mu.Unlock()
+	now := s.l.now()
+	s.orderOf(ref).sentAt = now
+	return now
+}
+
 // answeredSince reports whether the target has answered a hold since a time.
 // A start is repeated only then: one that is sent to a silent target could
 // begin the run in a later life under the same id.
@@ -139,12 +162,14 @@
 	s.l.wake.poke()
 }
 
-// wanted reports whether the run is held and its job goes on.
+// wanted reports whether the run is held, its job goes on and no later life of the
+// target has registered.
 func (s *session) wanted(ref work.RunRef) bool {
 	wanted := false
 	s.l.cfg.Machine.Read(func(v *work.View) {
 		j, t := v.Find(ref.Task)
-		wanted = j != nil && !j.State.Final() && t.Run == ref.Run && t.Target == s.key
+		target := v.Targets[s.key]
+		wanted = j != nil && !j.State.Final() && t.Run == ref.Run && t.Target == s.key && target != nil && !target.Ended
 	})
 	return wanted
 }
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -71,6 +71,9 @@
 	sentAt  time.Time
 	// replaced is set once a later life with the same id answered.
 	replaced bool
+	// successor is set if the target may still carry out orders to an earlier life
+	// under its id. It does not once it has seen a token of this session.
+	successor bool
 	// acknowledged is the number that the target has been told.
 	acknowledged int64
 	orders       map[work.RunRef]*order
@@ -82,6 +85,8 @@
 	// in a list.
 	startedAt time.Time
 	starting  bool
+	// sentAt is when a start was sent last by this leader.
+	sentAt time.Time
 	// stoppedAt is when a stop was confirmed. A run that is not listed
 	// afterwards has ended or can never begin.
 	stoppedAt time.Time
@@ -197,7 +202,13 @@
 // earlier life under its id.
 func (l *Leader) succeededLately(t *work.Target) bool {
 	since := time.Duration(l.now().UnixMilli()-t.SucceededMS) * time.Millisecond
-	return t.SucceededMS > 0 && since < l.longest(l.cfg.Timing.MaxLease)+clockJump
+	return t.SucceededMS > 0 && since < l.lateEffect()+clockJump
+}
+
+// lateEffect is how long after it was sent an order can still keep a run alive: it
+// is carried out late, and takes the longest lease.
+func (l *Leader) lateEffect() time.Duration {
+	return maxOrderDelay + l.longest(l.cfg.Timing.MaxLease)
 }
 
 // openSession starts a session. A successor may hold the longest lease, by orders
@@ -212,7 +223,7 @@
 	}
 	s := &session{
 		l: l, key: key, to: to, fence: l.nextFence(), wake: make(wakeup, 1), ended: cancel,
-		leaseEnd: leaseEnd, answered: l.now(), orders: map[work.RunRef]*order{},
+		leaseEnd: leaseEnd, answered: l.now(), successor: successor, orders: map[work.RunRef]*order{},
 	}
 	l.sessions[key] = s
 	l.wg.Go(func() { s.run(ctx) })
@@ -314,7 +325,10 @@
 func (s *session) hold(ctx context.Context, wait time.Duration) bool {
 	state := s.snapshot()
 	fence, _ := s.token()
-	o := &HoldOrder{Fence: fence, Acknowledged: state.acknowledged, UntilMS: s.until()}
+	o := &HoldOrder{Fence: fence, Acknowledged: state.acknowledged}
+	if !state.ended { // a later life would take a time on the earlier clock for the longest lease
+		o.UntilMS = s.until()
+	}
 	if known, starting := s.known(); known && state.runs > 0 {
 		if starting {
 			wait = min(wait, startingWait)
@@ -393,26 +407,36 @@
 }
 
 // token returns the session's fencing token, and whether runs may be started
-// with it: not once a later life of the target has answered.
+// with it: not once a later life of the target has answered, nor before a target
+// has seen it that may carry out orders to an earlier life.
 func (s *session) token() (fence uint64, mayStart bool) {
 	s.l.mu.Lock()
 	defer s.l.mu.Unlock()
-	return s.fence, !s.replaced
+	return s.fence, !s.replaced && (s.first || !s.successor)
 }
 
 // sessionState is what a hold needs of the replicated state.
 type sessionState struct {
 	acknowledged, born int64
 	runs               int
-	// ended is set if a later life has the same id.
-	ended bool
+	// ended is set if a later life has the same id, which registered at
+	// succeededMS, in Unix ms.
+	ended       bool
+	succeededMS int64
 }
 
 func (s *session) snapshot() sessionState {
 	var out sessionState
 	s.l.cfg.Machine.Read(func(v *work.View) {
-		if t := v.Targets[s.key]; t != nil {
-			out = sessionState{acknowledged: t.Acknowledged, born: t.Born, runs: t.Runs(), ended: t.Ended}
+		t := v.Targets[s.key]
+		if t == nil {
+			return
+		}
+		out = sessionState{acknowledged: t.Acknowledged, born: t.Born, runs: t.Runs(), ended: t.Ended}
+		for _, later := range v.Targets {
+			if t.Ended && later.ID == t.ID && later.Born > t.Born && (out.succeededMS == 0 || later.SucceededMS < out.succeededMS) {
+				out.succeededMS = later.SucceededMS
+			}
 		}
 	})
 	return out
@@ -589,6 +613,7 @@
 	end := s.leaseEnd
 	s.l.mu.Unlock()
 	if state.ended {
+		s.settleEnded(&state)
 		end = end.Add(maxOrderDelay)
 	}
 	if s.l.now().Before(end) || state.runs == 0 {
@@ -603,6 +628,39 @@
 	s.l.wake.poke()
 }
 
+// settleEnded settles the runs of an earlier life that no start on its way can begin
+// in the later one. Nothing is started on a target that has ended, so a start is on
+// its way from this leader or, shortly after the election, from a former one.
+func (s *session) settleEnded(state *sessionState) {
+	l, now := s.l, s.l.now()
+	since := time.Duration(now.UnixMilli()-state.succeededMS) * time.Millisecond
+	long := state.succeededMS > 0 && since > l.lateEffect()+clockJump
+	report := &work.Report{Target: s.key}
+	l.mu.Lock()
+	l.cfg.Machine.Read(func(v *work.View) {
+		t := v.Targets[s.key]
+		if t == nil {
+			return
+		}
+		t.EachRun(func(r work.RunRef) {
+			sent := l.elected.Add(confirmValid)
+			if o := s.orders[r]; o != nil {
+				sent = latest(sent, o.sentAt)
+			}
+			if long || now.Sub(sent) > l.lateEffect() {
+				report.Settled = append(report.Settled, r)
+			}
+		})
+	})
+	l.mu.Unlock()
+	if len(report.Settled) == 0 {
+		return
+	}
+	l.log.Info().Str("target", s.key).Int("runs", len(report.Settled)).Msg("runs of an earlier life have ended with it")
+	l.report(report)
+	l.wake.poke()
+}
+
 // noteFailure keeps new runs away from a target that does not answer or says
 // that it is unhealthy.
 func (l *Leader) noteFailure(key string) {
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -67,6 +67,10 @@
 	leaving map[string]bool
 	// checked is set if every start needs a ticket of the policy service.
 	checked bool
+	// refuseDead is set if nobody answers at the address of a target that ended.
+	refuseDead bool
+	// addsDeaf is set if new targets carry orders out without an answer.
+	addsDeaf bool
 	// logs holds the leaders' lines and what the targets did, for a failure.
 	logs bytes.Buffer
 }
@@ -243,7 +247,7 @@
 		},
 	}
 	w.targets[address] = t
-	t.dead = w.closed
+	t.dead, t.deaf = w.closed, w.addsDeaf
 	go t.lapseLoop()
 	return t
 }
@@ -344,6 +348,10 @@
 		}
 		return leader.Reply{ClockMS: t.clockMS(), Refusal: f(t)}
 	}
+	if t != nil && t.dead && !t.silent && w.refuseDead {
+		w.mu.Unlock()
+		return leader.Reply{}, &fault.Unavailable{What: to.Address, Reason: "connection refused"}
+	}
 	if t == nil || t.silent || t.deaf || t.late > 0 {
 		if t != nil && t.deaf {
 			carry()
