Keep a host reserved that is back from one wave and ordered for another

What callers saw: work on a host of two waves ended by the second maintenance.

Cause: a host that is back from maintenance loses its reservation, whatever it is reserved for by then.

Change: only a reservation for maintenance is removed, and not while an order is under way.

Its stand-in now answers an order for a host that is down as the platform does.

--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -531,6 +531,36 @@
 	})
 }
 
+// Guards against maintenance that ends work on a host of two waves: it is ordered
+// for the second one as the host is back from the first, which would open the host
+// to new runs.
+func TestHostOfTwoWavesTakesNoRunsBeforeItsSecondMaintenance(t *testing.T) {
+	play(t, func(w *world) {
+		w.orderTakes = 100 * time.Millisecond
+		var hosts []string
+		for i := range 20 {
+			n := strconv.Itoa(i)
+			w.add("a"+n, "h"+n, "1:"+n, "desk").duration = 300 * time.Millisecond
+			hosts = append(hosts, "h"+n)
+		}
+		_, stop := w.lead(2)
+		defer stop()
+		after(time.Second)
+		for id := range int64(2) {
+			w.propose(&work.Command{Wave: &work.Wave{ID: id, Hosts: hosts, MaxDown: 5, DurationMS: 1}})
+		}
+		for i := range 20 {
+			w.submit("j"+strconv.Itoa(i), "/draw/", small(100))
+			after(500 * time.Millisecond)
+		}
+		after(20 * time.Second)
+		for id := range int64(2) {
+			complete, _ := w.machine.WaveComplete(id)
+			NewWithT(t).Expect(complete).To(BeTrue())
+		}
+	})
+}
+
 // Answers a leader that is frozen between its orders for a wave and the record
 // of their outcome: its successor orders these hosts again, though as many
 // count as down as may be.
--- a/internal/leader/maintenance.go
+++ b/internal/leader/maintenance.go
@@ -261,7 +261,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range returned {
-		l.fleet.host(r.host).reserved = ""
+		// A host that is ordered for already, to another pool or for another wave,
+		// stays reserved.
+		if h := l.fleet.host(r.host); h.reserved == reservedMaintenance && !h.ordering {
+			h.reserved = ""
+		}
 		l.log.Info().Str("host", r.host).Int64("wave", r.wave).Msg("host is back from maintenance")
 	}
 }
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -71,6 +71,8 @@
 	refuseDead bool
 	// addsDeaf is set if new targets carry orders out without an answer.
 	addsDeaf bool
+	// orderTakes is how long the platform takes for an order.
+	orderTakes time.Duration
 	// logs holds the leaders' lines and what the targets did, for a failure.
 	logs bytes.Buffer
 }
@@ -603,12 +605,16 @@
 
 // Maintain implements leader.Platform.
 func (w *world) Maintain(_ context.Context, host string, _ int64, _ leader.Token) (leader.PlatformAnswer, error) {
+	after(w.orderTakes)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.leaving[host] {
 		return leader.PlatformBusy, nil
 	}
 	for address, t := range w.targets {
+		if t.state.Host == host && t.dead && w.parked[host] == "" {
+			return leader.PlatformBusy, nil // it is down already
+		}
 		if t.state.Host == host {
 			for ref := range t.runs {
 				w.breaks("maintenance of %s ended %v", host, ref)
