--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -46,8 +46,8 @@
 	alive map[work.TaskRef]int
 	moves []string
 	seq   int64
-	// unanswered is a data centre whose targets carry orders out without an answer.
-	unanswered string
+	// deafIn is a data centre whose targets carry orders out without an answer.
+	deafIn string
 	// spread is set if the hosts are spread over the data centres.
 	spread bool
 	// lives counts the targets that took the place of others.
@@ -79,6 +79,12 @@
 	checked bool
 	// refusal is what the state machine says to all commands, nil if it applies them.
 	refusal error
+	// refuseDead is set if nobody answers at the address of a target that ended.
+	refuseDead bool
+	// addsDeaf is set if new targets carry orders out without an answer.
+	addsDeaf bool
+	// orderTakes is how long the platform takes for an order.
+	orderTakes time.Duration
 	// logs holds the leaders' lines and what the targets did, for a failure.
 	logs bytes.Buffer
 }
@@ -258,7 +264,7 @@
 		},
 	}
 	w.targets[address] = t
-	t.dead = w.closed
+	t.dead, t.deaf = w.closed, w.addsDeaf
 	go t.lapseLoop()
 	return t
 }
@@ -359,7 +365,11 @@
 		}
 		return leader.Reply{ClockMS: t.clockMS(), Refusal: f(t)}
 	}
-	deaf := t != nil && (t.deaf || t.state.DataCentre == w.unanswered)
+	if t != nil && t.dead && !t.silent && w.refuseDead {
+		w.mu.Unlock()
+		return leader.Reply{}, &fault.Unavailable{What: to.Address, Reason: "connection refused"}
+	}
+	deaf := t != nil && (t.deaf || t.state.DataCentre == w.deafIn)
 	if t == nil || t.silent || deaf || t.late > 0 {
 		if deaf {
 			carry()
@@ -621,12 +631,16 @@
 
 // Maintain implements leader.Platform.
 func (w *world) Maintain(_ context.Context, host string, _ int64, _ leader.Token) (leader.PlatformAnswer, error) {
+	after(w.orderTakes)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.leaving[host] {
 		return leader.PlatformBusy, nil
 	}
 	for address, t := range w.targets {
+		if t.state.Host == host && t.dead && w.parked[host] == "" {
+			return leader.PlatformBusy, nil // it is down already
+		}
 		if t.state.Host == host {
 			for ref := range t.runs {
 				w.breaks("maintenance of %s ended %v", host, ref)
