Use a host whose move was answered late

What callers see: lasting tasks without a run for the rest of a leader's term, while a host of their pool is there ('hosts={most of the step: 1, move: 1}').

Cause: a move is repeated until it is answered. If the first answers are lost until the moved host's new target has registered, the repeated move is answered as done, and the leader took the new target for the one that the move had ended. It ended it, ignored it from then on, and the host stayed reserved for the move. A target in the pool of the move is one that came after it now.

Evidence: TestHostIsUsedWhoseMoveWasAnsweredLate failed with 2 of 3 tasks running, also on this code with the condition taken out, and passes.

Open: a maintenance order that is repeated has the same flaw; its host is used again after twice the time of a maintenance.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -607,12 +607,13 @@
 	}
 }
 
-// leaveHost notes that an order ended the target of a host.
+// leaveHost notes that an order ended the target of a host. A target in the pool of
+// a move came after it: the answer to the move was late.
 func (l *Leader) leaveHost(name, pool string, away time.Duration) {
 	key := ""
 	l.cfg.Machine.Read(func(v *work.View) {
 		for k, t := range v.Targets {
-			if t.Host == name && !t.Ended {
+			if t.Host == name && !t.Ended && t.Pool != pool {
 				key = k
 			}
 		}
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -531,6 +531,33 @@
 	})
 }
 
+// Guards against a host that no run can use: the answers to its move are lost until
+// its target is there, which the repeated move takes for the one that the move ended.
+func TestHostIsUsedWhoseMoveWasAnsweredLate(t *testing.T) {
+	play(t, func(w *world) {
+		w.lostMoves = 4
+		w.add("a", "ha", "1:0", "desk").duration = 0
+		for i := range 2 {
+			n := strconv.Itoa(i)
+			w.add("c"+n, "hc"+n, "2:"+n, "cuts").duration = 0
+		}
+		_, stop := w.lead(2)
+		defer stop()
+		after(time.Second)
+		step := lasting(2)
+		step.MaxPerHost = 1
+		w.submit("j", "/draw/", step)
+		w.submit("k", "/cut/", lasting(1)) // so that one host stays in the other pool
+		after(15 * time.Second)
+		w.mu.Lock()
+		running, logs := w.running(), w.logs.String()
+		w.mu.Unlock()
+		if running != 3 {
+			t.Errorf("%d tasks run\n%s", running, logs)
+		}
+	})
+}
+
 // Guards against maintenance that ends work on a host of two waves: it is ordered
 // for the second one as the host is back from the first, which would open the host
 // to new runs.
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -85,6 +85,10 @@
 	addsDeaf bool
 	// orderTakes is how long the platform takes for an order.
 	orderTakes time.Duration
+	// lostMoves is how many moves are carried out without an answer.
+	lostMoves int
+	// goal holds the pool to which a host was moved last.
+	goal map[string]string
 	// logs holds the leaders' lines and what the targets did, for a failure.
 	logs bytes.Buffer
 }
@@ -117,7 +121,8 @@
 
 func newWorld(t *testing.T) *world {
 	w := &world{t: t, machine: work.New(), quorum: true, commit: worldCommit, targets: map[string]*target{}, alive: map[work.TaskRef]int{},
-		off: map[string]bool{}, parked: map[string]string{}}
+		goal: map[string]string{},
+		off:  map[string]bool{}, parked: map[string]string{}}
 	w.propose(&work.Command{Configure: &work.Configuration{
 		Version: 1, Pools: []work.Pool{{Name: "desk"}, {Name: "cuts"}, {Name: "off", Standby: true}},
 		Queues: []work.Queue{
@@ -590,7 +595,20 @@
 }
 
 // Move implements leader.Platform. It ends what runs on the host.
-func (w *world) Move(_ context.Context, host, pool string, _ leader.Token) (leader.PlatformAnswer, error) {
+func (w *world) Move(ctx context.Context, host, pool string, _ leader.Token) (leader.PlatformAnswer, error) {
+	answer, err := w.move(host, pool)
+	w.mu.Lock()
+	lost := w.lostMoves > 0
+	w.lostMoves = max(0, w.lostMoves-1)
+	w.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return "", &fault.ConnectionLost{Address: "platform", Reason: "no answer"}
+	}
+	return answer, err
+}
+
+func (w *world) move(host, pool string) (leader.PlatformAnswer, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if up, off := w.off[host]; off && !up {
@@ -606,6 +624,7 @@
 	if address := w.parked[host]; address != "" {
 		id, duration := host+strconv.Itoa(len(w.moves)), w.targets[address].duration
 		time.AfterFunc(1500*time.Millisecond, func() { w.add(id, host, address, pool).lasts(duration) })
+		w.goal[host] = pool
 		delete(w.parked, host)
 		delete(w.off, host)
 		return leader.PlatformDone, nil
@@ -615,7 +634,10 @@
 		if t.state.Host != host {
 			continue
 		}
-		answer = leader.PlatformDone
+		if t.state.Pool == pool || (t.dead && w.goal[host] == pool) {
+			return leader.PlatformDone, nil // it is on its way, or there
+		}
+		answer, w.goal[host] = leader.PlatformDone, pool
 		if len(t.runs) > 0 {
 			w.breaks("move of %s ended %d runs", host, len(t.runs))
 		}
