--- a/internal/leader/lasting_test.go
+++ b/internal/leader/lasting_test.go
@@ -396,6 +396,9 @@
 			w.addsDeaf = true
 			w.mu.Unlock()
 			later := w.add("a", "ha", "1:1", "desk")
+			w.mu.Lock()
+			w.addsDeaf = false
+			w.mu.Unlock()
 			after(worldAnnounce + 100*time.Millisecond)
 			w.mu.Lock()
 			later.die()
