Ask idle targets before their data centre counts as cut off

A data centre with lost targets and idle ones counted as cut off for a moment every two seconds, each time with two lines in the log, until the next answer of an idle target. They are asked after 1 s without an answer now, half of the time after which a data centre counts as cut off. In TestLossOfBusyHostsLeavesTheIdleOnesOfTheirDataCentreInUse there is no such line any more.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -34,8 +34,11 @@
 	// silentForAway is how many silent targets show that a data centre is cut
 	// off: more than the loss of one host.
 	silentForAway = 2
-	// probeEvery is how often an idle target of a data centre that seems to be cut
-	// off is asked whether it answers.
+	// awayAfter is for how long no target of a data centre has answered that is cut
+	// off: those with runs are asked every holdWait.
+	awayAfter = 2 * holdWait
+	// probeEvery is how often an idle target of a data centre is asked whether it
+	// answers, where others are silent and none has answered for half of awayAfter.
 	probeEvery = 500 * time.Millisecond
 	// busyBeforeList is after how many refused orders the list is read again, and
 	// after each further one: a host that leaves stays listed until it is gone.
@@ -403,27 +406,28 @@
 // held.
 func (l *Leader) findAway(v *work.View) map[string]bool {
 	now := l.now()
-	silent, answers, idle := map[string]int{}, map[string]bool{}, map[string]*work.Target{}
+	silent, answered, idle := map[string]int{}, map[string]time.Time{}, map[string]*work.Target{}
 	for key, t := range v.Targets {
 		if t.Ended {
 			continue
 		}
 		c := l.contacts[key]
+		if c != nil {
+			answered[t.DataCentre] = latest(answered[t.DataCentre], c.answered)
+		}
 		switch {
-		case c != nil && now.Sub(c.answered) < 2*holdWait:
-			answers[t.DataCentre] = true
+		case c != nil && now.Sub(c.answered) < awayAfter:
 		case !l.heard(t):
 			silent[t.DataCentre]++
-		default:
-			if other := idle[t.DataCentre]; other == nil || c.probed.Before(l.contacts[other.Key()].probed) {
-				idle[t.DataCentre] = t
-			}
+		case idle[t.DataCentre] == nil || c.probed.Before(l.contacts[idle[t.DataCentre].Key()].probed):
+			idle[t.DataCentre] = t
 		}
 	}
 	away := map[string]bool{}
 	for name, n := range silent {
-		away[name] = n >= silentForAway && !answers[name]
-		if t := idle[name]; away[name] && t != nil && now.Sub(l.contacts[t.Key()].probed) >= probeEvery {
+		quiet := now.Sub(answered[name])
+		away[name] = n >= silentForAway && quiet >= awayAfter
+		if t := idle[name]; n >= silentForAway && quiet >= awayAfter/2 && t != nil && now.Sub(l.contacts[t.Key()].probed) >= probeEvery {
 			l.probe(t)
 		}
 	}
