Register a later life under the id of a target that answered shortly before

What callers could see: two runs of a task.

Starts for the earlier life reach the later one, which takes the longest lease, since the end that it is told is on the earlier clock. When it then fell silent, the region counted on the lease that was meant and started the task again while it ran.

One under another id at the host or address of a target that answers is still refused: orders name the id.

Open again: one odd announcement with the id of a target and a later start keeps new runs from that target until it has been silent for 15 s and its runs have ended. Its runs go on.

--- a/internal/leader/announce.go
+++ b/internal/leader/announce.go
@@ -117,7 +117,9 @@
 		}
 	}
 	for _, key := range v.ReplacedBy(t) {
-		if l.answers(key, now) {
+		// Orders to an earlier life under the same id reach the later one, so that one
+		// has to be known.
+		if v.Targets[key].ID != t.ID && l.answers(key, now) {
 			return &fault.Precondition{What: "registration of " + t.Key(), Reason: key + " still answers"}
 		}
 	}
