Keep the stand-in world free of data races in the tests of lasting tasks

What callers see: nothing; with -race the tests of the last fixes failed ("race detected during execution of test" in TestIdleHostsThatAnnounceButDoNotAnswerTakeNoRuns and TestRunsOfALostTargetStartElsewhereOnceTheirLeaseHasEnded).

Cause: the leaders write the log under a lock of their own, while the tests read it, and the world writes it, under the world's mutex; and durations of targets were set without it.

Ruled out: a race in the leader. Both sides of the reports seen are in the tests.

--- a/internal/leader/lasting_test.go
+++ b/internal/leader/lasting_test.go
@@ -37,7 +37,7 @@
 	for _, pool := range []string{"desk", "cuts"} {
 		for i := range lastingHosts[pool] {
 			n := strconv.Itoa(i)
-			w.add(pool+n, "h"+pool+n, pool+":"+n, pool).duration = 0
+			w.add(pool+n, "h"+pool+n, pool+":"+n, pool).lasts(0)
 			addresses = append(addresses, pool+":"+n)
 		}
 	}
@@ -56,7 +56,7 @@
 		}
 		switch r.IntN(11) {
 		case 0, 1:
-			w.add(next.ID, host, next.Address, next.Pool).duration = 0
+			w.add(next.ID, host, next.Address, next.Pool).lasts(0)
 		case 2:
 			stop()
 			after(time.Duration(r.IntN(2000)) * time.Millisecond)
@@ -145,7 +145,7 @@
 	}
 	w.mu.Unlock()
 	for _, e := range ended {
-		w.add(e.ID, e.Host, e.Address, e.Pool).duration = 0
+		w.add(e.ID, e.Host, e.Address, e.Pool).lasts(0)
 	}
 }
 
@@ -179,9 +179,9 @@
 			play(t, func(w *world) {
 				for i := range 20 {
 					n := strconv.Itoa(i)
-					w.add("a"+n, "h"+n, "1:"+n, "desk").duration = 0
+					w.add("a"+n, "h"+n, "1:"+n, "desk").lasts(0)
 				}
-				w.add("c", "hc", "2:1", "cuts").duration = 0
+				w.add("c", "hc", "2:1", "cuts").lasts(0)
 				_, stop := w.lead(2)
 				after(5 * time.Second) // all but one go to standby
 				tasks := 0
@@ -208,7 +208,7 @@
 			n := strconv.Itoa(i)
 			w.add("a"+n, "h"+n, "1:"+n, "desk").lasts(time.Second)
 		}
-		w.add("c", "hc", "2:1", "cuts").duration = 0
+		w.add("c", "hc", "2:1", "cuts").lasts(0)
 		_, stop := w.lead(2)
 		defer stop()
 		after(5 * time.Second) // all but one go to standby
@@ -235,7 +235,7 @@
 	play(t, func(w *world) {
 		w.spread = true
 		for _, n := range []string{"0", "2", "4", "6", "8"} {
-			w.add("a"+n, "h"+n, "1:"+n, "desk").duration = 0
+			w.add("a"+n, "h"+n, "1:"+n, "desk").lasts(0)
 		}
 		_, stop := w.lead(2)
 		defer stop()
@@ -270,7 +270,7 @@
 		w.spread = true
 		add := func(pool string, names ...string) {
 			for _, n := range names {
-				w.add("a"+n, "h"+n, "1:"+n, pool).duration = 0
+				w.add("a"+n, "h"+n, "1:"+n, pool).lasts(0)
 			}
 		}
 		add("cuts", "1")
@@ -317,8 +317,8 @@
 	)
 	for ms := range 10 {
 		play(t, func(w *world) {
-			w.add("a", "ha", "1:1", "desk").duration = 0
-			w.add("c", "hc", "2:1", "cuts").duration = 0
+			w.add("a", "ha", "1:1", "desk").lasts(0)
+			w.add("c", "hc", "2:1", "cuts").lasts(0)
 			_, stop := w.lead(2)
 			defer stop()
 			after(time.Second)
@@ -328,7 +328,7 @@
 			w.targets["1:1"].die()
 			w.targets["1:1"].silent = true
 			w.mu.Unlock()
-			w.add("b", "hb", "1:2", "desk").duration = 0
+			w.add("b", "hb", "1:2", "desk").lasts(0)
 			after(lease + slow + plan)
 			w.mu.Lock()
 			running, logs := w.running(), w.logs.String()
@@ -344,14 +344,14 @@
 func TestLeaseThatALaterLifeTookIsWaitedFor(t *testing.T) {
 	for _, successor := range []bool{false, true} {
 		play(t, func(w *world) {
-			w.add("a", "ha", "1:1", "desk").duration = 0
-			w.add("c", "hc", "2:1", "cuts").duration = 0
+			w.add("a", "ha", "1:1", "desk").lasts(0)
+			w.add("c", "hc", "2:1", "cuts").lasts(0)
 			_, stop := w.lead(2)
 			after(time.Second)
 			w.submit("j", "/draw/", lasting(1))
 			after(2 * worldLease)
 			later := w.add("a", "ha", "1:1", "desk")
-			later.duration = 0
+			later.lasts(0)
 			after(2 * time.Second)
 			w.mu.Lock()
 			NewWithT(t).Expect(later.runs).To(HaveLen(1), "it runs on the later life")
@@ -362,7 +362,7 @@
 				_, stop = w.lead(3)
 			}
 			defer stop()
-			w.add("b", "hb", "1:2", "desk").duration = 0
+			w.add("b", "hb", "1:2", "desk").lasts(0)
 			after(2 * worldLease)
 			w.mu.Lock()
 			running, logs := w.running(), w.logs.String()
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -70,7 +70,27 @@
 	// checked is set if every start needs a ticket of the policy service.
 	checked bool
 	// logs holds the leaders' lines and what the targets did, for a failure.
-	logs bytes.Buffer
+	logs logBuffer
+}
+
+// logBuffer keeps lines of the leaders and of the world, which hold no common lock.
+type logBuffer struct {
+	mu    sync.Mutex
+	lines bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.Write(p)
+}
+
+// String returns all lines.
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.String()
 }
 
 // target is a stand-in for a target: it runs, holds leases and lists ends.
@@ -121,7 +141,7 @@
 
 // note logs what a target did. The world's mutex is held.
 func (w *world) note(format string, args ...any) {
-	fmt.Fprintf(&w.logs, "%s %s\n", time.Now().Format("05.000"), fmt.Sprintf(format, args...))
+	_, _ = fmt.Fprintf(&w.logs, "%s %s\n", time.Now().Format("05.000"), fmt.Sprintf(format, args...))
 }
 
 // Propose implements replica.Group.
@@ -174,7 +194,7 @@
 func (w *world) lead(term uint64) (*leader.Leader, func()) {
 	l := leader.New(leader.Config{
 		Host: "core-" + strconv.FormatUint(term, 10), Group: w, Machine: w.machine, Targets: w, Platform: w, Policy: w, Clock: clock.System{},
-		Log: zerolog.New(zerolog.SyncWriter(&w.logs)).With().Timestamp().Logger(), Orders: leader.NewOrderLog(clock.System{}),
+		Log: zerolog.New(&w.logs).With().Timestamp().Logger(), Orders: leader.NewOrderLog(clock.System{}),
 		Timing: leader.Timing{
 			Announce: worldAnnounce, MaxLease: worldLease, Move: 1500 * time.Millisecond,
 			Maintenance: 2 * time.Second, HolderPause: 3 * time.Second,
