Give hosts to waiting lasting tasks before other pools' backlogs

What callers see: an accepted lasting task that no host of its pool takes waits for as long as other pools have a backlog, although idle hosts are moved meanwhile.

Cause: hosts go to the pool that lacks the largest share of what it wants. A pool that lacks one of 22 hosts lacks the smallest one.

Now the plan tells how many of the lacking hosts lasting tasks need, and these are given first. Hosts that short tasks lack are not, as a backlog of them has no bound.

Evidence: the new case of poolsize failed (0 moves to the pool, 2 expected) and passes.

Ruled out: too few orders to the platform.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -493,7 +493,7 @@
 		d.Arriving, d.Rising = l.arrivals.rate(name)
 		d.DurationS = d.durations.value()
 		if lacks, ok := l.lacking[name]; ok && l.now().Sub(lacks.since) >= lackingPause {
-			d.Lacking = lacks.hosts
+			d.Lacking, d.LackingLasting = lacks.hosts, lacks.lasting
 		}
 	}
 	return pools
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -100,7 +100,7 @@
 		}
 		r.Hosts = func(pool string) []*schedule.Host { return l.usable(v, pool, disturbs) }
 		starts = schedule.Plan(r)
-		l.noteLacking(r.Lacking)
+		l.noteLacking(r.Lacking, r.LackingLasting)
 		l.logStarved(v)
 	})
 	return starts
@@ -114,10 +114,12 @@
 type lacking struct {
 	since time.Time
 	hosts int
+	// lasting is the part of hosts that lasting tasks need.
+	lasting int
 }
 
 // noteLacking notes since when pools lack how many hosts. The mutex is held.
-func (l *Leader) noteLacking(pools map[string]int) {
+func (l *Leader) noteLacking(pools, lasting map[string]int) {
 	for name := range l.lacking {
 		if pools[name] == 0 {
 			delete(l.lacking, name)
@@ -128,7 +130,7 @@
 		if known, ok := l.lacking[name]; ok {
 			since = known.since
 		}
-		l.lacking[name] = lacking{since, hosts}
+		l.lacking[name] = lacking{since, hosts, lasting[name]}
 	}
 }
 
--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -26,9 +26,10 @@
 	DurationS float64
 	// Spread is the least number of hosts that lasting work needs.
 	Spread int
-	// Lacking is how many empty hosts the lasting tasks need that no host takes, for
+	// Lacking is how many empty hosts the tasks need that no host takes, for
 	// whichever reason: memory, room in parts, or what runs beside them.
-	Lacking int
+	// LackingLasting is the part of it that lasting tasks need.
+	Lacking, LackingLasting int
 }
 
 // Host is one host. Hosts that are away count for the pool that they join.
@@ -80,8 +81,9 @@
 	hosts int
 	// used counts the hosts on which something runs.
 	used int
-	// due is for work that can be in time, want for all work.
-	due, want int
+	// first is for the lasting tasks that no host takes, due for work that can be in
+	// time, want for all work.
+	first, due, want int
 }
 
 // Decision is what to do now.
@@ -129,6 +131,9 @@
 		if lacking := n.pool.Lacking; lacking > 0 {
 			n.want, n.due = max(n.want, n.used+lacking), max(n.due, n.used+lacking)
 		}
+		if lacking := n.pool.LackingLasting; lacking > 0 {
+			n.first = n.used + lacking
+		}
 	}
 	potential := potential(order, needs, size)
 	giveUp(order, needs, standby)
@@ -255,8 +260,9 @@
 }
 
 // assign gives idle hosts of pools with too many, and then those on standby,
-// to the pools that lack the largest share: first of what their work in time
-// needs, then of what all their work needs.
+// to the pools that lack the largest share: first of what lasting tasks without a
+// host need, which otherwise wait for the end of other pools' backlogs, then of what
+// work in time needs, then of what all work needs.
 func (p Policy) assign(order []*need, needs map[string]*need, hosts []Host, standby string) []Move {
 	free := slices.Clone(hosts)
 	slices.SortFunc(free, func(a, b Host) int {
@@ -282,7 +288,7 @@
 		return n != nil && !n.pool.Standby && n.hosts > n.want
 	}
 	off := func(h *Host) bool { return h.Pool == standby }
-	for _, target := range []func(n *need) int{dueOf, wantOf} {
+	for _, target := range []func(n *need) int{firstOf, dueOf, wantOf} {
 		for {
 			worst := mostLacking(order, target)
 			if worst == nil || (!take(worst, surplus) && !take(worst, off)) {
@@ -304,8 +310,9 @@
 	return moves
 }
 
-func dueOf(n *need) int  { return n.due }
-func wantOf(n *need) int { return n.want }
+func firstOf(n *need) int { return n.first }
+func dueOf(n *need) int   { return n.due }
+func wantOf(n *need) int  { return n.want }
 
 // mostLacking returns the pool with the smallest share of its target.
 func mostLacking(order []*need, target func(n *need) int) *need {
--- a/internal/poolsize/poolsize_test.go
+++ b/internal/poolsize/poolsize_test.go
@@ -174,4 +174,16 @@
 		Expect(to(d, "desk")).To(BeZero(), "it is on its way")
 		Expect(d.Closing["new"]).To(BeFalse())
 	})
+
+	It("gives hosts to tasks that none takes before a larger share is made up", func() {
+		// Guards against an accepted lasting task that waits for as long as another
+		// pool has a backlog: a pool that lacks one of many hosts lacks the smallest
+		// share.
+		used := hosts("desk", 21, func(_ int, h *poolsize.Host) { h.Movable, h.Load, h.Lasting = false, 7*core, true })
+		turn := poolsize.Pool{Running: 2000 * core, Waiting: 5000 * core}
+		d := poolsize.Plan(poolsize.Default(), pools(poolsize.Pool{Running: 147 * core, Waiting: 5 * core, Lacking: 2, LackingLasting: 2}, turn),
+			append(append(used, hosts("cuts", 80, busy)...), hosts("off", 3, nil)...))
+		Expect(to(d, "desk")).To(Equal(2))
+		Expect(to(d, "cuts")).To(Equal(1))
+	})
 })
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -55,6 +55,8 @@
 	// for the tasks that none of its hosts takes: lasting ones, and those of jobs
 	// without a run for which a host has the CPU.
 	Lacking map[string]int
+	// LackingLasting is the part of Lacking that lasting tasks need.
+	LackingLasting map[string]int
 
 	// Capacity returns what a pool can have, in thousandths of a core: its hosts
 	// and those that other pools do not need.
@@ -112,7 +114,7 @@
 			order = append(order, r.rank(j))
 		}
 	}
-	r.pools, r.Lacking = map[string]*pool{}, map[string]int{}
+	r.pools, r.Lacking, r.LackingLasting = map[string]*pool{}, map[string]int{}, map[string]int{}
 	r.postpone(order)
 	slices.SortFunc(order, func(a, b urgency) int {
 		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.rank, b.rank),
@@ -136,7 +138,14 @@
 	// turned down by it without a look at every host.
 	full []work.Demand
 	// lacking are empty hosts, filled with the tasks for which the pool lacks some.
-	lacking []*Host
+	lacking []*emptyHost
+}
+
+// emptyHost is a host that a pool lacks.
+type emptyHost struct {
+	Host
+	// lasting is set if a lasting task needs it.
+	lasting bool
 }
 
 // maxFull bounds the demands that are kept: jobs of a queue are similar.
@@ -289,6 +298,10 @@
 			tasks = tasks[1:]
 			n++
 		}
+		if n > 0 && s.Lasting && !h.lasting {
+			h.lasting = true
+			r.LackingLasting[j.Pool]++
+		}
 		if opened && n == 0 {
 			p.lacking = p.lacking[:i]
 			break
@@ -301,13 +314,13 @@
 
 // emptyHost returns an empty host for tasks of a step, nil if none has the room.
 // Which labels a host that joins has is not known before.
-func (r *Request) emptyHost(s *work.Step) *Host {
+func (r *Request) emptyHost(s *work.Step) *emptyHost {
 	if r.Empty == nil {
 		return nil
 	}
 	for _, room := range r.Empty() {
 		if s.Reserved().Within(room) {
-			return &Host{Target: &work.Target{Labels: []string{s.Label}}, Free: room}
+			return &emptyHost{Host: Host{Target: &work.Target{Labels: []string{s.Label}}, Free: room}}
 		}
 	}
 	return nil
