Bound the empty hosts for which a plan looks

What callers see: with thousands of waiting lasting tasks that need a host each, the leader plans for 0.4 s and longer at a time, under its mutex.

Cause: each task without a host is tried on all empty hosts that were opened for those before it, with no bound, and the rooms of all hosts are counted and sorted again for each host that is opened. A plan is made each 10 ms, under the leader's mutex.

Now a pool lacks no more hosts than the fleet has, and the rooms are counted once.

The new case of schedule failed (200 hosts, 20 expected) and passes.

--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -48,9 +48,14 @@
 	// hosts, by an outside policy.
 	Permitted func(j *work.Job, t *work.Task, target *work.Target, hosts []*Host) bool
 	pools     map[string]*pool
-	// Empty returns the room of hosts that can join a pool, the usual ones first.
-	// Without it, pools lack no hosts.
+	// Empty returns the room of hosts that can join a pool, the usual ones first. It
+	// is asked once. Without it, pools lack no hosts.
 	Empty func() []work.Demand
+	rooms []work.Demand
+	// MaxLacking, if set, bounds the hosts that a pool lacks for lasting and for
+	// other tasks each: no more than there are can join, and each further one has to
+	// be tried for all tasks that follow.
+	MaxLacking int
 	// Lacking is set by a plan to the number of empty hosts that each pool needs
 	// for the tasks that none of its hosts takes: lasting ones, and those of jobs
 	// without a run for which a host has the CPU.
@@ -283,7 +288,7 @@
 // A task that not even an empty host takes is left out.
 func (r *Request) lack(j *work.Job, s *work.Step, tasks []*work.Task) {
 	p := r.poolOf(j.Pool)
-	for i := 0; len(tasks) > 0; i++ {
+	for i := 0; len(tasks) > 0 && !r.lacksMost(j.Pool, p, s.Lasting); i++ {
 		opened := i == len(p.lacking)
 		if opened {
 			h := r.emptyHost(s)
@@ -312,13 +317,25 @@
 	}
 }
 
+// lacksMost reports whether a pool lacks the most hosts for lasting or other tasks.
+func (r *Request) lacksMost(name string, p *pool, lasting bool) bool {
+	n := len(p.lacking)
+	if lasting {
+		n = r.LackingLasting[name]
+	}
+	return r.MaxLacking > 0 && n >= r.MaxLacking
+}
+
 // emptyHost returns an empty host for tasks of a step, nil if none has the room.
 // Which labels a host that joins has is not known before.
 func (r *Request) emptyHost(s *work.Step) *emptyHost {
 	if r.Empty == nil {
 		return nil
 	}
-	for _, room := range r.Empty() {
+	if r.rooms == nil {
+		r.rooms = r.Empty()
+	}
+	for _, room := range r.rooms {
 		if s.Reserved().Within(room) {
 			return &emptyHost{Host: Host{Target: &work.Target{Labels: []string{s.Label}}, Free: room}}
 		}
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -1,6 +1,8 @@
 package schedule_test
 
 import (
+	"math"
+	"strconv"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -194,6 +196,27 @@
 		Expect(r.Lacking).To(Equal(map[string]int{"desk": 4}), "one of each kind on three, and the fourth that stays apart")
 	})
 
+	It("looks for no more empty hosts than there are", func() {
+		// Guards against plans that take seconds while thousands of lasting tasks wait
+		// that need a host each: every one was tried on the hosts of all before it.
+		var waiting []work.Submission
+		for i := range 200 {
+			s := step(1, 4000)
+			s.Lasting = true
+			waiting = append(waiting, job("j"+strconv.Itoa(i), "/urgent/", s))
+		}
+		asked := 0
+		r := &schedule.Request{
+			NowMS: 2000, MaxStarts: 256, Duration: func(*work.Job, int) int64 { return 1000 }, Jobs: jobs(waiting...),
+			Hosts: func(string) []*schedule.Host { return nil }, Capacity: func(string) int64 { return math.MaxInt64 },
+			Empty: func() []work.Demand { asked++; return []work.Demand{{MilliCPU: 4000}} }, MaxLacking: 20,
+		}
+		Expect(schedule.Plan(r)).To(BeEmpty())
+		Expect(r.Lacking).To(Equal(map[string]int{"desk": 20}))
+		Expect(r.LackingLasting).To(Equal(map[string]int{"desk": 20}))
+		Expect(asked).To(Equal(1))
+	})
+
 	It("starts occurrences at their times", func() {
 		// Guards against a start before it is due.
 		s := job("j", "/urgent/", step(1, 100))
