Lack no hosts for a label that no host has

What callers see: each waiting lasting task with a label that no host has keeps an empty host in its pool for as long as its job lives, which other work may lack.

Cause: the plan took empty hosts as having any label, while the platform's list and the announcements tell the labels of all hosts.

Evidence: the new case of schedule failed (8 hosts, 3 expected) and passes.

Ruled out: leaving tasks with labels out. The test lacks hosts for those whose label some host has.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -5,6 +5,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"agatehaven.dev/agatehaven/internal/poolsize"
@@ -97,17 +98,28 @@
 	return h != nil && h.reserved != ""
 }
 
-// emptyRooms returns the room of the hosts, that of most of them first.
-func (f *fleet) emptyRooms() []work.Demand {
-	count := map[work.Demand]int{}
+// kinds returns the kinds of hosts, that of most of them first.
+func (f *fleet) kinds() []schedule.Kind {
+	type key struct {
+		room   work.Demand
+		labels string
+	}
+	count, labels := map[key]int{}, map[key][]string{}
 	for _, h := range f.hosts {
 		if h.state.Room != (work.Demand{}) {
-			count[h.state.Room]++
+			k := key{h.state.Room, strings.Join(h.state.Labels, ",")}
+			count[k]++
+			labels[k] = h.state.Labels
 		}
 	}
-	return slices.SortedFunc(maps.Keys(count), func(a, b work.Demand) int {
-		return cmp.Or(cmp.Compare(count[b], count[a]), cmp.Compare(b.MilliCPU, a.MilliCPU), cmp.Compare(b.MemoryMB, a.MemoryMB))
-	})
+	var out []schedule.Kind
+	for _, k := range slices.SortedFunc(maps.Keys(count), func(a, b key) int {
+		return cmp.Or(cmp.Compare(count[b], count[a]), cmp.Compare(b.room.MilliCPU, a.room.MilliCPU),
+			cmp.Compare(b.room.MemoryMB, a.room.MemoryMB), cmp.Compare(a.labels, b.labels))
+	}) {
+		out = append(out, schedule.Kind{Room: k.room, Labels: labels[k]})
+	}
+	return out
 }
 
 // host returns the entry of a host, which it makes if needed.
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -88,7 +88,7 @@
 	l.cfg.Machine.Read(func(v *work.View) {
 		r := &schedule.Request{
 			NowMS: l.now().UnixMilli(), MaxStarts: maxStarts, Duration: l.learned.expect,
-			Permitted: l.permitted, Capacity: l.capacity, Empty: l.fleet.emptyRooms, MaxLacking: len(l.fleet.hosts),
+			Permitted: l.permitted, Capacity: l.capacity, Empty: l.fleet.kinds, MaxLacking: len(l.fleet.hosts),
 		}
 		l.forgetPermits(v)
 		disturbs := false // some task may disturb, or be disturbed by, others on its host
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -34,6 +34,12 @@
 	h.Serves = h.Serves || (n > 0 && s.TailTargetMS > 0)
 }
 
+// Kind is a kind of hosts.
+type Kind struct {
+	Room   work.Demand
+	Labels []string
+}
+
 // Request is what a plan is made of.
 type Request struct {
 	// NowMS is the wall-clock time in Unix ms.
@@ -48,10 +54,10 @@
 	// hosts, by an outside policy.
 	Permitted func(j *work.Job, t *work.Task, target *work.Target, hosts []*Host) bool
 	pools     map[string]*pool
-	// Empty returns the room of hosts that can join a pool, the usual ones first. It
+	// Empty returns the kinds of hosts that can join a pool, the usual ones first. It
 	// is asked once. Without it, pools lack no hosts.
-	Empty func() []work.Demand
-	rooms []work.Demand
+	Empty func() []Kind
+	kinds []Kind
 	// MaxLacking, if set, bounds the hosts that a pool lacks for lasting and for
 	// other tasks each: no more than there are can join, and each further one has to
 	// be tried for all tasks that follow.
@@ -326,18 +332,18 @@
 	return r.MaxLacking > 0 && n >= r.MaxLacking
 }
 
-// emptyHost returns an empty host for tasks of a step, nil if none has the room.
-// Which labels a host that joins has is not known before.
+// emptyHost returns an empty host for tasks of a step, nil if none has the room and
+// the label.
 func (r *Request) emptyHost(s *work.Step) *emptyHost {
 	if r.Empty == nil {
 		return nil
 	}
-	if r.rooms == nil {
-		r.rooms = r.Empty()
+	if r.kinds == nil {
+		r.kinds = r.Empty()
 	}
-	for _, room := range r.rooms {
-		if s.Reserved().Within(room) {
-			return &emptyHost{Host: Host{Target: &work.Target{Labels: []string{s.Label}}, Free: room}}
+	for _, k := range r.kinds {
+		if s.Reserved().Within(k.Room) && (s.Label == "" || slices.Contains(k.Labels, s.Label)) {
+			return &emptyHost{Host: Host{Target: &work.Target{Labels: k.Labels}, Free: k.Room}}
 		}
 	}
 	return nil
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -190,12 +190,31 @@
 			Jobs: jobs(job("parts", "/urgent/", lasting(3, 3000, 10)), job("memory", "/urgent/", lasting(3, 500, 60)),
 				job("apart", "/urgent/", apart), job("large", "/urgent/", lasting(1, 9000, 10)), job("short", "/urgent/", step(9, 4000))),
 			Hosts: func(string) []*schedule.Host { return []*schedule.Host{host("a", "", 2500)} },
-			Empty: func() []work.Demand { return []work.Demand{{MilliCPU: 4000, MemoryMB: 100}} },
+			Empty: func() []schedule.Kind {
+				return []schedule.Kind{{Room: work.Demand{MilliCPU: 4000, MemoryMB: 100}}}
+			},
 		}
 		Expect(schedule.Plan(r)).To(BeEmpty())
 		Expect(r.Lacking).To(Equal(map[string]int{"desk": 4}), "one of each kind on three, and the fourth that stays apart")
 	})
 
+	It("lacks no host for a task with a label that no host has", func() {
+		// Guards against a pool that keeps a host for each such task for good.
+		known, unknown := step(3, 4000), step(5, 4000)
+		known.Lasting, unknown.Lasting = true, true
+		known.Label, unknown.Label = "fast", "none"
+		r := &schedule.Request{
+			NowMS: 2000, MaxStarts: 256, Duration: func(*work.Job, int) int64 { return 1000 },
+			Jobs:  jobs(job("known", "/urgent/", known), job("unknown", "/urgent/", unknown)),
+			Hosts: func(string) []*schedule.Host { return nil }, Capacity: func(string) int64 { return math.MaxInt64 },
+			Empty: func() []schedule.Kind {
+				return []schedule.Kind{{Room: work.Demand{MilliCPU: 4000}}, {Room: work.Demand{MilliCPU: 4000}, Labels: []string{"fast"}}}
+			},
+		}
+		Expect(schedule.Plan(r)).To(BeEmpty())
+		Expect(r.Lacking).To(Equal(map[string]int{"desk": 3}))
+	})
+
 	It("looks for no more empty hosts than there are", func() {
 		// Guards against plans that take seconds while thousands of lasting tasks wait
 		// that need a host each: every one was tried on the hosts of all before it.
@@ -209,7 +228,10 @@
 		r := &schedule.Request{
 			NowMS: 2000, MaxStarts: 256, Duration: func(*work.Job, int) int64 { return 1000 }, Jobs: jobs(waiting...),
 			Hosts: func(string) []*schedule.Host { return nil }, Capacity: func(string) int64 { return math.MaxInt64 },
-			Empty: func() []work.Demand { asked++; return []work.Demand{{MilliCPU: 4000}} }, MaxLacking: 20,
+			Empty: func() []schedule.Kind {
+				asked++
+				return []schedule.Kind{{Room: work.Demand{MilliCPU: 4000}}}
+			}, MaxLacking: 20,
 		}
 		Expect(schedule.Plan(r)).To(BeEmpty())
 		Expect(r.Lacking).To(Equal(map[string]int{"desk": 20}))
