Give lasting tasks hosts that are large enough and have their label

What callers see: an accepted lasting task waits for as long as its job lives, beside hosts on standby that could run it.

Cause: a pool counted as having the hosts that its lasting tasks lack as soon as it had as many empty ones, whichever they were, and hosts were moved by how long they had idled. Where one empty host is too small or lacks the label, no other came.

Now only empty hosts that meet one of the needs count, and only such hosts are moved for them. Of the empty hosts that a pool has too many, those that do not are closed first.

Evidence: TestLastingTaskGetsAHostThatIsLargeEnough found 0 of 1 tasks running after 9 s, with lacking=1, hosts=1 and no move from the first second to the last, and passes.

Ruled out: one more host while the tasks wait. Without a look at the kind of host the pool would take the whole fleet.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -98,6 +98,14 @@
 	return h != nil && h.reserved != ""
 }
 
+// suits reports whether a host, when it is empty, meets one of the needs.
+func (f *fleet) suits(name string, needs []schedule.Need) bool {
+	h := f.hosts[name]
+	return h != nil && slices.ContainsFunc(needs, func(n schedule.Need) bool {
+		return n.MetBy(schedule.Kind{Room: h.state.Room, Labels: h.state.Labels})
+	})
+}
+
 // kinds returns the kinds of hosts, that of most of them first.
 func (f *fleet) kinds() []schedule.Kind {
 	type key struct {
@@ -506,6 +514,7 @@
 		d.DurationS = d.durations.value()
 		if lacks, ok := l.lacking[name]; ok && l.now().Sub(lacks.since) >= lackingPause {
 			d.Lacking, d.LackingLasting = lacks.hosts, lacks.lasting
+			d.Suits = func(host string) bool { return l.fleet.suits(host, lacks.needs) }
 		}
 	}
 	return pools
--- a/internal/leader/lasting_test.go
+++ b/internal/leader/lasting_test.go
@@ -200,6 +200,33 @@
 	}
 }
 
+// Guards against a lasting task that waits for good while a host that takes it is on
+// standby: its pool has as many empty hosts as it lacks, but too small ones.
+func TestLastingTaskGetsAHostThatIsLargeEnough(t *testing.T) {
+	play(t, func(w *world) {
+		w.large = map[string]bool{"h3": true}
+		for i := range 6 {
+			n := strconv.Itoa(i)
+			w.add("a"+n, "h"+n, "1:"+n, "desk").lasts(0)
+		}
+		w.add("c", "hc", "2:1", "cuts").lasts(0)
+		_, stop := w.lead(2)
+		defer stop()
+		after(5 * time.Second) // all but one go to standby
+		w.mu.Lock()
+		NewWithT(t).Expect(w.parked).To(HaveKey("h3"))
+		w.mu.Unlock()
+		step := lasting(1)
+		step.Demand = work.Demand{MilliCPU: 500, MemoryMB: 6000}
+		w.submit("j", "/draw/", step)
+		after(lostAfter + lostFor)
+		w.mu.Lock()
+		running, logs := w.running(), w.logs.String()
+		w.mu.Unlock()
+		NewWithT(t).Expect(running).To(Equal(1), logs)
+	})
+}
+
 // Guards against an accepted job that nothing runs for as long as lasting tasks hold
 // the memory of its pool's hosts: by its demand of CPU the pool needs no other.
 func TestShortTasksGetHostsWithMemory(t *testing.T) {
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -100,7 +100,7 @@
 		}
 		r.Hosts = func(pool string) []*schedule.Host { return l.usable(v, pool, disturbs) }
 		starts = schedule.Plan(r)
-		l.noteLacking(r.Lacking, r.LackingLasting)
+		l.noteLacking(r)
 		l.logStarved(v)
 	})
 	return starts
@@ -114,23 +114,24 @@
 type lacking struct {
 	since time.Time
 	hosts int
-	// lasting is the part of hosts that lasting tasks need.
+	// lasting is the part of hosts that lasting tasks need, and needs what these need.
 	lasting int
+	needs   []schedule.Need
 }
 
 // noteLacking notes since when pools lack how many hosts. The mutex is held.
-func (l *Leader) noteLacking(pools, lasting map[string]int) {
+func (l *Leader) noteLacking(r *schedule.Request) {
 	for name := range l.lacking {
-		if pools[name] == 0 {
+		if r.Lacking[name] == 0 {
 			delete(l.lacking, name)
 		}
 	}
-	for name, hosts := range pools {
+	for name, hosts := range r.Lacking {
 		since := l.now()
 		if known, ok := l.lacking[name]; ok {
 			since = known.since
 		}
-		l.lacking[name] = lacking{since, hosts, lasting[name]}
+		l.lacking[name] = lacking{since, hosts, r.LackingLasting[name], r.LackingNeeds[name]}
 	}
 }
 
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -48,6 +48,8 @@
 	seq   int64
 	// unanswered is a data centre whose targets carry orders out without an answer.
 	unanswered string
+	// large are the hosts with twice the memory.
+	large map[string]bool
 	// spread is set if the hosts are spread over the data centres.
 	spread bool
 	// lives counts the targets that took the place of others.
@@ -245,6 +247,14 @@
 	return string(dataCentres[int(host[len(host)-1])%len(dataCentres)])
 }
 
+// room returns the room of a host.
+func (w *world) room(host string) work.Demand {
+	if w.large[host] {
+		return work.Demand{MilliCPU: 4000, MemoryMB: 8000}
+	}
+	return work.Demand{MilliCPU: 4000, MemoryMB: 4000}
+}
+
 // add starts a target at an address, in place of the one that was there.
 func (w *world) add(id, host, address, pool string) *target {
 	w.mu.Lock()
@@ -261,7 +271,7 @@
 		changed: make(chan struct{}), duration: time.Second,
 		state: work.Target{
 			ID: id, Born: time.Now().UnixMilli(), Host: host, Pool: pool, Address: address, DataCentre: w.dataCentreOf(host),
-			Room: work.Demand{MilliCPU: 4000, MemoryMB: 4000},
+			Room: w.room(host),
 		},
 	}
 	w.targets[address] = t
@@ -573,7 +583,7 @@
 		out = append(out, leader.HostState{Host: t.state.Host, Pool: t.state.Pool, Up: true, Room: t.state.Room, TargetID: t.state.ID})
 	}
 	for host, up := range w.off {
-		out = append(out, leader.HostState{Host: host, Pool: "off", Up: up, Room: work.Demand{MilliCPU: 4000, MemoryMB: 4000}})
+		out = append(out, leader.HostState{Host: host, Pool: "off", Up: up, Room: w.room(host)})
 	}
 	return out, nil
 }
--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -30,6 +30,9 @@
 	// whichever reason: memory, room in parts, or what runs beside them.
 	// LackingLasting is the part of it that lasting tasks need.
 	Lacking, LackingLasting int
+	// Suits reports whether a lasting task that lacks a host could run on one when it
+	// is empty. Without it, any host suits.
+	Suits func(host string) bool
 }
 
 // Host is one host. Hosts that are away count for the pool that they join.
@@ -81,9 +84,11 @@
 	hosts int
 	// used counts the hosts on which something runs.
 	used int
-	// first is for the lasting tasks that no host takes, due for work that can be in
-	// time, want for all work.
-	first, due, want int
+	// due is for work that can be in time, want for all work.
+	due, want int
+	// lacks is how many hosts the lasting tasks need that no host takes, beside the
+	// empty ones of the pool that suit them.
+	lacks int
 }
 
 // Decision is what to do now.
@@ -105,7 +110,7 @@
 	standby := ""
 	var order []*need
 	for i := range pools {
-		n := &need{pool: &pools[i]}
+		n := &need{pool: &pools[i], lacks: pools[i].LackingLasting}
 		needs[pools[i].Name] = n
 		if pools[i].Standby {
 			standby = pools[i].Name
@@ -122,6 +127,8 @@
 			n.hosts++
 			if h.Load > 0 || h.Lasting {
 				n.used++
+			} else if n.suits(&h) {
+				n.lacks--
 			}
 		}
 	}
@@ -131,9 +138,6 @@
 		if lacking := n.pool.Lacking; lacking > 0 {
 			n.want, n.due = max(n.want, n.used+lacking), max(n.due, n.used+lacking)
 		}
-		if lacking := n.pool.LackingLasting; lacking > 0 {
-			n.first = n.used + lacking
-		}
 	}
 	potential := potential(order, needs, size)
 	giveUp(order, needs, standby)
@@ -142,6 +146,9 @@
 	return Decision{Moves: moves, Closing: closing, Spare: spare(needs, hosts, moves), Potential: potential}
 }
 
+// suits reports whether lasting tasks that lack a host could run on this one.
+func (n *need) suits(h *Host) bool { return n.pool.Suits == nil || n.pool.Suits(h.Name) }
+
 func potential(order []*need, needs map[string]*need, size int64) map[string]int64 {
 	total, due := 0, 0
 	for _, n := range needs {
@@ -221,7 +228,8 @@
 			}
 		}
 		slices.SortFunc(open, func(a, b Host) int {
-			return cmp.Or(compareBool(b.Lasting, a.Lasting), cmp.Compare(b.Load, a.Load), cmp.Compare(a.Name, b.Name))
+			return cmp.Or(compareBool(b.Lasting, a.Lasting), cmp.Compare(b.Load, a.Load),
+				compareBool(n.suits(&b), n.suits(&a)), cmp.Compare(a.Name, b.Name))
 		})
 		for _, h := range open[min(len(open), n.want):] {
 			closing[h.Name] = !h.Lasting
@@ -288,7 +296,14 @@
 		return n != nil && !n.pool.Standby && n.hosts > n.want
 	}
 	off := func(h *Host) bool { return h.Pool == standby }
-	for _, target := range []func(n *need) int{firstOf, dueOf, wantOf} {
+	for _, n := range order {
+		suiting := func(from func(h *Host) bool) func(h *Host) bool {
+			return func(h *Host) bool { return n.suits(h) && from(h) }
+		}
+		for ; n.lacks > 0 && (take(n, suiting(surplus)) || take(n, suiting(off))); n.lacks-- {
+		}
+	}
+	for _, target := range []func(n *need) int{dueOf, wantOf} {
 		for {
 			worst := mostLacking(order, target)
 			if worst == nil || (!take(worst, surplus) && !take(worst, off)) {
@@ -310,9 +325,8 @@
 	return moves
 }
 
-func firstOf(n *need) int { return n.first }
-func dueOf(n *need) int   { return n.due }
-func wantOf(n *need) int  { return n.want }
+func dueOf(n *need) int  { return n.due }
+func wantOf(n *need) int { return n.want }
 
 // mostLacking returns the pool with the smallest share of its target.
 func mostLacking(order []*need, target func(n *need) int) *need {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -40,6 +40,17 @@
 	Labels []string
 }
 
+// Need is what a task needs of an empty host.
+type Need struct {
+	Demand work.Demand
+	Label  string
+}
+
+// MetBy reports whether an empty host of a kind takes the task.
+func (n Need) MetBy(k Kind) bool {
+	return n.Demand.Within(k.Room) && (n.Label == "" || slices.Contains(k.Labels, n.Label))
+}
+
 // Request is what a plan is made of.
 type Request struct {
 	// NowMS is the wall-clock time in Unix ms.
@@ -68,6 +79,8 @@
 	Lacking map[string]int
 	// LackingLasting is the part of Lacking that lasting tasks need.
 	LackingLasting map[string]int
+	// LackingNeeds is what these tasks need of a host, each once.
+	LackingNeeds map[string][]Need
 
 	// Capacity returns what a pool can have, in thousandths of a core: its hosts
 	// and those that other pools do not need.
@@ -125,7 +138,7 @@
 			order = append(order, r.rank(j))
 		}
 	}
-	r.pools, r.Lacking, r.LackingLasting = map[string]*pool{}, map[string]int{}, map[string]int{}
+	r.pools, r.Lacking, r.LackingLasting, r.LackingNeeds = map[string]*pool{}, map[string]int{}, map[string]int{}, map[string][]Need{}
 	r.postpone(order)
 	slices.SortFunc(order, func(a, b urgency) int {
 		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.rank, b.rank),
@@ -313,6 +326,9 @@
 			h.lasting = true
 			r.LackingLasting[j.Pool]++
 		}
+		if need := (Need{s.Reserved(), s.Label}); n > 0 && s.Lasting && !slices.Contains(r.LackingNeeds[j.Pool], need) {
+			r.LackingNeeds[j.Pool] = append(r.LackingNeeds[j.Pool], need)
+		}
 		if opened && n == 0 {
 			p.lacking = p.lacking[:i]
 			break
@@ -342,7 +358,7 @@
 		r.kinds = r.Empty()
 	}
 	for _, k := range r.kinds {
-		if s.Reserved().Within(k.Room) && (s.Label == "" || slices.Contains(k.Labels, s.Label)) {
+		if (Need{s.Reserved(), s.Label}).MetBy(k) {
 			return &emptyHost{Host: Host{Target: &work.Target{Labels: k.Labels}, Free: k.Room}}
 		}
 	}
