Keep hosts that late short tasks lack out of what is due

What callers see: while a backlog of short tasks that are late in any case lacks memory, the hosts on standby go to it, and work of other pools that can be in time waits.

Cause: the hosts that a pool lacks were added to those for work in time, whichever tasks lack them.

Evidence: the new case of poolsize failed (0 of 3 hosts to the turn) and passes.

Ruled out: counting the late jobs among them apart.

--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -136,7 +136,10 @@
 		n.want = p.want(n.pool, size)
 		n.due = min(n.want, p.want(n.pool.withoutMissed(), size))
 		if lacking := n.pool.Lacking; lacking > 0 {
-			n.want, n.due = max(n.want, n.used+lacking), max(n.due, n.used+lacking)
+			n.want = max(n.want, n.used+lacking)
+		}
+		if lacking := n.pool.LackingLasting; lacking > 0 {
+			n.due = max(n.due, n.used+lacking)
 		}
 	}
 	potential := potential(order, needs, size)
--- a/internal/poolsize/poolsize_test.go
+++ b/internal/poolsize/poolsize_test.go
@@ -186,4 +186,13 @@
 		Expect(to(d, "desk")).To(Equal(2))
 		Expect(to(d, "cuts")).To(Equal(1))
 	})
+
+	It("takes hosts from a late backlog that lacks memory for a turn that can be in time", func() {
+		// Guards against a backlog that counts as in time, since its short tasks lack
+		// hosts for another reason than their CPU.
+		backlog := poolsize.Pool{Running: 600 * core, Waiting: 100 * core, MissedRunning: 600 * core, MissedWaiting: 100 * core, Lacking: 30}
+		d := poolsize.Plan(poolsize.Default(), pools(backlog, poolsize.Pool{Running: 60 * core, Waiting: 100 * core}),
+			append(append(hosts("desk", 20, busy), hosts("cuts", 3, busy)...), hosts("off", 3, nil)...))
+		Expect(to(d, "cuts")).To(Equal(3))
+	})
 })
