Give pools other hosts beside idle ones that refuse starts

What callers see: an accepted lasting task waits for as long as the one idle host of its pool refuses its start as unhealthy, while others are on standby.

Cause: the host counted as an empty one that the pool has, also in the 2 s after each refusal in which no run is started there; then it was tried again.

Now an idle host on which no run is started for that reason is no capacity meanwhile.

Evidence: TestLastingTaskGetsAHostBesideAnUnhealthyOne found 0 of 1 tasks running after 9 s, five starts refused and no move, and passes.

Not changed: unhealthy hosts with runs. They count as used, so that they do not stand in for the empty hosts that the pool lacks.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -370,8 +370,9 @@
 	takesNone := t.Draining || v.Succeeds(t)
 	p.Movable, p.Reserved = orderable && t.Runs() == 0 && !takesNone, p.Reserved || takesNone
 	p.Load, p.Lasting = t.Room.Sub(v.Free(t)).MilliCPU, len(lastingRuns(v, t)) > 0
-	if c := l.contacts[t.Key()]; c != nil && c.suspected > 0 {
-		// A host that fails what it starts is no capacity, and no help elsewhere.
+	if c := l.contacts[t.Key()]; c != nil && (c.suspected > 0 || (t.Runs() == 0 && now.Before(c.avoidUntil))) {
+		// A host that fails what it starts, or does not start it, is no capacity, and
+		// no help elsewhere.
 		p.Reserved, p.Movable = true, false
 	}
 	if !h.idleSince.IsZero() {
--- a/internal/leader/lasting_test.go
+++ b/internal/leader/lasting_test.go
@@ -227,6 +227,37 @@
 	})
 }
 
+// Guards against a lasting task that waits for good for the only host of its pool,
+// which refuses its start as unhealthy each time, while others are on standby.
+func TestLastingTaskGetsAHostBesideAnUnhealthyOne(t *testing.T) {
+	play(t, func(w *world) {
+		for i := range 6 {
+			n := strconv.Itoa(i)
+			w.add("a"+n, "h"+n, "1:"+n, "desk").lasts(0)
+		}
+		w.add("c", "hc", "2:1", "cuts").lasts(0)
+		_, stop := w.lead(2)
+		defer stop()
+		after(5 * time.Second) // all but one go to standby
+		w.mu.Lock()
+		sick := 0
+		for _, target := range w.targets {
+			if target.state.Pool == "desk" && w.parked[target.state.Host] == "" {
+				target.sick = true
+				sick++
+			}
+		}
+		w.mu.Unlock()
+		NewWithT(t).Expect(sick).To(Equal(1))
+		w.submit("j", "/draw/", lasting(1))
+		after(lostAfter + lostFor)
+		w.mu.Lock()
+		running, logs := w.running(), w.logs.String()
+		w.mu.Unlock()
+		NewWithT(t).Expect(running).To(Equal(1), logs)
+	})
+}
+
 // Guards against an accepted job that nothing runs for as long as lasting tasks hold
 // the memory of its pool's hosts: by its demand of CPU the pool needs no other.
 func TestShortTasksGetHostsWithMemory(t *testing.T) {
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -115,8 +115,9 @@
 	silent, deaf bool
 	// late orders are carried out after this time, without an answer.
 	late time.Duration
-	// fails is set for targets on which every run fails.
-	fails bool
+	// fails is set for targets on which every run fails, sick for those that refuse
+	// every start as unhealthy.
+	fails, sick bool
 	// duration of a run; 0 runs until it is stopped.
 	duration time.Duration
 }
@@ -290,7 +291,7 @@
 }
 
 // heal ends the target's faults. The world's mutex is held.
-func (t *target) heal() { t.silent, t.deaf, t.late, t.fails = false, false, 0, false }
+func (t *target) heal() { t.silent, t.deaf, t.late, t.fails, t.sick = false, false, 0, false, false }
 
 // lasts sets the duration of the target's runs.
 func (t *target) lasts(d time.Duration) {
@@ -427,6 +428,8 @@
 			return leader.Carried
 		case o.Run.Run <= t.stopped[o.Run.Task]:
 			return leader.RefusedOld
+		case t.sick:
+			return leader.RefusedUnhealthy
 		case !t.admits(o):
 			w.breaks("start of %v without a valid ticket", o.Run)
 			return leader.RefusedTicket
