Lack no hosts for tasks that await a permission

What callers see: while the policy service does not answer, or permits none of the hosts with room, each waiting lasting task of a checked queue takes an empty host from other work.

Cause: the plan counts the tasks that get no host, also those for which hosts have the room and only the permission is missing.

Now as many of these tasks are left out as the hosts with room could take.

Ruled out: leaving all tasks of checked queues out. Those permitted hosts may be full.

--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -277,7 +277,7 @@
 		h := r.choose(j, t, s, need, placed)
 		if h == nil {
 			if s.Lasting || (!j.Active() && r.hasCPU(j.Pool, need)) {
-				r.lack(j, s, tasks[i:])
+				r.lack(j, s, r.unawaited(j, s, tasks[i:], placed))
 			}
 			break // the other tasks need the same
 		}
@@ -303,6 +303,25 @@
 	return slices.ContainsFunc(r.poolOf(pool).hosts, func(h *Host) bool { return need.MilliCPU <= h.Free.MilliCPU })
 }
 
+// unawaited leaves out as many tasks of a step as hosts of the pool take that an
+// outside policy does not permit, or not yet.
+func (r *Request) unawaited(j *work.Job, s *work.Step, tasks []*work.Task, placed map[*Host]int) []*work.Task {
+	if r.Permitted == nil || !j.PolicyChecked {
+		return tasks
+	}
+	for _, h := range r.poolOf(j.Pool).hosts {
+		trial := *h
+		for n := placed[h]; len(tasks) > 0 && trial.Obstacle(j, tasks[0], s, n) == ""; n++ {
+			if tasks[0].FailedOn != "" && h.Target.Host == tasks[0].FailedOn {
+				break
+			}
+			trial.add(s, 1)
+			tasks = tasks[1:]
+		}
+	}
+	return tasks
+}
+
 // lack fills empty hosts with the tasks of a step that no host of the pool takes.
 // A task that not even an empty host takes is left out.
 func (r *Request) lack(j *work.Job, s *work.Step, tasks []*work.Task) {
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -34,6 +34,7 @@
 		Queues: []work.Queue{
 			{Name: "urgent", Domain: "d", Prefix: "/urgent/", Pool: "desk", Attempts: 2, Stretch: 1.6, SlackMS: 600},
 			{Name: "patient", Domain: "d", Prefix: "/patient/", Pool: "desk", Priority: 1, Attempts: 2, Stretch: 1.6, SlackMS: 600},
+			{Name: "policy", Domain: "d", Prefix: "/policy/", Pool: "desk", Attempts: 2, Stretch: 1.6, SlackMS: 600, PolicyChecked: true},
 		},
 	}})
 	for i := range submissions {
@@ -215,6 +216,22 @@
 		Expect(r.Lacking).To(Equal(map[string]int{"desk": 3}))
 	})
 
+	It("lacks no host while empty ones await a permission", func() {
+		// Guards against a pool that takes hosts from others for as long as the policy
+		// service does not answer.
+		s := step(5, 4000)
+		s.Lasting = true
+		r := &schedule.Request{
+			NowMS: 2000, MaxStarts: 256, Duration: func(*work.Job, int) int64 { return 1000 }, Jobs: jobs(job("j", "/policy/", s)),
+			Hosts:     func(string) []*schedule.Host { return []*schedule.Host{host("a", "", 4000)} },
+			Permitted: func(*work.Job, *work.Task, *work.Target, []*schedule.Host) bool { return false },
+			Capacity:  func(string) int64 { return math.MaxInt64 },
+			Empty:     func() []schedule.Kind { return []schedule.Kind{{Room: work.Demand{MilliCPU: 4000}}} },
+		}
+		Expect(schedule.Plan(r)).To(BeEmpty())
+		Expect(r.Lacking).To(Equal(map[string]int{"desk": 4}))
+	})
+
 	It("looks for no more empty hosts than there are", func() {
 		// Guards against plans that take seconds while thousands of lasting tasks wait
 		// that need a host each: every one was tried on the hosts of all before it.
