Set the durations of stand-in targets under their lock

With -race, TestLaterLifeUnderTheSameIDIsFencedFirst and TestNewLeaderTakesOverWhatRuns failed ("race detected during execution of test"). Both sides of the reports are in the tests.

--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -99,7 +99,7 @@
 		g := NewWithT(t)
 		g.Expect(a.runs).To(HaveLen(1))
 		b := w.add("b", "hb", "1:2", "desk")
-		b.duration = 0
+		b.lasts(0)
 		w.mu.Lock()
 		a.silent = true
 		w.mu.Unlock()
@@ -172,7 +172,7 @@
 func TestRunsOfACancelledJobAreStopped(t *testing.T) {
 	play(t, func(w *world) {
 		a := w.add("a", "ha", "1:1", "desk")
-		a.duration = 0
+		a.lasts(0)
 		_, stop := w.lead(2)
 		defer stop()
 		w.submit("j", "/draw/", small(2))
@@ -242,7 +242,7 @@
 	play(t, func(w *world) {
 		a := w.add("a", "ha", "1:1", "desk")
 		w.add("b", "hb", "1:2", "desk")
-		a.duration = 0
+		a.lasts(0)
 		_, stop := w.lead(2)
 		w.submit("j", "/draw/", lasting(2))
 		after(2 * time.Second)
@@ -251,6 +251,8 @@
 		_, stop = w.lead(3)
 		defer stop()
 		after(8 * time.Second)
+		w.mu.Lock()
+		defer w.mu.Unlock()
 		for _, target := range w.targets {
 			for _, e := range target.ended {
 				NewWithT(t).Expect(e.Outcome).NotTo(Equal(work.OutcomeLapsed))
@@ -264,7 +266,7 @@
 func TestNewLeaderWaitsForTheLeasesOfItsPredecessor(t *testing.T) {
 	play(t, func(w *world) {
 		a := w.add("a", "ha", "1:1", "desk")
-		a.duration = 0
+		a.lasts(0)
 		_, stop := w.lead(2)
 		w.submit("j", "/draw/", lasting(1))
 		after(2 * time.Second)
@@ -273,7 +275,7 @@
 		w.mu.Unlock()
 		stop()
 		b := w.add("b", "hb", "1:2", "desk")
-		b.duration = 0
+		b.lasts(0)
 		_, stop = w.lead(3)
 		defer stop()
 		after(10 * time.Second)
@@ -332,14 +334,14 @@
 func TestLaterLifeUnderTheSameIDIsFencedFirst(t *testing.T) {
 	play(t, func(w *world) {
 		a := w.add("a", "ha", "1:1", "desk")
-		a.duration = 0
+		a.lasts(0)
 		_, stop := w.lead(2)
 		defer stop()
 		w.submit("j", "/draw/", lasting(2))
 		after(2 * time.Second)
 		again := w.add("a", "ha", "1:1", "desk")
-		again.duration = 0
-		w.add("b", "hb", "1:2", "desk").duration = 0
+		again.lasts(0)
+		w.add("b", "hb", "1:2", "desk").lasts(0)
 		after(10 * time.Second)
 		n := 0
 		for _, target := range w.targets {
@@ -439,10 +441,10 @@
 // CPU enough for it but run what would disturb it.
 func TestLastingTaskThatNoHostTakesGetsAnotherHost(t *testing.T) {
 	play(t, func(w *world) {
-		w.add("a", "ha", "1:1", "desk").duration = 0
+		w.add("a", "ha", "1:1", "desk").lasts(0)
 		for i := range 3 {
 			n := strconv.Itoa(i)
-			w.add("c"+n, "hc"+n, "2:"+n, "cuts").duration = 0
+			w.add("c"+n, "hc"+n, "2:"+n, "cuts").lasts(0)
 		}
 		_, stop := w.lead(2)
 		defer stop()
@@ -463,11 +465,11 @@
 // counts as one that its pool has.
 func TestLastingTaskGetsAHostBesideOneThatDrains(t *testing.T) {
 	play(t, func(w *world) {
-		w.add("a", "ha", "1:0", "desk").duration = 0
+		w.add("a", "ha", "1:0", "desk").lasts(0)
 		w.add("b", "hb", "1:1", "desk").state.Draining = true
 		for i := range 3 {
 			n := strconv.Itoa(i)
-			w.add("c"+n, "hc"+n, "2:"+n, "cuts").duration = 0
+			w.add("c"+n, "hc"+n, "2:"+n, "cuts").lasts(0)
 		}
 		_, stop := w.lead(2)
 		defer stop()
@@ -486,7 +488,7 @@
 	play(t, func(w *world) {
 		for i := range 3 {
 			n := strconv.Itoa(i)
-			w.add("a"+n, "h"+n, "1:"+n, "desk").duration = 0
+			w.add("a"+n, "h"+n, "1:"+n, "desk").lasts(0)
 		}
 		_, stop := w.lead(2)
 		defer stop()
