--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -6,6 +6,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"agatehaven.dev/agatehaven/internal/poolsize"
@@ -101,17 +102,36 @@
 	return h != nil && h.reserved != ""
 }
 
-// emptyRooms returns the room of the hosts, that of most of them first.
-func (f *fleet) emptyRooms() []work.Demand {
-	count := map[work.Demand]int{}
+// suits reports whether a host, when it is empty, meets one of the needs.
+func (f *fleet) suits(name string, needs []schedule.Need) bool {
+	h := f.hosts[name]
+	return h != nil && slices.ContainsFunc(needs, func(n schedule.Need) bool {
+		return n.MetBy(schedule.Kind{Room: h.state.Room, Labels: h.state.Labels})
+	})
+}
+
+// kinds returns the kinds of hosts, that of most of them first.
+func (f *fleet) kinds() []schedule.Kind {
+	type key struct {
+		room   work.Demand
+		labels string
+	}
+	count, labels := map[key]int{}, map[key][]string{}
 	for _, h := range f.hosts {
 		if h.state.Room != (work.Demand{}) {
-			count[h.state.Room]++
+			k := key{h.state.Room, strings.Join(h.state.Labels, ",")}
+			count[k]++
+			labels[k] = h.state.Labels
 		}
 	}
-	return slices.SortedFunc(maps.Keys(count), func(a, b work.Demand) int {
-		return cmp.Or(cmp.Compare(count[b], count[a]), cmp.Compare(b.MilliCPU, a.MilliCPU), cmp.Compare(b.MemoryMB, a.MemoryMB))
-	})
+	var out []schedule.Kind
+	for _, k := range slices.SortedFunc(maps.Keys(count), func(a, b key) int {
+		return cmp.Or(cmp.Compare(count[b], count[a]), cmp.Compare(b.room.MilliCPU, a.room.MilliCPU),
+			cmp.Compare(b.room.MemoryMB, a.room.MemoryMB), cmp.Compare(a.labels, b.labels))
+	}) {
+		out = append(out, schedule.Kind{Room: k.room, Labels: labels[k]})
+	}
+	return out
 }
 
 // host returns the entry of a host, which it makes if needed.
@@ -359,8 +379,9 @@
 	takesNone := t.Draining || v.Succeeds(t)
 	p.Movable, p.Reserved = orderable && t.Runs() == 0 && !takesNone, p.Reserved || takesNone
 	p.Load, p.Lasting = t.Room.Sub(v.Free(t)).MilliCPU, len(lastingRuns(v, t)) > 0
-	if c := l.contacts[t.Key()]; c != nil && c.suspected > 0 {
-		// A host that fails what it starts is no capacity, and no help elsewhere.
+	if c := l.contacts[t.Key()]; c != nil && (c.suspected > 0 || (t.Runs() == 0 && now.Before(c.avoidUntil))) {
+		// A host that fails what it starts, or does not start it, is no capacity, and
+		// no help elsewhere.
 		p.Reserved, p.Movable = true, false
 	}
 	if !h.idleSince.IsZero() {
@@ -503,7 +524,8 @@
 		d.Arriving, d.Rising = l.arrivals.rate(name)
 		d.DurationS = d.durations.value()
 		if lacks, ok := l.lacking[name]; ok && l.now().Sub(lacks.since) >= lackingPause {
-			d.Lacking = lacks.hosts
+			d.Lacking, d.LackingLasting = lacks.hosts, lacks.lasting
+			d.Suits = func(host string) bool { return l.fleet.suits(host, lacks.needs) }
 		}
 	}
 	return pools
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -48,6 +48,8 @@
 	seq   int64
 	// deafIn is a data centre whose targets carry orders out without an answer.
 	deafIn string
+	// large are the hosts with twice the memory.
+	large map[string]bool
 	// spread is set if the hosts are spread over the data centres.
 	spread bool
 	// lives counts the targets that took the place of others.
@@ -90,7 +92,27 @@
 	// goal holds the pool to which a host was moved last.
 	goal map[string]string
 	// logs holds the leaders' lines and what the targets did, for a failure.
-	logs bytes.Buffer
+	logs logBuffer
+}
+
+// logBuffer keeps lines of the leaders and of the world, which hold no common lock.
+type logBuffer struct {
+	mu    sync.Mutex
+	lines bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.Write(p)
+}
+
+// String returns all lines.
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.String()
 }
 
 // target is a stand-in for a target: it runs, holds leases and lists ends.
@@ -113,8 +135,9 @@
 	silent, deaf bool
 	// late orders are carried out after this time, without an answer.
 	late time.Duration
-	// fails is set for targets on which every run fails.
-	fails bool
+	// fails is set for targets on which every run fails, sick for those that refuse
+	// every start as unhealthy.
+	fails, sick bool
 	// duration of a run; 0 runs until it is stopped.
 	duration time.Duration
 }
@@ -142,7 +165,7 @@
 
 // note logs what a target did. The world's mutex is held.
 func (w *world) note(format string, args ...any) {
-	fmt.Fprintf(&w.logs, "%s %s\n", time.Now().Format("05.000"), fmt.Sprintf(format, args...))
+	_, _ = fmt.Fprintf(&w.logs, "%s %s\n", time.Now().Format("05.000"), fmt.Sprintf(format, args...))
 }
 
 // Propose implements replica.Group.
@@ -198,7 +221,7 @@
 func (w *world) lead(term uint64) (*leader.Leader, func()) {
 	l := leader.New(leader.Config{
 		Host: "core-" + strconv.FormatUint(term, 10), Group: w, Machine: w.machine, Targets: w, Platform: w, Policy: w, Clock: clock.System{},
-		Log: zerolog.New(zerolog.SyncWriter(&w.logs)).With().Timestamp().Logger(), Orders: leader.NewOrderLog(clock.System{}),
+		Log: zerolog.New(&w.logs).With().Timestamp().Logger(), Orders: leader.NewOrderLog(clock.System{}),
 		Timing: leader.Timing{
 			Announce: worldAnnounce, MaxLease: worldLease, Move: 1500 * time.Millisecond,
 			Maintenance: 2 * time.Second, HolderPause: 3 * time.Second,
@@ -249,6 +272,14 @@
 	return string(dataCentres[int(host[len(host)-1])%len(dataCentres)])
 }
 
+// room returns the room of a host.
+func (w *world) room(host string) work.Demand {
+	if w.large[host] {
+		return work.Demand{MilliCPU: 4000, MemoryMB: 8000}
+	}
+	return work.Demand{MilliCPU: 4000, MemoryMB: 4000}
+}
+
 // add starts a target at an address, in place of the one that was there.
 func (w *world) add(id, host, address, pool string) *target {
 	w.mu.Lock()
@@ -265,7 +296,7 @@
 		changed: make(chan struct{}), duration: time.Second,
 		state: work.Target{
 			ID: id, Born: time.Now().UnixMilli(), Host: host, Pool: pool, Address: address, DataCentre: w.dataCentreOf(host),
-			Room: work.Demand{MilliCPU: 4000, MemoryMB: 4000},
+			Room: w.room(host),
 		},
 	}
 	w.targets[address] = t
@@ -284,7 +315,7 @@
 }
 
 // heal ends the target's faults. The world's mutex is held.
-func (t *target) heal() { t.silent, t.deaf, t.late, t.fails = false, false, 0, false }
+func (t *target) heal() { t.silent, t.deaf, t.late, t.fails, t.sick = false, false, 0, false, false }
 
 // lasts sets the duration of the target's runs.
 func (t *target) lasts(d time.Duration) {
@@ -425,6 +456,8 @@
 			return leader.Carried
 		case o.Run.Run <= t.stopped[o.Run.Task]:
 			return leader.RefusedOld
+		case t.sick:
+			return leader.RefusedUnhealthy
 		case !t.admits(o):
 			w.breaks("start of %v without a valid ticket", o.Run)
 			return leader.RefusedTicket
@@ -589,7 +622,7 @@
 		out = append(out, leader.HostState{Host: t.state.Host, Pool: t.state.Pool, Up: true, Room: t.state.Room, TargetID: t.state.ID})
 	}
 	for host, up := range w.off {
-		out = append(out, leader.HostState{Host: host, Pool: "off", Up: up, Room: work.Demand{MilliCPU: 4000, MemoryMB: 4000}})
+		out = append(out, leader.HostState{Host: host, Pool: "off", Up: up, Room: w.room(host)})
 	}
 	return out, w.oddRows
 }
--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -26,9 +26,13 @@
 	DurationS float64
 	// Spread is the least number of hosts that lasting work needs.
 	Spread int
-	// Lacking is how many empty hosts the lasting tasks need that no host takes, for
+	// Lacking is how many empty hosts the tasks need that no host takes, for
 	// whichever reason: memory, room in parts, or what runs beside them.
-	Lacking int
+	// LackingLasting is the part of it that lasting tasks need.
+	Lacking, LackingLasting int
+	// Suits reports whether a lasting task that lacks a host could run on one when it
+	// is empty. Without it, any host suits.
+	Suits func(host string) bool
 }
 
 // Host is one host. Hosts that are away count for the pool that they join.
@@ -82,6 +86,9 @@
 	used int
 	// due is for work that can be in time, want for all work.
 	due, want int
+	// lacks is how many hosts the lasting tasks need that no host takes, beside the
+	// empty ones of the pool that suit them.
+	lacks int
 }
 
 // Decision is what to do now.
@@ -103,7 +110,7 @@
 	standby := ""
 	var order []*need
 	for i := range pools {
-		n := &need{pool: &pools[i]}
+		n := &need{pool: &pools[i], lacks: pools[i].LackingLasting}
 		needs[pools[i].Name] = n
 		if pools[i].Standby {
 			standby = pools[i].Name
@@ -120,6 +127,8 @@
 			n.hosts++
 			if h.Load > 0 || h.Lasting {
 				n.used++
+			} else if n.suits(&h) {
+				n.lacks--
 			}
 		}
 	}
@@ -127,7 +136,10 @@
 		n.want = p.want(n.pool, size)
 		n.due = min(n.want, p.want(n.pool.withoutMissed(), size))
 		if lacking := n.pool.Lacking; lacking > 0 {
-			n.want, n.due = max(n.want, n.used+lacking), max(n.due, n.used+lacking)
+			n.want = max(n.want, n.used+lacking)
+		}
+		if lacking := n.pool.LackingLasting; lacking > 0 {
+			n.due = max(n.due, n.used+lacking)
 		}
 	}
 	potential := potential(order, needs, size)
@@ -137,6 +149,9 @@
 	return Decision{Moves: moves, Closing: closing, Spare: spare(needs, hosts, moves), Potential: potential}
 }
 
+// suits reports whether lasting tasks that lack a host could run on this one.
+func (n *need) suits(h *Host) bool { return n.pool.Suits == nil || n.pool.Suits(h.Name) }
+
 func potential(order []*need, needs map[string]*need, size int64) map[string]int64 {
 	total, due := 0, 0
 	for _, n := range needs {
@@ -216,7 +231,8 @@
 			}
 		}
 		slices.SortFunc(open, func(a, b Host) int {
-			return cmp.Or(compareBool(b.Lasting, a.Lasting), cmp.Compare(b.Load, a.Load), cmp.Compare(a.Name, b.Name))
+			return cmp.Or(compareBool(b.Lasting, a.Lasting), cmp.Compare(b.Load, a.Load),
+				compareBool(n.suits(&b), n.suits(&a)), cmp.Compare(a.Name, b.Name))
 		})
 		for _, h := range open[min(len(open), n.want):] {
 			closing[h.Name] = !h.Lasting
@@ -255,8 +271,9 @@
 }
 
 // assign gives idle hosts of pools with too many, and then those on standby,
-// to the pools that lack the largest share: first of what their work in time
-// needs, then of what all their work needs.
+// to the pools that lack the largest share: first of what lasting tasks without a
+// host need, which otherwise wait for the end of other pools' backlogs, then of what
+// work in time needs, then of what all work needs.
 func (p Policy) assign(order []*need, needs map[string]*need, hosts []Host, standby string) []Move {
 	free := slices.Clone(hosts)
 	slices.SortFunc(free, func(a, b Host) int {
@@ -282,6 +299,13 @@
 		return n != nil && !n.pool.Standby && n.hosts > n.want
 	}
 	off := func(h *Host) bool { return h.Pool == standby }
+	for _, n := range order {
+		suiting := func(from func(h *Host) bool) func(h *Host) bool {
+			return func(h *Host) bool { return n.suits(h) && from(h) }
+		}
+		for ; n.lacks > 0 && (take(n, suiting(surplus)) || take(n, suiting(off))); n.lacks-- {
+		}
+	}
 	for _, target := range []func(n *need) int{dueOf, wantOf} {
 		for {
 			worst := mostLacking(order, target)
--- a/internal/poolsize/poolsize_test.go
+++ b/internal/poolsize/poolsize_test.go
@@ -174,4 +174,25 @@
 		Expect(to(d, "desk")).To(BeZero(), "it is on its way")
 		Expect(d.Closing["new"]).To(BeFalse())
 	})
+
+	It("gives hosts to tasks that none takes before a larger share is made up", func() {
+		// Guards against an accepted lasting task that waits for as long as another
+		// pool has a backlog: a pool that lacks one of many hosts lacks the smallest
+		// share.
+		used := hosts("desk", 21, func(_ int, h *poolsize.Host) { h.Movable, h.Load, h.Lasting = false, 7*core, true })
+		turn := poolsize.Pool{Running: 2000 * core, Waiting: 5000 * core}
+		d := poolsize.Plan(poolsize.Default(), pools(poolsize.Pool{Running: 147 * core, Waiting: 5 * core, Lacking: 2, LackingLasting: 2}, turn),
+			append(append(used, hosts("cuts", 80, busy)...), hosts("off", 3, nil)...))
+		Expect(to(d, "desk")).To(Equal(2))
+		Expect(to(d, "cuts")).To(Equal(1))
+	})
+
+	It("takes hosts from a late backlog that lacks memory for a turn that can be in time", func() {
+		// Guards against a backlog that counts as in time, since its short tasks lack
+		// hosts for another reason than their CPU.
+		backlog := poolsize.Pool{Running: 600 * core, Waiting: 100 * core, MissedRunning: 600 * core, MissedWaiting: 100 * core, Lacking: 30}
+		d := poolsize.Plan(poolsize.Default(), pools(backlog, poolsize.Pool{Running: 60 * core, Waiting: 100 * core}),
+			append(append(hosts("desk", 20, busy), hosts("cuts", 3, busy)...), hosts("off", 3, nil)...))
+		Expect(to(d, "cuts")).To(Equal(3))
+	})
 })
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -34,6 +34,23 @@
 	h.Serves = h.Serves || (n > 0 && s.TailTargetMS > 0)
 }
 
+// Kind is a kind of hosts.
+type Kind struct {
+	Room   work.Demand
+	Labels []string
+}
+
+// Need is what a task needs of an empty host.
+type Need struct {
+	Demand work.Demand
+	Label  string
+}
+
+// MetBy reports whether an empty host of a kind takes the task.
+func (n Need) MetBy(k Kind) bool {
+	return n.Demand.Within(k.Room) && (n.Label == "" || slices.Contains(k.Labels, n.Label))
+}
+
 // Request is what a plan is made of.
 type Request struct {
 	// NowMS is the wall-clock time in Unix ms.
@@ -48,13 +65,22 @@
 	// hosts, by an outside policy.
 	Permitted func(j *work.Job, t *work.Task, target *work.Target, hosts []*Host) bool
 	pools     map[string]*pool
-	// Empty returns the room of hosts that can join a pool, the usual ones first.
-	// Without it, pools lack no hosts.
-	Empty func() []work.Demand
+	// Empty returns the kinds of hosts that can join a pool, the usual ones first. It
+	// is asked once. Without it, pools lack no hosts.
+	Empty func() []Kind
+	kinds []Kind
+	// MaxLacking, if set, bounds the hosts that a pool lacks for lasting and for
+	// other tasks each: no more than there are can join, and each further one has to
+	// be tried for all tasks that follow.
+	MaxLacking int
 	// Lacking is set by a plan to the number of empty hosts that each pool needs
 	// for the tasks that none of its hosts takes: lasting ones, and those of jobs
 	// without a run for which a host has the CPU.
 	Lacking map[string]int
+	// LackingLasting is the part of Lacking that lasting tasks need.
+	LackingLasting map[string]int
+	// LackingNeeds is what these tasks need of a host, each once.
+	LackingNeeds map[string][]Need
 
 	// Capacity returns what a pool can have, in thousandths of a core: its hosts
 	// and those that other pools do not need.
@@ -112,7 +138,7 @@
 			order = append(order, r.rank(j))
 		}
 	}
-	r.pools, r.Lacking = map[string]*pool{}, map[string]int{}
+	r.pools, r.Lacking, r.LackingLasting, r.LackingNeeds = map[string]*pool{}, map[string]int{}, map[string]int{}, map[string][]Need{}
 	r.postpone(order)
 	slices.SortFunc(order, func(a, b urgency) int {
 		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.rank, b.rank),
@@ -136,7 +162,14 @@
 	// turned down by it without a look at every host.
 	full []work.Demand
 	// lacking are empty hosts, filled with the tasks for which the pool lacks some.
-	lacking []*Host
+	lacking []*emptyHost
+}
+
+// emptyHost is a host that a pool lacks.
+type emptyHost struct {
+	Host
+	// lasting is set if a lasting task needs it.
+	lasting bool
 }
 
 // maxFull bounds the demands that are kept: jobs of a queue are similar.
@@ -244,7 +277,7 @@
 		h := r.choose(j, t, s, need, placed)
 		if h == nil {
 			if s.Lasting || (!j.Active() && r.hasCPU(j.Pool, need)) {
-				r.lack(j, s, tasks[i:])
+				r.lack(j, s, r.unawaited(j, s, tasks[i:], placed))
 			}
 			break // the other tasks need the same
 		}
@@ -270,11 +303,30 @@
 	return slices.ContainsFunc(r.poolOf(pool).hosts, func(h *Host) bool { return need.MilliCPU <= h.Free.MilliCPU })
 }
 
+// unawaited leaves out as many tasks of a step as hosts of the pool take that an
+// outside policy does not permit, or not yet.
+func (r *Request) unawaited(j *work.Job, s *work.Step, tasks []*work.Task, placed map[*Host]int) []*work.Task {
+	if r.Permitted == nil || !j.PolicyChecked {
+		return tasks
+	}
+	for _, h := range r.poolOf(j.Pool).hosts {
+		trial := *h
+		for n := placed[h]; len(tasks) > 0 && trial.Obstacle(j, tasks[0], s, n) == ""; n++ {
+			if tasks[0].FailedOn != "" && h.Target.Host == tasks[0].FailedOn {
+				break
+			}
+			trial.add(s, 1)
+			tasks = tasks[1:]
+		}
+	}
+	return tasks
+}
+
 // lack fills empty hosts with the tasks of a step that no host of the pool takes.
 // A task that not even an empty host takes is left out.
 func (r *Request) lack(j *work.Job, s *work.Step, tasks []*work.Task) {
 	p := r.poolOf(j.Pool)
-	for i := 0; len(tasks) > 0; i++ {
+	for i := 0; len(tasks) > 0 && !r.lacksMost(j.Pool, p, s.Lasting); i++ {
 		opened := i == len(p.lacking)
 		if opened {
 			h := r.emptyHost(s)
@@ -289,6 +341,13 @@
 			tasks = tasks[1:]
 			n++
 		}
+		if n > 0 && s.Lasting && !h.lasting {
+			h.lasting = true
+			r.LackingLasting[j.Pool]++
+		}
+		if need := (Need{s.Reserved(), s.Label}); n > 0 && s.Lasting && !slices.Contains(r.LackingNeeds[j.Pool], need) {
+			r.LackingNeeds[j.Pool] = append(r.LackingNeeds[j.Pool], need)
+		}
 		if opened && n == 0 {
 			p.lacking = p.lacking[:i]
 			break
@@ -299,15 +358,27 @@
 	}
 }
 
-// emptyHost returns an empty host for tasks of a step, nil if none has the room.
-// Which labels a host that joins has is not known before.
-func (r *Request) emptyHost(s *work.Step) *Host {
+// lacksMost reports whether a pool lacks the most hosts for lasting or other tasks.
+func (r *Request) lacksMost(name string, p *pool, lasting bool) bool {
+	n := len(p.lacking)
+	if lasting {
+		n = r.LackingLasting[name]
+	}
+	return r.MaxLacking > 0 && n >= r.MaxLacking
+}
+
+// emptyHost returns an empty host for tasks of a step, nil if none has the room and
+// the label.
+func (r *Request) emptyHost(s *work.Step) *emptyHost {
 	if r.Empty == nil {
 		return nil
 	}
-	for _, room := range r.Empty() {
-		if s.Reserved().Within(room) {
-			return &Host{Target: &work.Target{Labels: []string{s.Label}}, Free: room}
+	if r.kinds == nil {
+		r.kinds = r.Empty()
+	}
+	for _, k := range r.kinds {
+		if (Need{s.Reserved(), s.Label}).MetBy(k) {
+			return &emptyHost{Host: Host{Target: &work.Target{Labels: k.Labels}, Free: k.Room}}
 		}
 	}
 	return nil
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -1,6 +1,8 @@
 package schedule_test
 
 import (
+	"math"
+	"strconv"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -32,6 +34,7 @@
 		Queues: []work.Queue{
 			{Name: "urgent", Domain: "d", Prefix: "/urgent/", Pool: "desk", Attempts: 2, Stretch: 1.6, SlackMS: 600},
 			{Name: "patient", Domain: "d", Prefix: "/patient/", Pool: "desk", Priority: 1, Attempts: 2, Stretch: 1.6, SlackMS: 600},
+			{Name: "policy", Domain: "d", Prefix: "/policy/", Pool: "desk", Attempts: 2, Stretch: 1.6, SlackMS: 600, PolicyChecked: true},
 		},
 	}})
 	for i := range submissions {
@@ -188,12 +191,71 @@
 			Jobs: jobs(job("parts", "/urgent/", lasting(3, 3000, 10)), job("memory", "/urgent/", lasting(3, 500, 60)),
 				job("apart", "/urgent/", apart), job("large", "/urgent/", lasting(1, 9000, 10)), job("short", "/urgent/", step(9, 4000))),
 			Hosts: func(string) []*schedule.Host { return []*schedule.Host{host("a", "", 2500)} },
-			Empty: func() []work.Demand { return []work.Demand{{MilliCPU: 4000, MemoryMB: 100}} },
+			Empty: func() []schedule.Kind {
+				return []schedule.Kind{{Room: work.Demand{MilliCPU: 4000, MemoryMB: 100}}}
+			},
 		}
 		Expect(schedule.Plan(r)).To(BeEmpty())
 		Expect(r.Lacking).To(Equal(map[string]int{"desk": 4}), "one of each kind on three, and the fourth that stays apart")
 	})
 
+	It("lacks no host for a task with a label that no host has", func() {
+		// Guards against a pool that keeps a host for each such task for good.
+		known, unknown := step(3, 4000), step(5, 4000)
+		known.Lasting, unknown.Lasting = true, true
+		known.Label, unknown.Label = "fast", "none"
+		r := &schedule.Request{
+			NowMS: 2000, MaxStarts: 256, Duration: func(*work.Job, int) int64 { return 1000 },
+			Jobs:  jobs(job("known", "/urgent/", known), job("unknown", "/urgent/", unknown)),
+			Hosts: func(string) []*schedule.Host { return nil }, Capacity: func(string) int64 { return math.MaxInt64 },
+			Empty: func() []schedule.Kind {
+				return []schedule.Kind{{Room: work.Demand{MilliCPU: 4000}}, {Room: work.Demand{MilliCPU: 4000}, Labels: []string{"fast"}}}
+			},
+		}
+		Expect(schedule.Plan(r)).To(BeEmpty())
+		Expect(r.Lacking).To(Equal(map[string]int{"desk": 3}))
+	})
+
+	It("lacks no host while empty ones await a permission", func() {
+		// Guards against a pool that takes hosts from others for as long as the policy
+		// service does not answer.
+		s := step(5, 4000)
+		s.Lasting = true
+		r := &schedule.Request{
+			NowMS: 2000, MaxStarts: 256, Duration: func(*work.Job, int) int64 { return 1000 }, Jobs: jobs(job("j", "/policy/", s)),
+			Hosts:     func(string) []*schedule.Host { return []*schedule.Host{host("a", "", 4000)} },
+			Permitted: func(*work.Job, *work.Task, *work.Target, []*schedule.Host) bool { return false },
+			Capacity:  func(string) int64 { return math.MaxInt64 },
+			Empty:     func() []schedule.Kind { return []schedule.Kind{{Room: work.Demand{MilliCPU: 4000}}} },
+		}
+		Expect(schedule.Plan(r)).To(BeEmpty())
+		Expect(r.Lacking).To(Equal(map[string]int{"desk": 4}))
+	})
+
+	It("looks for no more empty hosts than there are", func() {
+		// Guards against plans that take seconds while thousands of lasting tasks wait
+		// that need a host each: every one was tried on the hosts of all before it.
+		var waiting []work.Submission
+		for i := range 200 {
+			s := step(1, 4000)
+			s.Lasting = true
+			waiting = append(waiting, job("j"+strconv.Itoa(i), "/urgent/", s))
+		}
+		asked := 0
+		r := &schedule.Request{
+			NowMS: 2000, MaxStarts: 256, Duration: func(*work.Job, int) int64 { return 1000 }, Jobs: jobs(waiting...),
+			Hosts: func(string) []*schedule.Host { return nil }, Capacity: func(string) int64 { return math.MaxInt64 },
+			Empty: func() []schedule.Kind {
+				asked++
+				return []schedule.Kind{{Room: work.Demand{MilliCPU: 4000}}}
+			}, MaxLacking: 20,
+		}
+		Expect(schedule.Plan(r)).To(BeEmpty())
+		Expect(r.Lacking).To(Equal(map[string]int{"desk": 20}))
+		Expect(r.LackingLasting).To(Equal(map[string]int{"desk": 20}))
+		Expect(asked).To(Equal(1))
+	})
+
 	It("starts occurrences at their times", func() {
 		// Guards against a start before it is due.
 		s := job("j", "/urgent/", step(1, 100))
