--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -473,8 +473,11 @@
 			return
 		}
 		out = sessionState{acknowledged: t.Acknowledged, born: t.Born, runs: t.Runs(), ended: t.Ended}
+		if !t.Ended {
+			return
+		}
 		for _, later := range v.Targets {
-			if t.Ended && later.ID == t.ID && later.Born > t.Born && (out.succeededMS == 0 || later.SucceededMS < out.succeededMS) {
+			if later.ID == t.ID && later.Born > t.Born && (out.succeededMS == 0 || later.SucceededMS < out.succeededMS) {
 				out.succeededMS = later.SucceededMS
 			}
 		}
