--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -92,7 +92,8 @@
 	}
 }
 
-// isSilent reports whether the target left the last hold without answer.
+// isSilent reports whether the target left the last hold and its repetition without
+// answer.
 func (s *session) isSilent() bool {
 	s.l.mu.Lock()
 	defer s.l.mu.Unlock()
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -106,11 +106,11 @@
 	return starts
 }
 
-// lackingPause is how long a lasting task waits for a host that takes it before
+// lackingPause is how long a task waits for a host that takes it before
 // its pool gets more hosts: other tasks end meanwhile.
 const lackingPause = 500 * time.Millisecond
 
-// lacking is what a pool needs for the lasting tasks that no host takes.
+// lacking is what a pool needs for the tasks that no host takes.
 type lacking struct {
 	since time.Time
 	hosts int
