--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,7 +22,7 @@
 type scenario func(rec *record, root, dir string, trouble bool) int
 
 var scenarios = map[string]scenario{
-	"gang-cut": gangCut, "gang-checkpoint": gangCheckpoint, "late-drain": lateDrain, "label-lost": labelLost, "gang-lost": gangLost, "many-ends": manyEnds,
+	"gang-cut": gangCut, "gang-checkpoint": gangCheckpoint, "label-lost": labelLost, "gang-lost": gangLost, "advice-lost": adviceLost, "many-ends": manyEnds,
 }
 
 // mostTime is how long a case may take.
@@ -101,7 +101,7 @@
 // gangCut: small jobs whose subtasks only work together wait while a large job takes all
 // workers. The large job is cancelled (trouble), or its subtasks end one after the other.
 func gangCut(rec *record, root, dir string, trouble bool) int {
-	r, err := startRegion(rec, root, dir, []service{{"plotline", "/plot/", 9, 4, nil}})
+	r, err := startRegion(rec, root, dir, []service{{name: "plotline", prefix: "/plot/", workers: 9, attempts: 4}})
 	defer r.close()
 	if err != nil {
 		rec.line("%v", err)
@@ -147,7 +147,7 @@
 
 // gangCheckpoint: one worker of a group that saves its progress crashes.
 func gangCheckpoint(rec *record, root, dir string, trouble bool) int {
-	r, err := startRegion(rec, root, dir, []service{{"plotline", "/plot/", 9, 4, nil}})
+	r, err := startRegion(rec, root, dir, []service{{name: "plotline", prefix: "/plot/", workers: 9, attempts: 4}})
 	defer r.close()
 	if err != nil {
 		rec.line("%v", err)
@@ -173,13 +173,24 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	result := held
+	carried := map[int]map[string]int{}
 	for _, a := range w.aloneEnds {
+		if carried[a.number] == nil {
+			carried[a.number] = map[string]int{}
+		}
+		carried[a.number][a.checkpoint]++
 		calm := a.began.Sub(back) > 2*contactMs*time.Millisecond
 		rec.line("%s run %d, started with checkpoint %q, ended alone; no disruption near: %t", a.task, a.number, a.checkpoint, calm)
 		if calm {
 			result = broken
 		}
 	}
+	for number, values := range carried {
+		rec.line("run %d of the group was started with %d different checkpoints: %v", number, len(values), values)
+	}
+	if result == broken {
+		rec.line("broken: GANG: runs ended alone with no disruption near; the members of one run carried different checkpoints")
+	}
 	if result == held && !completed {
 		return notDone
 	}
@@ -206,84 +217,10 @@
 	return nil
 }
 
-// lateDrain: a worker begins to leave while a start is on its way to it. It leaves that
-// start and its first repetition unanswered and carries them out late (trouble).
-func lateDrain(rec *record, root, dir string, trouble bool) int {
-	r, err := startRegion(rec, root, dir, []service{{"plotline", "/plot/", 9, 4, nil}, {"shopfront", "/shop/", 11, 2, nil}})
-	defer r.close()
-	if err != nil {
-		rec.line("%v", err)
-		return notDone
-	}
-	w := r.provider.world
-	var leaving *worker
-	target := newJob("/plot/", constant(5*time.Second), step{Count: 1, CPU: 1800, MemMB: 1000, EstimateMS: 5000})
-	unanswered, orders := 0, 0
-	var begun []time.Time
-	w.mu.Lock()
-	w.orderHook = func(e *worker, path string, o *order) time.Duration {
-		if path != "/run-start" || o.Task[:16] != target.id {
-			return 0
-		}
-		if leaving == nil {
-			leaving = e
-			orders = w.orders
-			e.drain()
-		}
-		if trouble && e == leaving && unanswered < 2 {
-			unanswered++
-			return time.Duration(4+2*unanswered) * time.Second
-		}
-		return 0
-	}
-	w.beginHook = func(e *worker, run *run) {
-		if e == leaving && run.task[:16] == target.id {
-			begun = append(begun, time.Now())
-		}
-	}
-	w.mu.Unlock()
-	background := time.Now()
-	var jobs []*job
-	submitBackground := func() {
-		j := newJob("/shop/", constant(time.Second), step{Count: 6, CPU: 1800, MemMB: 1000, EstimateMS: 1000})
-		if r.submit(j) {
-			jobs = append(jobs, j)
-		}
-	}
-	for time.Since(background) < 4*time.Second {
-		submitBackground()
-		time.Sleep(150 * time.Millisecond)
-	}
-	if !r.submit(target) {
-		return notDone
-	}
-	for time.Since(background) < 12*time.Second {
-		submitBackground()
-		time.Sleep(150 * time.Millisecond)
-	}
-	done := waitFor(20*time.Second, func() bool { return r.state(target) == "completed" })
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if leaving == nil || leaving.drainSeen.IsZero() || len(begun) == 0 && !done {
-		rec.line("no start reached the worker, or its leaving was not confirmed")
-		return notDone
-	}
-	rec.line("%d orders of %d after the first unanswered one were left unanswered", unanswered, w.orders-orders)
-	for _, at := range begun {
-		after := at.Sub(leaving.drainSeen)
-		rec.line("a start on %s began %v after its leaving was confirmed", leaving.id, after.Round(time.Millisecond))
-		if after > drainMs*time.Millisecond {
-			rec.line("broken: DRAIN: the bound is %d ms", drainMs)
-			return broken
-		}
-	}
-	return held
-}
-
 // manyEnds: a worker with many short subtasks is cut off and runs on for less than its
 // lease.
 func manyEnds(rec *record, root, dir string, trouble bool) int {
-	r, err := startRegion(rec, root, dir, []service{{"plotline", "/plot/", 9, 4, nil}})
+	r, err := startRegion(rec, root, dir, []service{{name: "plotline", prefix: "/plot/", workers: 9, attempts: 4}})
 	defer r.close()
 	if err != nil {
 		rec.line("%v", err)
@@ -382,7 +319,7 @@
 	r.provider.world.mu.Lock()
 	for _, m := range r.provider.machines {
 		if m.worker != nil {
-			r.rec.line("machine %s, kind %s: worker %s runs %d subtasks, draining %t", m.name, m.kind, m.worker.id, len(m.worker.runs), m.worker.draining)
+			r.rec.line("machine %s, kind %s: worker %s runs %d subtasks", m.name, m.kind, m.worker.id, len(m.worker.runs))
 		}
 	}
 	r.provider.world.mu.Unlock()
@@ -399,13 +336,34 @@
 // labelLost: two workers are of the kind that a job requires. One of them is lost for good
 // (trouble) before the job is submitted.
 func labelLost(rec *record, root, dir string, trouble bool) int {
-	r, err := startRegion(rec, root, dir, []service{{"plotline", "/plot/", 9, 4, map[int]string{0: "b", 5: "b"}}})
+	s := service{name: "plotline", prefix: "/plot/", workers: 9, attempts: 4, kinds: map[int]string{0: "b", 5: "b"}}
+	return onlyTwoSuit(rec, root, dir, trouble, s, "b")
+}
+
+// adviceLost: the policy allows two workers for a queue. One of them is lost for good
+// (trouble) before the job is submitted.
+func adviceLost(rec *record, root, dir string, trouble bool) int {
+	s := service{name: "plotline", prefix: "/plot/", workers: 9, attempts: 4, advice: true}
+	return onlyTwoSuit(rec, root, dir, trouble, s, "")
+}
+
+// onlyTwoSuit submits a job that only the first and the sixth worker can run, before and
+// after the first one is lost.
+func onlyTwoSuit(rec *record, root, dir string, trouble bool, s service, label string) int {
+	r, err := startRegion(rec, root, dir, []service{s})
 	defer r.close()
 	if err != nil {
 		rec.line("%v", err)
 		return notDone
 	}
-	first := newJob("/plot/", constant(time.Second), step{Count: 6, CPU: 1800, MemMB: 1000, EstimateMS: 1000, RequiredLabel: "b"})
+	if s.advice {
+		suitable := map[*machine]string{r.provider.machines[0]: "t-0", r.provider.machines[5]: "t-5"}
+		r.provider.world.mu.Lock()
+		r.provider.world.tickets = func(m *machine) string { return suitable[m] }
+		r.provider.world.mu.Unlock()
+	}
+	work := step{Count: 6, CPU: 1800, MemMB: 1000, EstimateMS: 1000, RequiredLabel: label}
+	first, second := newJob("/plot/", constant(time.Second), work), newJob("/plot/", constant(time.Second), work)
 	if !r.submit(first) || !waitFor(15*time.Second, func() bool { return r.state(first) == "completed" }) {
 		rec.line("the first job is not completed")
 		return notDone
@@ -414,17 +372,17 @@
 	if trouble {
 		r.provider.machines[0].crash(0)
 	}
-	time.Sleep(6 * time.Second) // the loss is known, and everything is in touch again
-	second := newJob("/plot/", constant(time.Second), step{Count: 6, CPU: 1800, MemMB: 1000, EstimateMS: 1000, RequiredLabel: "b"})
+	time.Sleep(2 * contactMs * time.Millisecond) // the loss is known, and everything is in touch again
 	if !r.submit(second) {
 		return notDone
 	}
 	return r.lost(second)
 }
 
-// gangLost: a worker crashes on which one subtask of a group runs that works together.
+// gangLost: a worker is lost for good on which one subtask of a group runs that works
+// together.
 func gangLost(rec *record, root, dir string, trouble bool) int {
-	r, err := startRegion(rec, root, dir, []service{{"plotline", "/plot/", 12, 4, nil}})
+	r, err := startRegion(rec, root, dir, []service{{name: "plotline", prefix: "/plot/", workers: 12, attempts: 4}})
 	defer r.close()
 	if err != nil {
 		rec.line("%v", err)
@@ -446,7 +404,7 @@
 	if trouble {
 		for _, m := range r.provider.machines {
 			if len(m.worker.runs) > 0 {
-				m.crash(2 * time.Second)
+				m.crash(0)
 				break
 			}
 		}
--- a/review/standin/provider.go
+++ b/review/standin/provider.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -55,7 +56,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /machines", p.list)
 	mux.HandleFunc("POST /machine-move", p.move)
-	mux.HandleFunc("POST /advise", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTooManyRequests) })
+	mux.HandleFunc("POST /advise", p.advise)
 	p.server = &http.Server{Handler: mux}
 	go func() { _ = p.server.Serve(listener) }()
 	return p, nil
@@ -171,3 +172,28 @@
 	}
 	w.WriteHeader(http.StatusBadRequest)
 }
+
+// ticketValidMs is how long a ticket is valid.
+const ticketValidMs = 3000
+
+// advise answers which of the named workers the policy allows.
+func (p *provider) advise(w http.ResponseWriter, r *http.Request) {
+	var q struct {
+		Step    string
+		Workers []string
+	}
+	if json.NewDecoder(r.Body).Decode(&q) != nil || p.world.tickets == nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	good := []any{}
+	for _, m := range p.machines {
+		m.mu.Lock()
+		if ticket := p.world.tickets(m); m.worker != nil && ticket != "" && slices.Contains(q.Workers, m.worker.id) {
+			good = append(good, []any{m.worker.id, ticket})
+		}
+		m.mu.Unlock()
+	}
+	p.world.rec.line("advice: step %s, %d workers named, %d of them allowed", q.Step, len(q.Workers), len(good))
+	_, _ = w.Write(mustJSON(map[string]any{"good": good, "validMs": ticketValidMs}))
+}
--- a/review/standin/region.go
+++ b/review/standin/region.go
@@ -157,6 +157,8 @@
 	attempts     int
 	// kinds holds the kinds of machines that are not "a", by number.
 	kinds map[int]string
+	// advice is set if the queue has a policy.
+	advice bool
 }
 
 var errSetup = errors.New("the region did not start")
@@ -275,10 +277,14 @@
 	r.version++
 	var routes, list []any
 	for i, s := range services {
-		routes = append(routes, map[string]any{
+		route := map[string]any{
 			"name": fmt.Sprintf("r-%d", i), "host": domain, "pathPrefix": s.prefix, "kind": "non_idempotent", "timeoutMs": 3000,
 			"targetLatencyMs": 600, "priority": i, "service": s.name, "attempts": s.attempts, "stretch": 1.6,
-		})
+		}
+		if s.advice {
+			route["advice"] = map[string]any{"decideMs": 20, "eachMs": 2, "validMs": ticketValidMs}
+		}
+		routes = append(routes, route)
 		list = append(list, map[string]any{
 			"name": s.name, "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": false, "enforcesCapacity": false, "standby": false,
 		})
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -22,17 +22,15 @@
 	rec   *record
 	jobs  *jobTable
 	gangs map[string]*gang
-	// starts and orders count the runs that began and all orders that were received.
-	starts, orders int
 	// doneAt holds, by subtask, the run that ended done.
 	doneAt map[string]*end
 	// aloneEnds are the ends of runs that waited in vain for the others of their group.
 	aloneEnds []*run
 	// beginHook, if set, is called for each run that begins on an order.
 	beginHook func(w *worker, r *run)
-	// orderHook, if set, may leave an order unanswered: it is carried out after the
-	// returned delay.
-	orderHook func(w *worker, path string, o *order) time.Duration
+	// tickets, if set, returns the ticket that a start of a subtask on a machine needs,
+	// empty if the policy does not allow the machine.
+	tickets func(m *machine) string
 }
 
 // gang is one run of the subtasks that only work together.
@@ -54,8 +52,6 @@
 
 	// The world's mutex guards these.
 	dead      bool
-	draining  bool
-	drainSeen time.Time // when draining was confirmed
 	confirmed bool
 	fence     uint64
 	leaseEnd  int64
@@ -65,7 +61,6 @@
 	ended     []*end
 	number    int64
 	heardHold time.Time // when the last list was answered
-	beatNow   chan struct{}
 }
 
 // run is a subtask that was started.
@@ -103,6 +98,7 @@
 	UntilMS    int64  `json:"untilMs"`
 	Fence      uint64 `json:"fence"`
 	Checkpoint string `json:"checkpoint"`
+	Ticket     string `json:"ticket"`
 	LastSeen   int64  `json:"lastSeen"`
 	WaitMS     int64  `json:"waitMs"`
 }
@@ -115,7 +111,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	e := &worker{
 		w: w, m: m, id: fmt.Sprintf("i-%08x", rand.Uint32()), born: time.Now(), stop: stop, runs: map[string]*run{},
-		highest: map[string]int{}, changed: make(chan struct{}), beatNow: make(chan struct{}, 1),
+		highest: map[string]int{}, changed: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
 	for path, f := range map[string]func(o *order) (int, map[string]any){
@@ -144,23 +140,6 @@
 		}
 		instance := r.Header.Get("X-Target-Instance")
 		e.w.mu.Lock()
-		e.w.orders++
-		var late time.Duration
-		if e.w.orderHook != nil {
-			late = e.w.orderHook(e, path, &o)
-		}
-		if late > 0 {
-			e.w.rec.line("worker %s: %s %s run %d is left unanswered, carried out in %v", e.id, path, o.Task, o.Run, late)
-			time.AfterFunc(late, func() {
-				e.w.mu.Lock()
-				defer e.w.mu.Unlock()
-				status, answer := e.carryOut(instance, &o, f)
-				e.w.rec.line("worker %s: %s %s run %d carried out late: %d %v", e.id, path, o.Task, o.Run, status, answer)
-			})
-			e.w.mu.Unlock()
-			<-r.Context().Done()
-			return
-		}
 		status, answer := e.carryOut(instance, &o, f)
 		answer["clockMs"] = e.clock()
 		if path != "/hold" {
@@ -198,12 +177,14 @@
 		return http.StatusConflict, map[string]any{"reason": "late"}
 	}
 	j, k, stepNumber, index := e.w.jobs.find(o.Task)
-	if j == nil {
+	switch {
+	case j == nil:
 		return http.StatusBadRequest, map[string]any{}
+	case e.w.tickets != nil && (o.Ticket == "" || o.Ticket != e.w.tickets(e.m)):
+		return http.StatusConflict, map[string]any{"reason": "ticket"}
 	}
 	r := &run{on: e, task: o.Task, number: o.Run, checkpoint: o.Checkpoint, began: time.Now(), index: index, progress: progressOf(o.Checkpoint)}
 	e.runs[o.Task] = r
-	e.w.starts++
 	if e.w.beginHook != nil {
 		e.w.beginHook(e, r)
 	}
@@ -423,15 +404,6 @@
 	_ = e.server.Close()
 }
 
-// drain reports that the worker leaves.
-func (e *worker) drain() {
-	e.draining = true
-	select {
-	case e.beatNow <- struct{}{}:
-	default:
-	}
-}
-
 // beat sends heartbeats.
 func (e *worker) beat(ctx context.Context) {
 	client := &http.Client{Timeout: time.Second}
@@ -441,37 +413,22 @@
 		if address == "" {
 			address = e.m.p.region.control()
 		}
-		e.w.mu.Lock()
-		draining := e.draining
-		clock := e.clock()
-		e.w.mu.Unlock()
 		body := map[string]any{
 			"service": e.m.pool, "address": e.link.address(), "zone": e.m.zone, "version": "v1", "slots": 8, "state": "ready",
-			"coldLeftMs": 0, "machine": e.m.name, "born": e.born.UnixMilli(), "seq": seq, "clockMs": clock,
+			"coldLeftMs": 0, "machine": e.m.name, "born": e.born.UnixMilli(), "seq": seq, "clockMs": e.clock(),
 			"capacity": map[string]any{"cpu": 32000, "memMb": 65536, "gpu": 0}, "labels": []string{e.m.kind, e.m.rack},
 		}
-		if draining {
-			body["state"], body["remainingMs"] = "draining", 10000
-		}
 		next, ok := e.send(ctx, client, address, mustJSON(body))
 		address = next
-		e.w.mu.Lock()
+		pause := 100 * time.Millisecond
 		if ok {
+			pause = heartbeatMs * time.Millisecond
+			e.w.mu.Lock()
 			e.confirmed = true
-		}
-		if ok && draining && e.drainSeen.IsZero() {
-			e.drainSeen = time.Now()
-			e.w.rec.line("worker %s: draining is confirmed", e.id)
-		}
-		again := draining && e.drainSeen.IsZero() || (e.draining && !draining)
-		e.w.mu.Unlock()
-		pause := heartbeatMs * time.Millisecond
-		if !ok || again {
-			pause = 100 * time.Millisecond
+			e.w.mu.Unlock()
 		}
 		select {
 		case <-ctx.Done():
-		case <-e.beatNow:
 		case <-time.After(pause):
 		}
 	}
