Wait for the ended runs that a truncated list lacks

Cause: a target lists at most 500 ended runs at a time. The leader took a run that is neither running nor ended in a list for vanished, stopped it, and closed it once the stop was confirmed. The task started again, and the end that came in a later list was acknowledged and ignored.

Change: the adapter marks a list that may be truncated. The leader decides nothing about the runs that such a list lacks; each list is acknowledged at once, so that the next one follows. A new leader does not repeat their starts either. Logs and counters show truncated lists, started runs that a list lacks, and ends of runs that were closed before.

--- a/internal/leader/metrics.go
+++ b/internal/leader/metrics.go
@@ -10,11 +10,15 @@
 
 // Metrics of the leader, in the process-wide set.
 var (
-	startsOrdered     = metrics.GetOrCreateCounter("agatehaven_starts_ordered_total")
-	startsRefused     = metrics.GetOrCreateCounter("agatehaven_starts_refused_total")
-	startsUnanswered  = metrics.GetOrCreateCounter("agatehaven_starts_unanswered_total")
-	holdsSent         = metrics.GetOrCreateCounter("agatehaven_holds_total")
-	holdsUnanswered   = metrics.GetOrCreateCounter("agatehaven_holds_unanswered_total")
+	startsOrdered    = metrics.GetOrCreateCounter("agatehaven_starts_ordered_total")
+	startsRefused    = metrics.GetOrCreateCounter("agatehaven_starts_refused_total")
+	startsUnanswered = metrics.GetOrCreateCounter("agatehaven_starts_unanswered_total")
+	holdsSent        = metrics.GetOrCreateCounter("agatehaven_holds_total")
+	holdsUnanswered  = metrics.GetOrCreateCounter("agatehaven_holds_unanswered_total")
+	// listsTruncated counts lists that do not hold all ended runs, and endsAfterClose the
+	// runs that are listed as done after they were closed.
+	listsTruncated    = metrics.GetOrCreateCounter("agatehaven_run_lists_truncated_total")
+	endsAfterClose    = metrics.GetOrCreateCounter("agatehaven_ends_after_close_total")
 	leasesEnded       = metrics.GetOrCreateCounter("agatehaven_leases_ended_total")
 	hostMoves         = metrics.GetOrCreateCounter("agatehaven_host_moves_total")
 	hostOrdersRefused = metrics.GetOrCreateCounter("agatehaven_host_orders_refused_total")
--- a/internal/leader/ports.go
+++ b/internal/leader/ports.go
@@ -111,6 +111,10 @@
 	Ended   []work.EndedRun `cbor:"4,keyasint,omitempty"`
 	// Unreadable reports the rows that could not be read. The others are valid.
 	Unreadable UnreadableRows `cbor:"5,keyasint"`
+	// Truncated is set if the target may have more ended runs than Ended holds. It lists
+	// them in the order of their numbers, so those that it has left out follow once these
+	// are acknowledged.
+	Truncated bool `cbor:"6,keyasint,omitempty"`
 }
 
 // UnreadableRows reports the rows of a list that could not be read, in whole or in
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -82,8 +82,9 @@
 	// acknowledged.
 	acknowledged int64
 	orders       map[work.RunRef]*order
-	// rowsLogged is when unreadable rows were last logged. Only run uses it.
-	rowsLogged time.Time
+	// rowsLogged is when unreadable rows were last logged, and truncatedLogged when a
+	// truncated list was. Only run uses them.
+	rowsLogged, truncatedLogged time.Time
 }
 
 // order is what the leader has observed of a run; it is not replicated.
@@ -519,6 +520,7 @@
 func (s *session) applyList(h *RunList, sent time.Time, acknowledged int64) {
 	h.filterEnded(acknowledged)
 	s.logUnreadable(&h.Unreadable)
+	s.logTruncated(h, acknowledged)
 	report := s.reconcile(h, sent, acknowledged)
 	if report != nil {
 		if s.l.report(report) {
@@ -572,6 +574,19 @@
 	s.l.log.Warn().Err(u).Str("target", s.key).Msg("list of runs not read in full")
 }
 
+// logTruncated logs lists that do not hold all ended runs.
+func (s *session) logTruncated(h *RunList, acknowledged int64) {
+	if !h.Truncated {
+		return
+	}
+	listsTruncated.Inc()
+	if now := s.l.now(); now.Sub(s.truncatedLogged) >= rowsLogInterval {
+		s.truncatedLogged = now
+		s.l.log.Info().Str("target", s.key).Int("ends", len(h.Ended)).Int("running", len(h.Running)).
+			Int64("acknowledged", acknowledged).Msg("list of ended runs is truncated")
+	}
+}
+
 // listActions is what a list of runs calls for.
 type listActions struct {
 	report *work.Report
@@ -580,20 +595,30 @@
 	stop, resumeStart []work.RunRef
 	// incomplete is set if rows of the list were skipped.
 	incomplete bool
+	// truncated is set if a later list will show ended runs that this one lacks.
+	truncated bool
+	// closedBefore holds the runs that are listed as done and that the state had closed
+	// before, so that their tasks may have been started again.
+	closedBefore []work.RunRef
 }
 
-// mayBeUnreadable reports whether a run that a list lacks may be in a skipped row. A
-// row that is still skipped maxOrderDelay after the run was last listed or was stopped
-// is about something else; waiting for it would keep the task from ever starting again.
-func (c *listActions) mayBeUnreadable(since, sent time.Time) bool {
-	return c.incomplete && sent.Sub(since) < maxOrderDelay
+// mayLack reports whether a run that the list does not show may nevertheless be alive or
+// have ended on the target. It may be in a skipped row; a row that is still skipped
+// maxOrderDelay after the run was last listed or was stopped is about something else, and
+// waiting for it would keep the task from ever starting again.
+func (c *listActions) mayLack(since, sent time.Time) bool {
+	return c.truncated || (c.incomplete && sent.Sub(since) < maxOrderDelay)
 }
 
 // reconcile compares a list with the runs that the state holds and sends the orders
 // that it calls for. It returns what has to be recorded, or nil.
 func (s *session) reconcile(h *RunList, sent time.Time, acknowledged int64) *work.Report {
 	l := s.l
-	c := &listActions{report: &work.Report{Target: s.key, EndedRuns: h.Ended}, incomplete: h.Unreadable.LeftOut > 0}
+	c := &listActions{
+		report: &work.Report{Target: s.key, EndedRuns: h.Ended}, incomplete: h.Unreadable.LeftOut > 0,
+		// Without a row that can be acknowledged, the next list would be the same.
+		truncated: h.Truncated && len(h.Ended) > 0,
+	}
 	finished := l.finished(h.Ended)
 	l.mu.Lock()
 	l.cfg.StateMachine.Read(func(v *work.View) {
@@ -609,6 +634,10 @@
 	s.acknowledged = max(s.acknowledged, acknowledged)
 	s.answered = l.now()
 	l.mu.Unlock()
+	if len(c.closedBefore) > 0 {
+		endsAfterClose.Add(len(c.closedBefore))
+		s.logRun(c.closedBefore[0]).Int("runs", len(c.closedBefore)).Msg("runs were done on the target, but had been closed before")
+	}
 	for _, r := range c.stop {
 		s.stop(r)
 	}
@@ -627,6 +656,9 @@
 	t.EachRun(func(r work.RunRef) { held[r] = true })
 	for _, e := range h.Ended {
 		ended[e.Run] = true
+		if e.Outcome == work.OutcomeDone && isOpen(v, e.Run) {
+			c.closedBefore = append(c.closedBefore, e.Run)
+		}
 	}
 	s.starting = false
 	for _, r := range h.Running {
@@ -659,22 +691,35 @@
 	}
 }
 
+// isOpen reports whether a task has to run (again) although the state holds no run, or a
+// later one, of it.
+func isOpen(v *work.View, r work.RunRef) bool {
+	j, t := v.Find(r.Task)
+	return j != nil && !j.State.Final() && !t.Done && !j.Spec.Steps[t.Step].LongLived && (t.Run != r.Run || !t.Active())
+}
+
 // reconcileRun decides on one run that the state holds and that has not ended.
 func (s *session) reconcileRun(v *work.View, r work.RunRef, listed bool, sent time.Time, c *listActions) {
 	job, _ := v.Find(r.Task)
 	o := s.orderOf(r)
 	switch {
-	case !o.stoppedAt.IsZero() && o.stoppedAt.Before(sent) && !listed && !c.mayBeUnreadable(o.stoppedAt, sent):
-		s.logRun(r).Msg("stopped run is not listed")
+	case !o.stoppedAt.IsZero() && o.stoppedAt.Before(sent) && !listed && !c.mayLack(o.stoppedAt, sent):
+		s.logRun(r).Dur("stopped_before", sent.Sub(o.stoppedAt)).Int("listed_ends", len(c.report.EndedRuns)).
+			Bool("skipped_rows", c.incomplete).Msg("stopped run is not listed")
 		c.report.Closed = append(c.report.Closed, r)
 	case job == nil || job.State.Final():
 		c.stop = append(c.stop, r)
 	case listed:
 	case !o.startedAt.IsZero() && o.startedAt.Before(sent):
-		if !c.mayBeUnreadable(latest(o.startedAt, o.listedAt), sent) {
-			c.stop = append(c.stop, r) // it vanished: make sure that it cannot begin again
+		if c.mayLack(latest(o.startedAt, o.listedAt), sent) {
+			return
+		}
+		if !o.stopping && o.stoppedAt.IsZero() {
+			s.logRun(r).Dur("started_before", sent.Sub(o.startedAt)).Int("listed_ends", len(c.report.EndedRuns)).
+				Bool("skipped_rows", c.incomplete).Msg("started run is not listed")
 		}
-	case !o.starting && o.stoppedAt.IsZero():
+		c.stop = append(c.stop, r) // make sure that it cannot begin again
+	case !o.starting && o.stoppedAt.IsZero() && !c.truncated:
 		c.resumeStart = append(c.resumeStart, r)
 	}
 }
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -101,6 +101,10 @@
 	goal map[string]string
 	// workers makes the calls to targets in place of the leader, if it is set.
 	workers *faultyWorkers
+	// onStart, if set, is called with every start that a target receives.
+	onStart func(o *leader.StartOrder)
+	// endsPerList bounds the ended runs of a list.
+	endsPerList int
 	// logs holds the log lines of the leaders and the events of the targets.
 	logs logBuffer
 }
@@ -155,8 +159,9 @@
 
 func newWorld(t *testing.T) *world {
 	w := &world{t: t, stateMachine: work.New(), quorum: true, commit: worldCommit, stopTime: worldStop, targets: map[string]*target{}, alive: map[work.TaskRef]int{},
-		goal: map[string]string{},
-		off:  map[string]bool{}, parked: map[string]string{}}
+		goal:        map[string]string{},
+		endsPerList: 500,
+		off:         map[string]bool{}, parked: map[string]string{}}
 	w.propose(&work.Command{Configure: &work.Configuration{
 		Version: 1, Pools: []work.Pool{{Name: "desk"}, {Name: "cuts"}, {Name: "off", Standby: true}},
 		Queues: []work.Queue{
@@ -467,6 +472,9 @@
 // Start implements leader.Targets.
 func (w *world) Start(ctx context.Context, to leader.Address, o *leader.StartOrder) (leader.Reply, error) {
 	return w.deliver(ctx, to, func(t *target) leader.Refusal {
+		if w.onStart != nil {
+			w.onStart(o)
+		}
 		switch {
 		case t.fenced(o.Fence):
 			return leader.RefusedFence
@@ -605,7 +613,8 @@
 		}
 		t.extendLease(o.UntilMS)
 		t.ended = slices.DeleteFunc(t.ended, func(e work.EndedRun) bool { return e.Number <= o.Acknowledged })
-		out = &leader.RunList{Born: t.state.Born, Ended: slices.Clone(t.ended)}
+		listed := min(len(t.ended), t.w.endsPerList)
+		out = &leader.RunList{Born: t.state.Born, Ended: slices.Clone(t.ended[:listed]), Truncated: listed == t.w.endsPerList}
 		for ref := range maps.Keys(t.runs) {
 			out.Running = append(out.Running, leader.RunningRun{Run: ref, Percent: 100})
 		}
