Measure maintenance on the monotonic clock

Cause: a host counted as back once twice the maintenance time had passed between two wall-clock times, or once a target had a later start time than the begin in the log. A jump by 2.4 s, ahead or back, or a new leader with another clock, freed the place of a host that was still down.

Change: a host is back once a target on it has answered a call that was made after the leader knew of the begin, or once twice the time has passed on the leader's monotonic clock, which a new leader starts anew. The clock of the log follows the monotonic clock within a term; only occurrences of jobs follow the time of day. Jumps of the wall clock are logged.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -64,6 +64,9 @@
 	// away holds the unreachable data centres, as of awayAt.
 	away   map[string]bool
 	awayAt time.Time
+	// maintained holds since when this leader has known that the maintenance of a host has
+	// begun, until the host is back.
+	maintained map[waveStep]time.Time
 	// tokensIssued counts the platform tokens of this term.
 	tokensIssued uint64
 }
@@ -96,7 +99,16 @@
 	h.retryAt = now.Add(min(orderBackoff<<min(h.refusals-1, 8), maxOrderBackoff))
 }
 
-func newFleet() fleet { return fleet{hosts: map[string]*host{}} }
+func newFleet() fleet { return fleet{hosts: map[string]*host{}, maintained: map[waveStep]time.Time{}} }
+
+// awaitedHosts returns the hosts in maintenance.
+func (f *fleet) awaitedHosts() map[string]bool {
+	hosts := map[string]bool{}
+	for step := range f.maintained {
+		hosts[step.host] = true
+	}
+	return hosts
+}
 
 // reserved reports whether a host gets no new runs.
 func (f *fleet) reserved(name string) bool {
@@ -513,7 +525,7 @@
 		pools[i] = poolsize.Pool{Name: p.Name, Standby: p.Standby}
 		index[p.Name] = &poolDemand{Pool: &pools[i]}
 	}
-	now := l.now().UnixMilli()
+	now := l.nowMS()
 	away := l.awayDataCentres(v)
 	l.arrivals.add(v, now, l.estimates.expected)
 	for _, j := range v.Live {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -146,10 +146,10 @@
 	suspected int
 }
 
-// New returns a Leader for a term.
+// New returns a Leader for a term in which this process has been elected.
 func New(cfg Config, term uint64) *Leader {
 	return &Leader{
-		cfg: cfg, term: term, log: cfg.Log.With().Uint64("term", term).Logger(),
+		cfg: cfg, term: term, elected: cfg.Clock.Now(), log: cfg.Log.With().Uint64("term", term).Logger(),
 		sessions: map[string]*session{}, statuses: map[string]*targetStatus{}, wake: make(wakeup, 1),
 		planning: make(planLock, 1), fleet: newFleet(), estimates: newDurationEstimates(), permits: newPermits(), reports: newReports(),
 		missingHosts: map[string]missingHosts{},
@@ -159,7 +159,6 @@
 // Run carries out the leader's duties until ctx ends.
 func (l *Leader) Run(ctx context.Context) {
 	l.ctx = ctx
-	l.elected = l.now()
 	loops := []func(){l.confirmLoop, l.planLoop, l.sessionLoop, l.fleetLoop, l.permitLoop, l.reportLoop}
 	for _, duty := range loops {
 		l.wg.Go(duty)
@@ -169,6 +168,11 @@
 
 func (l *Leader) now() time.Time { return l.cfg.Clock.Now() }
 
+// nowMS returns the time for the log, in Unix ms: the wall-clock time of the election,
+// continued on the monotonic clock. Within a term it does not jump. The times of two
+// leaders can differ by maxClockJump.
+func (l *Leader) nowMS() int64 { return l.elected.Add(l.now().Sub(l.elected)).UnixMilli() }
+
 // sleep waits for d. It returns false if the leader's context ended.
 func (l *Leader) sleep(d time.Duration) bool {
 	select {
@@ -181,8 +185,10 @@
 
 // confirmLoop proves at intervals, by a read barrier, that no other leader was elected.
 func (l *Leader) confirmLoop() {
+	var ahead time.Duration
 	for {
 		started := l.now()
+		ahead = l.logClockJump(started, ahead)
 		ctx, cancel := context.WithTimeout(l.ctx, confirmTimeout)
 		err := l.cfg.Group.ReadBarrier(ctx)
 		cancel()
@@ -198,6 +204,21 @@
 	}
 }
 
+// minClockJump is the least jump of the wall clock that is logged.
+const minClockJump = 250 * time.Millisecond
+
+// logClockJump logs a jump of the wall clock, which the times of the log lines show only to
+// those who know of it. before is by how much the wall clock was ahead of the monotonic
+// one, compared with the election; it returns by how much it is at a time.
+func (l *Leader) logClockJump(now time.Time, before time.Duration) time.Duration {
+	ahead := now.Round(0).Sub(l.elected.Round(0)) - now.Sub(l.elected)
+	if by := ahead - before; by.Abs() < minClockJump {
+		return before
+	}
+	l.log.Warn().Int64("by_ms", (ahead - before).Milliseconds()).Msg("wall clock jumped")
+	return ahead
+}
+
 // Confirmed reports whether the last proof of leadership is still valid, so that no
 // other leader can have been elected.
 func (l *Leader) Confirmed() bool {
@@ -208,7 +229,7 @@
 // Propose commits a command of any length. It returns the errors of replica.Group; a
 // refusal by the state machine is in the result.
 func (l *Leader) Propose(ctx context.Context, c *work.Command) (*work.Result, error) {
-	c.NowMS = l.now().UnixMilli()
+	c.NowMS = l.nowMS()
 	data, err := codec.Marshal(c)
 	if err != nil {
 		return nil, err
--- a/internal/leader/maintenance.go
+++ b/internal/leader/maintenance.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"time"
 
 	"agatehaven.dev/agatehaven/internal/drain"
 	"agatehaven.dev/agatehaven/internal/work"
@@ -82,7 +83,7 @@
 func (l *Leader) nextHosts(v *work.View, w *work.Wave, byHost map[string]*work.Target) []string {
 	now := l.now()
 	choice := &drain.Wave{
-		DownBudget: w.MaxDown - w.Down(), RemainingMS: w.StartedMS + w.DurationMS - now.UnixMilli(),
+		DownBudget: w.MaxDown - w.Down(), RemainingMS: w.StartedMS + w.DurationMS - l.nowMS(),
 		HostDownMS: l.cfg.Timing.Maintenance.Milliseconds(),
 	}
 	for _, name := range w.Hosts {
@@ -147,24 +148,29 @@
 	answer, err := l.cfg.Platform.Maintain(ctx, r.host, r.wave, token)
 	cancel()
 	if err != nil {
-		l.log.Warn().Err(err).Str("host", r.host).Msg("maintenance order not answered")
+		l.log.Warn().Err(err).Str("host", r.host).Int64("wave", r.wave).Msg("maintenance order not answered")
 		return
 	}
 	l.log.Info().Str("host", r.host).Int64("wave", r.wave).Str("outcome", string(answer)).Msg("maintenance ordered")
 	outcome = answer
 	if answer != PlatformDone {
-		kind := work.MaintenanceRefused
-		if l.isGone(r.host, answer) {
-			kind = work.MaintenanceGone
-			l.log.Info().Str("host", r.host).Int64("wave", r.wave).Msg("host of a wave is gone")
-		}
-		l.proposeOrLog(&work.Command{WaveSteps: []work.WaveStep{r.withKind(kind)}}, "refused maintenance")
+		l.noteRefusedMaintenance(r, answer)
 		return
 	}
 	l.noteHostDown(r.host, "", l.cfg.Timing.Maintenance)
 	l.proposeOrLog(&work.Command{WaveSteps: []work.WaveStep{r.withKind(work.MaintenanceBegun)}}, "begun maintenance")
 }
 
+// noteRefusedMaintenance records a refused order.
+func (l *Leader) noteRefusedMaintenance(r waveStep, answer PlatformAnswer) {
+	kind := work.MaintenanceRefused
+	if l.isGone(r.host, answer) {
+		kind = work.MaintenanceGone
+		l.log.Info().Str("host", r.host).Int64("wave", r.wave).Msg("host of a wave is gone")
+	}
+	l.proposeOrLog(&work.Command{WaveSteps: []work.WaveStep{r.withKind(kind)}}, "refused maintenance")
+}
+
 // isGone reports whether the platform no longer knows a host.
 func (l *Leader) isGone(name string, answer PlatformAnswer) bool {
 	l.mu.Lock()
@@ -172,26 +178,18 @@
 	return l.fleet.host(name).unlisted && (answer == PlatformRefused || answer == PlatformBusy)
 }
 
-// noteReturnedHosts records which hosts are back from maintenance: a target has
-// registered since then, or twice the maintenance time has passed.
+// returnedHost is a host that is back from maintenance.
+type returnedHost struct {
+	waveStep
+	// waited is for how long the leader knew that the maintenance had begun; answered is
+	// set if a target on the host proves that it is back.
+	waited   time.Duration
+	answered bool
+}
+
+// noteReturnedHosts records which hosts are back from maintenance.
 func (l *Leader) noteReturnedHosts() {
-	var returned []waveStep
-	now := l.now().UnixMilli()
-	l.cfg.StateMachine.Read(func(v *work.View) {
-		born := map[string]int64{}
-		for _, t := range v.Targets {
-			if !t.Ended {
-				born[t.Host] = max(born[t.Host], t.Born)
-			}
-		}
-		for _, w := range v.Waves {
-			for name, at := range w.Begun {
-				if !w.Returned[name] && (born[name] > at || now-at > 2*l.cfg.Timing.Maintenance.Milliseconds()) {
-					returned = append(returned, waveStep{w.ID, name})
-				}
-			}
-		}
-	})
+	returned := l.findReturnedHosts()
 	if len(returned) == 0 {
 		return
 	}
@@ -205,13 +203,68 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range returned {
+		delete(l.fleet.maintained, r.waveStep)
 		// A host that already has another order, for another pool or wave, stays
 		// reserved.
 		if h := l.fleet.host(r.host); h.reserved == reservedMaintenance && !h.orderPending {
 			h.reserved = ""
 		}
-		l.log.Info().Str("host", r.host).Int64("wave", r.wave).Msg("host is back from maintenance")
+		l.log.Info().Str("host", r.host).Int64("wave", r.wave).Dur("waited", r.waited).Bool("answered", r.answered).
+			Msg("host is back from maintenance")
+	}
+}
+
+// findReturnedHosts returns the hosts whose maintenance has ended. Either a target on the
+// host has answered a call that was made after the maintenance had begun, which ends all
+// that ran before, or twice its duration has passed on this process's monotonic clock. A
+// new leader measures that time from its own beginning. Neither the times in the log nor
+// the start times of targets count, since they are read from wall clocks.
+func (l *Leader) findReturnedHosts() []returnedHost {
+	var returned []returnedHost
+	now := l.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cfg.StateMachine.Read(func(v *work.View) {
+		for step := range l.fleet.maintained {
+			if w := v.Waves[step.wave]; w == nil || w.Returned[step.host] {
+				delete(l.fleet.maintained, step)
+			}
+		}
+		for _, w := range v.Waves {
+			for name := range w.Begun {
+				step := waveStep{w.ID, name}
+				since, known := l.fleet.maintained[step]
+				switch {
+				case w.Returned[name]:
+				case !known:
+					l.fleet.maintained[step] = now
+				default:
+					r := returnedHost{step, now.Sub(since), l.hasAnswered(v, name, since)}
+					if r.answered || r.waited > 2*l.cfg.Timing.Maintenance {
+						returned = append(returned, r)
+					}
+				}
+			}
+		}
+	})
+	return returned
+}
+
+// hasAnswered reports whether a target on a host has answered a call that was made after
+// a time. It calls those that were not called since. The mutex is held.
+func (l *Leader) hasAnswered(v *work.View, host string, after time.Time) bool {
+	for key, t := range v.Targets {
+		if t.Host != host || t.Ended {
+			continue
+		}
+		if s := l.sessions[key]; s != nil && s.listedAt.After(after) {
+			return true
+		}
+		if st := l.statuses[key]; st != nil && l.now().Sub(st.probed) >= probeInterval {
+			l.probe(t)
+		}
 	}
+	return false
 }
 
 // StartWave records a maintenance wave. It returns the errors of Propose, or a refusal
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -88,7 +88,7 @@
 	var starts []work.Start
 	l.cfg.StateMachine.Read(func(v *work.View) {
 		r := &schedule.Request{
-			NowMS: l.now().UnixMilli(), MaxStarts: maxStarts, Duration: l.estimates.expected,
+			NowMS: l.nowMS(), TimeOfDayMS: l.now().UnixMilli(), MaxStarts: maxStarts, Duration: l.estimates.expected,
 			Permitted: l.permitted, Capacity: l.capacity, HostTypes: l.fleet.hostTypes, MaxMissing: len(l.fleet.hosts),
 		}
 		l.prunePermits(v)
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -57,8 +57,10 @@
 	leaseEnd time.Time
 	// answered is when the target last answered a hold.
 	answered time.Time
-	// listed is set after the first list of runs.
-	listed bool
+	// listed is set after the first list of runs. listedAt is when the last one was
+	// requested.
+	listed   bool
+	listedAt time.Time
 	// starting is set while a listed long-lived task is not up yet.
 	starting bool
 	// unanswered is set while the last hold was not answered. Leases are not extended
@@ -139,11 +141,13 @@
 	alive := map[string]bool{}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	awaited := l.fleet.awaitedHosts()
 	l.cfg.StateMachine.Read(func(v *work.View) {
 		for key, t := range v.Targets {
 			alive[key] = true
-			// A new leader asks every target once whether it is alive.
-			if l.sessions[key] == nil && (t.Runs() > 0 || l.statuses[key] == nil) {
+			// A new leader asks every target once whether it is alive. The first answer after
+			// maintenance proves that a host is back.
+			if l.sessions[key] == nil && (t.Runs() > 0 || l.statuses[key] == nil || awaited[t.Host]) {
 				missing = append(missing, found{key, Address{t.Address, t.ID}, l.hasRecentPredecessor(t)})
 			}
 		}
@@ -210,7 +214,7 @@
 // hasRecentPredecessor reports whether a target may hold a lease that was meant for an
 // earlier incarnation with its id.
 func (l *Leader) hasRecentPredecessor(t *work.Target) bool {
-	since := time.Duration(l.now().UnixMilli()-t.TakeoverMS) * time.Millisecond
+	since := time.Duration(l.nowMS()-t.TakeoverMS) * time.Millisecond
 	return t.TakeoverMS > 0 && since < l.maxOrderEffect()+maxClockJump
 }
 
@@ -676,7 +680,7 @@
 		l.estimates.add(f.queue, f.ms)
 		taskSeconds.Update(float64(f.ms) / 1000)
 	}
-	s.listed = true
+	s.listed, s.listedAt = true, sent
 	s.answered = l.now()
 	l.mu.Unlock()
 	if len(c.closedBefore) > 0 {
@@ -849,7 +853,7 @@
 // comes from this leader or, shortly after the election, from a former one.
 func (s *session) closeEndedRuns(state *sessionState) {
 	l, now := s.l, s.l.now()
-	since := time.Duration(now.UnixMilli()-state.takeoverMS) * time.Millisecond
+	since := time.Duration(l.nowMS()-state.takeoverMS) * time.Millisecond
 	long := state.takeoverMS > 0 && since > l.maxOrderEffect()+maxClockJump
 	report := &work.Report{Target: s.key}
 	l.mu.Lock()
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -101,6 +101,19 @@
 	goal map[string]string
 	// workers makes the calls to targets in place of the leader, if it is set.
 	workers *faultyWorkers
+	// clock is that of the leaders that are started.
+	clock clock.Clock
+	// waves is what the platform knows of maintenance, and maintenanceFate, if set, decides
+	// on the answer to an order. maintenanceOrders counts the orders.
+	waves             map[int64]*waveRecord
+	maintenanceFate   func(number int) orderFate
+	maintenanceOrders int
+	// inMaintenance holds the hosts that accept no orders because they are in maintenance.
+	inMaintenance map[string]bool
+	// tokens holds the highest platform token for each host. They are not enforced if
+	// enforcesNoTokens is set.
+	tokens           map[string]uint64
+	enforcesNoTokens bool
 	// onStart, if set, is called with every start that a target receives.
 	onStart func(o *leader.StartOrder)
 	// endsPerList bounds the ended runs of a list.
@@ -166,7 +179,8 @@
 
 func newWorld(t *testing.T) *world {
 	w := &world{t: t, stateMachine: work.New(), quorum: true, commit: worldCommit, stopTime: worldStop, targets: map[string]*target{}, alive: map[work.TaskRef]int{},
-		goal:        map[string]string{},
+		goal:  map[string]string{},
+		clock: clock.System{}, waves: map[int64]*waveRecord{}, inMaintenance: map[string]bool{}, tokens: map[string]uint64{},
 		endsPerList: 500, begun: map[work.TaskRef]time.Time{}, doneNoted: map[work.TaskRef]bool{}, lasting: map[work.TaskRef]bool{},
 		off: map[string]bool{}, parked: map[string]string{}}
 	w.propose(&work.Command{Configure: &work.Configuration{
@@ -249,8 +263,8 @@
 		targets = w.workers.hub(ctx, w, term, func() bool { return l.Confirmed() })
 	}
 	l = leader.New(leader.Config{
-		Host: "core-" + strconv.FormatUint(term, 10), Group: w, StateMachine: w.stateMachine, Targets: targets, Platform: w, Policy: w, Clock: clock.System{},
-		Log: zerolog.New(&w.logs).With().Timestamp().Logger(), Orders: leader.NewOrderLog(clock.System{}),
+		Host: "core-" + strconv.FormatUint(term, 10), Group: w, StateMachine: w.stateMachine, Targets: targets, Platform: w, Policy: w, Clock: w.clock,
+		Log: zerolog.New(&w.logs).With().Timestamp().Logger(), Orders: leader.NewOrderLog(w.clock),
 		Timing: leader.Timing{
 			Announce: worldAnnounce, MaxLease: worldLease, Move: 1500 * time.Millisecond,
 			Maintenance: 2 * time.Second, HolderPause: 3 * time.Second, Stop: w.stopTime,
@@ -312,6 +326,12 @@
 func (w *world) add(id, host, address, pool string) *target {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return w.boot(id, host, address, pool)
+}
+
+// boot is add with the world's mutex held.
+func (w *world) boot(id, host, address, pool string) *target {
+	delete(w.inMaintenance, host)
 	if old := w.targets[address]; old != nil {
 		old.die()
 	}
@@ -756,7 +776,7 @@
 func (w *world) move(host, pool string) (leader.PlatformAnswer, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if up, off := w.off[host]; off && !up {
+	if up, off := w.off[host]; w.inMaintenance[host] || (off && !up) {
 		return leader.PlatformBusy, nil
 	}
 	if time.Since(w.taking) > time.Second {
@@ -796,25 +816,109 @@
 	return answer, nil
 }
 
+// worldMaintenance is how long a host is down for maintenance.
+const worldMaintenance = 2 * time.Second
+
+// waveRecord is what the platform knows of a wave: when the maintenance of its hosts began.
+type waveRecord struct{ begun map[string]time.Time }
+
+// orderFate is what happens to an order: it is carried out after a delay without an
+// answer, its answer is lost, it is refused as busy, or none of these.
+type orderFate struct {
+	late       time.Duration
+	lost, busy bool
+}
+
 // Maintain implements leader.Platform.
-func (w *world) Maintain(_ context.Context, host string, _ int64, _ leader.Token) (leader.PlatformAnswer, error) {
+func (w *world) Maintain(ctx context.Context, host string, wave int64, token leader.Token) (leader.PlatformAnswer, error) {
 	after(w.orderDelay)
+	var fate orderFate
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.leaving[host] {
+	w.maintenanceOrders++
+	if w.maintenanceFate != nil {
+		fate = w.maintenanceFate(w.maintenanceOrders)
+	}
+	if fate.busy {
+		w.mu.Unlock()
 		return leader.PlatformBusy, nil
 	}
+	if fate.late > 0 {
+		time.AfterFunc(fate.late, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.maintain(host, wave, token.Number)
+		})
+		w.mu.Unlock()
+		<-ctx.Done()
+		return "", &fault.ConnectionLost{Address: "platform", Reason: "no answer"}
+	}
+	answer := w.maintain(host, wave, token.Number)
+	w.mu.Unlock()
+	if fate.lost {
+		<-ctx.Done()
+		return "", &fault.ConnectionLost{Address: "platform", Reason: "no answer"}
+	}
+	return answer, nil
+}
+
+// maintain carries out a maintenance order and checks that the wave allows it. The world's
+// mutex is held.
+func (w *world) maintain(host string, wave int64, token uint64) leader.PlatformAnswer {
+	if token < w.tokens[host] && !w.enforcesNoTokens {
+		return leader.PlatformFenced
+	}
+	w.tokens[host] = token
+	if w.waves[wave] == nil {
+		w.waves[wave] = &waveRecord{begun: map[string]time.Time{}}
+	}
+	record := w.waves[wave]
+	if !record.begun[host].IsZero() {
+		return leader.PlatformDone
+	}
+	if w.leaving[host] || w.inMaintenance[host] {
+		return leader.PlatformBusy
+	}
 	for address, t := range w.targets {
 		if t.state.Host == host && t.dead && w.parked[host] == "" {
-			return leader.PlatformBusy, nil // it is down already
+			return leader.PlatformBusy // it is down already
 		}
 		if t.state.Host == host {
 			for ref := range t.runs {
 				w.violate("maintenance of %s ended %v", host, ref)
 			}
 			t.die()
-			time.AfterFunc(2*time.Second, func() { w.add(t.state.ID+"y", host, address, t.state.Pool).setDuration(t.duration) })
+			w.inMaintenance[host] = true
+			time.AfterFunc(worldMaintenance, func() { w.add(t.state.ID+"y", host, address, t.state.Pool).setDuration(t.duration) })
+		}
+	}
+	w.checkDown(wave, record, host)
+	record.begun[host] = time.Now()
+	return leader.PlatformDone
+}
+
+// crash replaces the target on a host by another one, unless the host is down.
+func (w *world) crash(id, host string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for address, t := range w.targets {
+		if t.state.Host == host && !t.dead {
+			w.boot(id, host, address, t.state.Pool)
+			return
 		}
 	}
-	return leader.PlatformDone, nil
+}
+
+// checkDown checks that one more host of a wave may go down. The world's mutex is held.
+func (w *world) checkDown(wave int64, record *waveRecord, host string) {
+	down, most := 0, 0
+	for _, at := range record.begun {
+		if time.Since(at) < worldMaintenance {
+			down++
+		}
+	}
+	w.stateMachine.Read(func(v *work.View) { most = v.Waves[wave].MaxDown })
+	w.note("maintenance of %s for wave %d beside %d others", host, wave, down)
+	if down >= most {
+		w.violate("%s is down for wave %d beside %d others, with at most %d", host, wave, down, most)
+	}
 }
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -54,9 +54,10 @@
 
 // Request is the input of Plan, and holds its secondary results.
 type Request struct {
-	// NowMS is the wall-clock time in Unix ms.
-	NowMS int64
-	Jobs  []*work.Job
+	// NowMS is the time in Unix ms on the clock of the times in the log. TimeOfDayMS is
+	// that of the wall clock, on which occurrences of jobs are due.
+	NowMS, TimeOfDayMS int64
+	Jobs               []*work.Job
 	// Hosts returns the usable hosts of a pool. It is called once for each pool with
 	// work.
 	Hosts func(pool string) []*Host
@@ -259,7 +260,7 @@
 // planJob adds the starts of a job's tasks that fit.
 func (r *Request) planJob(j *work.Job, starts []work.Start) []work.Start {
 	for k := range max(1, j.Spec.Occurrences) {
-		if j.Spec.Occurrences > 0 && r.NowMS < j.Spec.FirstMS+int64(k)*j.Spec.IntervalMS {
+		if j.Spec.Occurrences > 0 && r.TimeOfDayMS < j.Spec.FirstMS+int64(k)*j.Spec.IntervalMS {
 			break
 		}
 		for i := range j.Spec.Steps {
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -68,7 +68,7 @@
 
 func plan(nowMS int64, js []*work.Job, hosts ...*schedule.Host) []work.Start {
 	return schedule.Plan(&schedule.Request{
-		NowMS: nowMS, Jobs: js, Hosts: func(string) []*schedule.Host { return hosts }, MaxStarts: 100,
+		NowMS: nowMS, TimeOfDayMS: nowMS, Jobs: js, Hosts: func(string) []*schedule.Host { return hosts }, MaxStarts: 100,
 		Duration: func(*work.Job, int) int64 { return 1000 },
 	})
 }
@@ -263,4 +263,22 @@
 		Expect(plan(9_999, jobs(s), host("a", "", 1000))).To(BeEmpty())
 		Expect(plan(11_000, jobs(s), host("a", "", 1000))).To(HaveLen(2))
 	})
+
+	It("tells the time of day from the clock of the log", func() {
+		// Guards against an occurrence whose time depends on a clock that does not follow the
+		// time of day.
+		s := job("j", "/urgent/", step(1, 100))
+		s.Spec.Occurrences, s.Spec.FirstMS = 1, 10_000
+		for _, c := range []struct {
+			now, timeOfDay int64
+			starts         int
+		}{{9_000, 10_000, 1}, {11_000, 9_999, 0}} {
+			starts := schedule.Plan(&schedule.Request{
+				NowMS: c.now, TimeOfDayMS: c.timeOfDay, Jobs: jobs(s), MaxStarts: 100,
+				Hosts:    func(string) []*schedule.Host { return []*schedule.Host{host("a", "", 1000)} },
+				Duration: func(*work.Job, int) int64 { return 1000 },
+			})
+			Expect(starts).To(HaveLen(c.starts))
+		}
+	})
 })
