Keep the place of a host whose maintenance may have been ordered before

The operator could see a wave take down one host more than it allows after an answer of the platform was lost.

Cause: a maintenance order without an answer was repeated, and if the platform refused the repeated one, the host no longer counted as down. The earlier order may have been carried out, so that the host is busy with it, or may be carried out some seconds later.

Change: a refusal frees the place only of a host that had not been ordered before. An order is not sent if the leadership cannot be proved any more by the time its entry is committed.

--- a/internal/leader/maintenance.go
+++ b/internal/leader/maintenance.go
@@ -124,6 +124,7 @@
 // maintainHost orders the maintenance of a host that runs nothing.
 func (l *Leader) maintainHost(r waveStep) {
 	outcome := PlatformBusy
+	repeated := l.isOrdered(r)
 	defer func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -141,6 +142,10 @@
 	}, "maintenance") {
 		return
 	}
+	if !l.Confirmed() {
+		l.log.Info().Str("host", r.host).Int64("wave", r.wave).Msg("maintenance order not sent: leadership is not confirmed")
+		return
+	}
 	l.mu.Lock()
 	token := l.token()
 	l.mu.Unlock()
@@ -151,22 +156,39 @@
 		l.log.Warn().Err(err).Str("host", r.host).Int64("wave", r.wave).Msg("maintenance order not answered")
 		return
 	}
-	l.log.Info().Str("host", r.host).Int64("wave", r.wave).Str("outcome", string(answer)).Msg("maintenance ordered")
+	l.log.Info().Str("host", r.host).Int64("wave", r.wave).Str("outcome", string(answer)).Bool("repeated", repeated).
+		Msg("maintenance ordered")
 	outcome = answer
 	if answer != PlatformDone {
-		l.noteRefusedMaintenance(r, answer)
+		l.noteRefusedMaintenance(r, answer, repeated)
 		return
 	}
 	l.noteHostDown(r.host, "", l.cfg.Timing.Maintenance)
 	l.proposeOrLog(&work.Command{WaveSteps: []work.WaveStep{r.withKind(work.MaintenanceBegun)}}, "begun maintenance")
 }
 
-// noteRefusedMaintenance records a refused order.
-func (l *Leader) noteRefusedMaintenance(r waveStep, answer PlatformAnswer) {
+// isOrdered reports whether the maintenance of a host was ordered before, with an outcome
+// that is not known.
+func (l *Leader) isOrdered(r waveStep) (ordered bool) {
+	l.cfg.StateMachine.Read(func(v *work.View) {
+		if w := v.Waves[r.wave]; w != nil {
+			_, ordered = w.Ordered[r.host]
+		}
+	})
+	return ordered
+}
+
+// noteRefusedMaintenance records a refused order. The refusal of a repeated order proves
+// nothing about the earlier ones: one of them may have taken the host down, or may yet do
+// so, and the host keeps its place among those that are down.
+func (l *Leader) noteRefusedMaintenance(r waveStep, answer PlatformAnswer, repeated bool) {
 	kind := work.MaintenanceRefused
-	if l.isGone(r.host, answer) {
+	switch {
+	case l.isGone(r.host, answer):
 		kind = work.MaintenanceGone
 		l.log.Info().Str("host", r.host).Int64("wave", r.wave).Msg("host of a wave is gone")
+	case repeated:
+		return
 	}
 	l.proposeOrLog(&work.Command{WaveSteps: []work.WaveStep{r.withKind(kind)}}, "refused maintenance")
 }
--- a/internal/leader/maintenance_test.go
+++ b/internal/leader/maintenance_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -108,9 +109,39 @@
 	})
 }
 
+// Guards against a wave that takes down more hosts than it may because a repeated order
+// was refused: the host is down by the earlier one, whose answer was lost, or that one is
+// still on its way.
+func TestRefusalOfARepeatedMaintenanceOrderProvesNothing(t *testing.T) {
+	for _, first := range []orderFate{{lost: true}, {late: 1500 * time.Millisecond}, {late: 6 * time.Second}} {
+		simulate(t, func(w *world) {
+			hosts := w.addHosts(4)
+			_, stop := w.lead(2)
+			defer stop()
+			after(time.Second)
+			w.maintenanceFate = func(number int) orderFate {
+				switch number {
+				case 1:
+					return first
+				case 2:
+					return orderFate{busy: true}
+				}
+				return orderFate{}
+			}
+			w.enforcesNoTokens = true
+			w.propose(&work.Command{Wave: &work.Wave{ID: 1, Hosts: hosts, MaxDown: 1, DurationMS: 8_000}})
+			after(40 * time.Second)
+			g := NewWithT(t)
+			complete, _ := w.stateMachine.WaveComplete(1)
+			g.Expect(complete).To(BeTrue(), w.log())
+			g.Expect(strings.Count(w.log(), "maintenance of h")).To(Equal(4), w.log())
+		})
+	}
+}
+
 // Guards against waves that take down more hosts than they may, and against waves that
-// never end, with clocks that jump during orders, changes of the leader and hosts that
-// crash.
+// never end, with clocks that jump during orders, changes of the leader, hosts that crash,
+// and orders that are lost, late or refused.
 func TestRandomWaves(t *testing.T) {
 	for seed := range uint64(40) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
@@ -136,6 +167,19 @@
 			ID: id + 1, Hosts: append([]string{}, hosts[:4+r.IntN(4)]...), MaxDown: 1 + r.IntN(3), DurationMS: 10_000 + r.Int64N(10_000),
 		}})
 	}
+	w.mu.Lock()
+	w.maintenanceFate = func(int) orderFate {
+		switch r.IntN(12) {
+		case 0:
+			return orderFate{late: time.Duration(1+r.IntN(11)) * time.Second}
+		case 1:
+			return orderFate{lost: true}
+		case 2:
+			return orderFate{busy: true}
+		}
+		return orderFate{}
+	}
+	w.mu.Unlock()
 	term := 0
 	for i := range 40 {
 		w.mu.Lock()
@@ -154,6 +198,9 @@
 		}
 		after(pause)
 	}
+	w.mu.Lock()
+	w.maintenanceFate = nil
+	w.mu.Unlock()
 	after(60 * time.Second)
 	stop()
 	for id := range int64(waves) {
