Measure the duration of runs from their starts, not from times in the log

Cause: the duration of a finished task was the difference of the wall clock and a time in the log. A jump of the clock by 2.4 s changed the estimates of a queue for its next dozens of tasks, and with them the sizes of the pools and the order of jobs. A new leader with another clock learned wrong durations.

Change: a task counts from the start that this leader sent, on its monotonic clock. Tasks that a former leader started are not counted.

--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -669,8 +669,8 @@
 		// If there is nothing to be acknowledged, the next list will be the same.
 		truncated: h.Truncated && (len(h.Ended) > 0 || toAcknowledge),
 	}
-	finished := l.finished(h.Ended)
 	l.mu.Lock()
+	finished := s.finished(h.Ended)
 	l.cfg.StateMachine.Read(func(v *work.View) {
 		if t := v.Targets[s.key]; t != nil {
 			s.reconcileRuns(v, t, h, sent, c)
@@ -779,14 +779,20 @@
 	ms    int64
 }
 
-// finished returns the durations of the tasks that newly ended runs finished.
-func (l *Leader) finished(ends []work.EndedRun) []finishedTask {
+// finished returns the durations of the tasks that newly ended runs finished, from the
+// start that this leader sent. Times in the log may be those of another leader's clock. The
+// leader's mutex is held.
+func (s *session) finished(ends []work.EndedRun) []finishedTask {
 	var out []finishedTask
-	now := l.now().UnixMilli()
-	l.cfg.StateMachine.Read(func(v *work.View) {
+	now := s.l.now()
+	s.l.cfg.StateMachine.Read(func(v *work.View) {
 		for _, e := range ends {
-			if j, t := v.Find(e.Run.Task); j != nil && e.Outcome == work.OutcomeDone && t.Run == e.Run.Run && t.Active() {
-				out = append(out, finishedTask{j.Queue, now - t.StartedMS})
+			o := s.orders[e.Run]
+			if e.Outcome != work.OutcomeDone || o == nil || o.sentAt.IsZero() {
+				continue
+			}
+			if j, t := v.Find(e.Run.Task); j != nil && t.Run == e.Run.Run && t.Active() {
+				out = append(out, finishedTask{j.Queue, now.Sub(o.sentAt).Milliseconds()})
 			}
 		}
 	})
