Count only replayed orders as older than their arrival

Cause: the age of a host order was taken from the holder's and the own wall clock, also for orders that arrive as they are announced. With 2.5 s allowed for, two clocks that had jumped apart could shorten the pause between two holders of one host to a few tenths of a second.

Change: an order that arrives later than 10 s after the start of the process counts as announced then. For replayed ones, 5 s are allowed for, as for the clocks of two leaders elsewhere.

--- a/internal/leader/orderlog.go
+++ b/internal/leader/orderlog.go
@@ -8,16 +8,17 @@
 	"agatehaven.dev/agatehaven/internal/work"
 )
 
-// maxClockStep is the largest trusted difference between the wall clocks of two
-// processes. The platform's clocks jump by up to 2 s and drift a little.
-const maxClockStep = 2500 * time.Millisecond
+// replayTime is for how long after its start a process takes orders from its log that were
+// announced before. It reads the log within a second or two.
+const replayTime = 10 * time.Second
 
 // OrderLog remembers when the last order for each host was announced, and by which
 // holder. It uses the monotonic clock of this process, so that a wall clock that jumps
 // does not shorten the pause between two holders. The wall clock is used only for the
 // age of orders that a process replays from its log when it starts.
 type OrderLog struct {
-	clock clock.Clock
+	clock   clock.Clock
+	started time.Time
 
 	mu   sync.Mutex
 	last map[string]seenOrder
@@ -29,7 +30,9 @@
 }
 
 // NewOrderLog returns an empty log.
-func NewOrderLog(c clock.Clock) *OrderLog { return &OrderLog{clock: c, last: map[string]seenOrder{}} }
+func NewOrderLog(c clock.Clock) *OrderLog {
+	return &OrderLog{clock: c, started: c.Now(), last: map[string]seenOrder{}}
+}
 
 // Record notes an order that was applied. announcedMS is when the holder announced it,
 // in Unix ms of the holder's clock.
@@ -37,8 +40,11 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	at := o.clock.Now()
-	age := at.Sub(time.UnixMilli(announcedMS)) - maxClockStep
-	o.last[h.Host] = seenOrder{h.Holder, at.Add(-max(0, age))}
+	var age time.Duration
+	if at.Sub(o.started) < replayTime {
+		age = max(0, at.Sub(time.UnixMilli(announcedMS))-maxClockJump)
+	}
+	o.last[h.Host] = seenOrder{h.Holder, at.Add(-age)}
 }
 
 // MayOrder reports whether holder may send an order for a host: no other holder has
