Count the idle hosts that a gang takes in part as needed

Cause: a pool wants the hosts in use and those that its tasks lack. The idle hosts on which a part of a gang has a place were neither, since a gang starts only as a whole; the pool opened and closed them in turn. A gang lacked hosts at all only if some host had the CPU for one more member.

Change: the hosts that a gang lacks include the idle ones on which it has a place in part, also if it is CPU that is lacking. A gang that all hosts together cannot take asks for none.

--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -76,8 +76,9 @@
 	// be tried for all tasks that follow.
 	MaxMissing int
 	// MissingHosts is set by Plan to the number of empty hosts that each pool needs for
-	// tasks that none of its hosts can take: long-lived tasks, and tasks of jobs
-	// without a run for which some host has the CPU.
+	// tasks that none of its hosts can take: long-lived tasks, tasks of jobs without a run
+	// for which some host has the CPU, and gangs of such jobs. For a gang that has a place
+	// in part, it includes the idle hosts of these places.
 	MissingHosts map[string]int
 	// MissingLongLived is the part of MissingHosts that long-lived tasks need.
 	MissingLongLived map[string]int
@@ -168,6 +169,9 @@
 	// missing holds the empty hosts that the pool misses, filled with the tasks that
 	// need them.
 	missing []*emptyHost
+	// awaited holds the idle hosts on which a part of a gang has a place. They are needed
+	// beside the missing ones, although nothing starts on them yet.
+	awaited map[*Host]bool
 }
 
 // emptyHost is a host that a pool misses.
@@ -189,7 +193,7 @@
 func (r *Request) poolOf(name string) *pool {
 	p := r.pools[name]
 	if p == nil {
-		p = &pool{hosts: r.Hosts(name)}
+		p = &pool{hosts: r.Hosts(name), awaited: map[*Host]bool{}}
 		r.pools[name] = p
 	}
 	return p
@@ -281,8 +285,8 @@
 	for i, t := range tasks {
 		h := r.chooseHost(j, t, s, need, placed)
 		if h == nil {
-			if s.LongLived || (!j.Active() && r.hasCPU(j.Pool, need)) {
-				r.addMissingHosts(j, s, r.withoutAwaitingPermit(j, s, tasks[i:], placed))
+			if s.LongLived || (!j.Active() && (s.Gang || r.hasCPU(j.Pool, need))) {
+				r.addMissingHosts(j, s, r.withoutAwaitingPermit(j, s, tasks[i:], placed), used)
 			}
 			break // the other tasks have the same needs
 		}
@@ -328,9 +332,11 @@
 }
 
 // addMissingHosts places the tasks of a step that no host of the pool can take on empty
-// hosts. It skips a task that not even an empty host can take.
-func (r *Request) addMissingHosts(j *work.Job, s *work.Step, tasks []*work.Task) {
+// hosts. It skips a task that not even an empty host can take. used holds the hosts of the
+// other tasks.
+func (r *Request) addMissingHosts(j *work.Job, s *work.Step, tasks []*work.Task, used []*Host) {
 	p := r.poolOf(j.Pool)
+	before := len(p.missing)
 	for i := 0; len(tasks) > 0 && !r.reachedMaxMissing(j.Pool, p, s.LongLived); i++ {
 		opened := i == len(p.missing)
 		if opened {
@@ -358,8 +364,17 @@
 			break
 		}
 	}
+	if s.Gang && len(tasks) > 0 {
+		p.missing = p.missing[:before] // not all members have a place, so none starts
+		return
+	}
+	for _, h := range used {
+		if s.Gang && h.Target.Runs() == 0 {
+			p.awaited[h] = true
+		}
+	}
 	if len(p.missing) > 0 {
-		r.MissingHosts[j.Pool] = len(p.missing)
+		r.MissingHosts[j.Pool] = len(p.missing) + len(p.awaited)
 	}
 }
 
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -215,6 +215,26 @@
 		Expect(r.MissingHosts).To(Equal(map[string]int{"desk": 3}))
 	})
 
+	It("misses all hosts of a gang, and none for one that can never start", func() {
+		// Guards against a gang that waits while its pool has too few hosts open, and
+		// against a pool that takes hosts for a gang that not even all of them hold.
+		gang := func(tasks int) work.Step {
+			s := step(tasks, 3000)
+			s.Gang = true
+			return s
+		}
+		for tasks, missing := range map[int]int{4: 4, 10: 10, 11: 0} {
+			r := &schedule.Request{
+				NowMS: 2000, MaxStarts: 256, Duration: func(*work.Job, int) int64 { return 1000 }, Jobs: jobs(job("j", "/urgent/", gang(tasks))),
+				Hosts:    func(string) []*schedule.Host { return []*schedule.Host{host("a", "", 4000), host("b", "", 4000)} },
+				Capacity: func(string) int64 { return math.MaxInt64 }, MaxMissing: 8,
+				HostTypes: func() []schedule.HostType { return []schedule.HostType{{Resources: work.Demand{MilliCPU: 4000}}} },
+			}
+			Expect(schedule.Plan(r)).To(BeEmpty())
+			Expect(r.MissingHosts["desk"]).To(Equal(missing), "%d tasks", tasks)
+		}
+	})
+
 	It("misses no host while empty ones wait for a permission", func() {
 		// Guards against a pool that takes hosts from others for as long as the policy
 		// service does not answer.
