Resume all members of a gang at one checkpoint

Cause: each task was started with the last checkpoint of its own lists. The target of the crashed host had not listed the newest one.

Change: when a gang starts, the state machine gives all its members the checkpoint that any of them reported last for the first time, which is valid for all.

--- a/internal/work/apply.go
+++ b/internal/work/apply.go
@@ -387,6 +387,9 @@
 		if j == nil || target == nil || s.refusalReason(j, t, target) != "" {
 			continue
 		}
+		if j.Spec.Steps[t.Step].Gang && !j.isForming(t) {
+			shareCheckpoint(j.siblings(t))
+		}
 		t.Run = s.nextRun(j, t)
 		t.Target, t.StartedMS = st.Target, s.NowMS
 		target.addRun(st.Task, t.Run, j.Spec.Steps[t.Step].Reserved())
@@ -447,17 +450,49 @@
 	if !j.Spec.Steps[t.Step].Gang {
 		return t.Run + 1
 	}
-	latest, forming := 0, false
+	latest := 0
 	for _, m := range j.siblings(t) {
 		latest = max(latest, m.Run)
-		forming = forming || m.Active()
 	}
-	if forming {
+	if j.isForming(t) {
 		return latest
 	}
 	return latest + 1
 }
 
+// isForming reports whether a member of a task's gang has a run.
+func (j *Job) isForming(t *Task) bool {
+	return slices.ContainsFunc(j.siblings(t), func(m *Task) bool { return m.Active() })
+}
+
+// setCheckpoint records where the next run of a task resumes.
+func (s *state) setCheckpoint(t *Task, value string) {
+	if t.Checkpoint != value {
+		t.Checkpoint, t.CheckpointMS = value, s.NowMS
+	}
+}
+
+// shareCheckpoint gives all members of a gang the checkpoint that was reported first by any
+// of them latest. A member whose target was lost may have reported an older one or none,
+// and members that resume at different points never work together.
+func shareCheckpoint(members []*Task) {
+	since := map[string]int64{}
+	for _, m := range members {
+		if at, known := since[m.Checkpoint]; !known || m.CheckpointMS < at {
+			since[m.Checkpoint] = m.CheckpointMS
+		}
+	}
+	latest := ""
+	for _, m := range members { // in a fixed order, since all replicas have to agree
+		if m.Checkpoint != "" && (latest == "" || since[m.Checkpoint] > since[latest]) {
+			latest = m.Checkpoint
+		}
+	}
+	for _, m := range members {
+		m.Checkpoint, m.CheckpointMS = latest, since[latest]
+	}
+}
+
 // free returns the capacity of a target that no run has reserved.
 func (s *state) free(target *Target) Demand { return target.Resources.Sub(target.used) }
 
@@ -469,7 +504,7 @@
 	}
 	for _, c := range r.Checkpoints {
 		if _, t := s.find(c.Run.Task); t != nil && t.Run == c.Run.Run && t.Target == r.Target {
-			t.Checkpoint = c.Value
+			s.setCheckpoint(t, c.Value)
 		}
 	}
 	for _, e := range r.EndedRuns {
@@ -501,7 +536,7 @@
 		return
 	}
 	if e.Checkpoint != "" {
-		t.Checkpoint = e.Checkpoint
+		s.setCheckpoint(t, e.Checkpoint)
 	}
 	switch e.Outcome {
 	case OutcomeDone:
--- a/internal/work/model.go
+++ b/internal/work/model.go
@@ -185,6 +185,8 @@
 	StartedMS int64 `cbor:"9,keyasint,omitempty"`
 	// FailedOn is the host of the last failed run.
 	FailedOn string `cbor:"10,keyasint,omitempty"`
+	// CheckpointMS is when Checkpoint was recorded, in Unix ms of the leader's clock.
+	CheckpointMS int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // Active reports whether a run of the task may be alive.
--- a/internal/work/work_test.go
+++ b/internal/work/work_test.go
@@ -211,6 +211,56 @@
 		Expect(r.start(a, task("k", 0, 0))).To(BeEmpty())
 	})
 
+	It("resumes all members of a gang at one checkpoint", func() {
+		// Guards against a gang that never works again: after the loss of a target before it
+		// listed the newest checkpoint, its member resumed at an older one than the others.
+		r := newRegion()
+		var targets []string
+		for i := range int64(3) {
+			targets = append(targets, r.target("t"+strconv.FormatInt(i, 10), i+1))
+		}
+		r.submit("j", work.Step{Tasks: 3, Gang: true, Checkpoints: true})
+		start := func() (checkpoints []string, run int) {
+			var starts []work.Start
+			for i, t := range targets {
+				starts = append(starts, work.Start{Task: task("j", 0, i), Target: t})
+			}
+			for _, started := range r.do(&work.Command{Start: starts}).Started {
+				checkpoints = append(checkpoints, started.Checkpoint)
+				run = started.Run
+			}
+			return checkpoints, run
+		}
+		save := func(run, member int, value string) {
+			r.nowMS += 100
+			r.do(&work.Command{Reports: []work.Report{{Target: targets[member], Checkpoints: []work.Checkpoint{
+				{Run: work.RunRef{Task: task("j", 0, member), Run: run}, Value: value},
+			}}}})
+		}
+		closeAll := func(run int) {
+			for i, t := range targets {
+				r.do(&work.Command{Reports: []work.Report{{Target: t, Closed: []work.RunRef{{Task: task("j", 0, i), Run: run}}}}})
+			}
+		}
+		checkpoints, run := start()
+		Expect(checkpoints).To(Equal([]string{"", "", ""}))
+		save(run, 0, "two")
+		save(run, 1, "two")
+		save(run, 2, "two")
+		save(run, 1, "four")
+		save(run, 2, "four") // the target of the first member is lost before it lists this one
+		closeAll(run)
+		checkpoints, run = start()
+		Expect(checkpoints).To(Equal([]string{"four", "four", "four"}))
+		save(run, 2, "six") // the only one that was listed
+		closeAll(run)
+		checkpoints, run = start()
+		Expect(checkpoints).To(Equal([]string{"six", "six", "six"}))
+		closeAll(run)
+		checkpoints, _ = start()
+		Expect(checkpoints).To(Equal([]string{"six", "six", "six"}))
+	})
+
 	It("starts a gang again only after all members have ended, with the same run number", func() {
 		// Guards against members of different runs that wait for each other.
 		gang := work.Step{Tasks: 2, Gang: true}
