Open and keep the hosts that waiting short tasks need

Cause: a pool opens as many hosts as are in use and lacking. An open host without the label satisfied that number. Only the needs of long-lived tasks decided which hosts are open or join a pool, so the suitable host could also move to standby or to another pool.

Change: the needs of short tasks that no host takes decide the same, after all other claims on hosts.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -542,6 +542,7 @@
 		if missing, ok := l.missingHosts[name]; ok && l.now().Sub(missing.since) >= missingHostsDelay {
 			d.MissingHosts, d.MissingLongLived = missing.hosts, missing.longLived
 			d.Suits = func(host string) bool { return l.fleet.meetsAny(host, missing.needs) }
+			d.SuitsShort = func(host string) bool { return l.fleet.meetsAny(host, missing.shortNeeds) }
 		}
 	}
 	return pools
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -116,9 +116,9 @@
 	since time.Time
 	hosts int
 	// longLived is how many of the hosts long-lived tasks need; needs is what these
-	// tasks require.
-	longLived int
-	needs     []schedule.Need
+	// tasks require, and shortNeeds what the others do.
+	longLived         int
+	needs, shortNeeds []schedule.Need
 }
 
 // noteMissingHosts records how many hosts the pools miss, and since when. The mutex is
@@ -134,7 +134,7 @@
 		if known, ok := l.missingHosts[name]; ok {
 			since = known.since
 		}
-		l.missingHosts[name] = missingHosts{since, hosts, r.MissingLongLived[name], r.MissingNeeds[name]}
+		l.missingHosts[name] = missingHosts{since, hosts, r.MissingLongLived[name], r.MissingNeeds[name], r.MissingShortNeeds[name]}
 	}
 }
 
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -51,6 +51,8 @@
 	dropsRepliesIn string
 	// large holds the hosts with twice the memory.
 	large map[string]bool
+	// labels holds the labels of hosts.
+	labels map[string][]string
 	// spread is set if the hosts are distributed over the data centres.
 	spread bool
 	// incarnations counts the targets that replaced others.
@@ -344,7 +346,7 @@
 		changed: make(chan struct{}), duration: time.Second,
 		state: work.Target{
 			ID: id, Born: time.Now().UnixMilli(), Host: host, Pool: pool, Address: address, DataCentre: w.dataCentreOf(host),
-			Resources: w.capacityOf(host),
+			Resources: w.capacityOf(host), Labels: w.labels[host],
 		},
 	}
 	w.targets[address] = t
@@ -751,10 +753,10 @@
 		if _, parked := w.parked[t.state.Host]; parked || t.state.Host == w.hidden {
 			continue
 		}
-		out = append(out, leader.HostState{Host: t.state.Host, Pool: t.state.Pool, Up: true, Resources: t.state.Resources, TargetID: t.state.ID})
+		out = append(out, leader.HostState{Host: t.state.Host, Pool: t.state.Pool, Up: true, Resources: t.state.Resources, TargetID: t.state.ID, Labels: t.state.Labels})
 	}
 	for host, up := range w.off {
-		out = append(out, leader.HostState{Host: host, Pool: "off", Up: up, Resources: w.capacityOf(host)})
+		out = append(out, leader.HostState{Host: host, Pool: "off", Up: up, Resources: w.capacityOf(host), Labels: w.labels[host]})
 	}
 	return out, w.unreadableRows
 }
--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -35,6 +35,9 @@
 	// Suits reports whether a host, when empty, could run one of the long-lived tasks
 	// that no host takes. If it is nil, every host suits.
 	Suits func(host string) bool
+	// SuitsShort reports whether a host, when empty, could run one of the other tasks that
+	// no host takes. If it is nil, there are none that not every host suits.
+	SuitsShort func(host string) bool
 }
 
 // Host is one host. A host that is down for a move counts for the pool that it joins.
@@ -94,6 +97,9 @@
 	// missing is how many hosts are needed by long-lived tasks that no host can take,
 	// in addition to the pool's empty hosts that suit them.
 	missing int
+	// missingShort is how many are needed by other tasks, and suitingShort how many empty
+	// hosts of the pool suit these.
+	missingShort, suitingShort int
 }
 
 // Decision is the result of Plan.
@@ -115,7 +121,7 @@
 	standby := ""
 	var order []*need
 	for i := range pools {
-		n := &need{pool: &pools[i], missing: pools[i].MissingLongLived}
+		n := &need{pool: &pools[i], missing: pools[i].MissingLongLived, missingShort: pools[i].MissingHosts - pools[i].MissingLongLived}
 		needs[pools[i].Name] = n
 		if pools[i].Standby {
 			standby = pools[i].Name
@@ -132,9 +138,14 @@
 			n.hosts++
 			if h.Load > 0 || h.LongLived {
 				n.used++
-			} else if n.suits(&h) {
+				continue
+			}
+			if n.suits(&h) {
 				n.missing--
 			}
+			if n.suitsShort(&h) {
+				n.suitingShort++
+			}
 		}
 	}
 	for _, n := range order {
@@ -157,6 +168,31 @@
 // suits reports whether the long-lived tasks that no host takes could run on this one.
 func (n *need) suits(h *Host) bool { return n.pool.Suits == nil || n.pool.Suits(h.Name) }
 
+// suitsShort reports whether the other tasks that no host takes could run on this one.
+func (n *need) suitsShort(h *Host) bool { return n.pool.SuitsShort != nil && n.pool.SuitsShort(h.Name) }
+
+// canSpare reports whether a pool has too many hosts and can do without an empty one. It
+// keeps those that its waiting tasks need, even if others are open.
+func (n *need) canSpare(h *Host) bool {
+	return n.hosts > n.want && (!n.suitsShort(h) || n.suitingShort > n.missingShort)
+}
+
+// leave notes that an empty host leaves the pool.
+func (n *need) leave(h *Host) {
+	n.hosts--
+	if n.suitsShort(h) {
+		n.suitingShort--
+	}
+}
+
+// join notes that an empty host joins the pool.
+func (n *need) join(h *Host) {
+	n.hosts++
+	if n.suitsShort(h) {
+		n.suitingShort++
+	}
+}
+
 func attainableCPU(order []*need, needs map[string]*need, size int64) map[string]int64 {
 	total, inTime := 0, 0
 	for _, n := range needs {
@@ -238,7 +274,7 @@
 		}
 		slices.SortFunc(open, func(a, b Host) int {
 			return cmp.Or(compareBool(b.LongLived, a.LongLived), cmp.Compare(b.Load, a.Load),
-				compareBool(n.suits(&b), n.suits(&a)), cmp.Compare(a.Name, b.Name))
+				compareBool(n.suits(&b), n.suits(&a)), compareBool(n.suitsShort(&b), n.suitsShort(&a)), cmp.Compare(a.Name, b.Name))
 		})
 		for _, h := range open[min(len(open), n.want):] {
 			cordoned[h.Name] = !h.LongLived
@@ -281,7 +317,8 @@
 // the pools that lack hosts. The hosts needed by long-lived tasks that no host takes
 // come first, since these would otherwise wait for the end of other pools' backlogs;
 // then those for work that can be in time, then those for all work. Among pools, the
-// one that lacks the largest share comes first.
+// one that lacks the largest share comes first. Last come hosts for other tasks that none
+// of the pool's hosts suits, although it has as many as it wants.
 func (p Policy) assign(order []*need, needs map[string]*need, hosts []Host, standby string) []Move {
 	free := slices.Clone(hosts)
 	slices.SortFunc(free, func(a, b Host) int {
@@ -294,8 +331,8 @@
 			h := &free[i]
 			if h.Movable && !h.Reserved && !taken[h.Name] && h.Pool != to.pool.Name && from(h) {
 				taken[h.Name] = true
-				needs[h.Pool].hosts--
-				to.hosts++
+				needs[h.Pool].leave(h)
+				to.join(h)
 				moves = append(moves, Move{h.Name, h.Pool, to.pool.Name, "pool lacks hosts"})
 				return true
 			}
@@ -304,9 +341,14 @@
 	}
 	surplus := func(h *Host) bool {
 		n := needs[h.Pool]
-		return n != nil && !n.pool.Standby && n.hosts > n.want
+		return n != nil && !n.pool.Standby && n.canSpare(h)
 	}
 	onStandby := func(h *Host) bool { return h.Pool == standby }
+	// unused hosts are those of pools without work, which get others in exchange.
+	unused := func(h *Host) bool {
+		n := needs[h.Pool]
+		return n != nil && !n.pool.Standby && n.used == 0 && n.pool.Waiting == 0
+	}
 	for _, n := range order {
 		suiting := func(from func(h *Host) bool) func(h *Host) bool {
 			return func(h *Host) bool { return n.suits(h) && from(h) }
@@ -322,6 +364,13 @@
 			}
 		}
 	}
+	for _, n := range order {
+		suiting := func(from func(h *Host) bool) func(h *Host) bool {
+			return func(h *Host) bool { return n.suitsShort(h) && from(h) }
+		}
+		for n.suitingShort < n.missingShort && (take(n, suiting(surplus)) || take(n, suiting(onStandby)) || take(n, suiting(unused))) {
+		}
+	}
 	if standby == "" {
 		return moves
 	}
@@ -329,7 +378,7 @@
 		h := &free[i]
 		if h.Movable && !h.Reserved && !taken[h.Name] && h.IdleMS >= p.IdleMS && surplus(h) {
 			taken[h.Name] = true
-			needs[h.Pool].hosts--
+			needs[h.Pool].leave(h)
 			moves = append(moves, Move{h.Name, h.Pool, standby, "idle"})
 		}
 	}
--- a/internal/poolsize/poolsize_test.go
+++ b/internal/poolsize/poolsize_test.go
@@ -174,6 +174,27 @@
 		Expect(d.Cordoned["new"]).To(BeFalse())
 	})
 
+	It("opens and keeps the host that a waiting task needs", func() {
+		// Guards against a task that waits for ever because its pool has as many hosts as it
+		// wants, and the only one that suits the task is not open, or leaves the pool.
+		waiting := poolsize.Pool{Waiting: core, MissingHosts: 1, SuitsShort: func(host string) bool { return host == "desk3" || host == "off1" }}
+		idle := func(_ int, h *poolsize.Host) { h.IdleMS = 60_000 }
+		d := poolsize.Plan(poolsize.Default(), pools(waiting, poolsize.Pool{}), append(hosts("desk", 5, idle), hosts("cuts", 1, idle)...))
+		Expect(d.Cordoned["desk3"]).To(BeFalse())
+		Expect(d.Cordoned).To(HaveLen(4))
+		for _, m := range d.Moves {
+			Expect(m.Host).NotTo(Equal("desk3"))
+		}
+		d = poolsize.Plan(poolsize.Default(), pools(waiting, poolsize.Pool{}), append(hosts("desk", 2, idle), hosts("off", 3, idle)...))
+		Expect(d.Moves).To(ContainElement(poolsize.Move{Host: "off1", From: "off", To: "desk", Reason: "pool lacks hosts"}))
+		for range 3 { // it is there
+			there := append(hosts("desk", 1, idle), hosts("desk", 1, func(_ int, h *poolsize.Host) { h.Name, h.IdleMS = "off1", 60_000 })...)
+			d = poolsize.Plan(poolsize.Default(), pools(waiting, poolsize.Pool{}), append(there, hosts("off", 2, idle)...))
+			Expect(d.Cordoned).To(Equal(map[string]bool{"desk0": true}))
+			Expect(d.Moves).NotTo(ContainElement(HaveField("Host", "off1")))
+		}
+	})
+
 	It("gives hosts to long-lived tasks that no host takes before it serves larger backlogs", func() {
 		// Guards against an accepted long-lived task that waits as long as another pool
 		// has a backlog: a pool that lacks one of many hosts lacks the smallest share.
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -82,8 +82,9 @@
 	MissingHosts map[string]int
 	// MissingLongLived is the part of MissingHosts that long-lived tasks need.
 	MissingLongLived map[string]int
-	// MissingNeeds holds the distinct needs of these long-lived tasks.
-	MissingNeeds map[string][]Need
+	// MissingNeeds holds the distinct needs of these long-lived tasks, and MissingShortNeeds
+	// those of the others.
+	MissingNeeds, MissingShortNeeds map[string][]Need
 
 	// Capacity returns the CPU that a pool can get, in thousandths of a core: that of
 	// its hosts and of those that other pools do not need.
@@ -143,7 +144,8 @@
 			order = append(order, r.rank(j))
 		}
 	}
-	r.pools, r.MissingHosts, r.MissingLongLived, r.MissingNeeds = map[string]*pool{}, map[string]int{}, map[string]int{}, map[string][]Need{}
+	r.pools, r.MissingHosts, r.MissingLongLived = map[string]*pool{}, map[string]int{}, map[string]int{}
+	r.MissingNeeds, r.MissingShortNeeds = map[string][]Need{}, map[string][]Need{}
 	r.postpone(order)
 	slices.SortFunc(order, func(a, b urgency) int {
 		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.rank, b.rank),
@@ -356,8 +358,8 @@
 			h.longLived = true
 			r.MissingLongLived[j.Pool]++
 		}
-		if need := (Need{s.Reserved(), s.Label}); n > 0 && s.LongLived && !slices.Contains(r.MissingNeeds[j.Pool], need) {
-			r.MissingNeeds[j.Pool] = append(r.MissingNeeds[j.Pool], need)
+		if n > 0 {
+			r.noteNeed(j.Pool, s)
 		}
 		if opened && n == 0 {
 			p.missing = p.missing[:i]
@@ -378,6 +380,17 @@
 	}
 }
 
+// noteNeed records what the tasks of a step need that no host of a pool can take.
+func (r *Request) noteNeed(pool string, s *work.Step) {
+	needs := r.MissingShortNeeds
+	if s.LongLived {
+		needs = r.MissingNeeds
+	}
+	if need := (Need{s.Reserved(), s.Label}); !slices.Contains(needs[pool], need) {
+		needs[pool] = append(needs[pool], need)
+	}
+}
+
 // reachedMaxMissing reports whether a pool misses MaxMissing hosts for long-lived or
 // for other tasks.
 func (r *Request) reachedMaxMissing(name string, p *pool, longLived bool) bool {
