Start a gang as a whole or not at all

Cause: a plan was cut off after 256 starts, also within a gang, and the state machine accepted a part of a gang.

Change: a plan ends before a gang that would exceed the bound, and nothing else takes its place; a larger one may begin a plan. The state machine starts all members of a gang or none, also if a target of one of them has gone.

--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -61,8 +61,12 @@
 	// Hosts returns the usable hosts of a pool. It is called once for each pool with
 	// work.
 	Hosts func(pool string) []*Host
-	// MaxStarts bounds the starts of a plan.
+	// MaxStarts bounds the starts of a plan. A plan that begins with a larger gang has more.
 	MaxStarts int
+	// gangEnd is the number of starts up to the last gang. full is set once the next gang
+	// exceeds MaxStarts: the plan ends before it, so that nothing else takes its place.
+	gangEnd int
+	full    bool
 	// Permitted, if set, reports whether an external policy lets a task run on a
 	// target, which is one of hosts.
 	Permitted func(j *work.Job, t *work.Task, target *work.Target, hosts []*Host) bool
@@ -154,11 +158,11 @@
 	var starts []work.Start
 	for _, u := range order {
 		starts = r.planJob(u.job, starts)
-		if len(starts) >= r.MaxStarts {
-			return starts[:r.MaxStarts]
+		if r.full || len(starts) >= r.MaxStarts {
+			break
 		}
 	}
-	return starts
+	return starts[:min(len(starts), max(r.MaxStarts, r.gangEnd))]
 }
 
 // pool holds the usable hosts of a pool while a plan is made.
@@ -270,7 +274,7 @@
 			break
 		}
 		for i := range j.Spec.Steps {
-			if tasks := j.Startable(k, i); len(tasks) > 0 {
+			if tasks := j.Startable(k, i); len(tasks) > 0 && !r.full {
 				starts = r.planStep(j, i, tasks, starts)
 			}
 		}
@@ -297,7 +301,8 @@
 		used = append(used, h)
 		chosen = append(chosen, work.Start{Task: j.Ref(t), Target: h.Target.Key()})
 	}
-	if s.Gang && len(chosen) < s.Tasks {
+	r.full = s.Gang && len(starts) > 0 && len(starts)+len(chosen) > r.MaxStarts
+	if s.Gang && (r.full || len(chosen) < s.Tasks) {
 		// An incomplete gang would only wait.
 		for _, h := range used {
 			h.add(s, -1)
@@ -305,7 +310,10 @@
 		r.poolOf(j.Pool).full = nil
 		return starts
 	}
-	return append(starts, chosen...)
+	if starts = append(starts, chosen...); s.Gang {
+		r.gangEnd = len(starts)
+	}
+	return starts
 }
 
 // hasCPU reports whether a host of a pool has the CPU for a task, so that the CPU
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -215,6 +215,35 @@
 		Expect(r.MissingHosts).To(Equal(map[string]int{"desk": 3}))
 	})
 
+	It("ends before a gang that exceeds the number of starts", func() {
+		// Guards against a gang that is cut apart, so that its members wait for each other,
+		// and against one that is larger than a plan and never starts.
+		gang := func(tasks int) work.Step {
+			s := step(tasks, 100)
+			s.Gang = true
+			return s
+		}
+		large := func() []*schedule.Host { return []*schedule.Host{host("a", "", 100_000)} }
+		size := func(js []*work.Job) (sizes []int) {
+			r := &schedule.Request{
+				NowMS: 2000, Jobs: js, MaxStarts: 50, Hosts: func(string) []*schedule.Host { return large() },
+				Duration: func(*work.Job, int) int64 { return 1000 },
+			}
+			count := map[string]int{}
+			for _, s := range schedule.Plan(r) {
+				count[s.Task.Job]++
+			}
+			for _, id := range []string{"a", "b", "c"} {
+				sizes = append(sizes, count[id])
+			}
+			return sizes
+		}
+		Expect(size(jobs(job("a", "/urgent/", gang(24)), job("b", "/urgent/", gang(24)), job("c", "/urgent/", gang(24))))).To(Equal([]int{24, 24, 0}))
+		Expect(size(jobs(job("a", "/urgent/", gang(300)), job("b", "/urgent/", gang(24)), job("c", "/urgent/", step(1, 100))))).To(Equal([]int{300, 0, 0}))
+		Expect(size(jobs(job("a", "/urgent/", step(40, 100)), job("b", "/urgent/", gang(24)), job("c", "/urgent/", step(1, 100))))).To(Equal([]int{40, 0, 0}), "nothing takes its place")
+		Expect(size(jobs(job("a", "/urgent/", gang(24)), job("b", "/urgent/", step(60, 100))))).To(Equal([]int{24, 26, 0}))
+	})
+
 	It("misses all hosts of a gang, and none for one that can never start", func() {
 		// Guards against a gang that waits while its pool has too few hosts open, and
 		// against a pool that takes hosts for a gang that not even all of them hold.
--- a/internal/work/apply.go
+++ b/internal/work/apply.go
@@ -379,8 +379,68 @@
 	s.RecentlyEnded[id] = s.NowMS
 }
 
+// start starts runs. A gang starts as a whole or not at all, since its members only wait for
+// each other otherwise.
 func (s *state) start(starts []Start) *Result {
 	result := &Result{}
+	for len(starts) > 0 {
+		n, gang := s.together(starts)
+		if !gang || s.isWholeGang(starts[:n]) {
+			result.Started = append(result.Started, s.startRuns(starts[:n])...)
+		}
+		starts = starts[n:]
+	}
+	return result
+}
+
+// together returns how many of the first starts are those of one gang, or 1 and false.
+func (s *state) together(starts []Start) (n int, gang bool) {
+	j, t := s.find(starts[0].Task)
+	if j == nil || !j.Spec.Steps[t.Step].Gang {
+		return 1, false
+	}
+	n = 1
+	for n < len(starts) && sameStep(starts[n].Task, starts[0].Task) {
+		n++
+	}
+	return n, true
+}
+
+// sameStep reports whether two tasks belong to the same step and occurrence.
+func sameStep(a, b TaskRef) bool {
+	a.Index, b.Index = 0, 0
+	return a == b
+}
+
+// isWholeGang reports whether starts are those of all members of a gang, and none of them
+// would be refused beside the others.
+func (s *state) isWholeGang(starts []Start) bool {
+	j, first := s.find(starts[0].Task)
+	if j.isForming(first) || len(starts) < j.Spec.Steps[first.Step].Tasks {
+		return false
+	}
+	need := j.Spec.Steps[first.Step].Reserved()
+	placed := map[TaskRef]*Target{}
+	defer func() {
+		for task, target := range placed {
+			target.removeRun(task)
+		}
+	}()
+	for _, st := range starts {
+		_, t := s.find(st.Task)
+		target := s.Targets[st.Target]
+		if t == nil || target == nil || placed[st.Task] != nil || s.refusalReason(j, t, target) != "" {
+			return false
+		}
+		target.addRun(st.Task, 0, need)
+		placed[st.Task] = target
+	}
+	return true
+}
+
+// startRuns starts the runs that are not refused.
+func (s *state) startRuns(starts []Start) []StartedRun {
+	var started []StartedRun
 	for _, st := range starts {
 		j, t := s.find(st.Task)
 		target := s.Targets[st.Target]
@@ -397,11 +457,9 @@
 		if j.State == Queued {
 			j.State = Running
 		}
-		result.Started = append(result.Started, StartedRun{
-			Start: st, Run: t.Run, Checkpoint: t.Checkpoint, Payload: j.Spec.Payload,
-		})
+		started = append(started, StartedRun{Start: st, Run: t.Run, Checkpoint: t.Checkpoint, Payload: j.Spec.Payload})
 	}
-	return result
+	return started
 }
 
 // refusalReason returns why a start is not allowed, or "".
