Ask the policy service about closed hosts once it has denied the open ones

Cause: the service was asked about open hosts only, and a host that it had denied still counted as one that will take the task, so that no other one was opened.

Change: the answers are remembered by target. A denied host takes nothing, and the service is asked about the closed hosts of the pool; a permitted one is opened and does not leave. The hosts that other pools give for a label or memory are taken only by a pool that has as many as it wants.

Evidence: TestStepGetsAClosedHostThatThePolicyPermits fails without the change.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -116,11 +116,14 @@
 	return h != nil && h.reserved != ""
 }
 
-// meetsAny reports whether a host, when empty, meets one of the needs.
-func (f *fleet) meetsAny(name string, needs []schedule.Need) bool {
-	h := f.hosts[name]
+// meetsAny reports whether a host, when empty, meets one of the needs. The policy is asked
+// about the targets of a pool only, so other hosts meet no need that it has to permit. The
+// mutex is held.
+func (l *Leader) meetsAny(name string, needs []schedule.Need) bool {
+	h := l.fleet.hosts[name]
 	return h != nil && slices.ContainsFunc(needs, func(n schedule.Need) bool {
-		return n.MetBy(schedule.HostType{Resources: h.state.Resources, Labels: h.state.Labels})
+		permitted := n.Policy == (work.TaskRef{}) || l.permits.allowed(n.Policy, h.state.TargetID)
+		return permitted && n.MetBy(schedule.HostType{Resources: h.state.Resources, Labels: h.state.Labels})
 	})
 }
 
@@ -541,8 +544,8 @@
 		d.DurationS = d.durations.value()
 		if missing, ok := l.missingHosts[name]; ok && l.now().Sub(missing.since) >= missingHostsDelay {
 			d.MissingHosts, d.MissingLongLived = missing.hosts, missing.longLived
-			d.Suits = func(host string) bool { return l.fleet.meetsAny(host, missing.needs) }
-			d.SuitsShort = func(host string) bool { return l.fleet.meetsAny(host, missing.shortNeeds) }
+			d.Suits = func(host string) bool { return l.meetsAny(host, missing.needs) }
+			d.SuitsShort = func(host string) bool { return l.meetsAny(host, missing.shortNeeds) }
 		}
 	}
 	return pools
--- a/internal/leader/permits.go
+++ b/internal/leader/permits.go
@@ -32,11 +32,30 @@
 	queries *ring.Ring[permitQuery]
 }
 
-// permit is the service's answer for a step.
+// permit is what the service has answered for a step.
 type permit struct {
-	tickets map[string]string // by target id
+	tickets map[string]string // by target id, valid until
 	until   time.Time
-	asking  bool
+	// verdicts holds, by target id, whether the step may run there. It does not change,
+	// unlike the tickets.
+	verdicts map[string]bool
+	asking   bool
+}
+
+// denied reports whether the service has answered that a step may not run on a target.
+func (p *permits) denied(step work.TaskRef, target string) bool {
+	known := p.steps[step]
+	if known == nil {
+		return false
+	}
+	allowed, answered := known.verdicts[target]
+	return answered && !allowed
+}
+
+// allowed reports whether the service has answered that a step may run on a target.
+func (p *permits) allowed(step work.TaskRef, target string) bool {
+	known := p.steps[step]
+	return known != nil && known.verdicts[target]
 }
 
 // permitQuery asks which targets may run a step.
@@ -69,7 +88,7 @@
 func (p *permits) ask(step work.TaskRef, targets []string, now time.Time) {
 	known := p.steps[step]
 	if known == nil {
-		known = &permit{}
+		known = &permit{verdicts: map[string]bool{}}
 		p.steps[step] = known
 	}
 	if known.asking || now.Before(known.until) || len(targets) == 0 {
@@ -104,6 +123,9 @@
 	known.asking = false
 	if err == nil {
 		known.tickets = tickets
+		for _, id := range q.targets {
+			_, known.verdicts[id] = tickets[id]
+		}
 		known.until = l.now().Add(time.Duration(validMS)*time.Millisecond - permitMargin)
 	}
 	l.mu.Unlock()
@@ -118,9 +140,9 @@
 }
 
 // permitted reports whether a step may start on a target now. If no valid answer is
-// cached, it queries the service about the usable targets of the pool. The mutex is
-// held.
-func (l *Leader) permitted(j *work.Job, t *work.Task, target *work.Target, usable []*schedule.Host) bool {
+// cached, it queries the service about the usable targets of the pool, or, once it has
+// denied all of them, about those that the pool keeps closed. The mutex is held.
+func (l *Leader) permitted(v *work.View, j *work.Job, t *work.Task, target *work.Target, usable []*schedule.Host) bool {
 	if !j.PolicyChecked {
 		return true
 	}
@@ -130,13 +152,44 @@
 	}
 	var ids []string
 	for _, u := range usable {
-		ids = append(ids, u.Target.ID)
+		if !l.permits.denied(step, u.Target.ID) {
+			ids = append(ids, u.Target.ID)
+		}
+	}
+	if len(ids) == 0 {
+		ids = l.closedTargets(v, j.Pool, step)
 	}
 	slices.Sort(ids)
 	l.permits.ask(step, ids[:min(len(ids), permitTargets)], now)
 	return false
 }
 
+// closedTargets returns the ids of the targets that a pool keeps closed to new runs, and
+// on which the service has not denied a step. If it was not asked about some of them, it
+// returns these, and has the valid answer, which denies all others, expire. The mutex is
+// held.
+func (l *Leader) closedTargets(v *work.View, pool string, step work.TaskRef) []string {
+	var open, allowed []string
+	known := l.permits.steps[step]
+	for _, t := range v.Targets {
+		if t.Pool != pool || t.Ended || l.fleet.host(t.Host).reserved != reservedSurplus || l.permits.denied(step, t.ID) {
+			continue
+		}
+		if known != nil && known.verdicts[t.ID] {
+			allowed = append(allowed, t.ID)
+		} else {
+			open = append(open, t.ID)
+		}
+	}
+	if len(open) == 0 || known == nil {
+		return append(open, allowed...)
+	}
+	if len(known.tickets) == 0 {
+		known.until = time.Time{}
+	}
+	return open
+}
+
 // ticketFor returns the ticket of a start. It returns false if one is needed and none
 // is cached.
 func (l *Leader) ticketFor(ref work.TaskRef, target string) (string, bool) {
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -89,7 +89,13 @@
 	l.cfg.StateMachine.Read(func(v *work.View) {
 		r := &schedule.Request{
 			NowMS: l.nowMS(), TimeOfDayMS: l.now().UnixMilli(), MaxStarts: maxStarts, Duration: l.estimates.expected,
-			Permitted: l.permitted, Capacity: l.capacity, HostTypes: l.fleet.hostTypes, MaxMissing: len(l.fleet.hosts),
+			Permitted: func(j *work.Job, t *work.Task, target *work.Target, hosts []*schedule.Host) bool {
+				return l.permitted(v, j, t, target, hosts)
+			},
+			Denied: func(j *work.Job, t *work.Task, target *work.Target) bool {
+				return j.PolicyChecked && l.permits.denied(stepRef(j.Ref(t)), target.ID)
+			},
+			Capacity: l.capacity, HostTypes: l.fleet.hostTypes, MaxMissing: len(l.fleet.hosts),
 		}
 		l.prunePermits(v)
 		interference := false // some task may disturb, or be disturbed by, others on its host
--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -368,7 +368,7 @@
 		suiting := func(from func(h *Host) bool) func(h *Host) bool {
 			return func(h *Host) bool { return n.suitsShort(h) && from(h) }
 		}
-		for n.suitingShort < n.missingShort && (take(n, suiting(surplus)) || take(n, suiting(onStandby)) || take(n, suiting(unused))) {
+		for n.hosts >= n.want && n.suitingShort < n.missingShort && (take(n, suiting(surplus)) || take(n, suiting(onStandby)) || take(n, suiting(unused))) {
 		}
 	}
 	if standby == "" {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -45,9 +45,12 @@
 type Need struct {
 	Demand work.Demand
 	Label  string
+	// Policy is the step for which the external policy has to permit the host, zero for
+	// none.
+	Policy work.TaskRef
 }
 
-// MetBy reports whether an empty host of a type can take the task.
+// MetBy reports whether an empty host of a type can take the task if the policy permits it.
 func (n Need) MetBy(k HostType) bool {
 	return n.Demand.Within(k.Resources) && (n.Label == "" || slices.Contains(k.Labels, n.Label))
 }
@@ -70,7 +73,10 @@
 	// Permitted, if set, reports whether an external policy lets a task run on a
 	// target, which is one of hosts.
 	Permitted func(j *work.Job, t *work.Task, target *work.Target, hosts []*Host) bool
-	pools     map[string]*pool
+	// Denied, if set, reports whether the policy has answered that a task may not run on a
+	// target. A host that is not permitted yet is expected to be.
+	Denied func(j *work.Job, t *work.Task, target *work.Target) bool
+	pools  map[string]*pool
 	// HostTypes returns the types of hosts that can join a pool, the most frequent
 	// first. It is called once. If it is nil, no pool misses hosts.
 	HostTypes func() []HostType
@@ -329,6 +335,9 @@
 		return tasks
 	}
 	for _, h := range r.poolOf(j.Pool).hosts {
+		if len(tasks) > 0 && r.Denied != nil && r.Denied(j, tasks[0], h.Target) {
+			continue
+		}
 		trial := *h
 		for n := placed[h]; len(tasks) > 0 && trial.Obstacle(j, tasks[0], s, n) == ""; n++ {
 			if tasks[0].FailedOn != "" && h.Target.Host == tasks[0].FailedOn {
@@ -346,7 +355,7 @@
 // other tasks.
 func (r *Request) addMissingHosts(j *work.Job, s *work.Step, tasks []*work.Task, used []*Host) {
 	p := r.poolOf(j.Pool)
-	before := len(p.missing)
+	before, first := len(p.missing), tasks
 	for i := 0; len(tasks) > 0 && !r.reachedMaxMissing(j.Pool, p, s.LongLived); i++ {
 		opened := i == len(p.missing)
 		if opened {
@@ -367,7 +376,7 @@
 			r.MissingLongLived[j.Pool]++
 		}
 		if n > 0 {
-			r.noteNeed(j.Pool, s)
+			r.noteNeed(j, s, first)
 		}
 		if opened && n == 0 {
 			p.missing = p.missing[:i]
@@ -389,13 +398,18 @@
 }
 
 // noteNeed records what the tasks of a step need that no host of a pool can take.
-func (r *Request) noteNeed(pool string, s *work.Step) {
+func (r *Request) noteNeed(j *work.Job, s *work.Step, tasks []*work.Task) {
+	need := Need{Demand: s.Reserved(), Label: s.Label}
+	if j.PolicyChecked {
+		need.Policy = j.Ref(tasks[0])
+		need.Policy.Index = 0
+	}
 	needs := r.MissingShortNeeds
 	if s.LongLived {
 		needs = r.MissingNeeds
 	}
-	if need := (Need{s.Reserved(), s.Label}); !slices.Contains(needs[pool], need) {
-		needs[pool] = append(needs[pool], need)
+	if !slices.Contains(needs[j.Pool], need) {
+		needs[j.Pool] = append(needs[j.Pool], need)
 	}
 }
 
@@ -419,7 +433,7 @@
 		r.hostTypes = r.HostTypes()
 	}
 	for _, k := range r.hostTypes {
-		if (Need{s.Reserved(), s.Label}).MetBy(k) {
+		if (Need{Demand: s.Reserved(), Label: s.Label}).MetBy(k) {
 			return &emptyHost{Host: Host{Target: &work.Target{Labels: k.Labels}, Free: k.Resources}}
 		}
 	}
