--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -186,13 +186,6 @@
 	awaited map[*Host]bool
 }
 
-// emptyHost is a host that a pool misses.
-type emptyHost struct {
-	Host
-	// longLived is set if a long-lived task needs it.
-	longLived bool
-}
-
 // maxFull bounds the length of pool.full. The jobs of a queue have similar demands.
 const maxFull = 4
 
@@ -322,124 +315,6 @@
 	return starts
 }
 
-// hasCPU reports whether a host of a pool has the CPU for a task, so that the CPU
-// demand of the pool does not ask for another host.
-func (r *Request) hasCPU(pool string, need work.Demand) bool {
-	return slices.ContainsFunc(r.poolOf(pool).hosts, func(h *Host) bool { return need.MilliCPU <= h.Free.MilliCPU })
-}
-
-// withoutAwaitingPermit drops as many tasks of a step as the hosts of the pool could
-// take if the external policy permitted it.
-func (r *Request) withoutAwaitingPermit(j *work.Job, s *work.Step, tasks []*work.Task, placed map[*Host]int) []*work.Task {
-	if r.Permitted == nil || !j.PolicyChecked {
-		return tasks
-	}
-	for _, h := range r.poolOf(j.Pool).hosts {
-		if len(tasks) > 0 && r.Denied != nil && r.Denied(j, tasks[0], h.Target) {
-			continue
-		}
-		trial := *h
-		for n := placed[h]; len(tasks) > 0 && trial.Obstacle(j, tasks[0], s, n) == ""; n++ {
-			if tasks[0].FailedOn != "" && h.Target.Host == tasks[0].FailedOn {
-				break
-			}
-			trial.add(s, 1)
-			tasks = tasks[1:]
-		}
-	}
-	return tasks
-}
-
-// addMissingHosts places the tasks of a step that no host of the pool can take on empty
-// hosts. It skips a task that not even an empty host can take. used holds the hosts of the
-// other tasks.
-func (r *Request) addMissingHosts(j *work.Job, s *work.Step, tasks []*work.Task, used []*Host) {
-	p := r.poolOf(j.Pool)
-	before, first := len(p.missing), tasks
-	for i := 0; len(tasks) > 0 && !r.reachedMaxMissing(j.Pool, p, s.LongLived); i++ {
-		opened := i == len(p.missing)
-		if opened {
-			h := r.emptyHost(s)
-			if h == nil {
-				break
-			}
-			p.missing = append(p.missing, h)
-		}
-		h, n := p.missing[i], 0
-		for len(tasks) > 0 && h.Obstacle(j, tasks[0], s, n) == "" {
-			h.add(s, 1)
-			tasks = tasks[1:]
-			n++
-		}
-		if n > 0 && s.LongLived && !h.longLived {
-			h.longLived = true
-			r.MissingLongLived[j.Pool]++
-		}
-		if n > 0 {
-			r.noteNeed(j, s, first)
-		}
-		if opened && n == 0 {
-			p.missing = p.missing[:i]
-			break
-		}
-	}
-	if s.Gang && len(tasks) > 0 {
-		p.missing = p.missing[:before] // not all members have a place, so none starts
-		return
-	}
-	for _, h := range used {
-		if s.Gang && h.Target.Runs() == 0 {
-			p.awaited[h] = true
-		}
-	}
-	if len(p.missing) > 0 {
-		r.MissingHosts[j.Pool] = len(p.missing) + len(p.awaited)
-	}
-}
-
-// noteNeed records what the tasks of a step need that no host of a pool can take.
-func (r *Request) noteNeed(j *work.Job, s *work.Step, tasks []*work.Task) {
-	need := Need{Demand: s.Reserved(), Label: s.Label}
-	if j.PolicyChecked {
-		need.Policy = j.Ref(tasks[0])
-		need.Policy.Index = 0
-	}
-	needs := r.MissingShortNeeds
-	if s.LongLived {
-		needs = r.MissingNeeds
-	}
-	if !slices.Contains(needs[j.Pool], need) {
-		needs[j.Pool] = append(needs[j.Pool], need)
-	}
-}
-
-// reachedMaxMissing reports whether a pool misses MaxMissing hosts for long-lived or
-// for other tasks.
-func (r *Request) reachedMaxMissing(name string, p *pool, longLived bool) bool {
-	n := len(p.missing)
-	if longLived {
-		n = r.MissingLongLived[name]
-	}
-	return r.MaxMissing > 0 && n >= r.MaxMissing
-}
-
-// emptyHost returns an empty host for tasks of a step, or nil if no type has the
-// resources and the label.
-func (r *Request) emptyHost(s *work.Step) *emptyHost {
-	if r.HostTypes == nil {
-		return nil
-	}
-	if r.hostTypes == nil {
-		r.hostTypes = r.HostTypes()
-	}
-	for _, k := range r.hostTypes {
-		if (Need{Demand: s.Reserved(), Label: s.Label}).MetBy(k) {
-			return &emptyHost{Host: Host{Target: &work.Target{Labels: k.Labels}, Free: k.Resources}}
-		}
-	}
-	return nil
-}
-
 // failedHostPauseMS is how long after the start of a failed run its host is avoided for
 // the task even if no other has capacity, unless runs succeeded there since or it is the
 // only host of the pool. Within a few seconds other hosts become free and bad ones are
