poolsize: leave hosts to other pools when a late backlog yields them

A pool with waiting tasks that no host takes kept its idle hosts also when its backlog is late and other pools lack hosts for work that can be in time. The moves are decided by a type of its own now, since the function had grown too complex.

--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -100,6 +100,8 @@
 	// missingShort is how many are needed by other tasks, and suitingShort how many empty
 	// hosts of the pool suit these.
 	missingShort, suitingShort int
+	// yields is set if hosts for work that is late in any case are left to other pools.
+	yields bool
 }
 
 // Decision is the result of Plan.
@@ -172,9 +174,9 @@
 func (n *need) suitsShort(h *Host) bool { return n.pool.SuitsShort != nil && n.pool.SuitsShort(h.Name) }
 
 // canSpare reports whether a pool has too many hosts and can do without an empty one. It
-// keeps those that its waiting tasks need, even if others are open.
+// keeps those that its waiting tasks need, unless it yields hosts in any case.
 func (n *need) canSpare(h *Host) bool {
-	return n.hosts > n.want && (!n.suitsShort(h) || n.suitingShort > n.missingShort)
+	return n.hosts > n.want && (n.yields || !n.suitsShort(h) || n.suitingShort > n.missingShort)
 }
 
 // leave notes that an empty host leaves the pool.
@@ -233,7 +235,7 @@
 		if most.yieldable() <= 0 {
 			return
 		}
-		most.want = min(most.want, most.hosts) - 1
+		most.want, most.yields = min(most.want, most.hosts)-1, true
 	}
 }
 
@@ -320,69 +322,96 @@
 // one that lacks the largest share comes first. Last come hosts for other tasks that none
 // of the pool's hosts suits, although it has as many as it wants.
 func (p Policy) assign(order []*need, needs map[string]*need, hosts []Host, standby string) []Move {
-	free := slices.Clone(hosts)
-	slices.SortFunc(free, func(a, b Host) int {
-		return cmp.Or(cmp.Compare(b.IdleMS, a.IdleMS), cmp.Compare(a.Name, b.Name))
-	})
-	var moves []Move
-	taken := map[string]bool{}
-	take := func(to *need, from func(h *Host) bool) bool {
-		for i := range free {
-			h := &free[i]
-			if h.Movable && !h.Reserved && !taken[h.Name] && h.Pool != to.pool.Name && from(h) {
-				taken[h.Name] = true
-				needs[h.Pool].leave(h)
-				to.join(h)
-				moves = append(moves, Move{h.Name, h.Pool, to.pool.Name, "pool lacks hosts"})
-				return true
-			}
-		}
-		return false
-	}
-	surplus := func(h *Host) bool {
-		n := needs[h.Pool]
-		return n != nil && !n.pool.Standby && n.canSpare(h)
-	}
-	onStandby := func(h *Host) bool { return h.Pool == standby }
-	// unused hosts are those of pools without work, which get others in exchange.
-	unused := func(h *Host) bool {
-		n := needs[h.Pool]
-		return n != nil && !n.pool.Standby && n.used == 0 && n.pool.Waiting == 0
-	}
+	a := newAssignment(needs, hosts, standby)
 	for _, n := range order {
-		suiting := func(from func(h *Host) bool) func(h *Host) bool {
-			return func(h *Host) bool { return n.suits(h) && from(h) }
-		}
-		for ; n.missing > 0 && (take(n, suiting(surplus)) || take(n, suiting(onStandby))); n.missing-- {
+		for ; n.missing > 0 && a.takeSuiting(n, n.suits); n.missing-- {
 		}
 	}
 	for _, target := range []func(n *need) int{inTimeOf, wantOf} {
 		for {
 			worst := mostShort(order, target)
-			if worst == nil || (!take(worst, surplus) && !take(worst, onStandby)) {
+			if worst == nil || (!a.take(worst, a.isSurplus) && !a.take(worst, a.isOnStandby)) {
 				break
 			}
 		}
 	}
 	for _, n := range order {
-		suiting := func(from func(h *Host) bool) func(h *Host) bool {
-			return func(h *Host) bool { return n.suitsShort(h) && from(h) }
-		}
-		for n.hosts >= n.want && n.suitingShort < n.missingShort && (take(n, suiting(surplus)) || take(n, suiting(onStandby)) || take(n, suiting(unused))) {
+		for n.hosts >= n.want && n.suitingShort < n.missingShort && (a.takeSuiting(n, n.suitsShort) || a.exchange(n)) {
 		}
 	}
-	if standby == "" {
-		return moves
+	if standby != "" {
+		a.moveIdleToStandby(p.IdleMS)
+	}
+	return a.moves
+}
+
+// assignment holds the moves that have been decided.
+type assignment struct {
+	needs   map[string]*need
+	standby string // pool, empty for none
+	// free holds all hosts, those that idle longest first.
+	free  []Host
+	taken map[string]bool
+	moves []Move
+}
+
+func newAssignment(needs map[string]*need, hosts []Host, standby string) *assignment {
+	free := slices.Clone(hosts)
+	slices.SortFunc(free, func(a, b Host) int {
+		return cmp.Or(cmp.Compare(b.IdleMS, a.IdleMS), cmp.Compare(a.Name, b.Name))
+	})
+	return &assignment{needs: needs, standby: standby, free: free, taken: map[string]bool{}}
+}
+
+// isFree reports whether a host can still be moved.
+func (a *assignment) isFree(h *Host) bool { return h.Movable && !h.Reserved && !a.taken[h.Name] }
+
+// take moves the first host of another pool that meets a condition to a pool. It reports
+// whether there was one.
+func (a *assignment) take(to *need, from func(h *Host) bool) bool {
+	for i := range a.free {
+		if h := &a.free[i]; a.isFree(h) && h.Pool != to.pool.Name && from(h) {
+			a.taken[h.Name] = true
+			a.needs[h.Pool].leave(h)
+			to.join(h)
+			a.moves = append(a.moves, Move{h.Name, h.Pool, to.pool.Name, "pool lacks hosts"})
+			return true
+		}
 	}
-	for i := range free {
-		h := &free[i]
-		if h.Movable && !h.Reserved && !taken[h.Name] && h.IdleMS >= p.IdleMS && surplus(h) {
-			taken[h.Name] = true
-			needs[h.Pool].leave(h)
-			moves = append(moves, Move{h.Name, h.Pool, standby, "idle"})
+	return false
+}
+
+// takeSuiting moves a host that suits, and that its pool can spare, to a pool.
+func (a *assignment) takeSuiting(to *need, suits func(h *Host) bool) bool {
+	return a.take(to, func(h *Host) bool { return suits(h) && a.isSurplus(h) }) ||
+		a.take(to, func(h *Host) bool { return suits(h) && a.isOnStandby(h) })
+}
+
+// exchange moves a host that suits short tasks from a pool without work, which then gets
+// another one.
+func (a *assignment) exchange(to *need) bool {
+	return a.take(to, func(h *Host) bool {
+		n := a.needs[h.Pool]
+		return n != nil && !n.pool.Standby && n.used == 0 && n.pool.Waiting == 0 && to.suitsShort(h)
+	})
+}
+
+func (a *assignment) isSurplus(h *Host) bool {
+	n := a.needs[h.Pool]
+	return n != nil && !n.pool.Standby && n.canSpare(h)
+}
+
+func (a *assignment) isOnStandby(h *Host) bool { return h.Pool == a.standby }
+
+// moveIdleToStandby moves the surplus hosts that have idled for a time.
+func (a *assignment) moveIdleToStandby(idleMS int64) {
+	for i := range a.free {
+		if h := &a.free[i]; a.isFree(h) && h.IdleMS >= idleMS && a.isSurplus(h) {
+			a.taken[h.Name] = true
+			a.needs[h.Pool].leave(h)
+			a.moves = append(a.moves, Move{h.Name, h.Pool, a.standby, "idle"})
 		}
 	}
-	return moves
 }
 
 func inTimeOf(n *need) int { return n.inTime }
