leader: judge long-lived tasks by the time since their stop, and wait for waves

Trace: three waves on two hosts are left when the faults end, and stop the tasks of one step one after the other; the order of the waves is random. When the host of the third was the last, its task was stopped 3 s before the end of the test and waited for a host that has the memory. A task may have no run for 6 s after its last one, so the check was wrong there.

The test now counts a task as missing unless it was stopped less than 6 s before.

--- a/internal/leader/longlived_test.go
+++ b/internal/leader/longlived_test.go
@@ -74,9 +74,41 @@
 	w.healAll()
 	w.replaceDraining()
 	after(settleTime + restartTimeout + extraWait)
+	g := NewWithT(t)
 	running, logs := w.outcome()
+	g.Expect(running+w.recentlyStopped()).To(BeNumerically(">=", spread.Tasks+other.Tasks), logs)
+	for waited := time.Duration(0); !w.wavesComplete(); waited += time.Second { // they go on to stop tasks
+		g.Expect(waited).To(BeNumerically("<", waveTimeout), w.log())
+		after(time.Second)
+	}
+	after(restartTimeout + extraWait)
+	running, logs = w.outcome()
 	stop()
-	NewWithT(t).Expect(running).To(Equal(spread.Tasks+other.Tasks), logs)
+	g.Expect(running).To(Equal(spread.Tasks+other.Tasks), logs)
+}
+
+// recentlyStopped returns the number of tasks without a run that were stopped less than
+// restartTimeout ago, as a wave does while others run.
+func (w *world) recentlyStopped() (n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for task, at := range w.stoppedAt {
+		if w.alive[task] == 0 && time.Since(at) < restartTimeout {
+			n++
+		}
+	}
+	return n
+}
+
+// wavesComplete reports whether the maintenance of all hosts of all waves has begun.
+func (w *world) wavesComplete() bool {
+	complete := true
+	w.stateMachine.Read(func(v *work.View) {
+		for _, wave := range v.Waves {
+			complete = complete && wave.Complete()
+		}
+	})
+	return complete
 }
 
 // injectFault gives the target at an address a random fault, or ends its faults. It
@@ -154,6 +186,9 @@
 	settleTime = 4 * time.Second
 	// restartTimeout is how long after settleTime a long-lived task may have no run.
 	restartTimeout = 6 * time.Second
+	// waveTimeout is how long the waves of a random test may take after it: they move the
+	// tasks one by one.
+	waveTimeout = 30 * time.Second
 	// extraWait is added to restartTimeout before a missing run is a failure.
 	extraWait = 3 * time.Second
 )
