Measure announcements of hosts on the monotonic clock

An operator of the data centre groups could see a host count as available again before its verification time had passed.

A jump ahead made a host that had just returned from a reboot seem steady, and a jump by more than the lease made all hosts seem silent.

Change: the times of announcements are counted back from now by the monotonic clock. The clock with jumps moved to a package of its own for tests.

--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -21,6 +21,7 @@
 	"agatehaven.dev/agatehaven/internal/model"
 	"agatehaven.dev/agatehaven/internal/peer"
 	"agatehaven.dev/agatehaven/internal/replica"
+	"agatehaven.dev/agatehaven/internal/testsupport/jumpclock"
 )
 
 func TestControl(t *testing.T) {
@@ -90,6 +91,7 @@
 // harness is one data centre with a controller, fake targets and a manual clock.
 type harness struct {
 	clock         *clock.Manual
+	wall          *jumpclock.Clock // follows clock
 	group         *group
 	stateMachine  *datacentre.StateMachine
 	controller    *control.Controller
@@ -109,12 +111,12 @@
 func newHarness(hosts int, recs ...model.Record) *harness {
 	source := clock.NewManual(time.UnixMilli(1_000_000))
 	env := &harness{
-		clock: source, hosts: map[string]*model.HostInfo{}, running: map[string][]peer.AttemptRef{}, silent: map[string]bool{},
+		clock: source, wall: jumpclock.New(source), hosts: map[string]*model.HostInfo{}, running: map[string][]peer.AttemptRef{}, silent: map[string]bool{},
 		resolver: &resolver{}, platform: &platform{}, limits: ledger.DefaultLimits(),
 		policy: control.DefaultPolicy(),
 	}
 	env.stateMachine = datacentre.New("dc-a", nil)
-	env.group = &group{stateMachine: env.stateMachine, clock: hlc.NewClock(source), role: replica.RoleLeader, term: 1}
+	env.group = &group{stateMachine: env.stateMachine, clock: hlc.NewClock(env.wall), role: replica.RoleLeader, term: 1}
 	env.records = &records{current: &model.Records{
 		Revision: 1, FloorRevision: 1, Items: recs, Floors: map[string]map[string]int{"work": {"dc-a": 2}},
 	}}
@@ -136,7 +138,7 @@
 func (env *harness) restart() {
 	env.controller = control.New(control.Config{
 		DataCentre: "dc-a", Host: "entry-a1", Group: env.group, StateMachine: env.stateMachine, Records: env.records,
-		Resolver: env.resolver, Platform: env.platform, Clock: env.clock, Log: zerolog.Nop(),
+		Resolver: env.resolver, Platform: env.platform, Clock: env.wall, Log: zerolog.Nop(),
 		Timing: control.DefaultTiming(), Policy: env.policy, Limits: env.limits,
 	})
 }
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -70,11 +70,12 @@
 			}
 		}
 	})
+	now := c.cfg.Clock.Now()
 	for i := range f.views {
 		k := c.contactOf(f.views[i].Host.Info.Name)
 		if k.announced && k.incarnation == f.views[i].Host.Info.Incarnation {
-			f.views[i].LastAnnounced = hlcOf(k.lastSeen)
-			f.views[i].SteadySince = hlcOf(k.steadySince)
+			f.views[i].LastAnnounced = hlcOf(sameAge(k.lastSeen, now))
+			f.views[i].SteadySince = hlcOf(sameAge(k.steadySince, now))
 		}
 		// The target may still run attempts of requests that have expired from
 		// the ledger; its own list of running attempts covers them.
@@ -89,6 +90,10 @@
 	return max(0, c.expectedRunTime(kind, catalogue)-c.now().Sub(at))
 }
 
+// sameAge returns the time on the wall clock of now that lies as far back as a time does on
+// the monotonic clock: the wall clock may have jumped in between.
+func sameAge(at, now time.Time) time.Time { return now.Add(-now.Sub(at)) }
+
 func (c *Controller) now() hlc.Time { return hlcOf(c.cfg.Clock.Now()) }
 
 func hlcOf(t time.Time) hlc.Time { return hlc.Time{WallMillis: t.UnixMilli()} }
--- a/internal/leader/maintenance_test.go
+++ b/internal/leader/maintenance_test.go
@@ -11,6 +11,8 @@
 
 	. "github.com/onsi/gomega"
 
+	"agatehaven.dev/agatehaven/internal/clock"
+	"agatehaven.dev/agatehaven/internal/testsupport/jumpclock"
 	"agatehaven.dev/agatehaven/internal/work"
 )
 
@@ -38,14 +40,14 @@
 			t.Run(fmt.Sprint(name, " each ", interval), func(t *testing.T) {
 				simulate(t, func(w *world) {
 					hosts := w.addHosts(10)
-					c := &jumpingClock{}
+					c := jumpclock.New(clock.System{})
 					w.clock = c
 					_, stop := w.lead(2)
 					defer stop()
 					after(time.Second)
 					w.propose(&work.Command{Wave: &work.Wave{ID: 1, Hosts: hosts, MaxDown: 2, DurationMS: 12_000}})
 					for i := range int(30 * time.Second / interval) {
-						c.jump(offsets[i%len(offsets)])
+						c.Jump(offsets[i%len(offsets)])
 						after(interval)
 					}
 					complete, _ := w.stateMachine.WaveComplete(1)
@@ -69,8 +71,8 @@
 			for term := uint64(3); term < 12; term++ {
 				after(1300 * time.Millisecond)
 				stop()
-				c := &jumpingClock{}
-				c.jump(offset * time.Duration(term%2))
+				c := jumpclock.New(clock.System{})
+				c.Jump(offset * time.Duration(term%2))
 				w.clock = c
 				_, stop = w.lead(term)
 			}
@@ -153,10 +155,10 @@
 func runRandomWaves(t *testing.T, w *world, r *rand.Rand) {
 	const waves, terms = 3, 4
 	hosts := w.addHosts(10)
-	var clocks [terms]*jumpingClock
+	var clocks [terms]*jumpclock.Clock
 	for i := range clocks {
-		clocks[i] = &jumpingClock{}
-		clocks[i].jump(time.Duration(r.IntN(3)-1) * clockJump)
+		clocks[i] = jumpclock.New(clock.System{})
+		clocks[i].Jump(time.Duration(r.IntN(3)-1) * clockJump)
 	}
 	w.clock = clocks[0]
 	_, stop := w.lead(2)
@@ -183,7 +185,7 @@
 	term := 0
 	for i := range 40 {
 		w.mu.Lock()
-		clocks[r.IntN(terms)].jump(time.Duration(r.IntN(3)-1) * clockJump)
+		clocks[r.IntN(terms)].Jump(time.Duration(r.IntN(3)-1) * clockJump)
 		crash, host := r.IntN(10) == 0, r.IntN(10)
 		change, pause := term < terms-1 && r.IntN(10) == 0, time.Duration(r.IntN(900))*time.Millisecond
 		w.mu.Unlock()
--- a/internal/leader/orderlog_test.go
+++ b/internal/leader/orderlog_test.go
@@ -9,6 +9,7 @@
 
 	"agatehaven.dev/agatehaven/internal/clock"
 	"agatehaven.dev/agatehaven/internal/leader"
+	"agatehaven.dev/agatehaven/internal/testsupport/jumpclock"
 	"agatehaven.dev/agatehaven/internal/work"
 )
 
@@ -44,13 +45,13 @@
 	const pause = 3 * time.Second
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		c := &jumpingClock{}
+		c := jumpclock.New(clock.System{})
 		orders := leader.NewOrderLog(c)
 		after(time.Minute)
 		for _, holderOff := range []time.Duration{-2 * clockJump, -time.Minute, 0, clockJump} {
 			for _, off := range []time.Duration{clockJump, -clockJump} {
 				orders.Record(work.HostOrder{Host: "h", Holder: "x"}, time.Now().Add(holderOff).UnixMilli())
-				c.jump(off)
+				c.Jump(off)
 				after(pause - time.Millisecond)
 				g.Expect(orders.MayOrder("h", "y", pause)).To(BeFalse())
 				after(2 * time.Millisecond)
