Check for hosts that are back as soon as one answers

A host that answers after its maintenance counted at the next pass of the fleet loop, up to 100 ms later; its announcement had counted at the same pass before.

The answer of a host in maintenance wakes the loop now. The targets on such hosts are collected once a pass instead of once a host.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -101,6 +101,16 @@
 
 func newFleet() fleet { return fleet{hosts: map[string]*host{}, maintained: map[waveStep]time.Time{}} }
 
+// awaits reports whether a host is in maintenance.
+func (f *fleet) awaits(host string) bool {
+	for step := range f.maintained {
+		if step.host == host {
+			return true
+		}
+	}
+	return false
+}
+
 // awaitedHosts returns the hosts in maintenance.
 func (f *fleet) awaitedHosts() map[string]bool {
 	hosts := map[string]bool{}
@@ -163,7 +173,7 @@
 
 // fleetLoop maintains hosts and moves them between pools.
 func (l *Leader) fleetLoop() {
-	for l.sleep(fleetInterval) {
+	for l.sleepUntil(fleetInterval, l.fleetWake) {
 		if !l.Confirmed() {
 			continue
 		}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -92,8 +92,10 @@
 	fences           uint64
 	fleet            fleet
 	wake             wakeup
-	estimates        durationEstimates
-	arrivals         arrivals
+	// fleetWake signals that a host may be back from maintenance.
+	fleetWake wakeup
+	estimates durationEstimates
+	arrivals  arrivals
 	// missingHosts holds, by pool, the hosts that tasks without a suitable host need.
 	missingHosts map[string]missingHosts
 	starved      starved
@@ -150,7 +152,7 @@
 func New(cfg Config, term uint64) *Leader {
 	return &Leader{
 		cfg: cfg, term: term, elected: cfg.Clock.Now(), log: cfg.Log.With().Uint64("term", term).Logger(),
-		sessions: map[string]*session{}, statuses: map[string]*targetStatus{}, wake: make(wakeup, 1),
+		sessions: map[string]*session{}, statuses: map[string]*targetStatus{}, wake: make(wakeup, 1), fleetWake: make(wakeup, 1),
 		planning: make(planLock, 1), fleet: newFleet(), estimates: newDurationEstimates(), permits: newPermits(), reports: newReports(),
 		missingHosts: map[string]missingHosts{},
 	}
@@ -183,6 +185,19 @@
 	}
 }
 
+// sleepUntil waits for d, or until it is woken. It returns false if the leader's context
+// ended.
+func (l *Leader) sleepUntil(d time.Duration, woken wakeup) bool {
+	select {
+	case <-l.ctx.Done():
+		return false
+	case <-woken:
+		return true
+	case <-l.cfg.Clock.After(d):
+		return true
+	}
+}
+
 // confirmLoop proves at intervals, by a read barrier, that no other leader was elected.
 func (l *Leader) confirmLoop() {
 	var ahead time.Duration
--- a/internal/leader/maintenance.go
+++ b/internal/leader/maintenance.go
@@ -252,6 +252,7 @@
 				delete(l.fleet.maintained, step)
 			}
 		}
+		awaited := l.awaitedTargets(v)
 		for _, w := range v.Waves {
 			for name := range w.Begun {
 				step := waveStep{w.ID, name}
@@ -261,7 +262,7 @@
 				case !known:
 					l.fleet.maintained[step] = now
 				default:
-					r := returnedHost{step, now.Sub(since), l.hasAnswered(v, name, since)}
+					r := returnedHost{step, now.Sub(since), l.hasAnswered(awaited[name], since)}
 					if r.answered || r.waited > 2*l.cfg.Timing.Maintenance {
 						returned = append(returned, r)
 					}
@@ -272,13 +273,28 @@
 	return returned
 }
 
-// hasAnswered reports whether a target on a host has answered a call that was made after
-// a time. It calls those that were not called since. The mutex is held.
-func (l *Leader) hasAnswered(v *work.View, host string, after time.Time) bool {
-	for key, t := range v.Targets {
-		if t.Host != host || t.Ended {
-			continue
+// awaitedTargets returns the targets on hosts in maintenance, by host. The mutex is held.
+func (l *Leader) awaitedTargets(v *work.View) map[string][]*work.Target {
+	targets := map[string][]*work.Target{}
+	for host := range l.fleet.awaitedHosts() {
+		targets[host] = nil
+	}
+	if len(targets) == 0 {
+		return nil
+	}
+	for _, t := range v.Targets {
+		if _, awaited := targets[t.Host]; awaited && !t.Ended {
+			targets[t.Host] = append(targets[t.Host], t)
 		}
+	}
+	return targets
+}
+
+// hasAnswered reports whether one of the targets on a host has answered a call that was
+// made after a time. It calls those that were not called since. The mutex is held.
+func (l *Leader) hasAnswered(targets []*work.Target, after time.Time) bool {
+	for _, t := range targets {
+		key := t.Key()
 		if s := l.sessions[key]; s != nil && s.listedAt.After(after) {
 			return true
 		}
--- a/internal/leader/runlist.go
+++ b/internal/leader/runlist.go
@@ -129,6 +129,9 @@
 	l.cfg.StateMachine.Read(func(v *work.View) {
 		if t := v.Targets[s.key]; t != nil {
 			s.reconcileRuns(v, t, h, sent, c)
+			if l.fleet.awaits(t.Host) {
+				l.fleetWake.signal()
+			}
 		}
 	})
 	for _, f := range finished {
