--- a/internal/leader/longlived_test.go
+++ b/internal/leader/longlived_test.go
@@ -76,7 +76,7 @@
 	after(settleTime + restartTimeout + extraWait)
 	g := NewWithT(t)
 	running, logs := w.outcome()
-	g.Expect(running+w.recentlyStopped()).To(BeNumerically(">=", spread.Tasks+other.Tasks), logs)
+	g.Expect(running).To(Equal(spread.Tasks+other.Tasks), logs)
 	for waited := time.Duration(0); !w.wavesComplete(); waited += time.Second { // they go on to stop tasks
 		g.Expect(waited).To(BeNumerically("<", waveTimeout), w.log())
 		after(time.Second)
@@ -87,19 +87,6 @@
 	g.Expect(running).To(Equal(spread.Tasks+other.Tasks), logs)
 }
 
-// recentlyStopped returns the number of tasks without a run that were stopped less than
-// restartTimeout ago, as a wave does while others run.
-func (w *world) recentlyStopped() (n int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for task, at := range w.stoppedAt {
-		if w.alive[task] == 0 && time.Since(at) < restartTimeout {
-			n++
-		}
-	}
-	return n
-}
-
 // wavesComplete reports whether the maintenance of all hosts of all waves has begun.
 func (w *world) wavesComplete() bool {
 	complete := true
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -120,8 +120,6 @@
 	onStart func(o *leader.StartOrder)
 	// endsPerList bounds the ended runs of a list.
 	endsPerList int
-	// stoppedAt is when the last run of each task was stopped.
-	stoppedAt map[work.TaskRef]time.Time
 	// begun is when the last run of each task began. doneNoted holds the tasks of which a
 	// run that was done was acknowledged, and lasting those of long-lived steps.
 	begun              map[work.TaskRef]time.Time
@@ -185,7 +183,7 @@
 	w := &world{t: t, stateMachine: work.New(), quorum: true, commit: worldCommit, stopTime: worldStop, targets: map[string]*target{}, alive: map[work.TaskRef]int{},
 		goal:  map[string]string{},
 		clock: clock.System{}, waves: map[int64]*waveRecord{}, inMaintenance: map[string]bool{}, tokens: map[string]uint64{},
-		endsPerList: 500, stoppedAt: map[work.TaskRef]time.Time{}, begun: map[work.TaskRef]time.Time{}, doneNoted: map[work.TaskRef]bool{}, lasting: map[work.TaskRef]bool{},
+		endsPerList: 500, begun: map[work.TaskRef]time.Time{}, doneNoted: map[work.TaskRef]bool{}, lasting: map[work.TaskRef]bool{},
 		off: map[string]bool{}, parked: map[string]string{}}
 	w.propose(&work.Command{Configure: &work.Configuration{
 		Version: 1, Pools: []work.Pool{{Name: "desk"}, {Name: "cuts"}, {Name: "off", Standby: true}},
@@ -440,9 +438,6 @@
 	t.number++
 	t.ended = append(t.ended, work.EndedRun{Number: t.number, Run: ref, Outcome: outcome})
 	t.endedAt[t.number] = time.Now()
-	if outcome == work.OutcomeStopped {
-		t.w.stoppedAt[ref.Task] = time.Now()
-	}
 	t.used.MilliCPU -= 1000
 	t.stopped[ref.Task] = max(t.stopped[ref.Task], ref.Run)
 	t.wake()
