--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -27,21 +27,9 @@
 	// leaving the fleet until it is gone.
 	orderBackoff    = 500 * time.Millisecond
 	maxOrderBackoff = 4 * time.Second
-	// awayCheckInterval is how often unreachable data centres are looked for. It is
-	// short against the seconds after which a target counts as silent.
-	awayCheckInterval = 50 * time.Millisecond
 	// standbyOrderLimit is the number of pending orders of any kind up to which hosts
 	// move to standby. The platform accepts about as many orders in a second.
 	standbyOrderLimit = 32
-	// minSilentTargets is the least number of silent targets in a data centre that
-	// counts as unreachable: more than the loss of one host explains.
-	minSilentTargets = 2
-	// awayAfter is how long no target of a data centre must have answered for it to
-	// count as unreachable. Targets with runs are asked every holdWait.
-	awayAfter = 2 * holdWait
-	// probeInterval is how often one idle target is probed in a data centre with silent
-	// targets where none has answered for half of awayAfter.
-	probeInterval = 500 * time.Millisecond
 	// refusalsBeforeRelist is after how many refused orders for a host, and after each
 	// further one, the list of hosts is read again. A host that leaves the fleet stays
 	// listed until it is gone.
@@ -418,85 +406,6 @@
 	return p
 }
 
-// heard reports whether a target announced itself or answered recently. The mutex is
-// held.
-func (l *Leader) heard(t *work.Target) bool {
-	key := t.Key()
-	st := l.statuses[key]
-	if st == nil || l.now().Sub(st.heard) > maxMissedAnnouncements*l.cfg.Timing.Announce {
-		return false
-	}
-	s := l.sessions[key]
-	return s == nil || !s.silent
-}
-
-// awayDataCentres returns the unreachable data centres, as of at most awayCheckInterval
-// ago. The mutex is held.
-func (l *Leader) awayDataCentres(v *work.View) map[string]bool {
-	if now := l.now(); l.fleet.away == nil || now.Sub(l.fleet.awayAt) >= awayCheckInterval {
-		before := l.fleet.away
-		l.fleet.away, l.fleet.awayAt = l.findAway(v), now
-		for name, away := range l.fleet.away {
-			if away && !before[name] {
-				l.log.Warn().Str("data_centre", name).Msg("data centre seems to be cut off")
-			}
-		}
-		for name, away := range before {
-			if away && !l.fleet.away[name] {
-				l.log.Info().Str("data_centre", name).Msg("data centre answers again")
-			}
-		}
-	}
-	return l.fleet.away
-}
-
-// findAway returns the data centres in which several targets are silent and none has
-// answered recently. If only idle targets are left, it probes one of them at intervals:
-// their announcements still arrive when the network fails in one direction only. The
-// mutex is held.
-func (l *Leader) findAway(v *work.View) map[string]bool {
-	now := l.now()
-	silent, answered, idle := map[string]int{}, map[string]time.Time{}, map[string]*work.Target{}
-	for key, t := range v.Targets {
-		if t.Ended {
-			continue
-		}
-		st := l.statuses[key]
-		if st != nil {
-			answered[t.DataCentre] = latest(answered[t.DataCentre], st.answered)
-		}
-		switch {
-		case st != nil && now.Sub(st.answered) < awayAfter:
-		case !l.heard(t):
-			silent[t.DataCentre]++
-		case idle[t.DataCentre] == nil || st.probed.Before(l.statuses[idle[t.DataCentre].Key()].probed):
-			idle[t.DataCentre] = t
-		}
-	}
-	away := map[string]bool{}
-	for name, n := range silent {
-		quiet := now.Sub(answered[name])
-		away[name] = n >= minSilentTargets && quiet >= awayAfter
-		if t := idle[name]; n >= minSilentTargets && quiet >= awayAfter/2 && t != nil && now.Sub(l.statuses[t.Key()].probed) >= probeInterval {
-			l.probe(t)
-		}
-	}
-	return away
-}
-
-// probe asks an idle target for its runs to learn whether it answers. The mutex is
-// held.
-func (l *Leader) probe(t *work.Target) {
-	key := t.Key()
-	l.statuses[key].probed = l.now()
-	s := l.sessions[key]
-	if s == nil {
-		s = l.openSession(key, Address{t.Address, t.ID}, l.hasRecentPredecessor(t))
-	}
-	s.probing = true
-	s.wake.signal()
-}
-
 // cordonHosts keeps new runs away from the hosts that their pool does not need.
 func (l *Leader) cordonHosts(cordoned map[string]bool) {
 	for name, h := range l.fleet.hosts {
@@ -509,114 +418,6 @@
 	}
 }
 
-// logSizes logs the demand and the hosts of the pools, at most once a second.
-func (l *Leader) logSizes(demand []poolsize.Pool, hosts []poolsize.Host, moves int) {
-	if l.now().Sub(l.fleet.sizesLoggedAt) < time.Second {
-		return
-	}
-	l.fleet.sizesLoggedAt = l.now()
-	count, movable := map[string]int{}, map[string]int{}
-	for _, h := range hosts {
-		count[h.Pool]++
-		if h.Movable {
-			movable[h.Pool]++
-		}
-	}
-	for _, p := range demand {
-		l.log.Info().Str("pool", p.Name).Int("hosts", count[p.Name]).Int("movable", movable[p.Name]).
-			Int64("running_mcpu", p.Running).Int64("waiting_mcpu", p.Waiting).
-			Int64("missed_running_mcpu", p.LateRunning).Int64("missed_waiting_mcpu", p.LateWaiting).Float64("arriving_mcpu", p.ArrivalRate).Float64("rising_mcpu", p.ArrivalRise).
-			Int("spread", p.MinHosts).Int("lacking", p.MissingHosts).Int("moves", moves).Msg("pool size")
-	}
-}
-
-// demand measures the demand of the pools. The mutex is held.
-func (l *Leader) demand(v *work.View) []poolsize.Pool {
-	pools := make([]poolsize.Pool, len(v.Config.Pools))
-	index := map[string]*poolDemand{}
-	for i, p := range v.Config.Pools {
-		pools[i] = poolsize.Pool{Name: p.Name, Standby: p.Standby}
-		index[p.Name] = &poolDemand{Pool: &pools[i]}
-	}
-	now := l.nowMS()
-	away := l.awayDataCentres(v)
-	l.arrivals.add(v, now, l.estimates.expected)
-	for _, j := range v.Live {
-		if d := index[j.Pool]; d != nil && !j.State.Final() {
-			d.missed = schedule.DeadlineStatusOf(j, now, l.estimates.expected) > schedule.InTime
-			for i := range j.Tasks {
-				d.add(l, v, j, &j.Tasks[i], away)
-			}
-		}
-	}
-	for name, d := range index {
-		d.ArrivalRate, d.ArrivalRise = l.arrivals.rate(name)
-		d.DurationS = d.durations.value()
-		if missing, ok := l.missingHosts[name]; ok && l.now().Sub(missing.since) >= missingHostsDelay {
-			d.MissingHosts, d.MissingLongLived = missing.hosts, missing.longLived
-			d.Suits = func(host string) bool { return l.meetsAny(host, missing.needs) }
-			d.SuitsShort = func(host string) bool { return l.meetsAny(host, missing.shortNeeds) }
-		}
-	}
-	return pools
-}
-
-// poolDemand sums up the demand of a pool.
-type poolDemand struct {
-	*poolsize.Pool
-	durations mean
-	// missed is set while the tasks of a job are added that will miss its objective.
-	missed bool
-}
-
-// add includes a task. The leader's mutex is held.
-func (d *poolDemand) add(l *Leader, v *work.View, j *work.Job, t *work.Task, away map[string]bool) {
-	step := &j.Spec.Steps[t.Step]
-	cpu := step.Reserved().MilliCPU
-	switch {
-	case t.Active():
-		// Runs on silent hosts need no capacity on other hosts until their leases end.
-		if on := v.Targets[t.Target]; on != nil && l.heard(on) && !away[on.DataCentre] {
-			d.Running += cpu
-			d.LateRunning += d.ifMissed(cpu)
-		}
-	case !t.Done && j.Ready(t):
-		d.Waiting += cpu
-		d.LateWaiting += d.ifMissed(cpu)
-	}
-	if !step.LongLived && !t.Done {
-		d.durations.add(float64(l.estimates.expected(j, t.Step))/1000, float64(cpu))
-	}
-	if step.LongLived && step.MaxPerHost > 0 {
-		d.MinHosts = max(d.MinHosts, (step.Tasks+step.MaxPerHost-1)/step.MaxPerHost)
-	}
-}
-
-// ifMissed returns the demand if it belongs to a job that will miss its objective, and
-// 0 otherwise.
-func (d *poolDemand) ifMissed(cpu int64) int64 {
-	if d.missed {
-		return cpu
-	}
-	return 0
-}
-
-// mean is a weighted mean.
-type mean struct{ sum, weight float64 }
-
-func (m *mean) add(value, weight float64) {
-	m.sum += value * weight
-	m.weight += weight
-}
-
-// value returns the mean, 0 if nothing was added.
-func (m *mean) value() float64 {
-	if m.weight == 0 {
-		return 0
-	}
-	return m.sum / m.weight
-}
-
 // moveHost repeats a move order until the platform has accepted or refused it.
 func (l *Leader) moveHost(m poolsize.Move) {
 	outcome := PlatformRefused
