--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -52,9 +52,9 @@
 	// away holds the unreachable data centres, as of awayAt.
 	away   map[string]bool
 	awayAt time.Time
-	// maintained holds since when this leader has known that the maintenance of a host has
+	// inMaintenance holds since when this leader has known that the maintenance of a host has
 	// begun, until the host is back.
-	maintained map[waveStep]time.Time
+	inMaintenance map[waveStep]time.Time
 	// tokensIssued counts the platform tokens of this term.
 	tokensIssued uint64
 }
@@ -87,11 +87,13 @@
 	h.retryAt = now.Add(min(orderBackoff<<min(h.refusals-1, 8), maxOrderBackoff))
 }
 
-func newFleet() fleet { return fleet{hosts: map[string]*host{}, maintained: map[waveStep]time.Time{}} }
+func newFleet() fleet {
+	return fleet{hosts: map[string]*host{}, inMaintenance: map[waveStep]time.Time{}}
+}
 
-// awaits reports whether a host is in maintenance.
-func (f *fleet) awaits(host string) bool {
-	for step := range f.maintained {
+// isInMaintenance reports whether a host is in maintenance.
+func (f *fleet) isInMaintenance(host string) bool {
+	for step := range f.inMaintenance {
 		if step.host == host {
 			return true
 		}
@@ -99,10 +101,10 @@
 	return false
 }
 
-// awaitedHosts returns the hosts in maintenance.
-func (f *fleet) awaitedHosts() map[string]bool {
+// hostsInMaintenance returns the hosts in maintenance.
+func (f *fleet) hostsInMaintenance() map[string]bool {
 	hosts := map[string]bool{}
-	for step := range f.maintained {
+	for step := range f.inMaintenance {
 		hosts[step.host] = true
 	}
 	return hosts
@@ -161,7 +163,7 @@
 
 // fleetLoop maintains hosts and moves them between pools.
 func (l *Leader) fleetLoop() {
-	for l.sleepUntil(fleetInterval, l.fleetWake) {
+	for l.sleepOrWake(fleetInterval, l.fleetWake) {
 		if !l.Confirmed() {
 			continue
 		}
--- a/internal/leader/incarnation.go
+++ b/internal/leader/incarnation.go
@@ -68,7 +68,7 @@
 			t.EachRun(func(r work.RunRef) { held[r] = true })
 		}
 	})
-	alive, ended := false, h.Truncated
+	alive, unread := false, h.Truncated
 	for _, r := range h.Running {
 		if held[r.Run] {
 			alive = true
@@ -76,14 +76,14 @@
 		}
 	}
 	for _, e := range h.Ended {
-		ended = ended || held[e.Run]
+		unread = unread || held[e.Run]
 	}
 	s.logUnreadable(&h.Unreadable)
-	if ended {
+	if unread {
 		s.l.readEnds(s.to.ID, h.Born)
 	}
 	// A skipped row may be one of these runs; then their leases have to expire first.
-	if !alive && !ended && h.Unreadable.LeftOut == 0 {
+	if !alive && !unread && h.Unreadable.LeftOut == 0 {
 		s.l.proposeOrLog(&work.Command{CloseRuns: s.key, TargetEnded: true}, "end of an earlier incarnation")
 	}
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -176,18 +176,11 @@
 func (l *Leader) nowMS() int64 { return l.elected.Add(l.now().Sub(l.elected)).UnixMilli() }
 
 // sleep waits for d. It returns false if the leader's context ended.
-func (l *Leader) sleep(d time.Duration) bool {
-	select {
-	case <-l.ctx.Done():
-		return false
-	case <-l.cfg.Clock.After(d):
-		return true
-	}
-}
+func (l *Leader) sleep(d time.Duration) bool { return l.sleepOrWake(d, nil) }
 
-// sleepUntil waits for d, or until it is woken. It returns false if the leader's context
+// sleepOrWake waits for d, or until it is woken. It returns false if the leader's context
 // ended.
-func (l *Leader) sleepUntil(d time.Duration, woken wakeup) bool {
+func (l *Leader) sleepOrWake(d time.Duration, woken wakeup) bool {
 	select {
 	case <-l.ctx.Done():
 		return false
@@ -222,15 +215,15 @@
 // minClockJump is the least jump of the wall clock that is logged.
 const minClockJump = 250 * time.Millisecond
 
-// logClockJump logs a jump of the wall clock, which the times of the log lines show only to
-// those who know of it. before is by how much the wall clock was ahead of the monotonic
-// one, compared with the election; it returns by how much it is at a time.
+// logClockJump logs a jump of the wall clock. before is by how much the wall clock had gained
+// on the monotonic one since the election; it returns by how much it has now.
 func (l *Leader) logClockJump(now time.Time, before time.Duration) time.Duration {
 	ahead := now.Round(0).Sub(l.elected.Round(0)) - now.Sub(l.elected)
-	if by := ahead - before; by.Abs() < minClockJump {
+	by := ahead - before
+	if by.Abs() < minClockJump {
 		return before
 	}
-	l.log.Warn().Int64("by_ms", (ahead - before).Milliseconds()).Msg("wall clock jumped")
+	l.log.Warn().Int64("by_ms", by.Milliseconds()).Msg("wall clock jumped")
 	return ahead
 }
 
--- a/internal/leader/maintenance.go
+++ b/internal/leader/maintenance.go
@@ -124,7 +124,7 @@
 // maintainHost orders the maintenance of a host that runs nothing.
 func (l *Leader) maintainHost(r waveStep) {
 	outcome := PlatformBusy
-	repeated := l.isOrdered(r)
+	repeated := l.wasOrdered(r)
 	defer func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -167,9 +167,9 @@
 	l.proposeOrLog(&work.Command{WaveSteps: []work.WaveStep{r.withKind(work.MaintenanceBegun)}}, "begun maintenance")
 }
 
-// isOrdered reports whether the maintenance of a host was ordered before, with an outcome
+// wasOrdered reports whether the maintenance of a host was ordered before, with an outcome
 // that is not known.
-func (l *Leader) isOrdered(r waveStep) (ordered bool) {
+func (l *Leader) wasOrdered(r waveStep) (ordered bool) {
 	l.cfg.StateMachine.Read(func(v *work.View) {
 		if w := v.Waves[r.wave]; w != nil {
 			_, ordered = w.Ordered[r.host]
@@ -225,7 +225,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range returned {
-		delete(l.fleet.maintained, r.waveStep)
+		delete(l.fleet.inMaintenance, r.waveStep)
 		// A host that already has another order, for another pool or wave, stays
 		// reserved.
 		if h := l.fleet.host(r.host); h.reserved == reservedMaintenance && !h.orderPending {
@@ -247,22 +247,22 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.cfg.StateMachine.Read(func(v *work.View) {
-		for step := range l.fleet.maintained {
+		for step := range l.fleet.inMaintenance {
 			if w := v.Waves[step.wave]; w == nil || w.Returned[step.host] {
-				delete(l.fleet.maintained, step)
+				delete(l.fleet.inMaintenance, step)
 			}
 		}
-		awaited := l.awaitedTargets(v)
+		candidates := l.targetsInMaintenance(v)
 		for _, w := range v.Waves {
 			for name := range w.Begun {
 				step := waveStep{w.ID, name}
-				since, known := l.fleet.maintained[step]
+				since, known := l.fleet.inMaintenance[step]
 				switch {
 				case w.Returned[name]:
 				case !known:
-					l.fleet.maintained[step] = now
+					l.fleet.inMaintenance[step] = now
 				default:
-					r := returnedHost{step, now.Sub(since), l.hasAnswered(awaited[name], since)}
+					r := returnedHost{step, now.Sub(since), l.hasAnswered(candidates[name], since)}
 					if r.answered || r.waited > 2*l.cfg.Timing.Maintenance {
 						returned = append(returned, r)
 					}
@@ -273,17 +273,17 @@
 	return returned
 }
 
-// awaitedTargets returns the targets on hosts in maintenance, by host. The mutex is held.
-func (l *Leader) awaitedTargets(v *work.View) map[string][]*work.Target {
+// targetsInMaintenance returns the targets on hosts in maintenance, by host. The mutex is held.
+func (l *Leader) targetsInMaintenance(v *work.View) map[string][]*work.Target {
 	targets := map[string][]*work.Target{}
-	for host := range l.fleet.awaitedHosts() {
+	for host := range l.fleet.hostsInMaintenance() {
 		targets[host] = nil
 	}
 	if len(targets) == 0 {
 		return nil
 	}
 	for _, t := range v.Targets {
-		if _, awaited := targets[t.Host]; awaited && !t.Ended {
+		if _, known := targets[t.Host]; known && !t.Ended {
 			targets[t.Host] = append(targets[t.Host], t)
 		}
 	}
--- a/internal/leader/runlist.go
+++ b/internal/leader/runlist.go
@@ -129,7 +129,7 @@
 	l.cfg.StateMachine.Read(func(v *work.View) {
 		if t := v.Targets[s.key]; t != nil {
 			s.reconcileRuns(v, t, h, sent, c)
-			if l.fleet.awaits(t.Host) {
+			if l.fleet.isInMaintenance(t.Host) {
 				l.fleetWake.signal()
 			}
 		}
@@ -163,7 +163,7 @@
 	t.EachRun(func(r work.RunRef) { held[r] = true })
 	for _, e := range h.Ended {
 		ended[e.Run] = true
-		if e.Outcome == work.OutcomeDone && isOpen(v, e.Run) {
+		if e.Outcome == work.OutcomeDone && needsRun(v, e.Run) {
 			c.closedBefore = append(c.closedBefore, e.Run)
 		}
 	}
@@ -198,9 +198,9 @@
 	}
 }
 
-// isOpen reports whether a task has to run (again) although the state holds no run, or a
+// needsRun reports whether a task has to run (again) although the state holds no run, or a
 // later one, of it.
-func isOpen(v *work.View, r work.RunRef) bool {
+func needsRun(v *work.View, r work.RunRef) bool {
 	j, t := v.Find(r.Task)
 	return j != nil && !j.State.Final() && !t.Done && !j.Spec.Steps[t.Step].LongLived && (t.Run != r.Run || !t.Active())
 }
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -139,13 +139,13 @@
 	alive := map[string]bool{}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	awaited := l.fleet.awaitedHosts()
+	inMaintenance := l.fleet.hostsInMaintenance()
 	l.cfg.StateMachine.Read(func(v *work.View) {
 		for key, t := range v.Targets {
 			alive[key] = true
 			// A new leader asks every target once whether it is alive. The first answer after
 			// maintenance proves that a host is back.
-			if l.sessions[key] == nil && (t.Runs() > 0 || l.statuses[key] == nil || awaited[t.Host]) {
+			if l.sessions[key] == nil && (t.Runs() > 0 || l.statuses[key] == nil || inMaintenance[t.Host]) {
 				missing = append(missing, found{key, Address{t.Address, t.ID}, l.hasRecentPredecessor(t)})
 			}
 		}
--- a/internal/schedule/missing.go
+++ b/internal/schedule/missing.go
@@ -46,7 +46,7 @@
 // other tasks.
 func (r *Request) addMissingHosts(j *work.Job, s *work.Step, tasks []*work.Task, used []*Host) {
 	p := r.poolOf(j.Pool)
-	before, first := len(p.missing), tasks
+	before, waiting := len(p.missing), tasks
 	for i := 0; len(tasks) > 0 && !r.reachedMaxMissing(j.Pool, p, s.LongLived); i++ {
 		opened := i == len(p.missing)
 		if opened {
@@ -67,7 +67,7 @@
 			r.MissingLongLived[j.Pool]++
 		}
 		if n > 0 {
-			r.noteNeed(j, s, first)
+			r.noteNeed(j, s, waiting[0])
 		}
 		if opened && n == 0 {
 			p.missing = p.missing[:i]
@@ -80,19 +80,19 @@
 	}
 	for _, h := range used {
 		if s.Gang && h.Target.Runs() == 0 {
-			p.awaited[h] = true
+			p.gangHosts[h] = true
 		}
 	}
 	if len(p.missing) > 0 {
-		r.MissingHosts[j.Pool] = len(p.missing) + len(p.awaited)
+		r.MissingHosts[j.Pool] = len(p.missing) + len(p.gangHosts)
 	}
 }
 
 // noteNeed records what the tasks of a step need that no host of a pool can take.
-func (r *Request) noteNeed(j *work.Job, s *work.Step, tasks []*work.Task) {
+func (r *Request) noteNeed(j *work.Job, s *work.Step, t *work.Task) {
 	need := Need{Demand: s.Reserved(), Label: s.Label}
 	if j.PolicyChecked {
-		need.Policy = j.Ref(tasks[0])
+		need.Policy = j.Ref(t)
 		need.Policy.Index = 0
 	}
 	needs := r.MissingShortNeeds
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -181,9 +181,9 @@
 	// missing holds the empty hosts that the pool misses, filled with the tasks that
 	// need them.
 	missing []*emptyHost
-	// awaited holds the idle hosts on which a part of a gang has a place. They are needed
+	// gangHosts holds the idle hosts on which a part of a gang has a place. They are needed
 	// beside the missing ones, although nothing starts on them yet.
-	awaited map[*Host]bool
+	gangHosts map[*Host]bool
 }
 
 // maxFull bounds the length of pool.full. The jobs of a queue have similar demands.
@@ -198,7 +198,7 @@
 func (r *Request) poolOf(name string) *pool {
 	p := r.pools[name]
 	if p == nil {
-		p = &pool{hosts: r.Hosts(name), awaited: map[*Host]bool{}}
+		p = &pool{hosts: r.Hosts(name), gangHosts: map[*Host]bool{}}
 		r.pools[name] = p
 	}
 	return p
--- a/internal/work/start.go
+++ b/internal/work/start.go
@@ -9,7 +9,7 @@
 func (s *state) start(starts []Start) *Result {
 	result := &Result{}
 	for len(starts) > 0 {
-		n, gang := s.together(starts)
+		n, gang := s.leadingGang(starts)
 		if !gang || s.isWholeGang(starts[:n]) {
 			result.Started = append(result.Started, s.startRuns(starts[:n])...)
 		}
@@ -18,8 +18,8 @@
 	return result
 }
 
-// together returns how many of the first starts are those of one gang, or 1 and false.
-func (s *state) together(starts []Start) (n int, gang bool) {
+// leadingGang returns how many of the first starts are those of one gang, or 1 and false.
+func (s *state) leadingGang(starts []Start) (n int, gang bool) {
 	j, t := s.find(starts[0].Task)
 	if j == nil || !j.Spec.Steps[t.Step].Gang {
 		return 1, false
@@ -150,7 +150,7 @@
 
 // shareCheckpoint gives all members of a gang the checkpoint that was reported first by any
 // of them latest. A member whose target was lost may have reported an older one or none,
-// and members that resume at different points never work together.
+// and members that resume at different points never work leadingGang.
 func shareCheckpoint(members []*Task) {
 	since := map[string]int64{}
 	for _, m := range members {
