Keep an idle host for the long-lived tasks of a host that is emptied

A long-lived task that a wave or a drained host had stopped had no run for about 3 s although a host of its pool was idle.

Cause: a task without a host asks for one once it has waited for 0.5 s, and one that still runs on a host about to be maintained asks for none. Until then the pool wanted hosts by its CPU demand alone, so that a host with free memory was closed, or left for standby in the very moment in which the task was stopped; another one moved in 0.5 s later, which takes some seconds.

In the trace the task of hcuts1 is stopped for wave 39 at 42.563 s and hcuts0, back from wave 24 since 41.98 s, leaves as idle; the task runs again at 45.993 s, on hcuts1.

Change: long-lived tasks keep their pool's idle hosts open from the moment on in which they wait, or in which their hosts are reserved. They ask for further hosts no earlier than before.

TestIdleHostTakesTheTaskOfAHostThatIsMaintained and a case of poolsize failed before.

--- a/internal/leader/demand.go
+++ b/internal/leader/demand.go
@@ -51,7 +51,9 @@
 	for name, d := range index {
 		d.ArrivalRate, d.ArrivalRise = l.arrivals.rate(name)
 		d.DurationS = d.durations.value()
-		if missing, ok := l.missingHosts[name]; ok && l.now().Sub(missing.since) >= missingHostsDelay {
+		missing, ok := l.missingHosts[name]
+		d.WaitingLongLived = missing.longLived
+		if ok && l.now().Sub(missing.since) >= missingHostsDelay {
 			d.MissingHosts, d.MissingLongLived = missing.hosts, missing.longLived
 			d.Suits = func(host string) bool { return l.meetsAny(host, missing.needs) }
 			d.SuitsShort = func(host string) bool { return l.meetsAny(host, missing.shortNeeds) }
--- a/internal/leader/longlived_test.go
+++ b/internal/leader/longlived_test.go
@@ -304,6 +304,45 @@
 	})
 }
 
+// Guards against a long-lived task that waits for a host to move in while its own is
+// maintained: an idle host of its pool takes no runs, or moves to standby, since by its CPU
+// demand the pool needs no other host.
+func TestIdleHostTakesTheTaskOfAHostThatIsMaintained(t *testing.T) {
+	kept := 0
+	for ms := range 20 {
+		simulate(t, func(w *world) {
+			w.add("a", "ha", "1:1", "desk").setDuration(0)
+			w.add("b", "hb", "1:2", "desk").setDuration(0)
+			w.add("c", "hc", "2:1", "cuts").setDuration(0)
+			_, stop := w.lead(2)
+			defer stop()
+			after(time.Second)
+			step := longLivedStep(2)
+			step.Demand.MemoryMB = 2500 // of 4000
+			w.submit("j", "/draw/", step)
+			after(2 * time.Second)
+			w.add("d", "hd", "1:3", "desk").setDuration(0)
+			after(time.Duration(ms) * 100 * time.Millisecond)
+			w.propose(&work.Command{Wave: &work.Wave{ID: 1, Hosts: []string{"ha"}, MaxDown: 1, DurationMS: 60_000}})
+			after(2 * worldCommit)
+			w.mu.Lock()
+			left := w.parked["hd"] != ""
+			w.mu.Unlock()
+			if left {
+				return
+			}
+			kept++
+			after(time.Second)
+			running, logs := w.outcome()
+			NewWithT(t).Expect(running).To(Equal(2), logs)
+			w.mu.Lock()
+			NewWithT(t).Expect(w.inMaintenance["ha"]).To(BeTrue())
+			w.mu.Unlock()
+		})
+	}
+	NewWithT(t).Expect(kept).To(BeNumerically(">", 10))
+}
+
 // Guards against long-lived tasks without a run beside idle hosts of a data centre that
 // wrongly counts as unreachable: two of its hosts are lost, and no run is left there to
 // show that the others answer.
--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -32,6 +32,10 @@
 	// for whichever reason: memory, fragmented capacity or what runs beside them.
 	// MissingLongLived is the part of it that long-lived tasks need.
 	MissingHosts, MissingLongLived int
+	// WaitingLongLived is how many empty hosts long-lived tasks need that no host takes,
+	// from the first moment on. The pool keeps its hosts for them but asks for no others,
+	// since room may be free on its hosts a moment later.
+	WaitingLongLived int
 	// Suits reports whether a host, when empty, could run one of the long-lived tasks
 	// that no host takes. If it is nil, every host suits.
 	Suits func(host string) bool
@@ -91,6 +95,9 @@
 	hosts int
 	// used is the number of hosts on which something runs.
 	used int
+	// emptied is the number of reserved hosts with long-lived runs, whose tasks move to
+	// other hosts.
+	emptied int
 	// inTime is the number of hosts needed for work that can be in time, want for all
 	// work.
 	inTime, want int
@@ -136,7 +143,12 @@
 		return Decision{}
 	}
 	for _, h := range hosts {
-		if n := needs[h.Pool]; n != nil && !h.Reserved {
+		n := needs[h.Pool]
+		switch {
+		case n == nil:
+		case h.Reserved && h.LongLived:
+			n.emptied++
+		case !h.Reserved:
 			n.hosts++
 			if h.Load > 0 || h.LongLived {
 				n.used++
@@ -159,6 +171,9 @@
 		if needed := n.pool.MissingLongLived; needed > 0 {
 			n.inTime = max(n.inTime, n.used+needed)
 		}
+		if kept := min(n.hosts, n.used+n.emptied+n.pool.WaitingLongLived); kept > n.used {
+			n.want, n.inTime = max(n.want, kept), max(n.inTime, kept)
+		}
 	}
 	attainableCPU := attainableCPU(order, needs, size)
 	yieldHosts(order, needs, standby)
--- a/internal/poolsize/poolsize_test.go
+++ b/internal/poolsize/poolsize_test.go
@@ -195,6 +195,30 @@
 		}
 	})
 
+	It("keeps an idle host for the long-lived tasks of a host that is emptied", func() {
+		// Guards against tasks that are stopped for maintenance and then wait for a host to
+		// move in, while their pool closes an idle one or lets it go.
+		pool := poolsize.Pool{Running: 14 * core}
+		used := hosts("desk", 2, func(i int, h *poolsize.Host) {
+			h.Movable, h.Load, h.LongLived, h.Reserved = false, 7*core, true, i == 0
+		})
+		idle := func(n int) []poolsize.Host {
+			return append(slices.Clone(used), hosts("desk", n, func(i int, h *poolsize.Host) { h.Name, h.IdleMS = "idle"+strconv.Itoa(i), 60_000 })...)
+		}
+		d := poolsize.Plan(poolsize.Default(), pools(pool, poolsize.Pool{}), append(idle(3), hosts("cuts", 1, busy)...))
+		Expect(d.Cordoned).To(Equal(map[string]bool{"idle1": true, "idle2": true}))
+		Expect(movesTo(d, "off")).To(Equal(2))
+		d = poolsize.Plan(poolsize.Default(), pools(pool, poolsize.Pool{}), append(idle(0), hosts("off", 2, nil)...))
+		Expect(movesTo(d, "desk")).To(BeZero(), "their tasks may have room on other hosts")
+		used[0].LongLived, used[0].Load = false, 0
+		stopped := poolsize.Pool{Running: 7 * core, Waiting: 7 * core, WaitingLongLived: 1}
+		d = poolsize.Plan(poolsize.Default(), pools(stopped, poolsize.Pool{}), append(idle(3), hosts("cuts", 1, busy)...))
+		Expect(d.Cordoned).To(HaveLen(2))
+		Expect(movesTo(d, "off")).To(Equal(2))
+		d = poolsize.Plan(poolsize.Default(), pools(stopped, poolsize.Pool{}), append(idle(0), hosts("off", 2, nil)...))
+		Expect(movesTo(d, "desk")).To(BeZero(), "a task on a host may end at once")
+	})
+
 	It("gives hosts to long-lived tasks that no host takes before it serves larger backlogs", func() {
 		// Guards against an accepted long-lived task that waits as long as another pool
 		// has a backlog: a pool that lacks one of many hosts lacks the smallest share.
