--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -40,7 +40,7 @@
 	// that no host takes. If it is nil, every host suits.
 	Suits func(host string) bool
 	// SuitsShort reports whether a host, when empty, could run one of the other tasks that
-	// no host takes. If it is nil, there are none that not every host suits.
+	// no host takes. It is nil if there are none.
 	SuitsShort func(host string) bool
 }
 
@@ -171,6 +171,8 @@
 		if needed := n.pool.MissingLongLived; needed > 0 {
 			n.inTime = max(n.inTime, n.used+needed)
 		}
+		// The tasks of an emptied host may also find room on hosts in use, so they ask for no
+		// host that the pool does not have.
 		if kept := min(n.hosts, n.used+n.emptied+n.pool.WaitingLongLived); kept > n.used {
 			n.want, n.inTime = max(n.want, kept), max(n.inTime, kept)
 		}
--- a/internal/work/start.go
+++ b/internal/work/start.go
@@ -150,7 +150,7 @@
 
 // shareCheckpoint gives all members of a gang the checkpoint that was reported first by any
 // of them latest. A member whose target was lost may have reported an older one or none,
-// and members that resume at different points never work leadingGang.
+// and members that resume at different points never work together.
 func shareCheckpoint(members []*Task) {
 	since := map[string]int64{}
 	for _, m := range members {
