--- a/review/standin-2/executor.go
+++ b/review/standin-2/executor.go
@@ -18,6 +18,7 @@
 	maxHoldMS   = 10000
 	stopTime    = 100 * time.Millisecond
 	startupTime = 700 * time.Millisecond // until a lasting subtask is at work
+	drainTime   = 2 * time.Second
 	machineCPU  = 32000
 	machineMem  = 65536
 )
@@ -42,16 +43,19 @@
 
 	mu       sync.Mutex
 	dead     bool
+	muted    bool // calls are neither carried out nor answered
 	dark     bool // dead, and its address answers nothing
 	refuse   int  // if set, the status with which starts are refused
 	draining bool
-	fence    uint64
-	leaseEnd int64
-	runs     map[string]*run
-	highest  map[string]int
-	ended    []endedRun
-	number   int64
-	changed  chan struct{}
+	// leavingAt is when the draining was first acknowledged.
+	leavingAt time.Time
+	fence     uint64
+	leaseEnd  int64
+	runs      map[string]*run
+	highest   map[string]int
+	ended     []endedRun
+	number    int64
+	changed   chan struct{}
 }
 
 type run struct {
@@ -78,7 +82,7 @@
 	w.check(err)
 	ctx, stop := context.WithCancel(context.Background())
 	e := &executor{
-		w: w, id: id, machine: machine, service: service, zone: zone, labels: []string{"a", rack}, born: time.Now(),
+		w: w, id: id, machine: machine, service: service, zone: zone, labels: []string{kindOf(machine), rack}, born: time.Now(),
 		plan: w.plan, address: listener.Addr().String(), stop: stop,
 		runs: map[string]*run{}, highest: map[string]int{}, changed: make(chan struct{}),
 	}
@@ -133,7 +137,7 @@
 		status, answer := http.StatusBadRequest, map[string]any{}
 		err := json.NewDecoder(r.Body).Decode(&o)
 		e.mu.Lock()
-		if e.dark {
+		if e.dark || e.muted {
 			e.mu.Unlock()
 			<-r.Context().Done() // nobody answers; the caller gives up
 			return
@@ -148,7 +152,7 @@
 			e.fence = o.Fence
 			status, answer = f(&o)
 		}
-		if e.dark { // the executor went dark while the call waited
+		if e.dark || e.muted { // the executor went dark while the call waited
 			e.mu.Unlock()
 			<-r.Context().Done()
 			return
@@ -187,9 +191,13 @@
 		return http.StatusConflict, map[string]any{"reason": "late"}
 	}
 	r := &run{number: o.Run, began: time.Now()}
+	if !e.leavingAt.IsZero() && time.Since(e.leavingAt) > drainTime {
+		e.w.breaks("DRAIN: %s starts %.2f s after draining was acknowledged", o.Task, time.Since(e.leavingAt).Seconds())
+	}
 	r.job, r.step = e.w.jobOf(o.Task)
 	e.runs[o.Task] = r
 	e.w.began(e, o.Task, r)
+	e.w.startedAgain(e, o.Task, o.Run)
 	d, how := e.plan(e, o.Task, o.Run)
 	if d <= 0 {
 		d, how = time.Hour, "done"
@@ -243,7 +251,9 @@
 	for _, n := range e.ended {
 		if n.number > o.LastSeen {
 			kept = append(kept, n)
+			continue
 		}
+		e.w.noted(e, n)
 	}
 	e.ended = kept
 	if changed := e.changed; len(e.ended) == 0 && o.WaitMS > 0 {
@@ -265,6 +275,10 @@
 	for _, n := range e.ended[:min(len(e.ended), 500)] {
 		ended = append(ended, []any{n.number, n.task, n.run, n.how, ""})
 	}
+	if first := e.ended; len(first) > 1 && first[0].how == "done" && e.w.spoilEntry() {
+		ended[0] = []any{first[0].number, first[0].task, first[0].run}
+		e.w.disrupted("executor %s lists entry %d, the end of %s, without its later fields", e.id, first[0].number, first[0].task)
+	}
 	return http.StatusOK, map[string]any{"running": running, "ended": ended}
 }
 
@@ -316,6 +330,10 @@
 		e.mu.Unlock()
 		status, answer, err := e.w.call(ctx, http.MethodPut, address, "/instances/"+e.id, "", body, time.Second)
 		if err == nil && status/100 == 2 {
+			if state == "draining" && e.leavingAt.IsZero() {
+				e.leavingAt = time.Now()
+				e.w.record("draining of %s is acknowledged", e.id)
+			}
 			if next, _ := answer["heartbeatAddr"].(string); next != "" {
 				return next
 			}
@@ -332,3 +350,11 @@
 	_, _ = fmt.Sscan(parts[2], &step)
 	return parts[0], step
 }
+
+// kindOf returns the kind of a machine. One machine is of another kind.
+func kindOf(machine string) string {
+	if machine == "m-alpha-0" {
+		return "b"
+	}
+	return "a"
+}
--- a/review/standin-2/jobs.go
+++ b/review/standin-2/jobs.go
@@ -52,6 +52,9 @@
 		j.running[task]--
 		j.lastEnd[task] = time.Now()
 		j.finished = j.finished || how == "done"
+		if how == "done" {
+			w.endOf(task)
+		}
 	}
 }
 
@@ -240,3 +243,63 @@
 	}()
 	return func() { close(done); <-ended }
 }
+
+// doneEnd is an end that an executor has listed as done.
+type doneEnd struct {
+	noted bool // lastSeen has reached it
+	// again is set by a later start of the subtask.
+	again string
+}
+
+// noted checks TWICE when lastSeen reaches the end of a run that was done.
+func (w *world) noted(e *executor, n endedRun) {
+	if n.how != "done" {
+		return
+	}
+	w.mu.Lock()
+	d := w.endOf(n.task)
+	d.noted = true
+	again := d.again
+	w.mu.Unlock()
+	w.record("executor %s: lastSeen reaches end %d, %s run %d done", e.id, n.number, n.task, n.run)
+	if again != "" {
+		w.breaks("TWICE: %s, and its end as done was taken note of", again)
+	}
+}
+
+// startedAgain checks TWICE when a subtask starts.
+func (w *world) startedAgain(e *executor, task string, run int) {
+	w.mu.Lock()
+	j := w.jobs[strings.Split(task, ".")[0]]
+	d := w.done[task]
+	if j == nil || d == nil {
+		w.mu.Unlock()
+		return
+	}
+	d.again = fmt.Sprintf("%s run %d starts on %s after a run was done", task, run, e.id)
+	noted, again := d.noted, d.again
+	w.mu.Unlock()
+	if noted {
+		w.breaks("TWICE: %s, and its end as done was taken note of", again)
+	}
+}
+
+// endOf returns what is known of a subtask that is done. The mutex is held.
+func (w *world) endOf(task string) *doneEnd {
+	if w.done == nil {
+		w.done = map[string]*doneEnd{}
+	}
+	if w.done[task] == nil {
+		w.done[task] = &doneEnd{}
+	}
+	return w.done[task]
+}
+
+// spoilEntry reports whether an entry is to be listed without its later fields: once.
+func (w *world) spoilEntry() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	spoil := w.spoil && w.trouble
+	w.spoil = false
+	return spoil
+}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -10,7 +10,9 @@
 
 func main() {
 	cases := map[string]func(*world){
-		"serving-beside-fill": servingBesideFill, "fill-beside-serving": fillBesideServing, "set-aside": setAside, "pending": pending, "wave": waveFull, "reborn": rebornElsewhere, "surplus": surplus,
+		"surplus": surplus, "wave": waveFull, "serving-beside-fill": servingBesideFill, "reborn": rebornElsewhere, "pending": pending,
+		// Shown too, without a folder:
+		"fill-beside-serving": fillBesideServing, "set-aside": setAside, "odd-entry": oddEntry, "drain": drain,
 	}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil || os.Getenv("RECORD") == "" {
 		fmt.Fprintln(os.Stderr, "usage: RECORD=FILE review-2 CASE")
@@ -253,7 +255,7 @@
 	}
 }
 
-// wave orders the upkeep of two machines of a pool without a spare one. On one of them run both
+// waveFull orders the upkeep of two machines of a pool without a spare one. On one of them run both
 // subtasks of a step of which one may be away at a time.
 func waveFull(w *world) {
 	w.startRegion("alpha", 4)
@@ -317,3 +319,70 @@
 	stop()
 	w.record("client: state of the job: %s", w.state(j))
 }
+
+// oddEntry has one executor list one entry of its ended runs without its later fields, once.
+func oddEntry(w *world) {
+	w.plan = func(_ *executor, task string, _ int) (time.Duration, string) {
+		j, _ := w.jobOf(task)
+		if j == nil {
+			return time.Second, "done"
+		}
+		return max(time.Until(w.began0.Add(14*time.Second)), time.Second), "done" // all end at the same time
+	}
+	w.startRegion("alpha", 4)
+	w.mu.Lock()
+	w.spoil = true
+	w.mu.Unlock()
+	var jobs []*job
+	for range 3 {
+		jobs = append(jobs, w.submit("draw", map[string]any{"count": 6, "cpu": 1500, "memMb": 1024, "estimateMs": 5000}))
+	}
+	w.awaitRunning(10*time.Second, jobs...)
+	time.Sleep(time.Until(w.began0.Add(30 * time.Second)))
+	for _, j := range jobs {
+		w.record("client: state of a job: %s", w.state(j))
+	}
+	if w.trouble && w.calmSince.IsZero() {
+		w.check(fmt.Errorf("no list had two ends"))
+	}
+}
+
+// drain has an executor leave calls unanswered for 3.7 s, in which a start is on its way to it
+// and it announces that it drains.
+func drain(w *world) {
+	w.plan = func(_ *executor, task string, _ int) (time.Duration, string) {
+		if j, _ := w.jobOf(task); j != nil && j.lasts {
+			return 0, ""
+		}
+		return time.Second, "done"
+	}
+	w.startRegion("alpha", 10)
+	spread := lasting(10, 1000, 1024)
+	spread["maxPerServer"] = 1
+	s := w.submit("serve", spread)
+	w.awaitRunning(20*time.Second, s)
+	time.Sleep(3 * time.Second)
+	m := w.allMachines()[0]
+	m.mu.Lock()
+	e := m.executor
+	m.mu.Unlock()
+	mute := func(muted bool) {
+		e.mu.Lock()
+		e.muted = muted
+		e.mu.Unlock()
+	}
+	if w.trouble {
+		mute(true)
+		w.disrupted("executor %s leaves calls unanswered", e.id)
+	}
+	go w.submit("draw", map[string]any{"count": 1, "cpu": 2000, "memMb": 1024, "estimateMs": 900, "requiredLabel": "b"})
+	time.Sleep(600 * time.Millisecond)
+	e.mu.Lock()
+	e.draining = true
+	e.mu.Unlock()
+	e.announce(w.ctx(), "", 100000)
+	time.Sleep(3100 * time.Millisecond)
+	mute(false)
+	w.disrupted("it answers again")
+	time.Sleep(6 * time.Second)
+}
--- a/review/standin-2/provider.go
+++ b/review/standin-2/provider.go
@@ -33,7 +33,7 @@
 		for _, m := range w.allMachines() {
 			m.mu.Lock()
 			row := map[string]any{
-				"machine": m.name, "pool": m.pool, "state": m.state, "zone": m.zone, "labels": []string{"a", m.rack},
+				"machine": m.name, "pool": m.pool, "state": m.state, "zone": m.zone, "labels": []string{kindOf(m.name), m.rack},
 				"capacity": map[string]any{"cpu": machineCPU, "memMb": machineMem, "gpu": 0},
 			}
 			if m.executor != nil {
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -116,6 +116,9 @@
 	// calmSince is the end of the last disruption.
 	calmSince time.Time
 	broken    int
+	done      map[string]*doneEnd
+	// spoil is set until an entry was listed without its later fields.
+	spoil     bool
 	nextEntry int
 }
 
