--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -100,12 +100,12 @@
 // servingBesideFill loses the machine of a serving job for good while subtasks that fill run
 // on all the others.
 func servingBesideFill(w *world) {
-	w.startRegion("alpha", 7)
+	w.startRegion("alpha", 8)
 	serving := lasting(4, 4000, 4096)
 	serving["targetMs"] = 120
 	s := w.submit("serve", serving)
 	w.awaitRunning(10*time.Second, s)
-	filling := lasting(6, 20000, 4096)
+	filling := lasting(7, 20000, 4096)
 	filling["fills"], filling["image"] = true, "convert"
 	f := w.submit("batch", filling)
 	w.awaitRunning(20*time.Second, s, f)
@@ -124,8 +124,8 @@
 // fillBesideServing loses the machine of a filling job for good while serving subtasks run on
 // all the others.
 func fillBesideServing(w *world) {
-	w.startRegion("alpha", 7)
-	serving := lasting(6, 4000, 4096)
+	w.startRegion("alpha", 8)
+	serving := lasting(7, 4000, 4096)
 	serving["targetMs"], serving["maxPerServer"] = 120, 1
 	s := w.submit("serve", serving)
 	w.awaitRunning(20*time.Second, s)
@@ -188,8 +188,8 @@
 
 // rebornElsewhere crashes an executor, which starts again under its id at another port.
 func rebornElsewhere(w *world) {
-	w.startRegion("alpha", 7)
-	j := w.submit("serve", lasting(14, 15000, 4096))
+	w.startRegion("alpha", 8)
+	j := w.submit("serve", lasting(16, 15000, 4096))
 	w.awaitRunning(20*time.Second, j)
 	time.Sleep(4 * time.Second)
 	stop := w.watchLasting(serviceOf)
@@ -258,8 +258,8 @@
 // waveFull orders the upkeep of two machines of a pool without a spare one. On one of them run both
 // subtasks of a step of which one may be away at a time.
 func waveFull(w *world) {
-	w.startRegion("alpha", 4)
-	big := w.submit("batch", lasting(3, 30000, 8192))
+	w.startRegion("alpha", 5)
+	big := w.submit("batch", lasting(4, 30000, 8192))
 	w.awaitRunning(20*time.Second, big)
 	small := w.submit("serve", lasting(2, 8000, 8192))
 	w.awaitRunning(20*time.Second, big, small)
@@ -267,7 +267,7 @@
 	stop := w.watchLasting(serviceOf)
 	if w.trouble {
 		machines := []string{w.machineOf(small, small.id+".0.0.0").name, w.machineOf(big, big.id+".0.0.0").name}
-		w.startWave(1, machines, 26, 1)
+		w.startWave(1, machines, 24, 1)
 	}
 	time.Sleep(45 * time.Second)
 	stop()
@@ -301,7 +301,7 @@
 		}
 		return 20 * time.Second, "done"
 	}
-	w.startRegionWith("alpha", 7, service("alpha", false))
+	w.startRegionWith("alpha", 8, service("alpha", false))
 	l := w.submit("serve", lasting(2, 17000, 4096))
 	w.awaitRunning(20*time.Second, l)
 	time.Sleep(4 * time.Second)
