Ask for a host for tasks whose CPU no open host has in one piece

Without any fault, a job waited for ever before a second step that needs most of a host.

Cause: poolsize adds up the CPU demand of a pool and closes the hosts beyond it. The planner reported a short task that no open host takes only if one of them had the CPU for it, and relied on the sum otherwise. If the free CPU is in pieces, the sum is met although the task fits nowhere.

Change: poolsize tells in which pools the hosts meet the CPU demand. There the planner reports every task of a job without a run that no open host takes, so that the pool opens, or gets, a host for it. While the demand asks for more hosts than there are, nothing changes, since its tasks would be counted twice.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -47,6 +47,8 @@
 	spare map[string]bool
 	// attainableCPU is the CPU that each pool can get, in thousandths of a core.
 	attainableCPU map[string]int64
+	// demandMet holds the pools that have the hosts that their CPU demand asks for.
+	demandMet map[string]bool
 	// sizesLoggedAt is when the sizes of the pools were last logged.
 	sizesLoggedAt time.Time
 	// away holds the unreachable data centres, as of awayAt.
@@ -323,7 +325,7 @@
 		demand, hosts := l.demand(v), l.poolHosts(v)
 		decision := poolsize.Plan(poolsize.Default(), demand, hosts)
 		moves, l.fleet.spare = l.limitStandbyMoves(v, decision.Moves), decision.Spare
-		l.fleet.attainableCPU = decision.AttainableCPU
+		l.fleet.attainableCPU, l.fleet.demandMet = decision.AttainableCPU, decision.DemandMet
 		l.cordonHosts(decision.Cordoned)
 		l.logSizes(demand, hosts, len(moves))
 	})
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -96,6 +96,7 @@
 				return j.PolicyChecked && l.permits.denied(stepRef(j.Ref(t)), target.ID)
 			},
 			Capacity: l.capacity, HostTypes: l.fleet.hostTypes, MaxMissing: len(l.fleet.hosts),
+			DemandMet: func(pool string) bool { return l.fleet.demandMet[pool] },
 		}
 		l.prunePermits(v)
 		interference := false // some task may disturb, or be disturbed by, others on its host
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -309,7 +309,7 @@
 		delete(w.off, host)
 	}
 	t := &target{
-		w: w, start: time.Now(), runs: map[work.RunRef]*time.Timer{}, stopped: map[work.TaskRef]int{}, endedAt: map[int64]time.Time{},
+		w: w, start: time.Now(), runs: map[work.RunRef]*time.Timer{}, steps: map[work.RunRef]*work.Step{}, stopped: map[work.TaskRef]int{}, endedAt: map[int64]time.Time{},
 		changed: make(chan struct{}), duration: time.Second,
 		state: work.Target{
 			ID: id, Born: time.Now().UnixMilli(), Host: host, Pool: pool, Address: address, DataCentre: w.dataCentreOf(host),
--- a/internal/leader/worldtarget_test.go
+++ b/internal/leader/worldtarget_test.go
@@ -27,6 +27,7 @@
 	lapsed  time.Time
 	number  int64
 	used    work.Demand
+	steps   map[work.RunRef]*work.Step // of the runs
 	changed chan struct{}
 	dead    bool
 
@@ -64,7 +65,7 @@
 		timer.Stop()
 		t.w.alive[ref.Task]--
 	}
-	t.runs = map[work.RunRef]*time.Timer{}
+	t.runs, t.steps, t.used = map[work.RunRef]*time.Timer{}, map[work.RunRef]*work.Step{}, work.Demand{}
 	t.wake()
 }
 
@@ -105,7 +106,8 @@
 	t.number++
 	t.ended = append(t.ended, work.EndedRun{Number: t.number, Run: ref, Outcome: outcome})
 	t.endedAt[t.number] = time.Now()
-	t.used.MilliCPU -= 1000
+	t.used = t.used.Sub(t.steps[ref].Reserved())
+	delete(t.steps, ref)
 	t.stopped[ref.Task] = max(t.stopped[ref.Task], ref.Run)
 	t.wake()
 }
@@ -206,8 +208,9 @@
 		w.violate("two runs of %v at the same time", ref.Task)
 	}
 	w.checkNotDone(ref.Task)
-	t.used.MilliCPU += 1000
-	if t.used.MilliCPU > t.state.Resources.MilliCPU {
+	t.steps[ref] = w.stepOf(ref.Task)
+	t.used = t.used.Add(t.steps[ref].Reserved())
+	if !t.used.Within(t.state.Resources) {
 		w.violate("%s is over its capacity", t.state.ID)
 	}
 	t.runs[ref] = time.AfterFunc(time.Hour, func() {})
@@ -224,6 +227,17 @@
 	}
 }
 
+// stepOf returns the step of a task, a zero one if its job has ended.
+func (w *world) stepOf(task work.TaskRef) *work.Step {
+	step := &work.Step{}
+	w.stateMachine.Read(func(v *work.View) {
+		if j, t := v.Find(task); j != nil {
+			*step = j.Spec.Steps[t.Step]
+		}
+	})
+	return step
+}
+
 // checkNotDone checks that a task whose run begins has not been done. The world's mutex is
 // held.
 func (w *world) checkNotDone(task work.TaskRef) {
--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -29,7 +29,8 @@
 	// spread.
 	MinHosts int
 	// MissingHosts is how many empty hosts are needed by tasks that no host can take,
-	// for whichever reason: memory, fragmented capacity or what runs beside them.
+	// for whichever reason: memory, fragmented capacity or what runs beside them. Tasks for
+	// which Waiting asks for hosts that the pool does not have are not included.
 	// MissingLongLived is the part of it that long-lived tasks need.
 	MissingHosts, MissingLongLived int
 	// WaitingLongLived is how many empty hosts long-lived tasks need that no host takes,
@@ -122,6 +123,9 @@
 	// AttainableCPU is the CPU that each pool can get, in thousandths of a core: that
 	// of all hosts except those that other pools need for work that can be in time.
 	AttainableCPU map[string]int64
+	// DemandMet holds the pools that have as many hosts as the sum of their CPU demand asks
+	// for, whatever else tasks need of a host.
+	DemandMet map[string]bool
 }
 
 // Plan compares the demand of the pools with their hosts.
@@ -162,8 +166,10 @@
 			}
 		}
 	}
+	demandMet := map[string]bool{}
 	for _, n := range order {
 		n.want = p.want(n.pool, size)
+		demandMet[n.pool.Name] = n.hosts >= n.want
 		n.inTime = min(n.want, p.want(n.pool.withoutLate(), size))
 		if needed := n.pool.MissingHosts; needed > 0 {
 			n.want = max(n.want, n.used+needed)
@@ -181,7 +187,7 @@
 	yieldHosts(order, needs, standby)
 	cordoned := cordonSurplus(order, hosts)
 	moves := p.assign(order, needs, hosts, standby)
-	return Decision{Moves: moves, Cordoned: cordoned, Spare: spare(needs, hosts, moves), AttainableCPU: attainableCPU}
+	return Decision{Moves: moves, Cordoned: cordoned, Spare: spare(needs, hosts, moves), AttainableCPU: attainableCPU, DemandMet: demandMet}
 }
 
 // suits reports whether the long-lived tasks that no host takes could run on this one.
--- a/internal/schedule/missing.go
+++ b/internal/schedule/missing.go
@@ -13,10 +13,14 @@
 	longLived bool
 }
 
-// hasCPU reports whether a host of a pool has the CPU for a task, so that the CPU
-// demand of the pool does not ask for another host.
-func (r *Request) hasCPU(pool string, need work.Demand) bool {
-	return slices.ContainsFunc(r.poolOf(pool).hosts, func(h *Host) bool { return need.MilliCPU <= h.Free.MilliCPU })
+// isInDemand reports whether the sum of a pool's CPU demand asks for the host that a task
+// lacks. It does not if some host has the CPU for the task, nor if the pool already has the
+// hosts that the sum asks for: their free CPU is then in pieces that are too small.
+func (r *Request) isInDemand(pool string, need work.Demand) bool {
+	if r.DemandMet != nil && r.DemandMet(pool) {
+		return false
+	}
+	return !slices.ContainsFunc(r.poolOf(pool).hosts, func(h *Host) bool { return need.MilliCPU <= h.Free.MilliCPU })
 }
 
 // withoutAwaitingPermit drops as many tasks of a step as the hosts of the pool could
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -85,10 +85,13 @@
 	// other tasks each. No more hosts than exist can join, and each further one has to
 	// be tried for all tasks that follow.
 	MaxMissing int
+	// DemandMet reports whether a pool has as many hosts as the sum of its CPU demand asks
+	// for. If it is nil, no pool has.
+	DemandMet func(pool string) bool
 	// MissingHosts is set by Plan to the number of empty hosts that each pool needs for
-	// tasks that none of its hosts can take: long-lived tasks, tasks of jobs without a run
-	// for which some host has the CPU, and gangs of such jobs. For a gang that has a place
-	// in part, it includes the idle hosts of these places.
+	// tasks that none of its hosts can take: long-lived tasks, gangs of jobs without a run,
+	// and those other tasks of such jobs for which the CPU demand does not ask for a host.
+	// For a gang that has a place in part, it includes the idle hosts of these places.
 	MissingHosts map[string]int
 	// MissingLongLived is the part of MissingHosts that long-lived tasks need.
 	MissingLongLived map[string]int
@@ -290,7 +293,7 @@
 	for i, t := range tasks {
 		h := r.chooseHost(j, t, s, need, placed)
 		if h == nil {
-			if s.LongLived || (!j.Active() && (s.Gang || r.hasCPU(j.Pool, need))) {
+			if s.LongLived || (!j.Active() && (s.Gang || !r.isInDemand(j.Pool, need))) {
 				r.addMissingHosts(j, s, r.withoutAwaitingPermit(j, s, tasks[i:], placed), used)
 			}
 			break // the other tasks have the same needs
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -305,6 +305,21 @@
 		Expect(asked).To(Equal(1))
 	})
 
+	It("misses a host for a task without CPU in one piece only if the demand asks for none", func() {
+		// Guards against a job that waits beside closed hosts because the free CPU of the open
+		// ones is in pieces, and against a pool that asks for hosts twice in a demand peak.
+		for met, missing := range map[bool]int{true: 1, false: 0} {
+			r := &schedule.Request{
+				NowMS: 2000, MaxStarts: 256, Duration: func(*work.Job, int) int64 { return 1000 }, Jobs: jobs(job("j", "/urgent/", step(1, 2500))),
+				Hosts:     func(string) []*schedule.Host { return []*schedule.Host{host("a", "", 1900), host("b", "", 1900)} },
+				DemandMet: func(string) bool { return met }, Capacity: func(string) int64 { return math.MaxInt64 }, MaxMissing: 8,
+				HostTypes: func() []schedule.HostType { return []schedule.HostType{{Resources: work.Demand{MilliCPU: 4000}}} },
+			}
+			Expect(schedule.Plan(r)).To(BeEmpty())
+			Expect(r.MissingHosts["desk"]).To(Equal(missing))
+		}
+	})
+
 	It("starts occurrences at their times", func() {
 		// Guards against a start before the occurrence is due.
 		s := job("j", "/urgent/", step(1, 100))
