Empty a host for maintenance only if its tasks have a place

Cause: the leader reserved the hosts of a wave and stopped what the limits of the steps allow, and took for granted that a stopped task finds another host. If none has room, the task waits for its own host, which is reserved; the other task may not be stopped while the first one is away, so the host is never empty; and a host that was chosen once stayed chosen.

Evidence: "lasting task has no host" with hosts={"maintenance":1,"no CPU":4} for as long as the wave runs.

Change: before a host is chosen, its long-lived tasks are placed on the other hosts of the pool, without short runs, and on hosts that no pool needs. What has no place is stopped last and at the same time, if the steps may miss all of it at once, and returns after the maintenance. Otherwise the host is not chosen. Hosts that cannot be emptied, or that a waiting task needs, take runs again in each round, unless they may go down at any moment.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -31,6 +31,9 @@
 	RemainingMS int64
 	// HostDownMS is how long a host is down for its maintenance.
 	HostDownMS int64
+	// CanEmpty, if set, reports whether a host can be emptied beside those for which it has
+	// reported so before. It is called for the hosts that would be chosen, in their order.
+	CanEmpty func(host string) bool
 }
 
 const (
@@ -96,7 +99,7 @@
 		if len(h.LongLived) > 0 && usable > 0 {
 			wanted = h.Draining || mayMove(h)
 		}
-		if len(chosen) >= w.DownBudget || !wanted {
+		if len(chosen) >= w.DownBudget || !wanted || (w.CanEmpty != nil && !w.CanEmpty(h.Name)) {
 			continue
 		}
 		for _, job := range distinct(h.LongLived) {
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -36,6 +36,18 @@
 		Expect(drain.Choose(w)).To(HaveLen(4)) // 24 x 4 s in 0.6 x 40 s
 	})
 
+	It("leaves out hosts that cannot be emptied, also those that it chose before", func() {
+		// Guards against a host that stays reserved for ever, and against a wave that stands
+		// still because its first host cannot be emptied.
+		hosts := fleet("a", 3, 1, 0)
+		hosts[0].Draining = true
+		w := &drain.Wave{
+			Hosts: hosts, DownBudget: 1, RemainingMS: 40000, HostDownMS: 2000,
+			CanEmpty: func(host string) bool { return host != "a0" },
+		}
+		Expect(drain.Choose(w)).To(Equal([]string{"a1"}))
+	})
+
 	It("takes all spare hosts that may be down", func() {
 		// Between two demand peaks half of the hosts are idle.
 		spare := fleet("b", 12, 0, 0)
--- a/internal/leader/interruptions.go
+++ b/internal/leader/interruptions.go
@@ -70,24 +70,51 @@
 	return out
 }
 
+// mayInterrupt returns how many tasks of a step may be interrupted at a time.
+func mayInterrupt(s *work.Step) int { return max(1, s.MaxInterrupted) }
+
 // interruptible returns the long-lived runs of a target that may be stopped now within
-// the limits of their steps.
-func (b *budget) interruptible(target *work.Target) []work.RunRef {
-	var out []work.RunRef
+// the limits of their steps. The runs in inPlace have no room elsewhere. They are stopped
+// last and all at the same time, so that they are away for the maintenance only.
+func (b *budget) interruptible(target *work.Target, inPlace map[work.RunRef]bool) []work.RunRef {
+	if target.Draining {
+		return nil
+	}
+	var out, last []work.RunRef
 	for _, r := range longLivedRuns(b.v, target) {
 		j, t := b.v.Find(r.Task)
-		n := b.of(j, t)
-		if !b.l.isUp(j, t) || target.Draining {
+		if inPlace[r] {
+			last = append(last, r)
 			continue
 		}
-		if n.away < max(1, j.Spec.Steps[t.Step].MaxInterrupted) {
+		if n := b.of(j, t); b.l.isUp(j, t) && n.away < mayInterrupt(&j.Spec.Steps[t.Step]) {
 			n.away++
 			out = append(out, r)
 		}
 	}
+	if len(last) > 0 && len(last) == target.Runs() && b.interruptAll(last) {
+		return last
+	}
 	return out
 }
 
+// interruptAll counts runs as away if all of them are up and may be stopped at the same
+// time. It reports whether they may.
+func (b *budget) interruptAll(runs []work.RunRef) bool {
+	added := map[*interruptions]int{}
+	for _, r := range runs {
+		j, t := b.v.Find(r.Task)
+		n := b.of(j, t)
+		if added[n]++; !b.l.isUp(j, t) || n.away+added[n] > mayInterrupt(&j.Spec.Steps[t.Step]) {
+			return false
+		}
+	}
+	for n, count := range added {
+		n.away += count
+	}
+	return true
+}
+
 // orderOf returns what is known of the order for a task's run, or nil. The leader's
 // mutex is held.
 func (l *Leader) orderOf(j *work.Job, t *work.Task) (*session, *order) {
--- a/internal/leader/maintenance.go
+++ b/internal/leader/maintenance.go
@@ -58,33 +58,63 @@
 				evacuate[key] = append(evacuate[key], budget.leaving(t)...)
 			}
 		}
+		relocation, chosen := newRelocation(l, v), map[string]bool{}
 		for _, w := range v.Waves {
-			for _, name := range l.nextHosts(v, w, byHost) {
+			for _, name := range l.nextHosts(v, w, byHost, relocation) {
 				h := l.fleet.host(name)
-				h.reserved = reservedMaintenance
+				h.reserved, chosen[name] = reservedMaintenance, true
 				t := byHost[name]
 				if t == nil || (t.Runs() == 0 && !v.PredecessorMayRun(t)) {
 					h.orderPending = true
 					ready = append(ready, waveStep{w.ID, name})
 					continue
 				}
-				for _, r := range budget.interruptible(t) {
+				for _, r := range budget.interruptible(t, relocation.inPlace) {
 					evacuate[t.Key()] = append(evacuate[t.Key()], r)
 				}
 			}
 		}
+		l.reopenHosts(v, byHost, chosen, relocation)
 	})
 	return ready, evacuate
 }
 
+// reopenHosts lets the hosts take new runs again that cannot be emptied, or on which a task
+// could run that no other host can take. Hosts that may go down for maintenance stay
+// reserved.
+func (l *Leader) reopenHosts(v *work.View, byHost map[string]*work.Target, chosen map[string]bool, relocation *relocation) {
+	for name, h := range l.fleet.hosts {
+		if h.reserved != reservedMaintenance || h.orderPending || l.mayBeDown(v, name) {
+			continue
+		}
+		t := byHost[name]
+		if relocation.stuck[name] || (t != nil && !chosen[name] && relocation.needed(t)) {
+			h.reserved = ""
+			l.log.Info().Str("host", name).Int("homeless_tasks", len(relocation.homeless)).Msg("host takes runs again before its maintenance")
+		}
+	}
+}
+
+// mayBeDown reports whether the maintenance of a host was ordered and the host is not known
+// to be back.
+func (l *Leader) mayBeDown(v *work.View, host string) bool {
+	for _, w := range v.Waves {
+		if _, ordered := w.Ordered[host]; ordered && !w.Returned[host] {
+			return true
+		}
+	}
+	return false
+}
+
 // nextHosts returns the hosts of a wave to drain now. Hosts whose maintenance was
 // ordered without a known outcome, for example by a former leader, already count as
 // down and are ordered again.
-func (l *Leader) nextHosts(v *work.View, w *work.Wave, byHost map[string]*work.Target) []string {
+func (l *Leader) nextHosts(v *work.View, w *work.Wave, byHost map[string]*work.Target, relocation *relocation) []string {
 	now := l.now()
 	choice := &drain.Wave{
 		DownBudget: w.MaxDown - w.Down(), RemainingMS: w.StartedMS + w.DurationMS - l.nowMS(),
 		HostDownMS: l.cfg.Timing.Maintenance.Milliseconds(),
+		CanEmpty:   func(host string) bool { return relocation.canEmpty(host, byHost[host]) },
 	}
 	for _, name := range w.Hosts {
 		h := l.fleet.host(name)
--- /dev/null
+++ b/internal/leader/promises_test.go
@@ -0,0 +1,200 @@
+package leader_test
+
+import (
+	"slices"
+	"time"
+
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+// Bounds of what is promised to callers, from the platform's rules.
+const (
+	// longLivedGap is how long a long-lived task may have no run, whatever room there is.
+	longLivedGap = 6 * time.Second
+	// waitWithRoom is for how long something may wait after that although there is room.
+	waitWithRoom = 3 * time.Second
+	// calmBefore is how long before these three seconds nothing may have been disturbed.
+	calmBefore = 4 * time.Second
+	// interruptionNotice is how long a task may be away, for any cause, before it counts as
+	// one of those that its step may miss.
+	interruptionNotice = 4500 * time.Millisecond
+	// checkInterval is how often the promises are checked.
+	checkInterval = 50 * time.Millisecond
+)
+
+// runEnd is the end of a run. Its outcome is empty if the target was lost.
+type runEnd struct {
+	at      time.Time
+	outcome work.Outcome
+}
+
+// promises checks at any time of a run, in a fleet of any kind, what is promised to callers:
+// no long-lived task is without a run for long while its pool has room for it twice over, no
+// job is without a run at the end of the traffic under the same condition and with less than
+// half of the pool in use, and maintenance interrupts no more tasks than their step may miss.
+// The mutex of the world is held during its use.
+type promises struct {
+	w *world
+	// calmSince is the end of the last disruption.
+	calmSince time.Time
+	// trafficEnded is set once jobs without a run are checked too.
+	trafficEnded bool
+	// roomSince is since when a waiting task has had room.
+	roomSince map[work.TaskRef]time.Time
+	reported  map[work.TaskRef]bool
+}
+
+// watchPromises checks the promises until the returned function is called.
+func (w *world) watchPromises() (stop func()) {
+	p := &promises{w: w, calmSince: time.Now(), roomSince: map[work.TaskRef]time.Time{}, reported: map[work.TaskRef]bool{}}
+	w.mu.Lock()
+	w.promises = p
+	w.mu.Unlock()
+	done, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(checkInterval):
+				w.mu.Lock()
+				w.stateMachine.Read(p.check)
+				w.mu.Unlock()
+			}
+		}
+	}()
+	return func() { close(done); <-ended }
+}
+
+// disturbed notes a disruption, which lasts until now.
+func (w *world) disturbed(format string, args ...any) {
+	w.note("DISRUPTION "+format, args...)
+	if w.promises != nil {
+		w.promises.calmSince = time.Now()
+	}
+}
+
+func (p *promises) check(v *work.View) {
+	for _, j := range v.Live {
+		if j.State.Final() {
+			continue
+		}
+		running := 0
+		for i := range j.Tasks {
+			running += p.w.alive[j.Ref(&j.Tasks[i])]
+		}
+		for i := range j.Tasks {
+			t := &j.Tasks[i]
+			if j.Spec.Steps[t.Step].LongLived {
+				p.checkWaiting(j, t, p.w.alive[j.Ref(t)] > 0, longLivedGap)
+			} else if p.trafficEnded {
+				p.checkWaiting(j, t, running > 0 || t.Done || !j.Ready(t) || !p.isHalfFree(j.Pool), 0)
+			}
+		}
+	}
+}
+
+// checkWaiting checks a task that may have no run for a time after its last one.
+func (p *promises) checkWaiting(j *work.Job, t *work.Task, served bool, gap time.Duration) {
+	ref, now := j.Ref(t), time.Now()
+	if served || p.room(j, t) < 2 {
+		delete(p.roomSince, ref)
+		return
+	}
+	if p.roomSince[ref].IsZero() {
+		p.roomSince[ref] = now
+	}
+	last, ran := p.w.lastEnds[ref]
+	if !ran {
+		last.at = time.UnixMilli(j.SubmittedMS)
+	}
+	from := latestOf(p.roomSince[ref], last.at.Add(gap), p.calmSince.Add(calmBefore))
+	if now.Sub(from) > waitWithRoom && !p.reported[ref] {
+		p.reported[ref] = true
+		p.w.violate("%s %v has had no run for %v beside room for %d of its kind", time.Now().Format("05.000"), ref, now.Sub(last.at), p.room(j, t))
+	}
+}
+
+// room returns how many tasks like this one the pool has room for.
+func (p *promises) room(j *work.Job, t *work.Task) (room int64) {
+	step := &j.Spec.Steps[t.Step]
+	need := step.Reserved()
+	for _, target := range p.sound(j.Pool) {
+		if step.Label != "" && !slices.Contains(target.state.Labels, step.Label) {
+			continue
+		}
+		slots := int64(step.Tasks)
+		if step.MaxPerHost > 0 {
+			slots = int64(step.MaxPerHost)
+			for ref := range target.runs {
+				if ref.Task.Job == j.ID && ref.Task.Step == t.Step && ref.Task.Occurrence == t.Occurrence {
+					slots--
+				}
+			}
+		}
+		free := target.state.Resources.Sub(target.used)
+		for slots > 0 && need.Within(free) {
+			free = free.Sub(need)
+			room, slots = room+1, slots-1
+		}
+	}
+	return room
+}
+
+// isHalfFree reports whether less than half of a pool's CPU is in use.
+func (p *promises) isHalfFree(pool string) bool {
+	var used, all int64
+	for _, target := range p.sound(pool) {
+		used, all = used+target.used.MilliCPU, all+target.state.Resources.MilliCPU
+	}
+	return 2*used < all
+}
+
+// sound returns the targets of a pool that are up and do not drain.
+func (p *promises) sound(pool string) (sound []*target) {
+	for _, target := range p.w.targets {
+		if target.state.Pool == pool && !target.dead && !target.silent && !target.dropsReplies && target.lag == 0 && !target.state.Draining {
+			sound = append(sound, target)
+		}
+	}
+	return sound
+}
+
+// checkStop checks a stop that takes effect.
+func (p *promises) checkStop(t *target, run work.RunRef) {
+	step := t.steps[run]
+	if step == nil || step.MaxInterrupted == 0 || t.state.Draining || time.Since(p.calmSince) < calmBefore {
+		return
+	}
+	p.w.stateMachine.Read(func(v *work.View) {
+		j, task := v.Find(run.Task)
+		if j == nil || j.State.Final() {
+			return
+		}
+		away := 0
+		for i := range j.Tasks {
+			other := j.Ref(&j.Tasks[i])
+			last := p.w.lastEnds[other]
+			if other == run.Task || other.Step != task.Step || p.w.alive[other] > 0 {
+				continue
+			}
+			if last.outcome == work.OutcomeStopped || time.Since(last.at) > interruptionNotice {
+				away++
+			}
+		}
+		if away >= step.MaxInterrupted {
+			p.w.violate("%s %v is stopped while %d others of its step are away", time.Now().Format("05.000"), run, away)
+		}
+	})
+}
+
+// latestOf returns the latest of several times.
+func latestOf(times ...time.Time) (latest time.Time) {
+	for _, t := range times {
+		if t.After(latest) {
+			latest = t
+		}
+	}
+	return latest
+}
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -122,6 +122,12 @@
 	// run that was done was acknowledged, and lasting those of long-lived steps.
 	begun              map[work.TaskRef]time.Time
 	doneNoted, lasting map[work.TaskRef]bool
+	// lastEnds holds the end of the last run of each task.
+	lastEnds map[work.TaskRef]runEnd
+	// promises, if set, checks what is promised to callers while the world runs.
+	promises *promises
+	// sizes holds the capacity of hosts that differ from the others.
+	sizes map[string]work.Demand
 	// logs holds the log lines of the leaders and the events of the targets.
 	logs logBuffer
 }
@@ -151,7 +157,7 @@
 		goal:  map[string]string{},
 		clock: clock.System{}, waves: map[int64]*waveRecord{}, inMaintenance: map[string]bool{}, tokens: map[string]uint64{},
 		endsPerList: 500, begun: map[work.TaskRef]time.Time{}, doneNoted: map[work.TaskRef]bool{}, lasting: map[work.TaskRef]bool{},
-		off: map[string]bool{}, parked: map[string]string{}}
+		off: map[string]bool{}, parked: map[string]string{}, lastEnds: map[work.TaskRef]runEnd{}, sizes: map[string]work.Demand{}}
 	w.propose(&work.Command{Configure: &work.Configuration{
 		Version: 1, Pools: []work.Pool{{Name: "desk"}, {Name: "cuts"}, {Name: "off", Standby: true}},
 		Queues: []work.Queue{
@@ -285,6 +291,9 @@
 
 // capacityOf returns the capacity of a host.
 func (w *world) capacityOf(host string) work.Demand {
+	if size, other := w.sizes[host]; other {
+		return size
+	}
 	if w.large[host] {
 		return work.Demand{MilliCPU: 4000, MemoryMB: 8000}
 	}
--- a/internal/leader/worldtarget_test.go
+++ b/internal/leader/worldtarget_test.go
@@ -39,7 +39,7 @@
 	// fails is set if every run fails, unhealthy if every start is refused as
 	// unhealthy.
 	fails, unhealthy bool
-	// duration of a run; 0 runs until it is stopped.
+	// duration of a run whose step has no estimate; 0 runs until it is stopped.
 	duration time.Duration
 }
 
@@ -64,6 +64,7 @@
 	for ref, timer := range t.runs {
 		timer.Stop()
 		t.w.alive[ref.Task]--
+		t.w.lastEnds[ref.Task] = runEnd{time.Now(), ""}
 	}
 	t.runs, t.steps, t.used = map[work.RunRef]*time.Timer{}, map[work.RunRef]*work.Step{}, work.Demand{}
 	t.wake()
@@ -102,6 +103,7 @@
 	timer.Stop()
 	delete(t.runs, ref)
 	t.w.alive[ref.Task]--
+	t.w.lastEnds[ref.Task] = runEnd{time.Now(), outcome}
 	t.w.note("end %v at %s: %s", ref, t.state.Key(), outcome)
 	t.number++
 	t.ended = append(t.ended, work.EndedRun{Number: t.number, Run: ref, Outcome: outcome})
@@ -214,8 +216,12 @@
 		w.violate("%s is over its capacity", t.state.ID)
 	}
 	t.runs[ref] = time.AfterFunc(time.Hour, func() {})
-	if t.duration > 0 {
-		t.runs[ref] = time.AfterFunc(t.duration, func() {
+	duration := t.duration
+	if estimate := t.steps[ref].EstimateMS; estimate > 0 {
+		duration = time.Duration(estimate) * time.Millisecond
+	}
+	if duration > 0 {
+		t.runs[ref] = time.AfterFunc(duration, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			outcome := work.OutcomeDone
@@ -317,6 +323,9 @@
 		time.AfterFunc(w.stopTime, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
+			if w.promises != nil {
+				w.promises.checkStop(t, o.Run)
+			}
 			t.finish(o.Run, work.OutcomeStopped)
 		})
 		return leader.NotRefused
