Let serving and fill-in tasks share a host if none is free

Cause: interference on a host was refused in the same way as a lack of capacity, although fill-in work takes none. Only a further empty host could end the wait.

Evidence: "lasting task has no host" with hosts={"fill-in work":7} for as long as one waits, while all CPU of the seven hosts is free.

Change: interference is the last obstacle that is looked at, and the only one that may be passed over: for a task that has waited for 0.5 s, or, if some host can join its pool, until it would have joined. It then takes the host where it disturbs least.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -95,6 +95,16 @@
 	return fleet{hosts: map[string]*host{}, inMaintenance: map[waveStep]time.Time{}}
 }
 
+// isMoving reports whether a host moves between pools.
+func (f *fleet) isMoving() bool {
+	for _, h := range f.hosts {
+		if h.reserved == reservedMove {
+			return true
+		}
+	}
+	return false
+}
+
 // isInMaintenance reports whether a host is in maintenance.
 func (f *fleet) isInMaintenance(host string) bool {
 	for step := range f.inMaintenance {
--- /dev/null
+++ b/internal/leader/interference_test.go
@@ -0,0 +1,111 @@
+package leader_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+// Guards against long-lived tasks that wait for ever where serving and fill-in work refuse each
+// other's hosts, or where fill-in work exceeds the CPU that others leave: each host of the fleet
+// has room for them.
+func TestServingAndFillInTasksShareHostsWhereNoneIsFree(t *testing.T) {
+	serving, filling := longLivedStep(4), longLivedStep(4)
+	serving.Demand = work.Demand{MilliCPU: 500, MemoryMB: 500}
+	serving.TailLatencyTargetMS = 100
+	filling.Demand = work.Demand{MilliCPU: 2500, MemoryMB: 500}
+	filling.FillIn = true
+	apart := func(s work.Step) work.Step { s.MaxPerHost = 1; return s }
+	for name, steps := range map[string][2]work.Step{
+		"serving beside fill-in": {serving, apart(filling)},
+		"fill-in beside serving": {filling, apart(serving)},
+		"fill-in beside fill-in": {filling, apart(filling)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			simulate(t, func(w *world) {
+				w.disturbance = 1
+				for i := range 5 {
+					n := strconv.Itoa(i)
+					w.add("a"+n, "h"+n, "1:"+n, "desk").setDuration(0)
+				}
+				w.add("c", "hc", "2:1", "cuts").setDuration(0)
+				w.propose(&work.Command{Configure: w.withoutStandby()})
+				_, stop := w.lead(2)
+				defer stop()
+				after(time.Second)
+				lost, others := steps[0], steps[1]
+				w.submit("lost", "/draw/", lost)
+				after(2 * time.Second)
+				w.submit("others", "/draw/", others)
+				after(4 * time.Second)
+				defer w.watchPromises()()
+				host := w.loseHostOf(work.TaskRef{Job: "lost"})
+				w.mu.Lock()
+				w.disturbed("%s is lost", host)
+				w.mu.Unlock()
+				after(20 * time.Second)
+				if running, logs := w.outcome(); running != lost.Tasks+others.Tasks {
+					t.Errorf("%d tasks run\n%s", running, logs)
+				}
+			})
+		})
+	}
+}
+
+// Guards against fill-in work that keeps disturbing serving work beside it: a new leader does
+// not know at which share it runs, or the order to pause it is lost.
+func TestFillInWorkBesideServingWorkIsPaused(t *testing.T) {
+	serving, filling := longLivedStep(1), longLivedStep(2)
+	serving.TailLatencyTargetMS, filling.FillIn = 100, true
+	for name, disturb := range map[string]func(w *world, stop func()) (next func()){
+		"a new leader": func(w *world, stop func()) func() {
+			stop()
+			w.mu.Lock()
+			for ref := range w.targets["1:0"].percent {
+				w.targets["1:0"].percent[ref] = 100
+			}
+			w.mu.Unlock()
+			after(time.Second)
+			_, next := w.lead(3)
+			return next
+		},
+		"a disturbing image": func(w *world, stop func()) func() {
+			w.mu.Lock()
+			w.disturbance = 3
+			w.mu.Unlock()
+			return stop
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			simulate(t, func(w *world) {
+				w.disturbance = 0.1
+				w.add("a", "h", "1:0", "desk").setDuration(0)
+				w.add("c", "hc", "2:1", "cuts").setDuration(0)
+				w.propose(&work.Command{Configure: w.withoutStandby()})
+				_, stop := w.lead(2)
+				after(time.Second)
+				w.submit("serving", "/draw/", serving)
+				after(time.Second)
+				w.submit("filling", "/draw/", filling)
+				after(20 * time.Second)
+				w.mu.Lock()
+				if load := w.targets["1:0"].fillInLoad(); load != 0.2 {
+					t.Errorf("fill-in work that hardly disturbs adds %v\n%s", load, w.logs.String())
+				}
+				w.disturbance = 1
+				w.mu.Unlock()
+				defer w.watchPromises()()
+				stop = disturb(w, stop)
+				defer func() { stop() }()
+				after(15 * time.Second)
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				if load := servingLoad + w.targets["1:0"].fillInLoad(); load > 1 {
+					t.Errorf("the load is %v\n%s", load, w.logs.String())
+				}
+			})
+		})
+	}
+}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -99,6 +99,11 @@
 	// missingHosts holds, by pool, the hosts that tasks without a suitable host need.
 	missingHosts map[string]missingHosts
 	starved      starved
+	// interference is set if some task may disturb others on its host.
+	interference bool
+	// waitingSteps holds since when steps that interfere with others have had a task that
+	// waits for a host.
+	waitingSteps map[work.TaskRef]time.Time
 	permits      permits
 	reports      *ring.Ring[pendingReport]
 }
@@ -154,7 +159,7 @@
 		cfg: cfg, term: term, elected: cfg.Clock.Now(), log: cfg.Log.With().Uint64("term", term).Logger(),
 		sessions: map[string]*session{}, statuses: map[string]*targetStatus{}, wake: make(wakeup, 1), fleetWake: make(wakeup, 1),
 		planning: make(planLock, 1), fleet: newFleet(), estimates: newDurationEstimates(), permits: newPermits(), reports: newReports(),
-		missingHosts: map[string]missingHosts{},
+		missingHosts: map[string]missingHosts{}, waitingSteps: map[work.TaskRef]time.Time{},
 	}
 }
 
--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -126,6 +126,7 @@
 		s.l.mu.Lock()
 		s.orderOf(ref).confirmStarted(s.l.now())
 		s.l.mu.Unlock()
+		s.paceAfterStart(ref)
 		return true
 	}
 	startsRefused.Inc()
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -99,14 +99,18 @@
 			DemandMet: func(pool string) bool { return l.fleet.demandMet[pool] },
 		}
 		l.prunePermits(v)
-		interference := false // some task may disturb, or be disturbed by, others on its host
+		l.interference = false
 		for _, j := range v.Live {
 			r.Jobs = append(r.Jobs, j)
 			for i := range j.Spec.Steps {
-				interference = interference || j.Spec.Steps[i].FillIn || j.Spec.Steps[i].TailLatencyTargetMS > 0
+				l.interference = l.interference || interferes(&j.Spec.Steps[i])
 			}
 		}
-		r.Hosts = func(pool string) []*schedule.Host { return l.usable(v, pool, interference) }
+		if l.interference {
+			l.noteWaitingSteps(v)
+			r.MayShare = l.mayShare
+		}
+		r.Hosts = func(pool string) []*schedule.Host { return l.usable(v, pool) }
 		starts = schedule.Plan(r)
 		l.noteMissingHosts(r)
 		l.logStarved(v)
@@ -156,7 +160,7 @@
 
 // usable returns the targets of a pool that may take new runs. Their runs are inspected
 // only if some tasks interfere with others.
-func (l *Leader) usable(v *work.View, pool string, interference bool) []*schedule.Host {
+func (l *Leader) usable(v *work.View, pool string) []*schedule.Host {
 	var hosts []*schedule.Host
 	away := l.awayDataCentres(v)
 	for key, t := range v.Targets {
@@ -164,7 +168,7 @@
 			continue
 		}
 		h := &schedule.Host{Target: t, Free: v.Free(t), Penalty: l.statuses[key].failures}
-		if interference {
+		if l.interference {
 			noteCoLocated(v, h)
 		}
 		hosts = append(hosts, h)
--- a/internal/leader/promises_test.go
+++ b/internal/leader/promises_test.go
@@ -18,6 +18,9 @@
 	// interruptionNotice is how long a task may be away, for any cause, before it counts as
 	// one of those that its step may miss.
 	interruptionNotice = 4500 * time.Millisecond
+	// longestDisturbance is how long serving work may be over its target because of what fills
+	// in beside it.
+	longestDisturbance = 4 * time.Second
 	// checkInterval is how often the promises are checked.
 	checkInterval = 50 * time.Millisecond
 )
@@ -31,7 +34,8 @@
 // promises checks at any time of a run, in a fleet of any kind, what is promised to callers:
 // no long-lived task is without a run for long while its pool has room for it twice over, no
 // job is without a run at the end of the traffic under the same condition and with less than
-// half of the pool in use, and maintenance interrupts no more tasks than their step may miss.
+// half of the pool in use, maintenance interrupts no more tasks than their step may miss, and
+// fill-in work does not keep serving work over its target.
 // The mutex of the world is held during its use.
 type promises struct {
 	w *world
@@ -42,11 +46,14 @@
 	// roomSince is since when a waiting task has had room.
 	roomSince map[work.TaskRef]time.Time
 	reported  map[work.TaskRef]bool
+	// disturbedSince is since when serving runs of a target have been over their target because
+	// of fill-in runs beside them.
+	disturbedSince map[*target]time.Time
 }
 
 // watchPromises checks the promises until the returned function is called.
 func (w *world) watchPromises() (stop func()) {
-	p := &promises{w: w, calmSince: time.Now(), roomSince: map[work.TaskRef]time.Time{}, reported: map[work.TaskRef]bool{}}
+	p := &promises{w: w, calmSince: time.Now(), roomSince: map[work.TaskRef]time.Time{}, reported: map[work.TaskRef]bool{}, disturbedSince: map[*target]time.Time{}}
 	w.mu.Lock()
 	w.promises = p
 	w.mu.Unlock()
@@ -60,6 +67,7 @@
 			case <-time.After(checkInterval):
 				w.mu.Lock()
 				w.stateMachine.Read(p.check)
+				p.checkDisturbance()
 				w.mu.Unlock()
 			}
 		}
@@ -116,6 +124,27 @@
 	}
 }
 
+// checkDisturbance checks that no serving run is disturbed for long.
+func (p *promises) checkDisturbance() {
+	for _, t := range p.w.targets {
+		serving := false
+		for _, step := range t.steps {
+			serving = serving || step.TailLatencyTargetMS > 0
+		}
+		if !serving || t.dead || servingLoad+t.fillInLoad() <= 1 {
+			delete(p.disturbedSince, t)
+			continue
+		}
+		if p.disturbedSince[t].IsZero() {
+			p.disturbedSince[t] = time.Now()
+		}
+		if from := latestOf(p.disturbedSince[t], p.calmSince); time.Since(from) > longestDisturbance {
+			p.disturbedSince[t] = time.Now()
+			p.w.violate("%s serving runs on %s are over their target because of fill-in runs", time.Now().Format("05.000"), t.state.Key())
+		}
+	}
+}
+
 // room returns how many tasks like this one the pool has room for.
 func (p *promises) room(j *work.Job, t *work.Task) (room int64) {
 	step := &j.Spec.Steps[t.Step]
--- a/internal/leader/runlist.go
+++ b/internal/leader/runlist.go
@@ -126,9 +126,11 @@
 	}
 	l.mu.Lock()
 	finished := s.finished(h.Ended)
+	var paceOrders []paceOrder
 	l.cfg.StateMachine.Read(func(v *work.View) {
 		if t := v.Targets[s.key]; t != nil {
 			s.reconcileRuns(v, t, h, sent, c)
+			paceOrders = s.pace(v, t, h)
 			if l.fleet.isInMaintenance(t.Host) {
 				l.fleetWake.signal()
 			}
@@ -145,6 +147,7 @@
 		endsAfterClose.Add(len(c.closedBefore))
 		s.logRun(c.closedBefore[0]).Int("runs", len(c.closedBefore)).Msg("runs were done on the target, but had been closed before")
 	}
+	s.sendPace(paceOrders)
 	for _, r := range c.stop {
 		s.stop(r)
 	}
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -82,6 +82,7 @@
 	// acknowledged.
 	acknowledged int64
 	orders       map[work.RunRef]*order
+	pacer        pacer
 	// rowsLogged is when unreadable rows were last logged, and truncatedLogged when a
 	// truncated list was. Only run uses them.
 	rowsLogged, truncatedLogged time.Time
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -126,6 +126,9 @@
 	lastEnds map[work.TaskRef]runEnd
 	// promises, if set, checks what is promised to callers while the world runs.
 	promises *promises
+	// disturbance is what a fill-in run at its full share adds to the tail latency of serving
+	// runs on its host, as a share of their target.
+	disturbance float64
 	// sizes holds the capacity of hosts that differ from the others.
 	sizes map[string]work.Demand
 	// logs holds the log lines of the leaders and the events of the targets.
@@ -318,7 +321,7 @@
 		delete(w.off, host)
 	}
 	t := &target{
-		w: w, start: time.Now(), runs: map[work.RunRef]*time.Timer{}, steps: map[work.RunRef]*work.Step{}, stopped: map[work.TaskRef]int{}, endedAt: map[int64]time.Time{},
+		w: w, start: time.Now(), runs: map[work.RunRef]*time.Timer{}, steps: map[work.RunRef]*work.Step{}, percent: map[work.RunRef]int{}, stopped: map[work.TaskRef]int{}, endedAt: map[int64]time.Time{},
 		changed: make(chan struct{}), duration: time.Second,
 		state: work.Target{
 			ID: id, Born: time.Now().UnixMilli(), Host: host, Pool: pool, Address: address, DataCentre: w.dataCentreOf(host),
--- a/internal/leader/worldtarget_test.go
+++ b/internal/leader/worldtarget_test.go
@@ -28,6 +28,7 @@
 	number  int64
 	used    work.Demand
 	steps   map[work.RunRef]*work.Step // of the runs
+	percent map[work.RunRef]int        // share of their work that the runs do
 	changed chan struct{}
 	dead    bool
 
@@ -66,7 +67,7 @@
 		t.w.alive[ref.Task]--
 		t.w.lastEnds[ref.Task] = runEnd{time.Now(), ""}
 	}
-	t.runs, t.steps, t.used = map[work.RunRef]*time.Timer{}, map[work.RunRef]*work.Step{}, work.Demand{}
+	t.runs, t.steps, t.percent, t.used = map[work.RunRef]*time.Timer{}, map[work.RunRef]*work.Step{}, map[work.RunRef]int{}, work.Demand{}
 	t.wake()
 }
 
@@ -110,6 +111,7 @@
 	t.endedAt[t.number] = time.Now()
 	t.used = t.used.Sub(t.steps[ref].Reserved())
 	delete(t.steps, ref)
+	delete(t.percent, ref)
 	t.stopped[ref.Task] = max(t.stopped[ref.Task], ref.Run)
 	t.wake()
 }
@@ -210,7 +212,7 @@
 		w.violate("two runs of %v at the same time", ref.Task)
 	}
 	w.checkNotDone(ref.Task)
-	t.steps[ref] = w.stepOf(ref.Task)
+	t.steps[ref], t.percent[ref] = w.stepOf(ref.Task), 100
 	t.used = t.used.Add(t.steps[ref].Reserved())
 	if !t.used.Within(t.state.Resources) {
 		w.violate("%s is over its capacity", t.state.ID)
@@ -333,8 +335,31 @@
 }
 
 // Pace implements leader.Targets.
-func (w *world) Pace(ctx context.Context, to leader.Address, _ *leader.PaceOrder) (leader.Reply, error) {
-	return w.deliver(ctx, to, func(*target) leader.Refusal { return leader.NotRefused })
+func (w *world) Pace(ctx context.Context, to leader.Address, o *leader.PaceOrder) (leader.Reply, error) {
+	return w.deliver(ctx, to, func(t *target) leader.Refusal {
+		switch {
+		case t.fenced(o.Fence):
+			return leader.RefusedFence
+		case t.runs[o.Run] == nil:
+			return leader.RefusedInvalid
+		}
+		t.percent[o.Run] = o.Percent
+		return leader.NotRefused
+	})
+}
+
+// servingLoad is the tail latency of serving runs as a share of their target if nothing
+// disturbs them.
+const servingLoad = 0.3
+
+// fillInLoad returns what the fill-in runs add to it. The world's mutex is held.
+func (t *target) fillInLoad() (load float64) {
+	for ref, step := range t.steps {
+		if step.FillIn {
+			load += t.w.disturbance * float64(t.percent[ref]) / 100
+		}
+	}
+	return load
 }
 
 // Hold implements leader.Targets.
@@ -352,7 +377,11 @@
 		listed := min(len(t.ended), t.w.endsPerList)
 		out = &leader.RunList{Born: t.state.Born, Ended: slices.Clone(t.ended[:listed]), Truncated: listed == t.w.endsPerList}
 		for ref := range maps.Keys(t.runs) {
-			out.Running = append(out.Running, leader.RunningRun{Run: ref, Percent: 100})
+			row := leader.RunningRun{Run: ref, Percent: 100}
+			if target := t.steps[ref].TailLatencyTargetMS; target > 0 {
+				row.Load = (servingLoad + t.fillInLoad()) * float64(target)
+			}
+			out.Running = append(out.Running, row)
 		}
 		if t.w.editList != nil {
 			t.w.editList(t, out)
--- a/internal/schedule/room.go
+++ b/internal/schedule/room.go
@@ -9,8 +9,8 @@
 // Room is the capacity that long-lived tasks of a pool can move to. Tasks that are placed
 // take their share of it.
 type Room struct {
-	// Hosts are the hosts of the pool. Their free capacity includes that of short runs,
-	// which end by themselves.
+	// Hosts are the hosts of the pool. Their free capacity includes that of runs which will
+	// have ended soon.
 	Hosts []*Host
 	// Joining returns the empty hosts that can join the pool. It is called once, and only if
 	// no host of the pool can take a task.
@@ -60,29 +60,39 @@
 	return r.find(j, t, &j.Spec.Steps[t.Step]) != nil
 }
 
-// find returns the host with the least free CPU that can take a task: one of the pool, or
-// one that can join it.
+// find returns the host with the least free CPU that can take a task: one of the pool, one
+// that can join it, or at last one of the pool with work that interferes.
 func (r *Room) find(j *work.Job, t *work.Task, s *work.Step) *Host {
-	if h := r.findOn(r.Hosts, j, t, s); h != nil {
-		return h
+	best, shared := r.findOn(r.Hosts, j, t, s)
+	if best != nil {
+		return best
 	}
 	if r.Joining != nil {
 		r.joining, r.Joining = r.Joining(), nil
 	}
-	return r.findOn(r.joining, j, t, s)
+	if best, _ = r.findOn(r.joining, j, t, s); best != nil {
+		return best
+	}
+	return shared
 }
 
-func (r *Room) findOn(hosts []*Host, j *work.Job, t *work.Task, s *work.Step) *Host {
-	var best *Host
+// findOn returns the best of some hosts, and the best of those with work that interferes.
+func (r *Room) findOn(hosts []*Host, j *work.Job, t *work.Task, s *work.Step) (best, shared *Host) {
 	for _, h := range hosts {
-		if h.Obstacle(j, t, s, r.placed[placementOf(h, j, t)]) != "" || (r.Denied != nil && r.Denied(j, t, h.Target)) {
+		obstacle := h.Obstacle(j, t, s, r.placed[placementOf(h, j, t)])
+		if (obstacle != "" && !obstacle.IsInterference()) || (r.Denied != nil && r.Denied(j, t, h.Target)) {
 			continue
 		}
-		if best == nil || h.Free.MilliCPU < best.Free.MilliCPU {
+		switch {
+		case obstacle.IsInterference():
+			if shared == nil || disturbsLess(s, h, shared) {
+				shared = h
+			}
+		case best == nil || h.Free.MilliCPU < best.Free.MilliCPU:
 			best = h
 		}
 	}
-	return best
+	return best, shared
 }
 
 // Withdraw removes the host of a target, which tasks can no longer move to.
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -85,6 +85,10 @@
 	// other tasks each. No more hosts than exist can join, and each further one has to
 	// be tried for all tasks that follow.
 	MaxMissing int
+	// MayShare reports whether a task may be placed on a host with work that would disturb it
+	// or be disturbed by it, because it has waited in vain for another host. If it is nil, no
+	// task may.
+	MayShare func(j *work.Job, t *work.Task) bool
 	// DemandMet reports whether a pool has as many hosts as the sum of its CPU demand asks
 	// for. If it is nil, no pool has.
 	DemandMet func(pool string) bool
@@ -333,12 +337,18 @@
 		return nil
 	}
 	permitted := func(h *Host) bool { return r.Permitted == nil || r.Permitted(j, t, h.Target, p.hosts) }
-	var best, failed *Host // failed is the host on which the task last failed
+	// failed is the host on which the task last failed, shared one with work that interferes.
+	var best, failed, shared *Host
 	fits := false
 	for _, h := range p.hosts {
 		fits = fits || need.Within(h.Free)
+		obstacle := h.Obstacle(j, t, s, placed[h])
 		switch {
-		case h.Obstacle(j, t, s, placed[h]) != "":
+		case obstacle.IsInterference():
+			if h.Target.Host != t.FailedOn && (shared == nil || disturbsLess(s, h, shared)) && permitted(h) {
+				shared = h
+			}
+		case obstacle != "":
 		case t.FailedOn != "" && h.Target.Host == t.FailedOn:
 			failed = h
 		case (best == nil || fitsBetter(s, h, best)) && permitted(h):
@@ -352,6 +362,9 @@
 		(len(p.hosts) == 1 || failed.Penalty == 0 || r.NowMS-t.StartedMS >= failedHostPauseMS) {
 		return failed
 	}
+	if best == nil && shared != nil && r.MayShare != nil && r.MayShare(j, t) {
+		return shared
+	}
 	return best
 }
 
@@ -364,7 +377,8 @@
 	NoMemory Obstacle = "no memory"
 	NoGPU    Obstacle = "no GPU"
 	NoLabel  Obstacle = "no label"
-	// ServingWork: fill-in work would disturb the serving tasks of the host.
+	// ServingWork: fill-in work would disturb the serving tasks of the host, and has to be
+	// paced beside them.
 	ServingWork Obstacle = "serving work"
 	// FillInCPU: fill-in work would disturb a serving task, or would exceed the free
 	// CPU.
@@ -384,18 +398,34 @@
 		return NoMemory
 	case need.GPUs > h.Free.GPUs:
 		return NoGPU
-	case s.FillIn && h.HasServing:
-		return ServingWork
-	case s.FillIn && h.FillInCPU+s.Demand.MilliCPU > h.Free.MilliCPU, !s.FillIn && s.TailLatencyTargetMS > 0 && h.FillInCPU > 0:
-		return FillInCPU
 	case s.Label != "" && !slices.Contains(h.Target.Labels, s.Label):
 		return NoLabel
 	case s.MaxPerHost > 0 && placed+h.Target.RunsOfStep(j.ID, t.Occurrence, t.Step) >= s.MaxPerHost:
 		return StepLimit
+	case s.FillIn && h.HasServing:
+		return ServingWork
+	case s.FillIn && h.FillInCPU+s.Demand.MilliCPU > h.Free.MilliCPU, !s.FillIn && s.TailLatencyTargetMS > 0 && h.FillInCPU > 0:
+		return FillInCPU
 	}
 	return ""
 }
 
+// IsInterference reports whether the host has the capacity for the task, but what runs there
+// would disturb it or be disturbed by it.
+func (o Obstacle) IsInterference() bool { return o == ServingWork || o == FillInCPU }
+
+// disturbsLess reports whether fill-in or serving work that has no host of its own suits host
+// a better than b.
+func disturbsLess(s *work.Step, a, b *Host) bool {
+	if s.FillIn && a.HasServing != b.HasServing {
+		return b.HasServing
+	}
+	if a.FillInCPU != b.FillInCPU {
+		return a.FillInCPU < b.FillInCPU
+	}
+	return fitsBetter(s, a, b)
+}
+
 // fitsBetter reports whether host a suits a task of a step better than b.
 func fitsBetter(s *work.Step, a, b *Host) bool {
 	if a.Penalty != b.Penalty {
