Count the room of a short run only if it ends soon

A task of a wave's host had no run for 13.9 s, and another one was stopped four times, once a second.

Cause: the room for the tasks of a host that is emptied was that of all short runs elsewhere, also of one of 21 s. A host that had to take runs again because of that was emptied anew in the next round.

Change: a run counts as ending soon if its expected end is at most 2 s away, before or after. A host that had to take runs again is left alone for 5 s.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -80,6 +80,8 @@
 	retryAt  time.Time
 	// unlisted is set if the platform's last list lacks the host.
 	unlisted bool
+	// drainAgainAt is until when the host is not emptied for maintenance.
+	drainAgainAt time.Time
 	// stuckLoggedAt is when it was last logged that the host cannot be emptied.
 	stuckLoggedAt time.Time
 }
--- a/internal/leader/maintenance.go
+++ b/internal/leader/maintenance.go
@@ -79,6 +79,10 @@
 	return ready, evacuate
 }
 
+// drainPause is how long a host is not emptied again after it had to take runs again, so that
+// its tasks are not interrupted over and over.
+const drainPause = 5 * time.Second
+
 // reopenHosts lets the hosts take new runs again that cannot be emptied, or on which a task
 // could run that no other host can take. Hosts that may go down for maintenance stay
 // reserved.
@@ -89,7 +93,7 @@
 		}
 		t := byHost[name]
 		if relocation.stuck[name] || (t != nil && !chosen[name] && relocation.needed(t)) {
-			h.reserved = ""
+			h.reserved, h.drainAgainAt = "", l.now().Add(drainPause)
 			l.log.Info().Str("host", name).Int("homeless_tasks", len(relocation.homeless)).Msg("host takes runs again before its maintenance")
 		}
 	}
@@ -124,6 +128,8 @@
 		_, ordered := w.Ordered[name]
 		if ordered {
 			choice.DownBudget++
+		} else if now.Before(h.drainAgainAt) {
+			continue
 		}
 		open := drain.Host{Name: name, Draining: ordered || h.reserved == reservedMaintenance, Spare: l.fleet.spare[name]}
 		if t := byHost[name]; t != nil {
--- /dev/null
+++ b/internal/leader/randomfleet_test.go
@@ -0,0 +1,301 @@
+package leader_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+// randomFleetSeeds is the number of random fleets of the test.
+const randomFleetSeeds = 120
+
+const (
+	// busyFaults and quietFaults are how many disruptions the two kinds of runs have.
+	busyFaults, quietFaults = 12, 4
+	// finishTime is how long after the last disruption the checks go on.
+	finishTime = 40 * time.Second
+)
+
+// Guards against work that waits, is interrupted or runs twice in some kind of fleet: with or
+// without hosts to spare, with hosts and tasks of different sizes, with work that serves beside
+// work that fills in, with waves over hosts that cannot be emptied, and with targets that are
+// lost, silent or back at any moment.
+func TestRandomFleets(t *testing.T) {
+	for seed := range uint64(randomFleetSeeds) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			simulate(t, func(w *world) { (&fleetRun{w: w, r: rand.New(rand.NewPCG(seed, 3))}).run() })
+		})
+	}
+}
+
+// fleetRun is a run of a random fleet.
+type fleetRun struct {
+	w    *world
+	r    *rand.Rand
+	term uint64
+	stop func()
+	jobs []string
+	// hosts are the hosts of the pool "desk" at the start.
+	hosts []string
+	lost  int
+	waves int64
+	// kinds are the kinds of work of this fleet.
+	kinds []func() work.Step
+	// capacity holds the sizes of the hosts.
+	capacity []work.Demand
+}
+
+func (f *fleetRun) run() {
+	f.addHosts()
+	if f.r.IntN(2) == 0 {
+		f.w.propose(&work.Command{Configure: f.w.withoutStandby()})
+	}
+	f.term = 2
+	_, f.stop = f.w.lead(f.term)
+	defer func() { f.stop() }()
+	after(time.Second)
+	f.kinds = []func() work.Step{f.short, f.wide, f.large, f.lasting, f.lasting, f.spread}
+	if f.r.IntN(2) == 0 {
+		f.kinds = append(f.kinds, f.serving, f.fillIn)
+		f.w.disturbance = []float64{0.1, 0.5, 1, 3}[f.r.IntN(4)]
+	}
+	defer f.w.watchPromises()()
+	if f.r.IntN(2) == 0 {
+		f.runQuiet()
+	} else {
+		f.runBusy()
+	}
+	f.w.mu.Lock()
+	for _, t := range f.w.targets {
+		t.heal()
+	}
+	f.w.disturbed("all faults end")
+	f.w.promises.trafficEnded = true
+	f.w.mu.Unlock()
+	after(finishTime)
+}
+
+// runBusy submits jobs beside many faults.
+func (f *fleetRun) runBusy() {
+	for range 3 + f.r.IntN(5) {
+		f.submit()
+	}
+	after(time.Duration(f.r.IntN(4000)) * time.Millisecond)
+	for range busyFaults {
+		f.disturb()
+		if f.r.IntN(3) == 0 {
+			f.submit()
+		}
+		after(time.Duration(f.r.IntN(6000)) * time.Millisecond)
+	}
+}
+
+// runQuiet submits a few jobs, and has a few faults after the end of the traffic, so that most
+// hosts are idle and the time between two faults is long enough for every check.
+func (f *fleetRun) runQuiet() {
+	f.kinds = append(f.kinds, f.large, f.large)
+	for range 2 + f.r.IntN(4) {
+		f.submit()
+		after(time.Duration(f.r.IntN(2000)) * time.Millisecond)
+	}
+	f.w.mu.Lock()
+	f.w.promises.trafficEnded = true
+	f.w.mu.Unlock()
+	for range quietFaults {
+		f.disturb()
+		after(time.Duration(f.between(6000, 15_000)) * time.Millisecond)
+	}
+}
+
+// addHosts adds hosts of one size, or of several.
+func (f *fleetRun) addHosts() {
+	f.capacity = []work.Demand{{MilliCPU: 4000, MemoryMB: 8000}}
+	if f.r.IntN(3) == 0 {
+		f.capacity = append(f.capacity, work.Demand{MilliCPU: 2000, MemoryMB: 4000}, work.Demand{MilliCPU: 6000, MemoryMB: 6000})
+	}
+	add := func(pool string, n int) {
+		for i := range n {
+			host := "h" + pool + strconv.Itoa(i)
+			f.w.sizes[host] = f.capacity[f.r.IntN(len(f.capacity))]
+			f.w.add(pool+strconv.Itoa(i), host, pool+":"+strconv.Itoa(i), pool).setDuration(0)
+			if pool == "desk" {
+				f.hosts = append(f.hosts, host)
+			}
+		}
+	}
+	add("desk", 3+f.r.IntN(6))
+	add("cuts", 1+f.r.IntN(3))
+}
+
+// between draws a number from low to high.
+func (f *fleetRun) between(low, high int) int { return low + f.r.IntN(high-low+1) }
+
+func (f *fleetRun) short() work.Step {
+	return work.Step{Tasks: f.between(1, 4), Demand: f.demand(300, 1200), EstimateMS: int64(f.between(500, 3000))}
+}
+
+func (f *fleetRun) wide() work.Step {
+	return work.Step{Tasks: f.between(4, 12), Demand: f.demand(500, 1500), EstimateMS: int64(f.between(500, 3000))}
+}
+
+func (f *fleetRun) large() work.Step {
+	return work.Step{Tasks: f.between(1, 2), Demand: f.demand(2000, 3900), EstimateMS: int64(f.between(1000, 30_000))}
+}
+
+func (f *fleetRun) lasting() work.Step {
+	return work.Step{Tasks: f.between(1, 4), Demand: f.demand(300, 3900), LongLived: true, MaxInterrupted: f.between(0, 2)}
+}
+
+func (f *fleetRun) spread() work.Step {
+	s := f.lasting()
+	s.Demand = f.demand(300, 1200)
+	s.MaxPerHost = f.between(1, 2)
+	return s
+}
+
+func (f *fleetRun) serving() work.Step {
+	s := f.lasting()
+	s.Demand, s.TailLatencyTargetMS, s.MaxPerHost = f.demand(300, 1500), 100, f.between(0, 1)
+	return s
+}
+
+func (f *fleetRun) fillIn() work.Step {
+	s := f.lasting()
+	s.FillIn = true
+	return s
+}
+
+// demand draws what a task needs, with little or much memory.
+func (f *fleetRun) demand(low, high int) work.Demand {
+	return work.Demand{MilliCPU: int64(f.between(low, high)), MemoryMB: int64(f.between(50, []int{500, 500, 5000}[f.r.IntN(3)]))}
+}
+
+// submit submits a job of one or two steps.
+func (f *fleetRun) submit() {
+	steps := []work.Step{f.kinds[f.r.IntN(len(f.kinds))]()}
+	if !steps[0].LongLived && f.r.IntN(2) == 0 {
+		second := f.large()
+		second.After = []int{0}
+		steps = append(steps, second)
+	}
+	id := "j" + strconv.Itoa(len(f.jobs))
+	f.jobs = append(f.jobs, id)
+	f.w.mu.Lock()
+	f.w.note("job %s: %+v", id, steps)
+	f.w.mu.Unlock()
+	path := []string{"/draw/", "/once/"}[f.r.IntN(2)]
+	f.w.propose(&work.Command{Submit: &work.Submission{ID: id, Domain: "d", Path: path, Spec: work.Spec{Steps: steps}}})
+}
+
+// disturb draws one disruption.
+func (f *fleetRun) disturb() {
+	w := f.w
+	t, host := f.target()
+	switch f.r.IntN(9) {
+	case 0:
+		if f.lost < 2 {
+			f.lost++
+			f.change("%s is lost", host, t, func() { t.die(); t.silent = true })
+		}
+	case 1:
+		f.change("%s crashes", host, t, func() { t.die() })
+		after(time.Duration(f.between(500, 4000)) * time.Millisecond)
+		f.restart(t, host)
+	case 2:
+		f.fault("%s is silent", host, t, func() { t.silent = true })
+	case 3:
+		f.fault("%s drops replies", host, t, func() { t.dropsReplies = true })
+	case 4:
+		lag := time.Duration(f.between(1000, 8000)) * time.Millisecond
+		f.fault("%s carries out orders late", host, t, func() { t.lag = lag })
+	case 5, 6:
+		f.wave()
+	case 7:
+		f.stop()
+		after(time.Duration(f.r.IntN(2000)) * time.Millisecond)
+		f.term++
+		_, f.stop = w.lead(f.term)
+		f.change("leader changes", "", nil, func() {})
+	case 8:
+		if len(f.jobs) > 0 {
+			w.propose(&work.Command{Cancel: f.jobs[f.r.IntN(len(f.jobs))]})
+		}
+	}
+}
+
+// target draws a target of the pool that is up.
+func (f *fleetRun) target() (t *target, host string) {
+	f.w.mu.Lock()
+	defer f.w.mu.Unlock()
+	var up []*target
+	for _, address := range slices.Sorted(maps.Keys(f.w.targets)) {
+		if t := f.w.targets[address]; !t.dead && t.state.Pool == "desk" {
+			up = append(up, t)
+		}
+	}
+	if len(up) == 0 {
+		return nil, ""
+	}
+	t = up[f.r.IntN(len(up))]
+	return t, t.state.Host
+}
+
+// change makes a disruption of a target, nil for one of the system.
+func (f *fleetRun) change(format, host string, t *target, do func()) {
+	f.w.mu.Lock()
+	defer f.w.mu.Unlock()
+	if host == "" && t == nil {
+		f.w.disturbed("%s", format)
+		return
+	}
+	do()
+	f.w.disturbed(format, host)
+}
+
+// fault gives a target a fault for a time.
+func (f *fleetRun) fault(format, host string, t *target, do func()) {
+	if t == nil {
+		return
+	}
+	f.change(format, host, t, do)
+	after(time.Duration(f.between(500, 8000)) * time.Millisecond)
+	f.change("%s is sound again", host, t, func() { t.heal() })
+}
+
+// restart starts a target on a host again, under the same id or another one, if the host is
+// not down for another reason.
+func (f *fleetRun) restart(t *target, host string) {
+	if t == nil {
+		return
+	}
+	f.w.mu.Lock()
+	defer f.w.mu.Unlock()
+	if f.w.inMaintenance[host] || f.w.parked[host] != "" || f.w.targets[t.state.Address] != t {
+		return
+	}
+	id := t.state.ID
+	if f.r.IntN(2) == 0 {
+		f.w.incarnations++
+		id = "n" + strconv.Itoa(f.w.incarnations)
+	}
+	f.w.boot(id, host, t.state.Address, t.state.Pool).duration = 0
+	f.w.disturbed("%s is back as %s", host, id)
+}
+
+// wave starts the maintenance of some hosts, whether they can be emptied or not.
+func (f *fleetRun) wave() {
+	f.waves++
+	hosts := slices.Clone(f.hosts)
+	f.r.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	wave := &work.Wave{ID: f.waves, Hosts: hosts[:f.between(1, len(hosts))], MaxDown: f.between(1, 2), DurationMS: int64(f.between(5000, 30_000))}
+	f.w.mu.Lock()
+	f.w.note("WAVE %s", fmt.Sprintf("%+v", wave))
+	f.w.mu.Unlock()
+	f.w.propose(&work.Command{Wave: wave})
+}
--- a/internal/leader/relocation.go
+++ b/internal/leader/relocation.go
@@ -21,8 +21,7 @@
 	inPlace map[work.RunRef]bool
 	// stuck holds the hosts that cannot be emptied now.
 	stuck map[string]bool
-	// homeless holds the waiting tasks that no open host could take, even without short
-	// runs.
+	// homeless holds the waiting tasks that no open host can take soon.
 	homeless []waitingTask
 	searched bool
 }
@@ -82,20 +81,33 @@
 			continue
 		}
 		if reason := r.l.exclusionReason(r.v, key, t, away); reason == "" || reason == reservedSurplus {
-			room.Hosts = append(room.Hosts, r.withoutShortRuns(t))
+			room.Hosts = append(room.Hosts, r.soon(t))
 		}
 	}
 	r.rooms[pool] = room
 	return room
 }
 
-// withoutShortRuns returns a target as a host on which only long-lived tasks run.
-func (r *relocation) withoutShortRuns(t *work.Target) *schedule.Host {
+// endingSoon is within what time a run has to be expected to end for its room to count as
+// free: a task that moves is away for about as long in any case. A run that has exceeded the
+// expected duration by more may go on for any time.
+const endingSoon = 2 * time.Second
+
+// soon returns a target as a host without the runs that will have ended soon.
+func (r *relocation) soon(t *work.Target) *schedule.Host {
 	h := &schedule.Host{Target: t, Free: t.Resources}
-	for _, run := range longLivedRuns(r.v, t) {
+	now := r.l.nowMS()
+	t.EachRun(func(run work.RunRef) {
 		j, task := r.v.Find(run.Task)
-		h.Free = h.Free.Sub(j.Spec.Steps[task.Step].Reserved())
-	}
+		if j == nil {
+			return // it is being stopped
+		}
+		step := &j.Spec.Steps[task.Step]
+		leftMS := task.StartedMS + r.l.estimates.expected(j, task.Step) - now
+		if step.LongLived || max(leftMS, -leftMS) > endingSoon.Milliseconds() {
+			h.Free = h.Free.Sub(step.Reserved())
+		}
+	})
 	noteCoLocated(r.v, h)
 	return h
 }
@@ -151,7 +163,7 @@
 	for _, m := range moves {
 		room.Remove(m.to, m.task.job, m.task.task)
 	}
-	room.Hosts = append(room.Hosts, r.withoutShortRuns(t))
+	room.Hosts = append(room.Hosts, r.soon(t))
 	r.noteStuck(host, "no room for its tasks elsewhere, and not all of them may be away", len(inPlace))
 	return false
 }
@@ -188,7 +200,7 @@
 		return false
 	}
 	r.findHomeless()
-	room := &schedule.Room{Hosts: []*schedule.Host{r.withoutShortRuns(t)}}
+	room := &schedule.Room{Hosts: []*schedule.Host{r.soon(t)}}
 	for _, w := range r.homeless {
 		if w.job.Pool == t.Pool && room.Fits(w.job, w.task) {
 			return true
