Count jobs as pending until one of their runs has begun

Cause: a job counted as pending until its first start was committed. A committed start may be refused, or never reach its target.

Evidence: a test of the state machine alone shows it, without any silent target, so the age of the number is not the cause.

Change: the state holds whether a run of a job is known to have begun. The leader adds it to the reports that it makes of the targets' lists, once a job; if a target stops answering, it reports the starts that it had confirmed.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -99,6 +99,8 @@
 	// missingHosts holds, by pool, the hosts that tasks without a suitable host need.
 	missingHosts map[string]missingHosts
 	starved      starved
+	// beginsReported holds when it was reported that a job has begun.
+	beginsReported map[string]time.Time
 	// interference is set if some task may disturb others on its host.
 	interference bool
 	// waitingSteps holds since when steps that interfere with others have had a task that
@@ -160,6 +162,7 @@
 		sessions: map[string]*session{}, statuses: map[string]*targetStatus{}, wake: make(wakeup, 1), fleetWake: make(wakeup, 1),
 		planning: make(planLock, 1), fleet: newFleet(), estimates: newDurationEstimates(), permits: newPermits(), reports: newReports(),
 		missingHosts: map[string]missingHosts{}, waitingSteps: map[work.TaskRef]time.Time{},
+		beginsReported: map[string]time.Time{},
 	}
 }
 
--- a/internal/leader/promises_test.go
+++ b/internal/leader/promises_test.go
@@ -21,6 +21,9 @@
 	// longestDisturbance is how long serving work may be over its target because of what fills
 	// in beside it.
 	longestDisturbance = 4 * time.Second
+	// pendingVisible is how long after its acceptance a job is visible everywhere, and
+	// pendingAge how old the number of jobs that have not begun may be.
+	pendingVisible, pendingAge = 3 * time.Second, 2 * time.Second
 	// checkInterval is how often the promises are checked.
 	checkInterval = 50 * time.Millisecond
 )
@@ -34,8 +37,9 @@
 // promises checks at any time of a run, in a fleet of any kind, what is promised to callers:
 // no long-lived task is without a run for long while its pool has room for it twice over, no
 // job is without a run at the end of the traffic under the same condition and with less than
-// half of the pool in use, maintenance interrupts no more tasks than their step may miss, and
-// fill-in work does not keep serving work over its target.
+// half of the pool in use, maintenance interrupts no more tasks than their step may miss,
+// fill-in work does not keep serving work over its target, and the jobs that have not begun
+// count as pending.
 // The mutex of the world is held during its use.
 type promises struct {
 	w *world
@@ -68,6 +72,7 @@
 				w.mu.Lock()
 				w.stateMachine.Read(p.check)
 				p.checkDisturbance()
+				p.checkPending()
 				w.mu.Unlock()
 			}
 		}
@@ -124,6 +129,32 @@
 	}
 }
 
+// checkPending checks the number of jobs of each queue that have not begun.
+func (p *promises) checkPending() {
+	now := time.Now()
+	atLeast, atMost := map[string]int{}, map[string]int{}
+	p.w.stateMachine.Read(func(v *work.View) {
+		for _, j := range v.Live {
+			begun, hasBegun := p.w.jobsBegun[j.ID]
+			if j.State.Final() {
+				continue
+			}
+			if !hasBegun && now.Sub(time.UnixMilli(j.SubmittedMS)) > pendingVisible+pendingAge {
+				atLeast[j.Queue]++
+			}
+			if !hasBegun || now.Sub(begun) < pendingVisible {
+				atMost[j.Queue]++
+			}
+		}
+	})
+	for _, queue := range p.w.stateMachine.Configuration().Queues {
+		n := p.w.stateMachine.Waiting(queue.Name)
+		if n < atLeast[queue.Name] || (n > atMost[queue.Name] && time.Since(p.calmSince) > calmBefore) {
+			p.w.violate("%s %d jobs of %s count as pending; %d to %d have not begun", now.Format("05.000"), n, queue.Name, atLeast[queue.Name], atMost[queue.Name])
+		}
+	}
+}
+
 // checkDisturbance checks that no serving run is disturbed for long.
 func (p *promises) checkDisturbance() {
 	for _, t := range p.w.targets {
--- a/internal/leader/runlist.go
+++ b/internal/leader/runlist.go
@@ -154,12 +154,59 @@
 	for _, r := range c.resumeStart {
 		s.resumeStart(r)
 	}
-	if len(c.report.EndedRuns) == 0 && len(c.report.Closed) == 0 && len(c.report.Checkpoints) == 0 {
+	if len(c.report.EndedRuns) == 0 && len(c.report.Closed) == 0 && len(c.report.Checkpoints) == 0 && len(c.report.Begun) == 0 {
 		return nil
 	}
 	return c.report
 }
 
+// beginReportInterval is how long after a report that a job has begun it is reported again
+// if it was not recorded.
+const beginReportInterval = time.Second
+
+// isFirstToBegin reports whether a run that is listed is to be reported as the first one of
+// its job that has begun. Many targets may list runs of one job at the same time. The
+// leader's mutex is held.
+func (l *Leader) isFirstToBegin(j *work.Job) bool {
+	now := l.now()
+	if j.Begun || j.State.Final() || now.Sub(l.beginsReported[j.ID]) < beginReportInterval {
+		return false
+	}
+	l.beginsReported[j.ID] = now
+	return true
+}
+
+// reportBegun reports the jobs that have begun by confirmed starts of a target that does not
+// answer any more. Others are reported with the next list.
+func (s *session) reportBegun() {
+	report := &work.Report{Target: s.key}
+	s.l.mu.Lock()
+	s.l.cfg.StateMachine.Read(func(v *work.View) {
+		for run, o := range s.orders {
+			if j, _ := v.Find(run.Task); j != nil && !o.startedAt.IsZero() && s.l.isFirstToBegin(j) {
+				report.Begun = append(report.Begun, run)
+			}
+		}
+	})
+	s.l.mu.Unlock()
+	if len(report.Begun) > 0 {
+		s.l.report(report)
+	}
+}
+
+// pruneBegins forgets the reports of jobs that have ended or are known to have begun.
+func (l *Leader) pruneBegins() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cfg.StateMachine.Read(func(v *work.View) {
+		for id := range l.beginsReported {
+			if j := v.Live[id]; j == nil || j.Begun {
+				delete(l.beginsReported, id)
+			}
+		}
+	})
+}
+
 // reconcileRuns compares the runs of a target. The leader's mutex is held.
 func (s *session) reconcileRuns(v *work.View, t *work.Target, h *RunList, sent time.Time, c *listActions) {
 	held, listed, ended := map[work.RunRef]bool{}, map[work.RunRef]bool{}, map[work.RunRef]bool{}
@@ -173,6 +220,10 @@
 	s.starting = false
 	for _, r := range h.Running {
 		listed[r.Run] = true
+		job, task := v.Find(r.Run.Task)
+		if job != nil && s.l.isFirstToBegin(job) {
+			c.report.Begun = append(c.report.Begun, r.Run)
+		}
 		if !held[r.Run] {
 			c.stop = append(c.stop, r.Run)
 			continue
@@ -181,7 +232,6 @@
 		o.confirmStarted(sent)
 		o.listedAt = sent
 		o.isUp = r.Percent >= 100
-		job, task := v.Find(r.Run.Task)
 		s.starting = s.starting || (task != nil && !o.isUp && job.Spec.Steps[task.Step].LongLived)
 		if task != nil && r.Checkpoint != "" && task.Checkpoint != r.Checkpoint {
 			c.report.Checkpoints = append(c.report.Checkpoints, work.Checkpoint{Run: r.Run, Value: r.Checkpoint})
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -114,6 +114,7 @@
 		if now := l.now(); now.Sub(prunedAt) > pruneInterval {
 			prunedAt = now
 			l.pruneTargets()
+			l.pruneBegins()
 		}
 		select {
 		case <-l.ctx.Done():
@@ -215,6 +216,7 @@
 		}
 		failures++
 		s.l.noteFailure(s.key)
+		s.reportBegun()
 		s.checkLeaseExpired()
 		if !s.l.sleep(min(retryDelay*time.Duration(failures), maxRetryDelay, s.leaseLeft())) {
 			return
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -122,6 +122,8 @@
 	// run that was done was acknowledged, and lasting those of long-lived steps.
 	begun              map[work.TaskRef]time.Time
 	doneNoted, lasting map[work.TaskRef]bool
+	// jobsBegun is when the first run of each job began.
+	jobsBegun map[string]time.Time
 	// lastEnds holds the end of the last run of each task.
 	lastEnds map[work.TaskRef]runEnd
 	// promises, if set, checks what is promised to callers while the world runs.
@@ -160,7 +162,7 @@
 		goal:  map[string]string{},
 		clock: clock.System{}, waves: map[int64]*waveRecord{}, inMaintenance: map[string]bool{}, tokens: map[string]uint64{},
 		endsPerList: 500, begun: map[work.TaskRef]time.Time{}, doneNoted: map[work.TaskRef]bool{}, lasting: map[work.TaskRef]bool{},
-		off: map[string]bool{}, parked: map[string]string{}, lastEnds: map[work.TaskRef]runEnd{}, sizes: map[string]work.Demand{}}
+		off: map[string]bool{}, parked: map[string]string{}, lastEnds: map[work.TaskRef]runEnd{}, jobsBegun: map[string]time.Time{}, sizes: map[string]work.Demand{}}
 	w.propose(&work.Command{Configure: &work.Configuration{
 		Version: 1, Pools: []work.Pool{{Name: "desk"}, {Name: "cuts"}, {Name: "off", Standby: true}},
 		Queues: []work.Queue{
--- a/internal/leader/worldtarget_test.go
+++ b/internal/leader/worldtarget_test.go
@@ -207,6 +207,9 @@
 func (t *target) begin(ref work.RunRef) {
 	w := t.w
 	w.alive[ref.Task]++
+	if w.jobsBegun[ref.Task.Job].IsZero() {
+		w.jobsBegun[ref.Task.Job] = time.Now()
+	}
 	w.note("begin %v at %s", ref, t.state.Key())
 	if w.alive[ref.Task] > 1 {
 		w.violate("two runs of %v at the same time", ref.Task)
--- a/internal/work/apply.go
+++ b/internal/work/apply.go
@@ -389,6 +389,9 @@
 
 // report records the ended runs and checkpoints of a target.
 func (s *state) report(r *Report) {
+	for _, run := range r.Begun {
+		s.noteBegun(run)
+	}
 	target := s.Targets[r.Target]
 	if target == nil {
 		return
@@ -403,6 +406,7 @@
 			continue
 		}
 		target.Acknowledged = e.Number
+		s.noteBegun(e.Run)
 		s.end(target, &e)
 	}
 	for _, run := range r.Closed {
@@ -411,6 +415,13 @@
 	s.removeEnded()
 }
 
+// noteBegun records that a run has begun.
+func (s *state) noteBegun(run RunRef) {
+	if j := s.Jobs[run.Task.Job]; j != nil {
+		j.Begun = true
+	}
+}
+
 // end records the end of a run, unless the run was closed before. A delayed start of a
 // run on an earlier incarnation may have begun it in the target.
 func (s *state) end(target *Target, e *EndedRun) {
--- a/internal/work/command.go
+++ b/internal/work/command.go
@@ -63,6 +63,8 @@
 	Closed []RunRef `cbor:"3,keyasint,omitempty"`
 	// Checkpoints are the latest checkpoints of running runs.
 	Checkpoints []Checkpoint `cbor:"4,keyasint,omitempty"`
+	// Begun holds runs that have begun, of jobs of which that was not known.
+	Begun []RunRef `cbor:"5,keyasint,omitempty"`
 }
 
 // Checkpoint is the progress that a run has saved.
--- a/internal/work/model.go
+++ b/internal/work/model.go
@@ -158,6 +158,9 @@
 	Sequence uint64 `cbor:"14,keyasint"`
 	// PolicyChecked is copied from the queue.
 	PolicyChecked bool `cbor:"15,keyasint,omitempty"`
+	// Begun is set once a run of the job is known to have begun on a target. State is Running
+	// from the first committed start on, which may never be carried out.
+	Begun bool `cbor:"16,keyasint,omitempty"`
 
 	open   int // number of unfinished tasks
 	active int // number of tasks with a run
--- a/internal/work/queries.go
+++ b/internal/work/queries.go
@@ -169,13 +169,13 @@
 	return FinishedJob{State: j.State, Reason: j.Reason, TookMS: j.FinishedMS - j.SubmittedMS}, true
 }
 
-// Waiting returns how many jobs of a queue have not started.
+// Waiting returns how many jobs of a queue have no run that is known to have begun.
 func (m *StateMachine) Waiting(queue string) int {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	n := 0
 	for _, j := range m.state.live {
-		if j.Queue == queue && j.State == Queued {
+		if j.Queue == queue && !j.State.Final() && !j.Begun {
 			n++
 		}
 	}
@@ -276,7 +276,7 @@
 	return n
 }
 
-// Started reports whether a run of the job has been started.
+// Started reports whether a start of the job was committed. It may not be carried out.
 func (j *Job) Started() bool { return j.State != Queued }
 
 // Startable returns the tasks of a step that can be started. A gang starts again only
--- a/internal/work/work_test.go
+++ b/internal/work/work_test.go
@@ -124,6 +124,27 @@
 		Expect(r.state("j")).To(Equal(work.Completed))
 	})
 
+	It("is pending until a run of it has begun", func() {
+		// Guards against a committed start, which may never be carried out, that counts as the
+		// begin of a job.
+		r.submit("a", oneTask(1000))
+		r.submit("b", oneTask(1000))
+		first, second := work.RunRef{Task: task("a", 0, 0), Run: 1}, work.RunRef{Task: task("b", 0, 0), Run: 1}
+		Expect(r.start(a, first.Task, second.Task)).To(HaveLen(2))
+		Expect(r.Waiting("draw")).To(Equal(2))
+		r.do(&work.Command{Reports: []work.Report{{Target: a, Closed: []work.RunRef{first}}}})
+		Expect(r.Waiting("draw")).To(Equal(2))
+		r.do(&work.Command{Reports: []work.Report{{Target: a, Begun: []work.RunRef{second}}}})
+		Expect(r.Waiting("draw")).To(Equal(1))
+		Expect(r.start(a, first.Task)).To(HaveLen(1))
+		r.end(a, 1, work.RunRef{Task: first.Task, Run: 2}, work.OutcomeFailed)
+		Expect(r.Waiting("draw")).To(BeZero())
+		data, err := r.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Restore(data)).To(Succeed())
+		Expect(r.Waiting("draw")).To(BeZero(), "after a restart")
+	})
+
 	It("never has two live runs of a task", func() {
 		// Guards against a task that is carried out twice.
 		b := r.target("b", 2)
