--- a/internal/leader/stuckwave_test.go
+++ b/internal/leader/stuckwave_test.go
@@ -84,6 +84,41 @@
 	}
 }
 
+// Guards against a task that is stopped for a wave, and waits for the end of a run that takes far
+// longer than the runs of its queue.
+func TestWaveDoesNotCountTheRoomOfALongRun(t *testing.T) {
+	simulate(t, func(w *world) {
+		w.add("a", "ha", "1:1", "desk").setDuration(0)
+		w.add("c", "hc", "2:1", "cuts").setDuration(0)
+		w.propose(&work.Command{Configure: w.withoutStandby()})
+		_, stop := w.lead(2)
+		defer stop()
+		after(time.Second)
+		step := longLivedStep(2)
+		step.Demand.MilliCPU = 1500
+		w.submit("lasting", "/draw/", step)
+		after(time.Second)
+		w.add("b", "hb", "1:2", "desk").setDuration(0)
+		after(2 * time.Second)
+		w.submit("long", "/once/", work.Step{Tasks: 1, Demand: work.Demand{MilliCPU: 3000}, EstimateMS: 30_000})
+		after(6 * time.Second)
+		w.propose(&work.Command{Wave: &work.Wave{ID: 1, Hosts: []string{"ha"}, MaxDown: 1, DurationMS: 24_000}})
+		for range 15 {
+			after(time.Second)
+			if running, logs := w.outcome(); running != 3 {
+				t.Errorf("%d of 3 tasks run\n%s", running, logs)
+				return
+			}
+		}
+		after(25 * time.Second)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.waves[1] == nil || w.waves[1].begun["ha"].IsZero() {
+			t.Errorf("the host is not maintained after the end of the run\n%s", w.logs.String())
+		}
+	})
+}
+
 // hostOf returns the host on which a task runs.
 func (w *world) hostOf(task work.TaskRef) string {
 	w.mu.Lock()
