Keep emptying a host while another one joins its pool

A wave stopped a task, let it start on its host again, and stopped it anew every 6 s, without ever maintaining the host.

Cause: a host on standby counts as room for the tasks of a host that is emptied. Once the first task waits, that host is ordered into the pool, and from then on until it announces itself it was neither on standby nor in the pool. The host that was being emptied had no room for its tasks for 1.5 s and took runs again at once.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -66,6 +66,8 @@
 	state HostState
 	// reserved is why the host gets no new runs; empty if it does.
 	reserved string
+	// movesTo is the pool to which a host moves that is reserved for a move.
+	movesTo string
 	// away is when a host that is moved or maintained is expected back; zero otherwise.
 	away time.Time
 	// endedTarget is the key of the target that the last order ended.
@@ -82,8 +84,9 @@
 	unlisted bool
 	// drainAgainAt is until when the host is not emptied for maintenance.
 	drainAgainAt time.Time
-	// stuckLoggedAt is when it was last logged that the host cannot be emptied.
-	stuckLoggedAt time.Time
+	// stuckSince is since when the host, which is to be maintained, cannot be emptied; zero if
+	// it can. stuckLoggedAt is when that was last logged.
+	stuckSince, stuckLoggedAt time.Time
 }
 
 // noteRefusal records that the platform did not accept an order.
@@ -345,7 +348,7 @@
 	})
 	for _, m := range moves {
 		h := l.fleet.host(m.Host)
-		h.reserved, h.orderPending = reservedMove, true
+		h.reserved, h.orderPending, h.movesTo = reservedMove, true, m.To
 	}
 	return moves
 }
--- a/internal/leader/maintenance.go
+++ b/internal/leader/maintenance.go
@@ -62,7 +62,7 @@
 		for _, w := range v.Waves {
 			for _, name := range l.nextHosts(v, w, byHost, relocation) {
 				h := l.fleet.host(name)
-				h.reserved, chosen[name] = reservedMaintenance, true
+				h.reserved, h.stuckSince, chosen[name] = reservedMaintenance, time.Time{}, true
 				t := byHost[name]
 				if t == nil || (t.Runs() == 0 && !v.PredecessorMayRun(t)) {
 					h.orderPending = true
@@ -83,6 +83,10 @@
 // its tasks are not interrupted over and over.
 const drainPause = 5 * time.Second
 
+// stuckGrace is how long a host may be impossible to empty before it takes runs again. Room
+// comes and goes while hosts join a pool or do not answer a call.
+const stuckGrace = time.Second
+
 // reopenHosts lets the hosts take new runs again that cannot be emptied, or on which a task
 // could run that no other host can take. Hosts that may go down for maintenance stay
 // reserved.
@@ -92,8 +96,9 @@
 			continue
 		}
 		t := byHost[name]
-		if relocation.stuck[name] || (t != nil && !chosen[name] && relocation.needed(t)) {
-			h.reserved, h.drainAgainAt = "", l.now().Add(drainPause)
+		stuck := relocation.stuck[name] && l.now().Sub(h.stuckSince) >= stuckGrace
+		if stuck || (t != nil && !chosen[name] && relocation.needed(t)) {
+			h.reserved, h.drainAgainAt, h.stuckSince = "", l.now().Add(drainPause), time.Time{}
 			l.log.Info().Str("host", name).Int("homeless_tasks", len(relocation.homeless)).Msg("host takes runs again before its maintenance")
 		}
 	}
--- a/internal/leader/relocation.go
+++ b/internal/leader/relocation.go
@@ -112,11 +112,14 @@
 	return h
 }
 
-// joining returns the hosts that no pool needs and that can join a pool.
+// joining returns the hosts that move to a pool, and those that no pool needs and that can join
+// it.
 func (r *relocation) joining(pool string) []*schedule.Host {
 	var hosts []*schedule.Host
-	for name := range r.l.fleet.spare {
-		if h := r.l.fleet.host(name); h.state.Pool != pool && h.reserved != reservedMaintenance {
+	for name, h := range r.l.fleet.hosts {
+		moves := h.reserved == reservedMove && h.movesTo == pool
+		spare := r.l.fleet.spare[name] && h.state.Pool != pool && (h.reserved == "" || h.reserved == reservedSurplus)
+		if moves || spare {
 			hosts = append(hosts, &schedule.Host{Target: &work.Target{Host: name, Labels: h.state.Labels}, Free: h.state.Resources})
 		}
 	}
@@ -173,6 +176,9 @@
 func (r *relocation) noteStuck(host, reason string, tasks int) {
 	r.stuck[host] = true
 	h, now := r.l.fleet.host(host), r.l.now()
+	if h.stuckSince.IsZero() {
+		h.stuckSince = now
+	}
 	if now.Sub(h.stuckLoggedAt) < stuckLogInterval {
 		return
 	}
