Count a lease only for a start that is sent

A job whose next task was planned on a target that had just been lost had no run for 7 s beside room for two of its kind.

Cause: each attempt to repeat a start computed the end of a lease, which counts as granted, before it looked at whether the start may be sent. The lease of the lost target seemed to last until 4.4 s after the last attempt.

Change: the lease is computed once all other conditions hold. The proof of leadership is looked at after it, for starts and for holds, so that a process that is paused in between sends no lease that the next leader does not count. The second part has no test: the pause has to fall between two lines.

TestStartThatIsNotSentAgainMakesNoLeaseLonger failed before ("0 of 2 tasks run").

--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -49,10 +49,13 @@
 		if try > 0 && !s.l.sleep(min(retryDelay*time.Duration(try), maxRetryDelay)) {
 			return
 		}
-		until := s.until()
 		fence, mayStart := s.fenceToken()
 		ticket, permitted := s.l.ticketFor(ref.Task, s.to.ID)
-		if until == 0 || !mayStart || !permitted || s.isSilent() || !s.l.Confirmed() || !s.answeredSince(sent) {
+		var until int64
+		if mayStart && permitted && !s.isSilent() && s.answeredSince(sent) {
+			until = s.until() // only for a start that can be sent, since it makes the lease longer
+		}
+		if until == 0 || !s.l.Confirmed() {
 			if sent.IsZero() && !mayHaveBegun && s.isSilent() {
 				s.closeUnstarted(ref, "target is silent and no start was sent")
 				return
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -272,7 +272,9 @@
 	fence, _ := s.fenceToken()
 	o := &HoldOrder{Fence: fence, Acknowledged: s.newlyAcknowledged(&state)}
 	if !state.ended { // a later incarnation would read a time on the earlier clock as the longest lease
-		o.UntilMS = s.until()
+		if o.UntilMS = s.until(); !s.l.Confirmed() {
+			o.UntilMS = 0 // this process was paused, and the next leader does not count this lease
+		}
 	}
 	if known, starting := s.known(); known && state.runs > 0 {
 		if starting {
