Keep the runs of a target that leaves until they have ended

Cause: the last message of a draining target was taken as proof that it has ended, and its runs were closed at once. The target sends it before it ends, and goes on for some seconds if it gets no confirmation, for example because the leader or a forwarding host is lost in that moment. It may also announce itself again: its next list then has the end of the first run, which is acknowledged without effect.

Change: the message is confirmed as before. A target without runs is removed; the runs of others stay open until they are listed as ended, or their lease has expired, or another target proves that this one is gone. The log says with how many runs a target leaves.

--- a/internal/leader/announce.go
+++ b/internal/leader/announce.go
@@ -237,21 +237,26 @@
 // differs reports whether the state does not hold the target as announced.
 func (l *Leader) differs(t *work.Target) bool { return !l.cfg.StateMachine.Holds(t) }
 
-// Leave handles the last message of a draining target, on which nothing runs any more.
+// Leave handles the last message of a draining target. It proves that the target is about to
+// end, not that it has ended: one that does not get the confirmation goes on for some seconds.
+// Runs that are alive on it are therefore kept until they end, or their lease has expired.
 func (l *Leader) Leave(ctx context.Context, id string) error {
-	var keys []string
+	runs := map[string]int{}
 	l.cfg.StateMachine.Read(func(v *work.View) {
 		for key, t := range v.Targets {
 			if t.ID == id && t.Draining {
-				keys = append(keys, key)
+				runs[key] = t.Runs()
 			}
 		}
 	})
-	for _, key := range keys {
+	for key, n := range runs {
+		l.log.Info().Str("target", key).Int("runs", n).Msg("target leaves")
+		if n > 0 {
+			continue
+		}
 		if _, err := l.Propose(ctx, &work.Command{CloseRuns: key, TargetEnded: true}); err != nil {
 			return err
 		}
-		l.log.Info().Str("target", key).Msg("target left")
 	}
 	return nil
 }
--- a/internal/leader/worldtarget_test.go
+++ b/internal/leader/worldtarget_test.go
@@ -37,6 +37,8 @@
 	silent, dropsReplies bool
 	// lag, if not 0, delays orders, which are then carried out without an answer.
 	lag time.Duration
+	// quiet targets do not announce themselves.
+	quiet bool
 	// fails is set if every run fails, unhealthy if every start is refused as
 	// unhealthy.
 	fails, unhealthy bool
