Close the runs of a target that is back at another address

Cause: the runs of an earlier incarnation stay open while delayed orders to it may begin them in the later one, which has the same id. That was assumed whatever the later one's address, and the session of the earlier one calls the address that is gone.

Change: registration at another address ends the earlier incarnation. It is refused while that one answers.

A test of the state machine ("keeps its runs when its id registers again") gave the later incarnation another address by accident; it now has the same address, which its comment is about, and a new test has another one.

--- a/internal/leader/announce.go
+++ b/internal/leader/announce.go
@@ -152,9 +152,10 @@
 		}
 	}
 	for _, key := range v.ReplacedBy(t) {
-		// Orders to an earlier incarnation with the same id reach the later one, so it
-		// has to be registered.
-		if v.Targets[key].ID != t.ID && l.answers(key, now) {
+		// Orders to an earlier incarnation with the same id and address reach the later one,
+		// so it has to be registered.
+		other := v.Targets[key]
+		if (other.ID != t.ID || other.Address != t.Address) && l.answers(key, now) {
 			return &fault.Precondition{What: "registration of " + t.Key(), Reason: key + " still answers"}
 		}
 	}
--- a/internal/work/apply.go
+++ b/internal/work/apply.go
@@ -305,8 +305,9 @@
 	for otherKey, other := range s.Targets {
 		switch {
 		case !other.replacedBy(t):
-		case other.ID == t.ID:
-			// Orders to the earlier incarnation may still reach the later one.
+		case other.ID == t.ID && other.Address == t.Address:
+			// Orders to the earlier incarnation may still reach the later one. At another
+			// address they cannot.
 			other.Ended, t.TakeoverMS = true, s.NowMS
 			s.ended[otherKey] = other
 		default:
--- a/internal/work/work_test.go
+++ b/internal/work/work_test.go
@@ -275,7 +275,7 @@
 		a := r.target("a", 1)
 		r.submit("j", oneTask(1000))
 		r.start(a, task("j", 0, 0))
-		later := r.target("a", 5)
+		later := r.target("a", 201) // at the same address
 		Expect(r.runs(a)).To(Equal(1))
 		Expect(r.start(later, task("j", 0, 0))).To(BeEmpty())
 		r.submit("k", oneTask(1000))
@@ -284,6 +284,17 @@
 		Expect(r.start(later, task("j", 0, 0))).To(HaveLen(1))
 	})
 
+	It("closes its runs when its id registers at another address", func() {
+		// Guards against tasks that wait for delayed orders which can no longer arrive.
+		r := newRegion()
+		a := r.target("a", 1)
+		r.submit("j", oneTask(1000))
+		r.start(a, task("j", 0, 0))
+		later := r.target("a", 5)
+		Expect(r.runs(a)).To(Equal(-1))
+		Expect(r.start(later, task("j", 0, 0))).To(HaveLen(1))
+	})
+
 	It("is refused beyond the maximum, until another has ended", func() {
 		// Guards against memory that grows with the names under which targets register.
 		r := newRegion()
