Send no start to a target that drains

Cause: the planner leaves draining targets out, but the loop that repeats an unanswered start did not look at the draining.

Change: it does before each attempt. A start that was never sent is given up; one that may have begun the run is followed by a stop, unless the run is listed.

The simulated targets check the bound in all tests.

--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -49,6 +49,10 @@
 		if try > 0 && !s.l.sleep(min(retryDelay*time.Duration(try), maxRetryDelay)) {
 			return
 		}
+		if s.isDraining() {
+			s.withdrawStart(ref, mayHaveBegun || !sent.IsZero())
+			return
+		}
 		fence, mayStart := s.fenceToken()
 		ticket, permitted := s.l.ticketFor(ref.Task, s.to.ID)
 		var until int64
@@ -96,6 +100,31 @@
 	}
 }
 
+// isDraining reports whether the target has announced that it drains.
+func (s *session) isDraining() (draining bool) {
+	s.l.cfg.StateMachine.Read(func(v *work.View) {
+		t := v.Targets[s.key]
+		draining = t != nil && t.Draining
+	})
+	return draining
+}
+
+// withdrawStart gives up the start of a run on a target that drains, which takes no new work.
+// A run that is listed goes on. One that an earlier attempt may have begun is stopped, so that
+// its task can start elsewhere.
+func (s *session) withdrawStart(ref work.RunRef, mayHaveBegun bool) {
+	s.l.mu.Lock()
+	listed := !s.orderOf(ref).startedAt.IsZero()
+	s.l.mu.Unlock()
+	switch {
+	case listed:
+	case mayHaveBegun:
+		s.stop(ref)
+	default:
+		s.closeUnstarted(ref, "target drains and no start was sent")
+	}
+}
+
 // isSilent reports whether the target answered neither the last hold nor its
 // repetition.
 func (s *session) isSilent() bool {
--- a/internal/leader/promises_test.go
+++ b/internal/leader/promises_test.go
@@ -160,7 +160,7 @@
 // noteFaults notes the faults of targets that go on.
 func (p *promises) noteFaults() {
 	for _, t := range p.w.targets {
-		if !t.dead && (t.silent || t.dropsReplies || t.lag > 0) {
+		if !t.dead && (t.silent || t.deaf || t.dropsReplies || t.lag > 0) {
 			p.calmSince = time.Now()
 		}
 	}
@@ -225,7 +225,7 @@
 // sound returns the targets of a pool that are up and do not drain.
 func (p *promises) sound(pool string) (sound []*target) {
 	for _, target := range p.w.targets {
-		if target.state.Pool == pool && !target.dead && !target.silent && !target.dropsReplies && target.lag == 0 && !target.state.Draining {
+		if target.state.Pool == pool && !target.dead && !target.silent && !target.deaf && !target.dropsReplies && target.lag == 0 && !target.state.Draining {
 			sound = append(sound, target)
 		}
 	}
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -272,7 +272,9 @@
 		}
 		w.mu.Unlock()
 		for _, a := range all {
-			_ = l.Announce(ctx, a) // repeated at the next interval
+			if l.Announce(ctx, a) == nil && a.Target.Draining { // errors: repeated at the next interval
+				w.noteDraining(a.Target.Key())
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -282,6 +284,17 @@
 	}
 }
 
+// noteDraining records that the announcement of a target that drains was confirmed.
+func (w *world) noteDraining(key string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, t := range w.targets {
+		if t.state.Key() == key && t.drainingSince.IsZero() {
+			t.drainingSince = time.Now()
+		}
+	}
+}
+
 // dataCentres are the names of the data centres.
 const dataCentres = "ab"
 
--- a/internal/leader/worldtarget_test.go
+++ b/internal/leader/worldtarget_test.go
@@ -35,10 +35,14 @@
 	// silent targets receive no orders; targets that drop replies carry them out
 	// without an answer.
 	silent, dropsReplies bool
+	// late is set while an order is carried out late, and drainingSince once the announcement
+	// that the target drains was confirmed.
+	late          bool
+	drainingSince time.Time
 	// lag, if not 0, delays orders, which are then carried out without an answer.
 	lag time.Duration
-	// quiet targets do not announce themselves.
-	quiet bool
+	// quiet targets do not announce themselves; deaf ones do, but receive no orders.
+	quiet, deaf bool
 	// fails is set if every run fails, unhealthy if every start is refused as
 	// unhealthy.
 	fails, unhealthy bool
@@ -48,7 +52,7 @@
 
 // heal ends the target's faults. The world's mutex is held.
 func (t *target) heal() {
-	t.silent, t.dropsReplies, t.lag, t.fails, t.unhealthy = false, false, 0, false, false
+	t.silent, t.deaf, t.dropsReplies, t.lag, t.fails, t.unhealthy = false, false, false, 0, false, false
 }
 
 // setDuration sets the duration of the target's runs.
@@ -135,15 +139,17 @@
 		return leader.Reply{}, &fault.Unavailable{What: to.Address, Reason: "connection refused"}
 	}
 	dropsReplies := t != nil && (t.dropsReplies || t.state.DataCentre == w.dropsRepliesIn)
-	if t == nil || t.silent || dropsReplies || t.lag > 0 {
+	if t == nil || t.silent || t.deaf || dropsReplies || t.lag > 0 {
 		if dropsReplies {
 			carry()
 		}
-		if t != nil && t.lag > 0 && !t.silent {
+		if t != nil && t.lag > 0 && !t.silent && !t.deaf {
 			time.AfterFunc(t.lag, func() {
 				w.mu.Lock()
 				defer w.mu.Unlock()
+				t.late = true
 				carry()
+				t.late = false
 			})
 		}
 		w.mu.Unlock()
@@ -217,6 +223,9 @@
 		w.violate("two runs of %v at the same time", ref.Task)
 	}
 	w.checkNotDone(ref.Task)
+	if !t.late && !t.drainingSince.IsZero() && time.Since(t.drainingSince) > drainBound {
+		w.violate("%v begins on %s %v after it was confirmed that it drains", ref, t.state.Key(), time.Since(t.drainingSince))
+	}
 	t.steps[ref], t.percent[ref] = w.stepOf(ref.Task), 100
 	t.used = t.used.Add(t.steps[ref].Reserved())
 	if !t.used.Within(t.state.Resources) {
@@ -251,6 +260,9 @@
 	return step
 }
 
+// drainBound is how long after the confirmation that a target drains a run may begin on it.
+const drainBound = 2 * time.Second
+
 // checkNotDone checks that a task whose run begins has not been done. The world's mutex is
 // held.
 func (w *world) checkNotDone(task work.TaskRef) {
