Use hosts that are set aside for long-lived tasks without another

Cause: failures of long-lived runs counted like those of short ones, but only a run that ends as done resets the count, and long-lived ones never do. The hosts were closed for longer each time, for every task, also when no other host was left.

Change: a long-lived run that was up for 5 s shows that its target is sound. Hosts that are set aside are the last choice of long-lived tasks that have waited in vain, like hosts with work that interferes. Short tasks avoid them as before.

TestHostsOfLongLivedTasksThatFailNowAndThenStayInUse failed before ("no run for 9.05s beside room for 6"). TestRandomFleets draws series of such failures and targets that receive no orders.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -416,7 +416,7 @@
 	takesNone := t.Draining || v.PredecessorMayRun(t)
 	p.Movable, p.Reserved = orderable && t.Runs() == 0 && !takesNone, p.Reserved || takesNone
 	p.Load, p.LongLived = t.Resources.Sub(v.Free(t)).MilliCPU, len(longLivedRuns(v, t)) > 0
-	if st := l.statuses[t.Key()]; st != nil && (st.suspected > 0 || (t.Runs() == 0 && now.Before(st.avoidUntil))) {
+	if st := l.statuses[t.Key()]; st != nil && (st.suspected > 0 || (t.Runs() == 0 && now.Before(latest(st.avoidUntil, st.asideUntil)))) {
 		// A host that fails what it starts, or refuses or leaves starts unanswered,
 		// neither counts as capacity here nor helps another pool.
 		p.Reserved, p.Movable = true, false
--- a/internal/leader/interference.go
+++ b/internal/leader/interference.go
@@ -14,8 +14,8 @@
 // by them.
 func interferes(s *work.Step) bool { return s.FillIn || s.TailLatencyTargetMS > 0 }
 
-// noteWaitingSteps records since when steps that interfere with others have had a task that
-// waits for a host. The mutex is held.
+// noteWaitingSteps records since when long-lived steps, and steps that interfere with others,
+// have had a task that waits for a host. The mutex is held.
 func (l *Leader) noteWaitingSteps(v *work.View) {
 	since := map[work.TaskRef]time.Time{}
 	for _, j := range v.Live {
@@ -24,7 +24,7 @@
 		}
 		for k := range max(1, j.Spec.Occurrences) {
 			for i := range j.Spec.Steps {
-				if !interferes(&j.Spec.Steps[i]) || len(j.Startable(k, i)) == 0 {
+				if s := &j.Spec.Steps[i]; (!s.LongLived && !interferes(s)) || len(j.Startable(k, i)) == 0 {
 					continue
 				}
 				step := work.TaskRef{Job: j.ID, Occurrence: k, Step: i}
@@ -42,10 +42,10 @@
 // first announcement.
 const joinMargin = time.Second
 
-// mayShare reports whether a task has waited for long enough to share a host with work that it
-// disturbs, or that disturbs it: until a host that can join its pool would have joined it. The
-// mutex is held.
-func (l *Leader) mayShare(j *work.Job, t *work.Task) bool {
+// takesAny reports whether a task has waited for long enough to take a host that it should not
+// take, with work that it disturbs or that disturbs it, or on which runs have failed: until a host
+// that can join its pool would have joined it. The mutex is held.
+func (l *Leader) takesAny(j *work.Job, t *work.Task) bool {
 	since, waiting := l.waitingSteps[stepRef(j.Ref(t))]
 	wait := missingHostsDelay
 	if len(l.fleet.spare) > 0 || l.fleet.isMoving() {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -103,8 +103,8 @@
 	beginsReported map[string]time.Time
 	// interference is set if some task may disturb others on its host.
 	interference bool
-	// waitingSteps holds since when steps that interfere with others have had a task that
-	// waits for a host.
+	// waitingSteps holds since when long-lived steps, and steps that interfere with others, have
+	// had a task that waits for a host.
 	waitingSteps map[work.TaskRef]time.Time
 	permits      permits
 	reports      *ring.Ring[pendingReport]
@@ -144,8 +144,9 @@
 	clock                   targetClock
 	// suspectClock is the last announced clock that was rejected as too far ahead.
 	suspectClock targetClock
-	// avoidUntil is when the target may get new runs again after failures.
-	avoidUntil time.Time
+	// avoidUntil is when the target may get new runs again after it refused or did not answer
+	// an order, and asideUntil when it may after runs have failed on it.
+	avoidUntil, asideUntil time.Time
 	// failures counts the failed runs since the last successful one. failedJobs holds
 	// up to suspectJobs of their jobs: a job that can never succeed fails on every
 	// target.
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -106,10 +106,8 @@
 				l.interference = l.interference || interferes(&j.Spec.Steps[i])
 			}
 		}
-		if l.interference {
-			l.noteWaitingSteps(v)
-			r.MayShare = l.mayShare
-		}
+		l.noteWaitingSteps(v)
+		r.TakesAny = l.takesAny
 		r.Hosts = func(pool string) []*schedule.Host { return l.usable(v, pool) }
 		starts = schedule.Plan(r)
 		l.noteMissingHosts(r)
@@ -167,7 +165,7 @@
 		if t.Pool != pool || l.exclusionReason(v, key, t, away) != "" {
 			continue
 		}
-		h := &schedule.Host{Target: t, Free: v.Free(t), Penalty: l.statuses[key].failures}
+		h := &schedule.Host{Target: t, Free: v.Free(t), Penalty: l.statuses[key].failures, SetAside: l.isSetAside(key)}
 		if l.interference {
 			noteCoLocated(v, h)
 		}
@@ -176,6 +174,13 @@
 	return hosts
 }
 
+// isSetAside reports whether runs have failed on a target, so that others avoid it. The mutex is
+// held.
+func (l *Leader) isSetAside(key string) bool {
+	st := l.statuses[key]
+	return st != nil && l.now().Before(st.asideUntil)
+}
+
 // noteCoLocated records the CPU of the fill-in tasks on a host and whether a serving
 // task runs there.
 func noteCoLocated(v *work.View, h *schedule.Host) {
@@ -244,6 +249,33 @@
 	}
 }
 
+// soundAfter is how long a long-lived run has to be up for its target to count as sound. Such
+// runs never end as done, and may fail at any time for reasons of their own.
+const soundAfter = 5 * time.Second
+
+// provesSound reports whether a run that has ended shows that its target is sound. The mutex is
+// held.
+func (l *Leader) provesSound(key string, e *work.EndedRun) bool {
+	if e.Outcome == work.OutcomeDone {
+		return true
+	}
+	s := l.sessions[key]
+	if s == nil || s.orders[e.Run] == nil {
+		return false
+	}
+	up := s.orders[e.Run].upSince
+	return !up.IsZero() && l.now().Sub(up) >= soundAfter && l.isLongLived(e.Run)
+}
+
+// isLongLived reports whether a run is one of a long-lived task.
+func (l *Leader) isLongLived(run work.RunRef) (longLived bool) {
+	l.cfg.StateMachine.Read(func(v *work.View) {
+		j, t := v.Find(run.Task)
+		longLived = j != nil && j.Spec.Steps[t.Step].LongLived
+	})
+	return longLived
+}
+
 // noteOutcomes sets a target aside for some time if runs of several jobs fail on it and
 // none succeeds. After that time, a single failure sets it aside again.
 func (l *Leader) noteOutcomes(key string, ends []work.EndedRun) {
@@ -254,10 +286,10 @@
 		return
 	}
 	for _, e := range ends {
-		switch e.Outcome {
-		case work.OutcomeDone:
+		switch {
+		case l.provesSound(key, &e):
 			st.failures, st.suspected, st.failedJobs = 0, 0, nil
-		case work.OutcomeFailed:
+		case e.Outcome == work.OutcomeFailed:
 			st.failures++
 			if st.failedJobs == nil {
 				st.failedJobs = map[string]bool{}
@@ -267,11 +299,11 @@
 			}
 		}
 	}
-	if st.failures < suspectFailures || len(st.failedJobs) < suspectJobs || l.now().Before(st.avoidUntil) {
+	if st.failures < suspectFailures || len(st.failedJobs) < suspectJobs || l.now().Before(st.asideUntil) {
 		return
 	}
-	st.avoidUntil = l.now().Add(min(setAsideDuration<<min(st.suspected, 8), maxSetAsideDuration))
+	st.asideUntil = l.now().Add(min(setAsideDuration<<min(st.suspected, 8), maxSetAsideDuration))
 	st.suspected++
 	l.log.Warn().Str("target", key).Int("failures", st.failures).Int("suspected", st.suspected).
-		Time("until", st.avoidUntil).Msg("target is set aside")
+		Time("until", st.asideUntil).Msg("target is set aside")
 }
--- a/internal/leader/randomfleet_test.go
+++ b/internal/leader/randomfleet_test.go
@@ -1,6 +1,7 @@
 package leader_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -200,7 +201,7 @@
 func (f *fleetRun) disturb() {
 	w := f.w
 	t, host := f.target()
-	switch f.r.IntN(10) {
+	switch f.r.IntN(12) {
 	case 0:
 		if f.lost < 2 {
 			f.lost++
@@ -231,6 +232,37 @@
 		}
 	case 9:
 		f.leave(t, host)
+	case 10:
+		f.fault("%s receives no orders", host, t, func() { t.deaf = true })
+	case 11:
+		f.failLongLived()
+	}
+}
+
+// failLongLived has long-lived tasks fail one after another, for reasons of their own, which is
+// no disruption.
+func (f *fleetRun) failLongLived() {
+	for range f.between(1, 10) {
+		f.w.mu.Lock()
+		f.w.failOne(f.r)
+		f.w.mu.Unlock()
+		after(time.Duration(f.between(500, 4000)) * time.Millisecond)
+	}
+}
+
+// failOne ends a random run of a long-lived task as failed. The world's mutex is held.
+func (w *world) failOne(r *rand.Rand) {
+	for _, address := range slices.Sorted(maps.Keys(w.targets)) {
+		t := w.targets[address]
+		runs := slices.SortedFunc(maps.Keys(t.runs), func(a, b work.RunRef) int {
+			return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Index, b.Task.Index))
+		})
+		for _, ref := range runs {
+			if t.steps[ref].LongLived && r.IntN(6) == 0 {
+				t.finish(ref, work.OutcomeFailed)
+				return
+			}
+		}
 	}
 }
 
--- a/internal/leader/relocation.go
+++ b/internal/leader/relocation.go
@@ -95,7 +95,7 @@
 
 // soon returns a target as a host without the runs that will have ended soon.
 func (r *relocation) soon(t *work.Target) *schedule.Host {
-	h := &schedule.Host{Target: t, Free: t.Resources}
+	h := &schedule.Host{Target: t, Free: t.Resources, SetAside: r.l.isSetAside(t.Key())}
 	now := r.l.nowMS()
 	t.EachRun(func(run work.RunRef) {
 		j, task := r.v.Find(run.Task)
--- a/internal/leader/runlist.go
+++ b/internal/leader/runlist.go
@@ -231,7 +231,9 @@
 		o := s.orderOf(r.Run)
 		o.confirmStarted(sent)
 		o.listedAt = sent
-		o.isUp = r.Percent >= 100
+		if o.isUp = r.Percent >= 100; o.isUp && o.upSince.IsZero() {
+			o.upSince = sent
+		}
 		s.starting = s.starting || (task != nil && !o.isUp && job.Spec.Steps[task.Step].LongLived)
 		if task != nil && r.Checkpoint != "" && task.Checkpoint != r.Checkpoint {
 			c.report.Checkpoints = append(c.report.Checkpoints, work.Checkpoint{Run: r.Run, Value: r.Checkpoint})
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -103,6 +103,8 @@
 	stopping  bool
 	// isUp is set while the list shows a long-lived task as fully up.
 	isUp bool
+	// upSince is when the run was first listed so.
+	upSince time.Time
 }
 
 // sessionLoop opens sessions with targets, and removes silent targets from the state.
--- a/internal/leader/starved.go
+++ b/internal/leader/starved.go
@@ -81,7 +81,7 @@
 		if target.Pool == j.Pool {
 			reason := l.exclusionReason(v, key, target, away)
 			if reason == "" {
-				h := &schedule.Host{Target: target, Free: v.Free(target)}
+				h := &schedule.Host{Target: target, Free: v.Free(target), SetAside: l.isSetAside(key)}
 				noteCoLocated(v, h)
 				reason = cmp.Or(string(h.Obstacle(j, t, step, 0)), "free")
 			}
@@ -107,7 +107,7 @@
 	case !l.heard(t):
 		return "silent"
 	case l.now().Before(l.statuses[key].avoidUntil):
-		return "set aside"
+		return "refused or did not answer an order"
 	case l.fleet.reserved(t.Host):
 		return l.fleet.host(t.Host).reserved
 	}
--- a/internal/schedule/missing.go
+++ b/internal/schedule/missing.go
@@ -20,7 +20,7 @@
 	if r.DemandMet != nil && r.DemandMet(pool) {
 		return false
 	}
-	return !slices.ContainsFunc(r.poolOf(pool).hosts, func(h *Host) bool { return need.MilliCPU <= h.Free.MilliCPU })
+	return !slices.ContainsFunc(r.poolOf(pool).hosts, func(h *Host) bool { return !h.SetAside && need.MilliCPU <= h.Free.MilliCPU })
 }
 
 // withoutAwaitingPermit drops as many tasks of a step as the hosts of the pool could
--- a/internal/schedule/room.go
+++ b/internal/schedule/room.go
@@ -61,9 +61,9 @@
 }
 
 // find returns the host with the least free CPU that can take a task: one of the pool, one
-// that can join it, or at last one of the pool with work that interferes.
+// that can join it, or at last one of the pool that it should not take.
 func (r *Room) find(j *work.Job, t *work.Task, s *work.Step) *Host {
-	best, shared := r.findOn(r.Hosts, j, t, s)
+	best, lastResort := r.findOn(r.Hosts, j, t, s)
 	if best != nil {
 		return best
 	}
@@ -73,26 +73,26 @@
 	if best, _ = r.findOn(r.joining, j, t, s); best != nil {
 		return best
 	}
-	return shared
+	return lastResort
 }
 
-// findOn returns the best of some hosts, and the best of those with work that interferes.
-func (r *Room) findOn(hosts []*Host, j *work.Job, t *work.Task, s *work.Step) (best, shared *Host) {
+// findOn returns the best of some hosts, and the best of those that the task should not take.
+func (r *Room) findOn(hosts []*Host, j *work.Job, t *work.Task, s *work.Step) (best, lastResort *Host) {
 	for _, h := range hosts {
 		obstacle := h.Obstacle(j, t, s, r.placed[placementOf(h, j, t)])
-		if (obstacle != "" && !obstacle.IsInterference()) || (r.Denied != nil && r.Denied(j, t, h.Target)) {
+		if (obstacle != "" && !obstacle.IsPreference()) || (r.Denied != nil && r.Denied(j, t, h.Target)) {
 			continue
 		}
 		switch {
-		case obstacle.IsInterference():
-			if shared == nil || disturbsLess(s, h, shared) {
-				shared = h
+		case obstacle.IsPreference():
+			if lastResort == nil || isLessBad(s, h, lastResort) {
+				lastResort = h
 			}
 		case best == nil || h.Free.MilliCPU < best.Free.MilliCPU:
 			best = h
 		}
 	}
-	return best, shared
+	return best, lastResort
 }
 
 // Withdraw removes the host of a target, which tasks can no longer move to.
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -23,6 +23,8 @@
 	// FillInCPU is the CPU that the fill-in tasks on the host ask for, in thousandths
 	// of a core.
 	FillInCPU int64
+	// SetAside is set for some time after several runs have failed on the host.
+	SetAside bool
 }
 
 // add accounts for one more task of a step, or one less if n is -1.
@@ -85,10 +87,9 @@
 	// other tasks each. No more hosts than exist can join, and each further one has to
 	// be tried for all tasks that follow.
 	MaxMissing int
-	// MayShare reports whether a task may be placed on a host with work that would disturb it
-	// or be disturbed by it, because it has waited in vain for another host. If it is nil, no
-	// task may.
-	MayShare func(j *work.Job, t *work.Task) bool
+	// TakesAny reports whether a task may be placed on a host that it should not take, because
+	// it has waited in vain for another one. If it is nil, no task may.
+	TakesAny func(j *work.Job, t *work.Task) bool
 	// DemandMet reports whether a pool has as many hosts as the sum of its CPU demand asks
 	// for. If it is nil, no pool has.
 	DemandMet func(pool string) bool
@@ -337,16 +338,20 @@
 		return nil
 	}
 	permitted := func(h *Host) bool { return r.Permitted == nil || r.Permitted(j, t, h.Target, p.hosts) }
-	// failed is the host on which the task last failed, shared one with work that interferes.
-	var best, failed, shared *Host
-	fits := false
+	// failed is the host on which the task last failed, lastResort one that it should not take.
+	var best, failed, lastResort *Host
+	fits, open := false, 0
 	for _, h := range p.hosts {
 		fits = fits || need.Within(h.Free)
+		if !h.SetAside {
+			open++
+		}
 		obstacle := h.Obstacle(j, t, s, placed[h])
 		switch {
-		case obstacle.IsInterference():
-			if h.Target.Host != t.FailedOn && (shared == nil || disturbsLess(s, h, shared)) && permitted(h) {
-				shared = h
+		case h.SetAside && !s.LongLived:
+		case obstacle.IsPreference():
+			if (lastResort == nil || isLessBad(s, h, lastResort)) && permitted(h) {
+				lastResort = h
 			}
 		case obstacle != "":
 		case t.FailedOn != "" && h.Target.Host == t.FailedOn:
@@ -359,11 +364,11 @@
 		p.full = append(p.full, need)
 	}
 	if best == nil && failed != nil && permitted(failed) &&
-		(len(p.hosts) == 1 || failed.Penalty == 0 || r.NowMS-t.StartedMS >= failedHostPauseMS) {
+		(open == 1 || failed.Penalty == 0 || r.NowMS-t.StartedMS >= failedHostPauseMS) {
 		return failed
 	}
-	if best == nil && shared != nil && r.MayShare != nil && r.MayShare(j, t) {
-		return shared
+	if best == nil && lastResort != nil && r.TakesAny != nil && r.TakesAny(j, t) {
+		return lastResort
 	}
 	return best
 }
@@ -385,6 +390,9 @@
 	FillInCPU Obstacle = "fill-in work"
 	// StepLimit: the host has as many tasks of the step as the step allows.
 	StepLimit Obstacle = "most of the step"
+	// SetAside: several runs have failed on the host. Short tasks do not take it at all, since
+	// their attempts are limited.
+	SetAside Obstacle = "set aside"
 )
 
 // Obstacle returns why the host cannot take a task of a step. placed is how many tasks
@@ -406,17 +414,23 @@
 		return ServingWork
 	case s.FillIn && h.FillInCPU+s.Demand.MilliCPU > h.Free.MilliCPU, !s.FillIn && s.TailLatencyTargetMS > 0 && h.FillInCPU > 0:
 		return FillInCPU
+	case h.SetAside:
+		return SetAside
 	}
 	return ""
 }
 
-// IsInterference reports whether the host has the capacity for the task, but what runs there
-// would disturb it or be disturbed by it.
-func (o Obstacle) IsInterference() bool { return o == ServingWork || o == FillInCPU }
+// IsPreference reports whether the host can take the task, but should do so only if no other
+// can: what runs there would disturb the task or be disturbed by it, or other runs have failed
+// there.
+func (o Obstacle) IsPreference() bool { return o == ServingWork || o == FillInCPU || o == SetAside }
 
-// disturbsLess reports whether fill-in or serving work that has no host of its own suits host
-// a better than b.
-func disturbsLess(s *work.Step, a, b *Host) bool {
+// isLessBad reports whether host a is better than b for a task that no host without an obstacle
+// takes.
+func isLessBad(s *work.Step, a, b *Host) bool {
+	if a.SetAside != b.SetAside {
+		return b.SetAside
+	}
 	if s.FillIn && a.HasServing != b.HasServing {
 		return b.HasServing
 	}
