Record the ends after an odd row only once it can be read

Cause: the ends listed after it were recorded, and the highest of their numbers was acknowledged. That acknowledges all ends before it, so the target dropped the one that could not be read.

Change: the adapter tells before which end the first odd row is listed. Those after it wait for the next list, which follows at once, for a second at most.

TestEndThatCannotBeReadOnceIsRecordedFromTheNextList failed before ("begins again after it was done").

--- a/internal/leader/ports.go
+++ b/internal/leader/ports.go
@@ -115,6 +115,12 @@
 	// them in the order of their numbers, so those that it has left out follow once these
 	// are acknowledged.
 	Truncated bool `cbor:"6,keyasint,omitempty"`
+	// HasGap is set if an ended run could not be read. BeforeGap is how many of Ended were
+	// listed before the first such row.
+	HasGap    bool `cbor:"7,keyasint,omitempty"`
+	BeforeGap int  `cbor:"8,keyasint,omitempty"`
+	// NotAcknowledged is set if the target was not sent the order's acknowledgement.
+	NotAcknowledged bool `cbor:"9,keyasint,omitempty"`
 }
 
 // UnreadableRows reports the rows of a list that could not be read, in whole or in
--- a/internal/leader/runlist.go
+++ b/internal/leader/runlist.go
@@ -21,6 +21,9 @@
 // recorded is the number of the last recorded ended run, and acknowledged the number up to
 // which the target was asked to drop them.
 func (s *session) applyList(h *RunList, sent time.Time, recorded, acknowledged int64) {
+	if s.waitForGap(h) {
+		h.Ended = h.Ended[:h.BeforeGap]
+	}
 	h.filterEnded(recorded, acknowledged)
 	s.logUnreadable(&h.Unreadable)
 	s.logTruncated(h, recorded)
@@ -40,6 +43,26 @@
 	}
 }
 
+// gapPatience is how long an ended run that cannot be read holds up those listed after it. A
+// number acknowledges all ended runs up to it, and the row may be sound in the next list.
+const gapPatience = time.Second
+
+// waitForGap reports whether the ended runs that follow one that cannot be read are left for a
+// later list.
+func (s *session) waitForGap(h *RunList) bool {
+	if !h.HasGap || h.BeforeGap > len(h.Ended) {
+		s.gapSince = time.Time{}
+		return false
+	}
+	now := s.l.now()
+	if s.gapSince.IsZero() {
+		s.gapSince = now
+		s.l.log.Info().Str("target", s.key).Int("before", h.BeforeGap).Int("after", len(h.Ended)-h.BeforeGap).
+			Msg("an ended run cannot be read; those after it wait")
+	}
+	return now.Sub(s.gapSince) < gapPatience
+}
+
 // maxEndGap is by how much the number of an ended run may exceed the last recorded one.
 // Far fewer runs end on a target between two lists, and a list has 500 at most.
 const maxEndGap = 1 << 20
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -86,6 +86,9 @@
 	// rowsLogged is when unreadable rows were last logged, and truncatedLogged when a
 	// truncated list was. Only run uses them.
 	rowsLogged, truncatedLogged time.Time
+	// gapSince is since when the lists have had an ended run that cannot be read. Only run
+	// uses it.
+	gapSince time.Time
 }
 
 // order is what the leader has observed of a run; it is not replicated.
--- a/internal/leader/unreadable_test.go
+++ b/internal/leader/unreadable_test.go
@@ -247,3 +247,31 @@
 		})
 	}
 }
+
+// Guards against a task that runs again after it was done: the row of its end could not be read
+// in one list, and the number of a later end acknowledged it.
+func TestEndThatCannotBeReadOnceIsRecordedFromTheNextList(t *testing.T) {
+	simulate(t, func(w *world) {
+		w.add("a", "ha", "1:1", "desk").setDuration(2 * time.Second)
+		w.add("c", "hc", "2:1", "cuts")
+		_, stop := w.lead(2)
+		defer stop()
+		after(time.Second)
+		spoiled := false
+		w.mu.Lock()
+		w.editList = func(_ *target, h *leader.RunList) {
+			if len(h.Ended) < 2 || spoiled {
+				return
+			}
+			spoiled = true
+			h.Ended = h.Ended[1:]
+			h.HasGap, h.Unreadable = true, leader.UnreadableRows{Rows: 1, LeftOut: 1, First: "row 0: too short"}
+		}
+		w.mu.Unlock()
+		w.submit("j", "/draw/", shortStep(4))
+		after(10 * time.Second)
+		if state := w.state("j"); state != work.Completed || !spoiled {
+			t.Errorf("the job is %s, and a list had an odd row: %t\n%s", state, spoiled, w.log())
+		}
+	})
+}
