Repeat no acknowledgement

A task began again after a run of it was done: the later incarnation of its target had dropped the end before anyone had read it.

Cause: the number of an ended run that is sent as acknowledged belongs to one incarnation. The hub repeated the hold of a lost worker with it, and the session did the same after a hold without an answer. A later incarnation with the same id that answers the repetition drops its own ends up to that number.

With the acknowledgements logged, the number 11 arrives twice at the later incarnation, for one hold of the leader: at 10.694 without an end, and at 11.904 with the end of the run that began in between.

Change: a repeated hold acknowledges nothing, and its list says so; the number is sent again after it. A session acknowledges nothing while its last hold has no answer.

TestRepeatedHoldAcknowledgesNothing failed before.

--- a/internal/leader/incarnation.go
+++ b/internal/leader/incarnation.go
@@ -26,13 +26,13 @@
 }
 
 // newlyAcknowledged returns the number of the last recorded ended run if the target has
-// answered this session and was not sent that number yet, and otherwise 0. A later
+// answered the last hold and was not sent that number yet, and otherwise 0. A later
 // incarnation with the same id would drop its own ended runs up to that number before
 // anyone has read them.
 func (s *session) newlyAcknowledged(state *sessionState) int64 {
 	s.l.mu.Lock()
 	defer s.l.mu.Unlock()
-	if !s.listed || state.ended || s.superseded || state.acknowledged <= s.acknowledged {
+	if !s.listed || s.unanswered || state.ended || s.superseded || state.acknowledged <= s.acknowledged {
 		return 0
 	}
 	return state.acknowledged
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -317,6 +317,9 @@
 		return false
 	}
 	s.confirmIncarnation(h.Born)
+	if h.NotAcknowledged {
+		o.Acknowledged = 0
+	}
 	s.applyList(h, sent, state.acknowledged, o.Acknowledged)
 	return true
 }
--- a/internal/relay/hub.go
+++ b/internal/relay/hub.go
@@ -400,7 +400,13 @@
 	case r.Failure != NotSent && ctx.Err() == nil:
 		again := *o
 		again.WaitMS = 0 // a part of the time for the call has passed
-		return h.cfg.Direct.Hold(ctx, to, &again)
+		// A later incarnation, which may answer by now, would drop ended runs of its own.
+		again.Acknowledged = 0
+		list, err := h.cfg.Direct.Hold(ctx, to, &again)
+		if list != nil {
+			list.NotAcknowledged = true
+		}
+		return list, err
 	}
 	return nil, r.err(to)
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -294,6 +294,21 @@
 	})
 }
 
+// Guards against ended runs that are dropped although nobody has read them: the hold of a lost
+// worker is repeated, and a later incarnation of the target, with numbers of its own, answers it.
+func TestRepeatedHoldAcknowledgesNothing(t *testing.T) {
+	simulateRegion(t, true, 1, func(g *WithT, r *region) {
+		r.delay = func(string) (time.Duration, bool) { return 0, true }
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		list, err := r.hub.Hold(ctx, leader.Address{Address: "t"}, &leader.HoldOrder{Acknowledged: 11})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(r.calls["leader"]).To(Equal(1))
+		g.Expect(list.NotAcknowledged).To(BeTrue())
+		g.Expect(list.Ended[0].Number).To(Equal(int64(1)), "one more than the acknowledged number")
+	})
+}
+
 // Guards against a worker that cannot reach a target which the leader can reach.
 func TestTargetIsCalledDirectlyAfterAWorkerFailed(t *testing.T) {
 	simulateRegion(t, true, 1, func(g *WithT, r *region) {
