--- a/internal/leader/relocation.go
+++ b/internal/leader/relocation.go
@@ -46,8 +46,17 @@
 		if j.State.Final() || !j.HasPendingTasks() || (!j.Spec.LongLived() && j.Active()) {
 			continue
 		}
+		var looked work.TaskRef // step of which a short task was looked at: the others need the same
 		for i := range j.Tasks {
-			if t := &j.Tasks[i]; !t.Done && !t.Active() && j.Ready(t) && !r.hasRoom(j, t) {
+			t := &j.Tasks[i]
+			step := stepRef(j.Ref(t))
+			if t.Done || t.Active() || step == looked || !j.Ready(t) {
+				continue
+			}
+			if !j.Spec.Steps[t.Step].LongLived {
+				looked = step
+			}
+			if !r.hasRoom(j, t) {
 				r.homeless = append(r.homeless, waitingTask{j, t})
 			}
 		}
