--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -49,6 +49,8 @@
 	attainableCPU map[string]int64
 	// demandMet holds the pools that have the hosts that their CPU demand asks for.
 	demandMet map[string]bool
+	// thoroughAt is when it was last looked at whether tasks need the hosts of a wave.
+	thoroughAt time.Time
 	// sizesLoggedAt is when the sizes of the pools were last logged.
 	sizesLoggedAt time.Time
 	// away holds the unreachable data centres, as of awayAt.
--- a/internal/leader/relocation.go
+++ b/internal/leader/relocation.go
@@ -24,8 +24,16 @@
 	// homeless holds the waiting tasks that no open host can take soon.
 	homeless []waitingTask
 	searched bool
+	// emptied holds the hosts for which canEmpty has reported that they can be emptied.
+	emptied map[string]bool
+	// thorough is set in one round a second. Only then is it looked at whether a waiting task
+	// needs a host on which only short runs are, since these end by themselves.
+	thorough bool
 }
 
+// thoroughInterval separates the thorough rounds.
+const thoroughInterval = time.Second
+
 // waitingTask is a task whose turn has come and that has no run.
 type waitingTask struct {
 	job  *work.Job
@@ -33,7 +41,13 @@
 }
 
 func newRelocation(l *Leader, v *work.View) *relocation {
-	return &relocation{l: l, v: v, rooms: map[string]*schedule.Room{}, inPlace: map[work.RunRef]bool{}, stuck: map[string]bool{}}
+	r := &relocation{
+		l: l, v: v, rooms: map[string]*schedule.Room{}, inPlace: map[work.RunRef]bool{}, stuck: map[string]bool{}, emptied: map[string]bool{},
+	}
+	if now := l.now(); now.Sub(l.fleet.thoroughAt) >= thoroughInterval {
+		l.fleet.thoroughAt, r.thorough = now, true
+	}
+	return r
 }
 
 // findHomeless reserves room for the waiting tasks before any host is emptied.
@@ -86,7 +100,7 @@
 	}
 	away := r.l.awayDataCentres(r.v)
 	for key, t := range r.v.Targets {
-		if t.Pool != pool {
+		if t.Pool != pool || r.emptied[t.Host] {
 			continue
 		}
 		if reason := r.l.exclusionReason(r.v, key, t, away); reason == "" || reason == reservedSurplus {
@@ -141,6 +155,11 @@
 	if t == nil || r.isEmptying(t) {
 		return true
 	}
+	runs := longLivedRuns(r.v, t)
+	if len(runs) == 0 && !r.thorough {
+		r.emptied[host] = true
+		return true
+	}
 	if r.needed(t) {
 		r.noteStuck(host, "tasks wait that only this host has room for", len(r.homeless))
 		return false
@@ -155,7 +174,7 @@
 	away := map[work.TaskRef]int{} // tasks without room elsewhere, by step
 	room.Withdraw(t)
 	possible := true
-	for _, run := range longLivedRuns(r.v, t) {
+	for _, run := range runs {
 		j, task := r.v.Find(run.Task)
 		if to := room.Place(j, task); to != nil {
 			moves = append(moves, move{waitingTask{j, task}, to})
@@ -170,6 +189,7 @@
 		for _, run := range inPlace {
 			r.inPlace[run] = true
 		}
+		r.emptied[host] = true
 		return true
 	}
 	for _, m := range moves {
