--- a/internal/leader/interference.go
+++ b/internal/leader/interference.go
@@ -42,10 +42,10 @@
 // first announcement.
 const joinMargin = time.Second
 
-// takesAny reports whether a task has waited for long enough to take a host that it should not
+// mayUseLastResort reports whether a task has waited for long enough to take a host that it should not
 // take, with work that it disturbs or that disturbs it, or on which runs have failed: until a host
 // that can join its pool would have joined it. The mutex is held.
-func (l *Leader) takesAny(j *work.Job, t *work.Task) bool {
+func (l *Leader) mayUseLastResort(j *work.Job, t *work.Task) bool {
 	since, waiting := l.waitingSteps[stepRef(j.Ref(t))]
 	wait := missingHostsDelay
 	if len(l.fleet.spare) > 0 || l.fleet.isMoving() {
--- a/internal/leader/maintenance.go
+++ b/internal/leader/maintenance.go
@@ -99,7 +99,7 @@
 		stuck := relocation.stuck[name] && l.now().Sub(h.stuckSince) >= stuckGrace
 		if stuck || (t != nil && !chosen[name] && relocation.needed(t)) {
 			h.reserved, h.drainAgainAt, h.stuckSince = "", l.now().Add(drainPause), time.Time{}
-			l.log.Info().Str("host", name).Int("homeless_tasks", len(relocation.homeless)).Msg("host takes runs again before its maintenance")
+			l.log.Info().Str("host", name).Int("tasks_without_room", len(relocation.unplaced)).Msg("host takes runs again before its maintenance")
 		}
 	}
 }
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -107,7 +107,7 @@
 			}
 		}
 		l.noteWaitingSteps(v)
-		r.TakesAny = l.takesAny
+		r.MayUseLastResort = l.mayUseLastResort
 		r.Hosts = func(pool string) []*schedule.Host { return l.usable(v, pool) }
 		starts = schedule.Plan(r)
 		l.noteMissingHosts(r)
--- a/internal/leader/relocation.go
+++ b/internal/leader/relocation.go
@@ -21,8 +21,8 @@
 	inPlace map[work.RunRef]bool
 	// stuck holds the hosts that cannot be emptied now.
 	stuck map[string]bool
-	// homeless holds the waiting tasks that no open host can take soon.
-	homeless []waitingTask
+	// unplaced holds the waiting tasks that no open host can take soon.
+	unplaced []waitingTask
 	searched bool
 	// emptied holds the hosts for which canEmpty has reported that they can be emptied.
 	emptied map[string]bool
@@ -50,8 +50,8 @@
 	return r
 }
 
-// findHomeless reserves room for the waiting tasks before any host is emptied.
-func (r *relocation) findHomeless() {
+// findUnplaced reserves room for the waiting tasks before any host is emptied.
+func (r *relocation) findUnplaced() {
 	if r.searched {
 		return
 	}
@@ -60,18 +60,18 @@
 		if j.State.Final() || !j.HasPendingTasks() || (!j.Spec.LongLived() && j.Active()) {
 			continue
 		}
-		var looked work.TaskRef // step of which a short task was looked at: the others need the same
+		var checked work.TaskRef // step of the last short task: the others of the step need the same
 		for i := range j.Tasks {
 			t := &j.Tasks[i]
 			step := stepRef(j.Ref(t))
-			if t.Done || t.Active() || step == looked || !j.Ready(t) {
+			if t.Done || t.Active() || step == checked || !j.Ready(t) {
 				continue
 			}
 			if !j.Spec.Steps[t.Step].LongLived {
-				looked = step
+				checked = step
 			}
 			if !r.hasRoom(j, t) {
-				r.homeless = append(r.homeless, waitingTask{j, t})
+				r.unplaced = append(r.unplaced, waitingTask{j, t})
 			}
 		}
 	}
@@ -104,7 +104,7 @@
 			continue
 		}
 		if reason := r.l.exclusionReason(r.v, key, t, away); reason == "" || reason == reservedSurplus {
-			room.Hosts = append(room.Hosts, r.soon(t))
+			room.Hosts = append(room.Hosts, r.withoutEndingRuns(t))
 		}
 	}
 	r.rooms[pool] = room
@@ -116,8 +116,8 @@
 // expected duration by more may go on for any time.
 const endingSoon = 2 * time.Second
 
-// soon returns a target as a host without the runs that will have ended soon.
-func (r *relocation) soon(t *work.Target) *schedule.Host {
+// withoutEndingRuns returns a target as a host without the runs that will have ended soon.
+func (r *relocation) withoutEndingRuns(t *work.Target) *schedule.Host {
 	h := &schedule.Host{Target: t, Free: t.Resources, SetAside: r.l.isSetAside(t.Key())}
 	now := r.l.nowMS()
 	t.EachRun(func(run work.RunRef) {
@@ -161,7 +161,7 @@
 		return true
 	}
 	if r.needed(t) {
-		r.noteStuck(host, "tasks wait that only this host has room for", len(r.homeless))
+		r.noteStuck(host, "tasks wait that only this host has room for", len(r.unplaced))
 		return false
 	}
 	room := r.room(t.Pool)
@@ -195,7 +195,7 @@
 	for _, m := range moves {
 		room.Remove(m.to, m.task.job, m.task.task)
 	}
-	room.Hosts = append(room.Hosts, r.soon(t))
+	room.Hosts = append(room.Hosts, r.withoutEndingRuns(t))
 	r.noteStuck(host, "no room for its tasks elsewhere, and not all of them may be away", len(inPlace))
 	return false
 }
@@ -234,9 +234,9 @@
 	if t.Draining || !r.l.heard(t) {
 		return false
 	}
-	r.findHomeless()
-	room := &schedule.Room{Hosts: []*schedule.Host{r.soon(t)}}
-	for _, w := range r.homeless {
+	r.findUnplaced()
+	room := &schedule.Room{Hosts: []*schedule.Host{r.withoutEndingRuns(t)}}
+	for _, w := range r.unplaced {
 		if w.job.Pool == t.Pool && room.Fits(w.job, w.task) {
 			return true
 		}
--- a/internal/schedule/room.go
+++ b/internal/schedule/room.go
@@ -85,7 +85,7 @@
 		}
 		switch {
 		case obstacle.IsPreference():
-			if lastResort == nil || isLessBad(s, h, lastResort) {
+			if lastResort == nil || isBetterLastResort(s, h, lastResort) {
 				lastResort = h
 			}
 		case best == nil || h.Free.MilliCPU < best.Free.MilliCPU:
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -87,9 +87,9 @@
 	// other tasks each. No more hosts than exist can join, and each further one has to
 	// be tried for all tasks that follow.
 	MaxMissing int
-	// TakesAny reports whether a task may be placed on a host that it should not take, because
+	// MayUseLastResort reports whether a task may be placed on a host that it should not take, because
 	// it has waited in vain for another one. If it is nil, no task may.
-	TakesAny func(j *work.Job, t *work.Task) bool
+	MayUseLastResort func(j *work.Job, t *work.Task) bool
 	// DemandMet reports whether a pool has as many hosts as the sum of its CPU demand asks
 	// for. If it is nil, no pool has.
 	DemandMet func(pool string) bool
@@ -350,7 +350,7 @@
 		switch {
 		case h.SetAside && !s.LongLived:
 		case obstacle.IsPreference():
-			if (lastResort == nil || isLessBad(s, h, lastResort)) && permitted(h) {
+			if (lastResort == nil || isBetterLastResort(s, h, lastResort)) && permitted(h) {
 				lastResort = h
 			}
 		case obstacle != "":
@@ -367,7 +367,7 @@
 		(open == 1 || failed.Penalty == 0 || r.NowMS-t.StartedMS >= failedHostPauseMS) {
 		return failed
 	}
-	if best == nil && lastResort != nil && r.TakesAny != nil && r.TakesAny(j, t) {
+	if best == nil && lastResort != nil && r.MayUseLastResort != nil && r.MayUseLastResort(j, t) {
 		return lastResort
 	}
 	return best
@@ -425,9 +425,9 @@
 // there.
 func (o Obstacle) IsPreference() bool { return o == ServingWork || o == FillInCPU || o == SetAside }
 
-// isLessBad reports whether host a is better than b for a task that no host without an obstacle
+// isBetterLastResort reports whether host a is better than b for a task that no host without an obstacle
 // takes.
-func isLessBad(s *work.Step, a, b *Host) bool {
+func isBetterLastResort(s *work.Step, a, b *Host) bool {
 	if a.SetAside != b.SetAside {
 		return b.SetAside
 	}
