--- a/internal/leader/runlist.go
+++ b/internal/leader/runlist.go
@@ -153,7 +153,7 @@
 	l.cfg.StateMachine.Read(func(v *work.View) {
 		if t := v.Targets[s.key]; t != nil {
 			s.reconcileRuns(v, t, h, sent, c)
-			paceOrders = s.pace(v, t, h)
+			paceOrders = s.choosePace(v, t, h)
 			if l.fleet.isInMaintenance(t.Host) {
 				l.fleetWake.signal()
 			}
