peer: probe a host again that refused the last probe

Cause: after a failed probe all calls to a host failed without another probe for a second, also if the probe had been refused within a millisecond.

The new spec of internal/peer failed before (timed out after 0.2 s).

Change: calls fail without a probe for as long as the last probe took. A silent host is probed as before, a restarted one is reached at once.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -373,6 +373,41 @@
 		Expect(fault.CodeOf(third)).To(Equal(fault.CodeUnavailable))
 	})
 
+	It("reaches a host that restarted right after it refused a probe", func() {
+		// Guards against an operator's query that lists a host as not reached
+		// although it has been back for some time.
+		handler := &fakeHandler{hold: make(chan struct{})}
+		server := peer.NewHTTPServer(peer.NewServer(handler, peer.ServerOptions{}), nil)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address := l.Addr().String()
+		go func() { _ = server.Serve(l) }()
+		c := dial(peer.DialerConfig{}, address)
+		lost := make(chan error, 1)
+		go func() {
+			_, err := c.GroupStatus(ctx, &peer.GroupStatusRequest{})
+			lost <- err
+		}()
+		Eventually(handler.count).Should(Equal(1))
+		Expect(server.Close()).To(Succeed())
+		var cause error
+		Eventually(lost).Should(Receive(&cause))
+		Expect(fault.CodeOf(cause)).To(Equal(fault.CodeConnectionLost), "the host is suspected")
+		_, err = c.GroupStatus(ctx, &peer.GroupStatusRequest{})
+		Expect(fault.CodeOf(err)).To(Equal(fault.CodeUnavailable), "nothing listens")
+
+		restarted := peer.NewHTTPServer(peer.NewServer(&fakeHandler{}, peer.ServerOptions{}), nil)
+		l, err = net.Listen("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(restarted.Close)
+		go func() { _ = restarted.Serve(l) }()
+		// A pause as long as the refused probe took is allowed.
+		Eventually(func() error {
+			_, err := c.GroupStatus(ctx, &peer.GroupStatusRequest{})
+			return err
+		}).WithTimeout(200 * time.Millisecond).Should(Succeed())
+	})
+
 	It("end a long poll by the health check of the connection", func() {
 		// Guards against a long poll that waits for its whole time on a
 		// connection that went silent. The health check uses the system clock.
--- a/internal/peer/suspicion.go
+++ b/internal/peer/suspicion.go
@@ -9,22 +9,18 @@
 	"agatehaven.dev/agatehaven/internal/fault"
 )
 
-const (
-	// probeTimeout bounds the probe of a suspected host.
-	probeTimeout = time.Second
-	// probeFailureTTL is how long calls fail without a new probe after a probe
-	// failed, so that calls to an unreachable host fail fast.
-	probeFailureTTL = time.Second
-)
+// probeTimeout bounds the probe of a suspected host.
+const probeTimeout = time.Second
 
 // suspicion records that the last call to a host got no answer. While it is
 // active, each call is preceded by a probe that has no effect. If the probe fails,
 // the call itself is never sent, so that it is known not to have run, instead of
 // having an unknown effect.
 type suspicion struct {
-	mu       sync.Mutex
-	active   bool
-	failedAt time.Time
+	mu     sync.Mutex
+	active bool
+	// failUntil is until when calls fail without a new probe.
+	failUntil time.Time
 }
 
 func (s *suspicion) activate() {
@@ -36,7 +32,7 @@
 func (s *suspicion) clear() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.active, s.failedAt = false, time.Time{}
+	s.active, s.failUntil = false, time.Time{}
 }
 
 // state reports whether a probe is needed, and whether the last one failed
@@ -44,19 +40,23 @@
 func (s *suspicion) state(now time.Time) (needed, failed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.active, s.active && now.Sub(s.failedAt) < probeFailureTTL
+	return s.active, s.active && now.Before(s.failUntil)
 }
 
-func (s *suspicion) probeFailed(now time.Time) {
+// probeFailed makes calls fail without a new probe for as long as the last probe
+// took. Calls to a silent host then fail fast, while a host that refuses
+// connections because it restarts is reached as soon as it accepts them.
+func (s *suspicion) probeFailed(start, end time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.failedAt = now
+	s.failUntil = end.Add(end.Sub(start))
 }
 
 // ensureReachable returns *fault.Unavailable if the host is suspected and does
 // not answer a probe.
 func (c *client) ensureReachable(ctx context.Context) error {
-	needed, failed := c.suspicion.state(c.clock.Now())
+	start := c.clock.Now()
+	needed, failed := c.suspicion.state(start)
 	if !needed {
 		return nil
 	}
@@ -70,7 +70,7 @@
 		return nil
 	}
 	if ctx.Err() == nil {
-		c.suspicion.probeFailed(c.clock.Now())
+		c.suspicion.probeFailed(start, c.clock.Now())
 	}
 	return unreachable
 }
