leader: count the wait of a task from the start of a new leader

What callers see: a lasting or fill-in task without a run for a second longer than it may, beside room for it (rule LOST), if its host and then the leader are lost within 5 s of each other.

Cause: a task takes a host with work that it disturbs only once a better host could have joined the pool. A new leader counted that time from the end of the lost host's lease, which it starts anew too.

Change: runs on targets that the leader has never heard count as waiting from its start, so that the time passes while it waits for their leases.

--- a/internal/leader/interference.go
+++ b/internal/leader/interference.go
@@ -10,27 +10,43 @@
 // by them.
 func interferes(s *work.Step) bool { return s.FillIn || s.TailLatencyTargetMS > 0 }
 
+// isWaitTimed reports whether it matters since when tasks of a step have waited for a host.
+func isWaitTimed(s *work.Step) bool { return s.LongLived || interferes(s) }
+
 // noteWaitingSteps records since when long-lived steps, and steps that interfere with others,
 // have had a task that waits for a host. The mutex is held.
 func (l *Leader) noteWaitingSteps(v *work.View) {
 	since := map[work.TaskRef]time.Time{}
+	note := func(step work.TaskRef) {
+		since[step] = l.now()
+		if known, ok := l.waitingSteps[step]; ok {
+			since[step] = known
+		}
+	}
 	for _, j := range v.Live {
 		if j.State.Final() || !j.HasPendingTasks() {
 			continue
 		}
 		for k := range max(1, j.Spec.Occurrences) {
 			for i := range j.Spec.Steps {
-				if s := &j.Spec.Steps[i]; (!s.LongLived && !interferes(s)) || len(j.Startable(k, i)) == 0 {
-					continue
-				}
-				step := work.TaskRef{Job: j.ID, Occurrence: k, Step: i}
-				since[step] = l.now()
-				if known, ok := l.waitingSteps[step]; ok {
-					since[step] = known
+				if isWaitTimed(&j.Spec.Steps[i]) && len(j.Startable(k, i)) > 0 {
+					note(work.TaskRef{Job: j.ID, Occurrence: k, Step: i})
 				}
 			}
 		}
 	}
+	// A run on a target that this leader has never heard counts as waiting too, since a former
+	// leader may have waited for the end of its lease.
+	for key, t := range v.Targets {
+		if st := l.statuses[key]; st != nil && !st.heard.IsZero() {
+			continue
+		}
+		t.EachRun(func(r work.RunRef) {
+			if j, task := v.Find(r.Task); j != nil && !j.State.Final() && isWaitTimed(&j.Spec.Steps[task.Step]) {
+				note(stepRef(r.Task))
+			}
+		})
+	}
 	l.waitingSteps = since
 }
 
--- a/internal/leader/interference_test.go
+++ b/internal/leader/interference_test.go
@@ -54,6 +54,54 @@
 	}
 }
 
+// Guards against work that waits for too long after a host and then the leader are lost: each
+// leader waited anew for a host that would suit the task better than those with room.
+func TestTaskDoesNotWaitAgainForABetterHostAfterANewLeader(t *testing.T) {
+	serving, filling := longLivedStep(4), longLivedStep(1)
+	serving.MaxPerHost, serving.TailLatencyTargetMS = 1, 100
+	filling.FillIn = true
+	for _, pause := range []time.Duration{0, time.Second, 3 * time.Second, 4500 * time.Millisecond, 6 * time.Second} {
+		t.Run(pause.String(), func(t *testing.T) {
+			simulate(t, func(w *world) {
+				w.disturbance = 0.1
+				w.sizes = map[string]work.Demand{}
+				for _, n := range []string{"c1", "c2", "c3"} { // spare, but too small
+					w.sizes["h"+n] = work.Demand{MilliCPU: 500, MemoryMB: 500}
+					w.add(n, "h"+n, "2:"+n, "cuts").setDuration(0)
+				}
+				w.add("b", "hb", "1:9", "desk").setDuration(0)
+				_, stop := w.lead(2)
+				after(time.Second)
+				w.submit("filling", "/draw/", filling)
+				after(time.Second)
+				for i := range serving.Tasks {
+					n := strconv.Itoa(i)
+					w.add("a"+n, "h"+n, "1:"+n, "desk").setDuration(0)
+				}
+				after(time.Second)
+				w.submit("serving", "/draw/", serving)
+				after(4 * time.Second)
+				defer w.watchPromises()()
+				host := w.loseHostOf(work.TaskRef{Job: "filling"})
+				w.mu.Lock()
+				w.disturbed("%s is lost", host)
+				w.mu.Unlock()
+				after(pause)
+				stop()
+				w.mu.Lock()
+				w.disturbed("leader changes")
+				w.mu.Unlock()
+				_, stop = w.lead(3)
+				defer stop()
+				after(20 * time.Second)
+				if running, logs := w.outcome(); running != serving.Tasks+filling.Tasks {
+					t.Errorf("%d tasks run\n%s", running, logs)
+				}
+			})
+		})
+	}
+}
+
 // Guards against fill-in work that keeps disturbing serving work beside it: a new leader does
 // not know at which share it runs, or the order to pause it is lost.
 func TestFillInWorkBesideServingWorkIsPaused(t *testing.T) {
