leader: count the wait of a task until a run of it has begun

Cause: any start ended the wait of a task until it may take a host with work that it disturbs.

Change: only a run that is known to have begun, by an answer or a list, ends it. That covers the runs on targets which a new leader has never heard.

--- a/internal/leader/interference.go
+++ b/internal/leader/interference.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"slices"
 	"time"
 
 	"agatehaven.dev/agatehaven/internal/work"
@@ -14,42 +15,44 @@
 func isWaitTimed(s *work.Step) bool { return s.LongLived || interferes(s) }
 
 // noteWaitingSteps records since when long-lived steps, and steps that interfere with others,
-// have had a task that waits for a host. The mutex is held.
+// have had a task that waits for a host, or a run that is not known to have begun. Such a run ends
+// the wait of its task only once it has begun: its target may be lost, and this leader may not be
+// the first to wait for the end of the lease. The mutex is held.
 func (l *Leader) noteWaitingSteps(v *work.View) {
 	since := map[work.TaskRef]time.Time{}
-	note := func(step work.TaskRef) {
-		since[step] = l.now()
-		if known, ok := l.waitingSteps[step]; ok {
-			since[step] = known
-		}
-	}
 	for _, j := range v.Live {
-		if j.State.Final() || !j.HasPendingTasks() {
+		if j.State.Final() || !slices.ContainsFunc(j.Spec.Steps, func(s work.Step) bool { return isWaitTimed(&s) }) {
 			continue
 		}
-		for k := range max(1, j.Spec.Occurrences) {
-			for i := range j.Spec.Steps {
-				if isWaitTimed(&j.Spec.Steps[i]) && len(j.Startable(k, i)) > 0 {
-					note(work.TaskRef{Job: j.ID, Occurrence: k, Step: i})
-				}
+		for i := range j.Tasks {
+			t := &j.Tasks[i]
+			if !isWaitTimed(&j.Spec.Steps[t.Step]) || !l.isWaiting(j, t) {
+				continue
 			}
-		}
-	}
-	// A run on a target that this leader has never heard counts as waiting too, since a former
-	// leader may have waited for the end of its lease.
-	for key, t := range v.Targets {
-		if st := l.statuses[key]; st != nil && !st.heard.IsZero() {
-			continue
-		}
-		t.EachRun(func(r work.RunRef) {
-			if j, task := v.Find(r.Task); j != nil && !j.State.Final() && isWaitTimed(&j.Spec.Steps[task.Step]) {
-				note(stepRef(r.Task))
+			step := stepRef(j.Ref(t))
+			since[step] = l.now()
+			if known, ok := l.waitingSteps[step]; ok {
+				since[step] = known
 			}
-		})
+		}
 	}
 	l.waitingSteps = since
 }
 
+// isWaiting reports whether a task could run and has no run that is known to have begun. The
+// mutex is held.
+func (l *Leader) isWaiting(j *work.Job, t *work.Task) bool {
+	if !t.Active() {
+		return !t.Done && j.Ready(t)
+	}
+	s := l.sessions[t.Target]
+	if s == nil {
+		return true
+	}
+	o := s.orders[work.RunRef{Task: j.Ref(t), Run: t.Run}]
+	return o == nil || o.startedAt.IsZero()
+}
+
 // joinMargin is added to the time that a host takes to join a pool, for its order and its
 // first announcement.
 const joinMargin = time.Second
--- a/internal/leader/interference_test.go
+++ b/internal/leader/interference_test.go
@@ -54,32 +54,38 @@
 	}
 }
 
+// lossWorld has a pool whose hosts all run serving work, and hosts to spare that are too small, so
+// that a fill-in task takes a host of the pool only after it has waited for a better one.
+func lossWorld(w *world, servingTasks int) {
+	w.disturbance = 0.1
+	w.sizes = map[string]work.Demand{}
+	for _, n := range []string{"c1", "c2", "c3"} {
+		w.sizes["h"+n] = work.Demand{MilliCPU: 500, MemoryMB: 500}
+		w.add(n, "h"+n, "2:"+n, "cuts").setDuration(0)
+	}
+	for i := range servingTasks {
+		n := strconv.Itoa(i)
+		w.add("a"+n, "h"+n, "1:"+n, "desk").setDuration(0)
+	}
+	serving := longLivedStep(servingTasks)
+	serving.MaxPerHost, serving.TailLatencyTargetMS = 1, 100
+	w.submit("serving", "/draw/", serving)
+}
+
 // Guards against work that waits for too long after a host and then the leader are lost: each
 // leader waited anew for a host that would suit the task better than those with room.
 func TestTaskDoesNotWaitAgainForABetterHostAfterANewLeader(t *testing.T) {
-	serving, filling := longLivedStep(4), longLivedStep(1)
-	serving.MaxPerHost, serving.TailLatencyTargetMS = 1, 100
+	const servingTasks = 4
+	filling := longLivedStep(1)
 	filling.FillIn = true
 	for _, pause := range []time.Duration{0, time.Second, 3 * time.Second, 4500 * time.Millisecond, 6 * time.Second} {
 		t.Run(pause.String(), func(t *testing.T) {
 			simulate(t, func(w *world) {
-				w.disturbance = 0.1
-				w.sizes = map[string]work.Demand{}
-				for _, n := range []string{"c1", "c2", "c3"} { // spare, but too small
-					w.sizes["h"+n] = work.Demand{MilliCPU: 500, MemoryMB: 500}
-					w.add(n, "h"+n, "2:"+n, "cuts").setDuration(0)
-				}
-				w.add("b", "hb", "1:9", "desk").setDuration(0)
 				_, stop := w.lead(2)
-				after(time.Second)
+				lossWorld(w, servingTasks)
+				after(4 * time.Second)
+				w.add("b", "hb", "1:9", "desk").setDuration(0)
 				w.submit("filling", "/draw/", filling)
-				after(time.Second)
-				for i := range serving.Tasks {
-					n := strconv.Itoa(i)
-					w.add("a"+n, "h"+n, "1:"+n, "desk").setDuration(0)
-				}
-				after(time.Second)
-				w.submit("serving", "/draw/", serving)
 				after(4 * time.Second)
 				defer w.watchPromises()()
 				host := w.loseHostOf(work.TaskRef{Job: "filling"})
@@ -94,7 +100,7 @@
 				_, stop = w.lead(3)
 				defer stop()
 				after(20 * time.Second)
-				if running, logs := w.outcome(); running != serving.Tasks+filling.Tasks {
+				if running, logs := w.outcome(); running != servingTasks+filling.Tasks {
 					t.Errorf("%d tasks run\n%s", running, logs)
 				}
 			})
@@ -102,6 +108,37 @@
 	}
 }
 
+// Guards against work that waits for too long because a start that is not answered, on a host
+// that is lost, ended the wait of its task for a better host.
+func TestTaskDoesNotWaitAgainForABetterHostAfterALostStart(t *testing.T) {
+	const servingTasks = 4
+	filling := longLivedStep(1)
+	filling.FillIn = true
+	simulate(t, func(w *world) {
+		_, stop := w.lead(2)
+		defer stop()
+		lossWorld(w, servingTasks)
+		after(4 * time.Second)
+		defer w.watchPromises()()
+		w.submit("filling", "/draw/", filling)
+		after(worldAnnounce)
+		b := w.add("b", "hb", "1:9", "desk")
+		w.mu.Lock()
+		b.deaf = true
+		w.mu.Unlock()
+		after(700 * time.Millisecond) // it has announced itself and been sent the start
+		w.mu.Lock()
+		b.die()
+		b.silent = true
+		w.disturbed("hb is lost")
+		w.mu.Unlock()
+		after(20 * time.Second)
+		if running, logs := w.outcome(); running != servingTasks+filling.Tasks {
+			t.Errorf("%d tasks run\n%s", running, logs)
+		}
+	})
+}
+
 // Guards against fill-in work that keeps disturbing serving work beside it: a new leader does
 // not know at which share it runs, or the order to pause it is lost.
 func TestFillInWorkBesideServingWorkIsPaused(t *testing.T) {
