schedule: open hosts for fill-in work that asks for more CPU than most hosts have

What callers see: fill-in tasks that never start again, beside empty hosts of their pool which stay closed (LOST).

Cause: to count the hosts that a pool lacks, the plan took the most frequent type of host that has what a task reserves, which for fill-in work is no CPU. Where that type has less CPU than the task asks for, the host is one that the task should not take, so no host was counted as lacking.

Change: the type is one that the task prefers, else one that can take it, unless a host of the pool can take it as well. Hosts with enough CPU suit such tasks first.

TestFillInTasksOpenHostsWithLessCPU failed before in both cases (1 of 4 tasks ran) and passes.

--- a/internal/leader/interference_test.go
+++ b/internal/leader/interference_test.go
@@ -139,6 +139,41 @@
 	})
 }
 
+// Guards against fill-in tasks that wait for ever beside closed hosts of their pool: they ask for
+// more CPU than most hosts, or all of them, have, which counted as a type of host that cannot
+// take them.
+func TestFillInTasksOpenHostsWithLessCPU(t *testing.T) {
+	for name, size := range map[string]work.Demand{
+		"all small": {MilliCPU: 2000, MemoryMB: 4000}, "one large": {MilliCPU: 4000, MemoryMB: 4000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			simulate(t, func(w *world) {
+				for i := range 5 {
+					n := strconv.Itoa(i)
+					w.sizes["h"+n] = work.Demand{MilliCPU: 2000, MemoryMB: 4000}
+					if i == 0 {
+						w.sizes["h"+n] = size
+					}
+					w.add("a"+n, "h"+n, "1:"+n, "desk").setDuration(0)
+				}
+				w.add("c", "hc", "2:1", "cuts").setDuration(0)
+				w.propose(&work.Command{Configure: w.withoutStandby()})
+				_, stop := w.lead(2)
+				defer stop()
+				after(4 * time.Second) // the pool has one open host
+				defer w.watchPromises()()
+				filling := longLivedStep(4)
+				filling.Demand, filling.FillIn = work.Demand{MilliCPU: 3000, MemoryMB: 2400}, true
+				w.submit("filling", "/draw/", filling)
+				after(10 * time.Second)
+				if running, logs := w.outcome(); running != filling.Tasks {
+					t.Errorf("%d tasks run\n%s", running, logs)
+				}
+			})
+		})
+	}
+}
+
 // Guards against fill-in work that keeps disturbing serving work beside it: a new leader does
 // not know at which share it runs, or the order to pause it is lost.
 func TestFillInWorkBesideServingWorkIsPaused(t *testing.T) {
--- a/internal/schedule/missing.go
+++ b/internal/schedule/missing.go
@@ -54,14 +54,15 @@
 	for i := 0; len(tasks) > 0 && !r.reachedMaxMissing(j.Pool, p, s.LongLived); i++ {
 		opened := i == len(p.missing)
 		if opened {
-			h := r.emptyHost(s)
+			h := r.emptyHost(j, s, tasks[0])
 			if h == nil {
 				break
 			}
 			p.missing = append(p.missing, h)
 		}
 		h, n := p.missing[i], 0
-		for len(tasks) > 0 && h.Obstacle(j, tasks[0], s, n) == "" {
+		// A new host takes a task in any case, since it was chosen for it.
+		for len(tasks) > 0 && (h.Obstacle(j, tasks[0], s, n) == "" || (opened && n == 0)) {
 			h.add(s, 1)
 			tasks = tasks[1:]
 			n++
@@ -73,10 +74,6 @@
 		if n > 0 {
 			r.noteNeed(j, s, waiting[0])
 		}
-		if opened && n == 0 {
-			p.missing = p.missing[:i]
-			break
-		}
 	}
 	if s.Gang && len(tasks) > 0 {
 		p.missing = p.missing[:before] // not all members have a place, so none starts
@@ -95,6 +92,9 @@
 // noteNeed records what the tasks of a step need that no host of a pool can take.
 func (r *Request) noteNeed(j *work.Job, s *work.Step, t *work.Task) {
 	need := Need{Demand: s.Reserved(), Label: s.Label}
+	if whole := (Need{Demand: s.Demand, Label: s.Label}); s.FillIn && slices.ContainsFunc(r.hostTypes, whole.MetBy) {
+		need = whole // a host whose CPU suffices for it
+	}
 	if j.PolicyChecked {
 		need.Policy = j.Ref(t)
 		need.Policy.Index = 0
@@ -118,19 +118,27 @@
 	return r.MaxMissing > 0 && n >= r.MaxMissing
 }
 
-// emptyHost returns an empty host for tasks of a step, or nil if no type has the
-// resources and the label.
-func (r *Request) emptyHost(s *work.Step) *emptyHost {
+// emptyHost returns an empty host for a task, or nil if no type of host can take it. A type that
+// the task should not take is the last choice, and only where no host of the pool is such a one.
+func (r *Request) emptyHost(j *work.Job, s *work.Step, t *work.Task) *emptyHost {
 	if r.HostTypes == nil {
 		return nil
 	}
 	if r.hostTypes == nil {
 		r.hostTypes = r.HostTypes()
 	}
+	var lastResort *emptyHost
 	for _, k := range r.hostTypes {
-		if (Need{Demand: s.Reserved(), Label: s.Label}).MetBy(k) {
-			return &emptyHost{Host: Host{Target: &work.Target{Labels: k.Labels}, Free: k.Resources}}
+		h := &emptyHost{Host: Host{Target: &work.Target{Labels: k.Labels}, Free: k.Resources}}
+		switch obstacle := h.Obstacle(j, t, s, 0); {
+		case obstacle == "":
+			return h
+		case obstacle.IsPreference() && lastResort == nil:
+			lastResort = h
 		}
 	}
-	return nil
+	if slices.ContainsFunc(r.poolOf(j.Pool).hosts, func(h *Host) bool { return h.Obstacle(j, t, s, 0).IsPreference() }) {
+		return nil
+	}
+	return lastResort
 }
