leader: open the session of a target that is back at once

What callers see: lasting tasks without a run for longer than they may be (LOST), if their target had crashed some seconds before it is lost for good.

Cause: delayed orders to the earlier life of a target that is back under its id may grant it the longest lease, until its session's first hold bars them. The session was opened with the first run, and the longest lease counted from then.

Change: the session begins when such a target registers.

TestLongestLeaseOfATargetThatIsBackCountsFromItsReturn failed before (started 10 s after the loss, 9 s are allowed). The suite of internal/leader passes.

--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -151,9 +151,11 @@
 		for key, t := range v.Targets {
 			alive[key] = true
 			// A new leader asks every target once whether it is alive. The first answer after
-			// maintenance proves that a host is back.
-			if l.sessions[key] == nil && (t.Runs() > 0 || l.statuses[key] == nil || inMaintenance[t.Host]) {
-				missing = append(missing, found{key, Address{t.Address, t.ID}, l.hasRecentPredecessor(t)})
+			// maintenance proves that a host is back. The first hold of a later incarnation bars
+			// the orders to the earlier one, which may grant it the longest lease.
+			successor := l.hasRecentPredecessor(t)
+			if l.sessions[key] == nil && (t.Runs() > 0 || l.statuses[key] == nil || inMaintenance[t.Host] || successor) {
+				missing = append(missing, found{key, Address{t.Address, t.ID}, successor})
 			}
 		}
 	})
