schedule: start long-lived tasks on hosts that no wave is going to empty

Cause: a task that leaves a host for a wave was often started on another host that the wave has yet to empty, and had to leave again. Tasks of a step leave one by one, about 1.6 s each, so the last hosts of a wave came late or nearly so.

Change: among hosts that can take a long-lived task, those that no open wave is going to empty come before the others.

The suite of internal/leader and the new spec of internal/schedule pass.

--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -108,7 +108,8 @@
 		}
 		l.noteWaitingSteps(v)
 		r.MayUseLastResort = l.mayUseLastResort
-		r.Hosts = func(pool string) []*schedule.Host { return l.usable(v, pool) }
+		awaiting := hostsAwaitingMaintenance(v)
+		r.Hosts = func(pool string) []*schedule.Host { return l.usable(v, pool, awaiting) }
 		starts = schedule.Plan(r)
 		l.noteMissingHosts(r)
 		l.logStarved(v)
@@ -157,15 +158,17 @@
 }
 
 // usable returns the targets of a pool that may take new runs. Their runs are inspected
-// only if some tasks interfere with others.
-func (l *Leader) usable(v *work.View, pool string) []*schedule.Host {
+// only if some tasks interfere with others. awaiting holds the hosts that await maintenance.
+func (l *Leader) usable(v *work.View, pool string, awaiting map[string]bool) []*schedule.Host {
 	var hosts []*schedule.Host
 	away := l.awayDataCentres(v)
 	for key, t := range v.Targets {
 		if t.Pool != pool || l.exclusionReason(v, key, t, away) != "" {
 			continue
 		}
-		h := &schedule.Host{Target: t, Free: v.Free(t), Penalty: l.statuses[key].failures, SetAside: l.isSetAside(key)}
+		h := &schedule.Host{
+			Target: t, Free: v.Free(t), Penalty: l.statuses[key].failures, SetAside: l.isSetAside(key), AwaitsMaintenance: awaiting[t.Host],
+		}
 		if l.interference {
 			noteCoLocated(v, h)
 		}
@@ -174,6 +177,22 @@
 	return hosts
 }
 
+// hostsAwaitingMaintenance returns the hosts of waves whose maintenance has not begun.
+func hostsAwaitingMaintenance(v *work.View) map[string]bool {
+	hosts := map[string]bool{}
+	for _, w := range v.Waves {
+		if w.Complete() {
+			continue
+		}
+		for _, host := range w.Hosts {
+			if _, begun := w.Begun[host]; !begun {
+				hosts[host] = true
+			}
+		}
+	}
+	return hosts
+}
+
 // isSetAside reports whether runs have failed on a target, so that others avoid it. The mutex is
 // held.
 func (l *Leader) isSetAside(key string) bool {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -25,6 +25,8 @@
 	FillInCPU int64
 	// SetAside is set for some time after several runs have failed on the host.
 	SetAside bool
+	// AwaitsMaintenance is set if the host will be emptied for a wave.
+	AwaitsMaintenance bool
 }
 
 // add accounts for one more task of a step, or one less if n is -1.
@@ -445,6 +447,9 @@
 	if a.Penalty != b.Penalty {
 		return a.Penalty < b.Penalty
 	}
+	if s.LongLived && a.AwaitsMaintenance != b.AwaitsMaintenance {
+		return b.AwaitsMaintenance
+	}
 	if s.DataRack != "" && (a.Target.Rack == s.DataRack) != (b.Target.Rack == s.DataRack) {
 		return a.Target.Rack == s.DataRack
 	}
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -108,6 +108,18 @@
 		}
 	})
 
+	It("prefers hosts that no wave empties for long-lived tasks, and for these only", func() {
+		// Guards against tasks that move from host to host ahead of a wave, one by one, so that
+		// it ends late.
+		awaiting := host("a", "", 2000)
+		awaiting.AwaitsMaintenance = true
+		lasting := step(1, 1000)
+		lasting.LongLived = true
+		Expect(plan(2000, jobs(job("j", "/urgent/", lasting)), awaiting, host("b", "", 9000))[0].Target).To(Equal("b@1"))
+		Expect(plan(2000, jobs(job("j", "/urgent/", step(1, 1000))), awaiting, host("b", "", 9000))[0].Target).To(Equal("a@1"))
+		Expect(plan(2000, jobs(job("j", "/urgent/", lasting)), awaiting)[0].Target).To(Equal("a@1"))
+	})
+
 	It("respects labels and the limit per host, and prefers the rack of the data", func() {
 		// Guards against starts that the state machine refuses, and against slow runs.
 		s := step(3, 100)
