--- a/internal/leader/interference_test.go
+++ b/internal/leader/interference_test.go
@@ -54,9 +54,9 @@
 	}
 }
 
-// lossWorld has a pool whose hosts all run serving work, and hosts to spare that are too small, so
+// startServingFleet starts a pool whose hosts all run serving work, and spare hosts that are too small, so
 // that a fill-in task takes a host of the pool only after it has waited for a better one.
-func lossWorld(w *world, servingTasks int) {
+func startServingFleet(w *world, servingTasks int) {
 	w.disturbance = 0.1
 	w.sizes = map[string]work.Demand{}
 	for _, n := range []string{"c1", "c2", "c3"} {
@@ -82,7 +82,7 @@
 		t.Run(pause.String(), func(t *testing.T) {
 			simulate(t, func(w *world) {
 				_, stop := w.lead(2)
-				lossWorld(w, servingTasks)
+				startServingFleet(w, servingTasks)
 				after(4 * time.Second)
 				w.add("b", "hb", "1:9", "desk").setDuration(0)
 				w.submit("filling", "/draw/", filling)
@@ -117,7 +117,7 @@
 	simulate(t, func(w *world) {
 		_, stop := w.lead(2)
 		defer stop()
-		lossWorld(w, servingTasks)
+		startServingFleet(w, servingTasks)
 		after(4 * time.Second)
 		defer w.watchPromises()()
 		w.submit("filling", "/draw/", filling)
