--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 
+	"agatehaven.dev/agatehaven/internal/customer"
 	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/leader"
 	"agatehaven.dev/agatehaven/internal/link"
@@ -15,6 +16,10 @@
 // leader: about the duration of an election.
 const retryAfterMS = 1000
 
+// neverFitsRetryMS is the delay after which a caller may retry a job that exceeds its
+// customer's limit by itself. Only a new configuration can change that.
+const neverFitsRetryMS = 30_000
+
 // localLeader returns the leader that runs in this process. Errors: *fault.NotLeader,
 // or *fault.Unavailable before a quorum has confirmed its leadership.
 func (c *Core) localLeader() (*leader.Leader, error) {
@@ -45,6 +50,8 @@
 	var invalid *fault.Invalid
 	var limit *fault.LimitExceeded
 	var unavailable *fault.Unavailable
+	var unauthorized *fault.Unauthorized
+	var neverFits *customer.NeverFits
 	switch {
 	case errors.As(err, &notLeader):
 		return &link.Answer{
@@ -52,6 +59,10 @@
 		}
 	case errors.As(err, &notFound) && notFound.Kind == "queue":
 		return &link.Answer{Code: link.NoQueue, Reason: err.Error()}
+	case errors.As(err, &unauthorized):
+		return &link.Answer{Code: link.Unauthorized, Reason: err.Error()}
+	case errors.As(err, &neverFits):
+		return &link.Answer{Code: link.Refused, RetryAfterMS: neverFitsRetryMS, Reason: err.Error()}
 	case errors.As(err, &notFound):
 		return &link.Answer{Code: link.NoJob, Reason: err.Error()}
 	case errors.As(err, &invalid):
@@ -70,14 +81,13 @@
 	if err != nil {
 		return c.errorAnswer(err), nil
 	}
-	result, err := l.Propose(ctx, &work.Command{Submit: &work.Submission{
-		ID: r.JobRef.Job, Domain: r.JobRef.Domain, Path: r.JobRef.Path, Spec: r.Spec,
-	}})
-	if err == nil {
-		err = result.Err
-	}
+	submission := &work.Submission{ID: r.JobRef.Job, Domain: r.JobRef.Domain, Path: r.JobRef.Path, Spec: r.Spec, Key: r.JobRef.Key}
+	err = c.propose(ctx, l, submission)
 	if err != nil {
 		a := c.errorAnswer(err)
+		if a.Code == link.Unauthorized {
+			return a, nil // counted by the entry host: callers that are not known could fill the log
+		}
 		c.cfg.Log.Info().Str("job", r.JobRef.Job).Str("code", string(a.Code)).Err(err).Msg("job not accepted")
 		return a, nil
 	}
@@ -85,12 +95,28 @@
 	return &link.Answer{Code: link.Done}, nil
 }
 
+// propose commits a submission unless it would be refused now: refused calls of callers that
+// are not known must not fill the replicated log.
+func (c *Core) propose(ctx context.Context, l *leader.Leader, s *work.Submission) error {
+	if err := c.stateMachine.CheckSubmission(s); err != nil {
+		return err
+	}
+	result, err := l.Propose(ctx, &work.Command{Submit: s})
+	if err != nil {
+		return err
+	}
+	return result.Err
+}
+
 // Cancel implements link.Handler.
 func (c *Core) Cancel(ctx context.Context, ref *link.JobRef) (*link.Answer, error) {
 	l, err := c.localLeader()
 	if err != nil {
 		return c.errorAnswer(err), nil
 	}
+	if err := c.stateMachine.CheckAccess(ref.Caller(), ref.Job); err != nil {
+		return c.errorAnswer(err), nil
+	}
 	if _, ok := c.stateMachine.JobState(ref.Job); !ok {
 		return &link.Answer{Code: link.NoJob}, nil
 	}
--- a/internal/core/queries.go
+++ b/internal/core/queries.go
@@ -13,6 +13,9 @@
 	if _, err := c.localLeader(); err != nil {
 		return c.errorAnswer(err), nil
 	}
+	if err := c.stateMachine.CheckAccess(ref.Caller(), ref.Job); err != nil {
+		return c.errorAnswer(err), nil
+	}
 	state, ok := c.stateMachine.JobState(ref.Job)
 	if !ok {
 		return &link.Answer{Code: link.NoJob}, nil
@@ -33,6 +36,9 @@
 	if !ok {
 		return &link.Answer{Code: link.NoQueue}, nil
 	}
+	if err := c.stateMachine.CheckAccess(ref.Caller(), ""); err != nil {
+		return c.errorAnswer(err), nil
+	}
 	return &link.Answer{Code: link.Done, Waiting: c.stateMachine.Waiting(queue.Name)}, nil
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -235,12 +235,13 @@
 
 // requestSeconds records the duration of requests by result.
 var requestSeconds = map[link.Code]*metrics.Histogram{
-	link.Done:     metrics.GetOrCreateHistogram(`agatehaven_entry_request_seconds{result="done"}`),
-	link.NotReady: metrics.GetOrCreateHistogram(`agatehaven_entry_request_seconds{result="not_ready"}`),
-	link.Unknown:  metrics.GetOrCreateHistogram(`agatehaven_entry_request_seconds{result="unknown"}`),
-	link.NoQueue:  metrics.GetOrCreateHistogram(`agatehaven_entry_request_seconds{result="no_queue"}`),
-	link.NoJob:    metrics.GetOrCreateHistogram(`agatehaven_entry_request_seconds{result="no_job"}`),
-	link.Refused:  metrics.GetOrCreateHistogram(`agatehaven_entry_request_seconds{result="refused"}`),
+	link.Done:         metrics.GetOrCreateHistogram(`agatehaven_entry_request_seconds{result="done"}`),
+	link.NotReady:     metrics.GetOrCreateHistogram(`agatehaven_entry_request_seconds{result="not_ready"}`),
+	link.Unknown:      metrics.GetOrCreateHistogram(`agatehaven_entry_request_seconds{result="unknown"}`),
+	link.NoQueue:      metrics.GetOrCreateHistogram(`agatehaven_entry_request_seconds{result="no_queue"}`),
+	link.NoJob:        metrics.GetOrCreateHistogram(`agatehaven_entry_request_seconds{result="no_job"}`),
+	link.Refused:      metrics.GetOrCreateHistogram(`agatehaven_entry_request_seconds{result="refused"}`),
+	link.Unauthorized: metrics.GetOrCreateHistogram(`agatehaven_entry_request_seconds{result="unauthorized"}`),
 }
 
 // forwardRequest forwards a caller's request, records its duration, and logs it if no
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -7,6 +7,7 @@
 	"context"
 
 	"agatehaven.dev/agatehaven/internal/bootstrap"
+	"agatehaven.dev/agatehaven/internal/customer"
 	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/relay"
 	"agatehaven.dev/agatehaven/internal/work"
@@ -38,6 +39,8 @@
 	// Refused means that the job was not accepted and never runs. RetryAfterMS is the
 	// delay before the next attempt.
 	Refused Code = "refused"
+	// Unauthorized means that the call carries no key that may make it.
+	Unauthorized Code = "unauthorized"
 	// Invalid means that the order can never be carried out.
 	Invalid Code = "invalid"
 )
@@ -75,6 +78,13 @@
 	Domain string `cbor:"1,keyasint"`
 	Path   string `cbor:"2,keyasint"`
 	Job    string `cbor:"3,keyasint,omitempty"`
+	// Key is the digest of the caller's key, "" without a valid one.
+	Key customer.KeyDigest `cbor:"4,keyasint,omitempty"`
+}
+
+// Caller returns who makes the call.
+func (r *JobRef) Caller() *work.Caller {
+	return &work.Caller{Domain: r.Domain, Path: r.Path, Key: r.Key}
 }
 
 // SubmitRequest submits a job.
--- a/internal/wal/fs.go
+++ b/internal/wal/fs.go
@@ -38,8 +38,9 @@
 }
 
 const (
-	dirMode  = 0o750
-	fileMode = 0o640
+	// Only the owner may read the files: configurations in them hold the keys of callers.
+	dirMode  = 0o700
+	fileMode = 0o600
 )
 
 // OSFS is the file system of the operating system.
--- a/internal/work/apply.go
+++ b/internal/work/apply.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"agatehaven.dev/agatehaven/internal/codec"
+	"agatehaven.dev/agatehaven/internal/customer"
 	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/replica"
 )
@@ -51,11 +52,17 @@
 	// RecentlyEnded holds the ids of targets that ended recently, with the time in Unix
 	// ms.
 	RecentlyEnded map[string]int64 `cbor:"9,keyasint,omitempty"`
+	// Allowances measures, by customer, the jobs per second that were handed in.
+	Allowances map[string]*customer.Allowance `cbor:"10,keyasint,omitempty"`
 
 	// live holds the jobs with unfinished or running tasks.
 	live map[string]*Job
 	// ended holds the ended targets that are kept for their runs.
 	ended map[string]*Target
+	// customers indexes the customers of Config, and usage sums up by customer what the runs
+	// that may be alive ask for.
+	customers customers
+	usage     map[string]Demand
 }
 
 // New returns an empty state machine.
@@ -81,6 +88,8 @@
 	}
 	s.live = map[string]*Job{}
 	s.ended = map[string]*Target{}
+	s.usage = map[string]Demand{}
+	s.configureCustomers()
 	for key, t := range s.Targets {
 		t.runs, t.used = map[TaskRef]activeRun{}, Demand{}
 		if t.Ended {
@@ -101,7 +110,7 @@
 			if t.Active() {
 				j.active++
 				if target := s.Targets[t.Target]; target != nil {
-					target.addRun(j.ref(t), t.Run, j.Spec.Steps[t.Step].Reserved())
+					s.addRun(target, j, j.ref(t), t.Run)
 				}
 			}
 		}
@@ -220,22 +229,18 @@
 		return &Result{}
 	}
 	s.Config = c
+	s.configureCustomers()
 	return &Result{}
 }
 
 func (s *state) submit(r *Submission) *Result {
-	if s.Jobs[r.ID] != nil {
-		return &Result{Job: r.ID}
-	}
-	if s.Config == nil {
-		return &Result{Err: &fault.Unavailable{What: "configuration", Reason: "none was accepted yet"}}
-	}
-	queue, ok := s.Config.Route(r.Domain, r.Path)
-	if !ok {
-		return &Result{Err: &fault.NotFound{Kind: "queue", Name: r.Domain + r.Path}}
+	a, err := s.checkSubmission(r)
+	if err != nil {
+		return &Result{Err: err}
 	}
-	if len(s.Jobs) >= MaxJobs {
-		return &Result{Err: &fault.LimitExceeded{What: "jobs", Limit: MaxJobs}}
+	queue := a.queue
+	if queue == nil {
+		return &Result{Job: r.ID}
 	}
 	s.Sequence++
 	j := &Job{
@@ -243,6 +248,9 @@
 		Stretch: queue.Stretch, SlackMS: queue.SlackMS, Spec: r.Spec, State: Queued, SubmittedMS: s.NowMS,
 		Sequence: s.Sequence, PolicyChecked: queue.PolicyChecked,
 	}
+	if a.owner != nil {
+		j.Customer, j.BeyondAllowance = a.owner.Name, s.takeAllowance(a.owner)
+	}
 	for k := range max(1, r.Spec.Occurrences) {
 		for i, step := range r.Spec.Steps {
 			for n := range step.Tasks {
--- a/internal/work/check.go
+++ b/internal/work/check.go
@@ -35,7 +35,7 @@
 		}
 		routes[route] = q.Name
 	}
-	return nil
+	return c.checkCustomers()
 }
 
 // maxDemand bounds each resource of a task's demand: 100,000 cores, 100 TB. No host has
@@ -105,6 +105,7 @@
 		q.Stretch = min(max(q.Stretch, 0), maxStretch)
 		q.SlackMS = min(max(q.SlackMS, -maxTimeMS), maxTimeMS)
 	}
+	c.clampCustomers()
 }
 
 // Clamp limits the wave's values to ranges in which sums do not overflow, and removes
--- a/internal/work/command.go
+++ b/internal/work/command.go
@@ -1,5 +1,7 @@
 package work
 
+import "agatehaven.dev/agatehaven/internal/customer"
+
 // Command is one log entry. Exactly one of its commands is set.
 type Command struct {
 	// NowMS is the leader's wall-clock time in Unix ms.
@@ -47,6 +49,8 @@
 	Domain string `cbor:"2,keyasint"`
 	Path   string `cbor:"3,keyasint"`
 	Spec   Spec   `cbor:"4,keyasint"`
+	// Key is the digest of the key that the call carried, "" without a valid one.
+	Key customer.KeyDigest `cbor:"5,keyasint,omitempty"`
 }
 
 // Start starts a run of a task on a target. The state machine assigns the run's number.
--- a/internal/work/model.go
+++ b/internal/work/model.go
@@ -10,6 +10,8 @@
 	Document []byte  `cbor:"2,keyasint"`
 	Queues   []Queue `cbor:"3,keyasint"`
 	Pools    []Pool  `cbor:"4,keyasint"`
+	// Customers are those whose keys open the queues that require one.
+	Customers []Customer `cbor:"5,keyasint,omitempty"`
 }
 
 // Queue accepts jobs and names the pool that runs them.
@@ -31,6 +33,8 @@
 	PolicyChecked bool `cbor:"9,keyasint,omitempty"`
 	// TimeoutMS bounds a call by a caller of the queue.
 	TimeoutMS int64 `cbor:"10,keyasint,omitempty"`
+	// KeyRequired is set if callers need the key of a customer.
+	KeyRequired bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Pool is a set of hosts that run the same queues.
@@ -161,6 +165,10 @@
 	// Begun is set once a run of the job is known to have begun on a target. State is Running
 	// from the first committed start on, which may never be carried out.
 	Begun bool `cbor:"16,keyasint,omitempty"`
+	// Customer is the customer to whom the job belongs, empty for a job of an open queue.
+	Customer string `cbor:"17,keyasint,omitempty"`
+	// BeyondAllowance is set if the customer handed in more jobs per second than it is owed.
+	BeyondAllowance bool `cbor:"18,keyasint,omitempty"`
 
 	open   int // number of unfinished tasks
 	active int // number of tasks with a run
@@ -248,12 +256,16 @@
 type activeRun struct {
 	number int
 	need   Demand
+	// owner is the customer of the job, empty if it has none, and charge is what the run
+	// counts against its limit.
+	owner  string
+	charge Demand
 }
 
 // addRun adds a run that may be alive.
-func (t *Target) addRun(ref TaskRef, run int, need Demand) {
-	t.runs[ref] = activeRun{run, need}
-	t.used = t.used.Add(need)
+func (t *Target) addRun(ref TaskRef, run activeRun) {
+	t.runs[ref] = run
+	t.used = t.used.Add(run.need)
 }
 
 // removeRun removes a run that is not alive.
--- a/internal/work/report.go
+++ b/internal/work/report.go
@@ -94,7 +94,7 @@
 	if target.runs[run.Task].number != run.Run {
 		return
 	}
-	target.removeRun(run.Task)
+	s.removeRun(target, run.Task)
 	j, t := s.find(run.Task)
 	if j == nil || t.Target != target.Key() || t.Run != run.Run {
 		return
--- a/internal/work/start.go
+++ b/internal/work/start.go
@@ -44,11 +44,10 @@
 	if j.isForming(first) || len(starts) < j.Spec.Steps[first.Step].Tasks {
 		return false
 	}
-	need := j.Spec.Steps[first.Step].Reserved()
 	placed := map[TaskRef]*Target{}
 	defer func() {
 		for task, target := range placed {
-			target.removeRun(task)
+			s.removeRun(target, task)
 		}
 	}()
 	for _, st := range starts {
@@ -57,7 +56,7 @@
 		if t == nil || target == nil || placed[st.Task] != nil || s.refusalReason(j, t, target) != "" {
 			return false
 		}
-		target.addRun(st.Task, 0, need)
+		s.addRun(target, j, st.Task, 0)
 		placed[st.Task] = target
 	}
 	return true
@@ -77,7 +76,7 @@
 		}
 		t.Run = s.nextRun(j, t)
 		t.Target, t.StartedMS = st.Target, s.NowMS
-		target.addRun(st.Task, t.Run, j.Spec.Steps[t.Step].Reserved())
+		s.addRun(target, j, st.Task, t.Run)
 		j.active++
 		if j.State == Queued {
 			j.State = Running
@@ -113,6 +112,8 @@
 		return "host has enough tasks of the step"
 	case !step.Reserved().Within(s.free(target)):
 		return "no free capacity"
+	case s.exceedsLimit(j.Customer, step.charge()):
+		return "limit of the customer"
 	}
 	return ""
 }
