--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 
+	"agatehaven.dev/agatehaven/internal/admission"
 	"agatehaven.dev/agatehaven/internal/customer"
 	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/leader"
@@ -52,6 +53,7 @@
 	var unavailable *fault.Unavailable
 	var unauthorized *fault.Unauthorized
 	var neverFits *customer.NeverFits
+	var refused *admission.Refused
 	switch {
 	case errors.As(err, &notLeader):
 		return &link.Answer{
@@ -61,6 +63,8 @@
 		return &link.Answer{Code: link.NoQueue, Reason: err.Error()}
 	case errors.As(err, &unauthorized):
 		return &link.Answer{Code: link.Unauthorized, Reason: err.Error()}
+	case errors.As(err, &refused):
+		return &link.Answer{Code: link.Refused, RetryAfterMS: refused.RetryAfter.Milliseconds(), Reason: err.Error()}
 	case errors.As(err, &neverFits):
 		return &link.Answer{Code: link.Refused, RetryAfterMS: neverFitsRetryMS, Reason: err.Error()}
 	case errors.As(err, &notFound):
@@ -82,8 +86,7 @@
 		return c.errorAnswer(err), nil
 	}
 	submission := &work.Submission{ID: r.JobRef.Job, Domain: r.JobRef.Domain, Path: r.JobRef.Path, Spec: r.Spec, Key: r.JobRef.Key}
-	err = c.propose(ctx, l, submission)
-	if err != nil {
+	if err := l.Submit(ctx, submission); err != nil {
 		a := c.errorAnswer(err)
 		if a.Code == link.Unauthorized {
 			return a, nil // counted by the entry host: callers that are not known could fill the log
@@ -95,19 +98,6 @@
 	return &link.Answer{Code: link.Done}, nil
 }
 
-// propose commits a submission unless it would be refused now: refused calls of callers that
-// are not known must not fill the replicated log.
-func (c *Core) propose(ctx context.Context, l *leader.Leader, s *work.Submission) error {
-	if err := c.stateMachine.CheckSubmission(s); err != nil {
-		return err
-	}
-	result, err := l.Propose(ctx, &work.Command{Submit: s})
-	if err != nil {
-		return err
-	}
-	return result.Err
-}
-
 // Cancel implements link.Handler.
 func (c *Core) Cancel(ctx context.Context, ref *link.JobRef) (*link.Answer, error) {
 	l, err := c.localLeader()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -74,7 +74,9 @@
 	Platform leader.Platform
 	Policy   leader.Policy
 	Timing   leader.Timing
-	Log      zerolog.Logger
+	// RefusesHopelessJobs is that of leader.Config.
+	RefusesHopelessJobs bool
+	Log                 zerolog.Logger
 	// acceptor takes part in the agreement on the initial members. It is kept when
 	// the replica is restarted.
 	acceptor *bootstrap.Acceptor
@@ -248,7 +250,7 @@
 	l = leader.New(leader.Config{
 		Host: c.cfg.Name, Group: c.replica, StateMachine: c.stateMachine, Targets: hub, Platform: c.cfg.Platform,
 		Policy: c.cfg.Policy, Timing: c.cfg.Timing, Clock: clock.System{}, Log: c.cfg.Log,
-		Orders: c.orders,
+		Orders: c.orders, RefusesHopelessJobs: c.cfg.RefusesHopelessJobs,
 	}, term)
 	ctx, cancel := context.WithCancel(ctx)
 	ended := make(chan struct{})
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -28,6 +28,9 @@
 	Timing       Timing
 	Clock        clock.Clock
 	Log          zerolog.Logger
+	// RefusesHopelessJobs is set if jobs are refused that could end only when their result
+	// does not count any more.
+	RefusesHopelessJobs bool
 	// Orders holds the host orders that were applied on this process.
 	Orders *OrderLog
 }
@@ -107,6 +110,7 @@
 	// had a task that waits for a host.
 	waitingSteps map[work.TaskRef]time.Time
 	permits      permits
+	admissions   admissions
 	reports      *ring.Ring[pendingReport]
 }
 
@@ -163,7 +167,7 @@
 		sessions: map[string]*session{}, statuses: map[string]*targetStatus{}, wake: make(wakeup, 1), fleetWake: make(wakeup, 1),
 		planning: make(planLock, 1), fleet: newFleet(), estimates: newDurationEstimates(), permits: newPermits(), reports: newReports(),
 		missingHosts: map[string]missingHosts{}, waitingSteps: map[work.TaskRef]time.Time{},
-		beginsReported: map[string]time.Time{},
+		beginsReported: map[string]time.Time{}, admissions: newAdmissions(),
 	}
 }
 
--- a/internal/leader/metrics.go
+++ b/internal/leader/metrics.go
@@ -1,10 +1,12 @@
 package leader
 
 import (
+	"errors"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"agatehaven.dev/agatehaven/internal/admission"
 	"agatehaven.dev/agatehaven/internal/work"
 )
 
@@ -37,6 +39,20 @@
 	work.OutcomeGangIncomplete: metrics.GetOrCreateCounter(`agatehaven_runs_ended_total{outcome="alone"}`),
 }
 
+// jobsRefused counts the jobs that a busy pool did not take, by reason.
+var jobsRefused = map[string]*metrics.Counter{
+	admission.ReasonBeyondAllowance: metrics.GetOrCreateCounter(`agatehaven_jobs_refused_total{reason="beyond_allowance"}`),
+	admission.ReasonHopeless:        metrics.GetOrCreateCounter(`agatehaven_jobs_refused_total{reason="hopeless"}`),
+}
+
+// countRefusal counts a refused job.
+func countRefusal(err error) {
+	var refused *admission.Refused
+	if errors.As(err, &refused) {
+		jobsRefused[refused.Reason].Inc()
+	}
+}
+
 // countEnds counts newly ended runs. An unknown outcome has no counter.
 func countEnds(ends []work.EndedRun) {
 	for _, e := range ends {
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -97,6 +97,7 @@
 			},
 			Capacity: l.capacity, HostTypes: l.fleet.hostTypes, MaxMissing: len(l.fleet.hosts),
 			DemandMet: func(pool string) bool { return l.fleet.demandMet[pool] },
+			Accounts:  accounts(v),
 		}
 		l.prunePermits(v)
 		l.interference = false
@@ -111,6 +112,7 @@
 		awaiting := hostsAwaitingMaintenance(v)
 		r.Hosts = func(pool string) []*schedule.Host { return l.usable(v, pool, awaiting) }
 		starts = schedule.Plan(r)
+		l.admissions.backlogs = r.Backlogs
 		l.noteMissingHosts(r)
 		l.logStarved(v)
 	})
--- a/internal/schedule/postpone.go
+++ b/internal/schedule/postpone.go
@@ -1,15 +1,12 @@
 package schedule
 
 import (
-	"cmp"
-	"slices"
-
 	"agatehaven.dev/agatehaven/internal/work"
 )
 
 const (
-	// usableShare is the share of the hosts' CPU that tasks of mixed sizes can use.
-	usableShare = 0.9
+	// UsableShare is the share of the hosts' CPU that tasks of mixed sizes can use.
+	UsableShare = 0.9
 	// reserveShare is the part of a job's remaining duration that is kept as a reserve,
 	// since durations vary by a factor of about 1.6.
 	reserveShare = 0.3
@@ -30,12 +27,10 @@
 	if len(candidates) == 0 || r.Capacity == nil {
 		return
 	}
-	taken := r.running(candidates)
+	taken, byCustomer := r.running(func(pool string) bool { return candidates[pool] != nil })
 	for name, jobs := range candidates {
-		capacity := usableShare * float64(r.Capacity(name))
-		slices.SortFunc(jobs, func(a, b *urgency) int {
-			return cmp.Or(cmp.Compare(a.startedOrder(), b.startedOrder()), cmp.Compare(a.job.Sequence, b.job.Sequence))
-		})
+		capacity := UsableShare * float64(r.Capacity(name))
+		r.orderByShare(jobs, byCustomer[name])
 		ahead := taken[name]
 		for _, u := range jobs {
 			reserve := reserveShare * float64(u.remainingMS)
@@ -45,27 +40,55 @@
 			}
 			ahead += r.waitingWork(u.job)
 		}
+		r.Backlogs[name] = Backlog{InTime: ahead, Counting: ahead}
 	}
 }
 
 // running returns the remaining work of the runs in each pool, in thousandths of a core
-// times ms.
-func (r *Request) running(pools map[string][]*urgency) map[string]float64 {
-	sums := map[string]float64{}
+// times ms, in all and by customer.
+func (r *Request) running(counts func(pool string) bool) (sums map[string]float64, byCustomer map[string]map[string]float64) {
+	sums, byCustomer = map[string]float64{}, map[string]map[string]float64{}
 	for _, j := range r.Jobs {
-		if pools[j.Pool] == nil || j.Spec.LongLived() || !j.Started() {
+		if !counts(j.Pool) || j.Spec.LongLived() || !j.Started() {
 			continue
 		}
+		if byCustomer[j.Pool] == nil {
+			byCustomer[j.Pool] = map[string]float64{}
+		}
 		for i := range j.Tasks {
 			t := &j.Tasks[i]
 			if t.Active() {
 				d := r.Duration(j, t.Step)
 				left := max(d-(r.NowMS-t.StartedMS), d/overrunDivisor)
-				sums[j.Pool] += float64(left * j.Spec.Steps[t.Step].Reserved().MilliCPU)
+				remaining := float64(left * j.Spec.Steps[t.Step].Reserved().MilliCPU)
+				sums[j.Pool] += remaining
+				byCustomer[j.Pool][j.Customer] += remaining
 			}
 		}
 	}
-	return sums
+	return sums, byCustomer
+}
+
+// Backlog is the work that is left of the jobs of a pool, except of long-lived ones, in
+// thousandths of a core times ms.
+type Backlog struct {
+	// InTime is that of the runs, and of the jobs that will be in time.
+	InTime float64
+	// Counting includes that of the other jobs whose results can still count.
+	Counting float64
+}
+
+// addBacklog adds the jobs that are not in time to the backlogs.
+func (r *Request) addBacklog(order []urgency) {
+	for i := range order {
+		u := &order[i]
+		if u.rank != Postponed && u.rank != Late {
+			continue
+		}
+		b := r.Backlogs[u.job.Pool]
+		b.Counting += r.waitingWork(u.job)
+		r.Backlogs[u.job.Pool] = b
+	}
 }
 
 // waitingWork returns the work of a job that was not started, in thousandths of a core
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"slices"
 
+	"agatehaven.dev/agatehaven/internal/admission"
 	"agatehaven.dev/agatehaven/internal/work"
 )
 
@@ -106,6 +107,12 @@
 	// those of the others.
 	MissingNeeds, MissingShortNeeds map[string][]Need
 
+	// Accounts holds the customers by name. It is empty in a region without customers.
+	Accounts map[string]*Account
+	// Backlogs is set by Plan to the backlogs of the pools that have jobs which can be in time.
+	Backlogs map[string]Backlog
+	Backlog  map[string]float64
+
 	// Capacity returns the CPU that a pool can get, in thousandths of a core: that of
 	// its hosts and of those that other pools do not need.
 	Capacity func(pool string) int64
@@ -123,6 +130,8 @@
 	latestStartMS int64
 	// remainingMS is the expected longest chain of unfinished work, in ms.
 	remainingMS int64
+	// share is the work that the job's customer has admitted up to this job, by its weight.
+	share float64
 }
 
 // sortKey orders jobs of one deadline status, the most urgent first. Of postponed jobs,
@@ -154,7 +163,7 @@
 )
 
 // lateFactor is for how many times the objective a late result still counts.
-const lateFactor = 3
+const lateFactor = admission.LateFactor
 
 // Plan returns the starts in the order in which they should be made.
 func Plan(r *Request) []work.Start {
@@ -166,7 +175,9 @@
 	}
 	r.pools, r.MissingHosts, r.MissingLongLived = map[string]*pool{}, map[string]int{}, map[string]int{}
 	r.MissingNeeds, r.MissingShortNeeds = map[string][]Need{}, map[string][]Need{}
+	r.Backlogs = map[string]Backlog{}
 	r.postpone(order)
+	r.addBacklog(order)
 	slices.SortFunc(order, func(a, b urgency) int {
 		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.rank, b.rank),
 			cmp.Compare(a.sortKey(), b.sortKey()), cmp.Compare(a.job.Sequence, b.job.Sequence))
@@ -241,6 +252,26 @@
 	return u
 }
 
+// Objective returns the expected duration in ms of a job's longest chain of steps, and how long
+// the job may take.
+func Objective(j *work.Job, duration func(j *work.Job, step int) int64) (chainMS, objectiveMS int64) {
+	ends := make([]int64, len(j.Spec.Steps))
+	for i := range ends {
+		for _, before := range j.Spec.Steps[i].After {
+			ends[i] = max(ends[i], ends[before])
+		}
+		ends[i] += duration(j, i)
+		chainMS = max(chainMS, ends[i])
+	}
+	return chainMS, int64(j.Stretch*float64(chainMS)) + j.SlackMS
+}
+
+// WorkOf returns the work of a job before its first start, in thousandths of a core times ms.
+func WorkOf(j *work.Job, duration func(j *work.Job, step int) int64) float64 {
+	r := Request{Duration: duration}
+	return r.waitingWork(j)
+}
+
 // chains returns the expected longest chain of work of a job in ms: of all steps, and
 // of the unfinished ones.
 func (r *Request) chains(j *work.Job) (whole, rest int64) {
@@ -297,7 +328,11 @@
 	var chosen []work.Start
 	var used []*Host
 	placed := map[*Host]int{}
+	owner := r.account(j)
 	for i, t := range tasks {
+		if !owner.mayRun(s) {
+			break
+		}
 		h := r.chooseHost(j, t, s, need, placed)
 		if h == nil {
 			if s.LongLived || (!j.Active() && (s.Gang || !r.isInDemand(j.Pool, need))) {
@@ -306,6 +341,7 @@
 			break // the other tasks have the same needs
 		}
 		h.add(s, 1)
+		owner.add(s, 1)
 		placed[h]++
 		used = append(used, h)
 		chosen = append(chosen, work.Start{Task: j.Ref(t), Target: h.Target.Key()})
@@ -315,6 +351,7 @@
 		// An incomplete gang would only wait.
 		for _, h := range used {
 			h.add(s, -1)
+			owner.add(s, -1)
 		}
 		r.poolOf(j.Pool).full = nil
 		return starts
--- /dev/null
+++ b/internal/schedule/shares.go
@@ -0,0 +1,90 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+
+	"agatehaven.dev/agatehaven/internal/work"
+)
+
+// Account is what a plan knows of a customer whose jobs compete for hosts.
+type Account struct {
+	// Weight is its share of a full pool relative to those of the others.
+	Weight float64
+	// Limit bounds what its runs ask for over all pools, and Used is what they ask for. A
+	// resource of 0 has no limit.
+	Limit, Used work.Demand
+}
+
+// account returns the account of a job's customer, nil if the job has none.
+func (r *Request) account(j *work.Job) *Account { return r.Accounts[j.Customer] }
+
+// mayRun reports whether the customer may run another task of a step.
+func (a *Account) mayRun(s *work.Step) bool {
+	return a == nil || a.Limit.Allows(a.Used.Add(s.Charge()))
+}
+
+// add accounts for n more tasks of a step, or fewer if n is negative.
+func (a *Account) add(s *work.Step, n int64) {
+	if a != nil {
+		a.Used = a.Used.Add(s.Charge().Times(n))
+	}
+}
+
+// minWeight stands for a weight of 0: such a customer gets what the others leave.
+const minWeight = 1e-6
+
+// orderByShare orders the jobs of a pool as its capacity is to be divided: first those that
+// have started, which keep their hosts, then by priority, then those that their customers
+// are owed, then by weighted max-min fairness. The order is that of progressive filling
+// (Bertsekas and Gallager, Data Networks, 6.5.2): the customer whose running and already
+// admitted work is the least for its weight comes next. Only what runs and waits now
+// counts, so that a customer that was idle has its share at once and no more than that for
+// its past. The work of a gang counts as a whole, and long-lived tasks do not count: they
+// hold their hosts whatever waits. Jobs without a customer are served in the order of
+// their acceptance.
+func (r *Request) orderByShare(jobs []*urgency, running map[string]float64) {
+	if len(r.Accounts) == 0 {
+		slices.SortFunc(jobs, func(a, b *urgency) int {
+			return cmp.Or(cmp.Compare(a.startedOrder(), b.startedOrder()), cmp.Compare(a.job.Sequence, b.job.Sequence))
+		})
+		return
+	}
+	slices.SortFunc(jobs, func(a, b *urgency) int { return cmp.Compare(a.job.Sequence, b.job.Sequence) })
+	filled := map[string]float64{}
+	for _, u := range jobs {
+		if u.job.Started() {
+			continue
+		}
+		name := u.job.Customer
+		if _, seen := filled[name]; !seen {
+			filled[name] = running[name]
+		}
+		filled[name] += r.waitingWork(u.job)
+		u.share = filled[name] / r.weightOf(name)
+	}
+	slices.SortFunc(jobs, func(a, b *urgency) int {
+		return cmp.Or(cmp.Compare(a.startedOrder(), b.startedOrder()), cmp.Compare(a.priority, b.priority),
+			compareBool(a.job.BeyondAllowance, b.job.BeyondAllowance), cmp.Compare(a.share, b.share),
+			cmp.Compare(a.job.Sequence, b.job.Sequence))
+	})
+}
+
+// weightOf returns the weight of a customer. Jobs without a customer share one of their own.
+func (r *Request) weightOf(name string) float64 {
+	if a := r.Accounts[name]; a != nil {
+		return max(a.Weight, minWeight)
+	}
+	return 1
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
--- a/internal/work/apply.go
+++ b/internal/work/apply.go
@@ -238,18 +238,14 @@
 	if err != nil {
 		return &Result{Err: err}
 	}
-	queue := a.queue
-	if queue == nil {
+	if a.queue == nil {
 		return &Result{Job: r.ID}
 	}
 	s.Sequence++
-	j := &Job{
-		ID: r.ID, Queue: queue.Name, Pool: queue.Pool, Priority: queue.Priority, Attempts: max(1, queue.Attempts),
-		Stretch: queue.Stretch, SlackMS: queue.SlackMS, Spec: r.Spec, State: Queued, SubmittedMS: s.NowMS,
-		Sequence: s.Sequence, PolicyChecked: queue.PolicyChecked,
-	}
+	j := a.job(r)
+	j.SubmittedMS, j.Sequence = s.NowMS, s.Sequence
 	if a.owner != nil {
-		j.Customer, j.BeyondAllowance = a.owner.Name, s.takeAllowance(a.owner)
+		j.BeyondAllowance = !s.allowance(a.owner).Take(a.owner.Weight, s.NowMS)
 	}
 	for k := range max(1, r.Spec.Occurrences) {
 		for i, step := range r.Spec.Steps {
--- a/internal/work/customers.go
+++ b/internal/work/customers.go
@@ -84,18 +84,18 @@
 	}
 }
 
-// allows reports whether a customer with a limit may run what asks for a sum of demands.
-func (limit Demand) allows(sum Demand) bool {
+// Allows reports whether a customer with a limit may run what asks for a sum of demands.
+func (limit Demand) Allows(sum Demand) bool {
 	within := func(limit, sum int64) bool { return limit == 0 || sum <= limit }
 	return within(limit.MilliCPU, sum.MilliCPU) && within(limit.MemoryMB, sum.MemoryMB) && within(limit.GPUs, sum.GPUs)
 }
 
-// charge is what a run of a step counts against its customer's limit: all that it asks for,
+// Charge is what a run of a step counts against its customer's limit: all that it asks for,
 // also the CPU of fill-in work, which is not reserved on the host.
-func (s *Step) charge() Demand { return s.Demand }
+func (s *Step) Charge() Demand { return s.Demand }
 
-// times returns n times a demand.
-func (d Demand) times(n int64) Demand { return Demand{n * d.MilliCPU, n * d.MemoryMB, n * d.GPUs} }
+// Times returns n times a demand.
+func (d Demand) Times(n int64) Demand { return Demand{n * d.MilliCPU, n * d.MemoryMB, n * d.GPUs} }
 
 // Caller is who makes a call for a job or a queue, and for which.
 type Caller struct {
@@ -138,50 +138,76 @@
 	return nil
 }
 
-// admission is what the state knows of a submitted job before it is accepted.
-type admission struct {
+// acceptance is what the state knows of a submitted job before it is accepted.
+type acceptance struct {
 	// queue takes the job; it is nil if the job was accepted before.
 	queue *Queue
 	// owner is the customer to whom the job belongs, nil on a queue that is open to all.
 	owner *Customer
 }
 
-// CheckSubmission returns the error with which a submission would be refused now. Errors:
-// *fault.Unavailable without a configuration, *fault.NotFound without a queue,
-// *fault.Unauthorized, *fault.LimitExceeded, and *customer.NeverFits.
-func (m *StateMachine) CheckSubmission(r *Submission) error {
+// job returns the job that a submission becomes, without its tasks.
+func (a *acceptance) job(r *Submission) *Job {
+	q := a.queue
+	j := &Job{
+		ID: r.ID, Queue: q.Name, Pool: q.Pool, Priority: q.Priority, Attempts: max(1, q.Attempts),
+		Stretch: q.Stretch, SlackMS: q.SlackMS, Spec: r.Spec, State: Queued, PolicyChecked: q.PolicyChecked,
+	}
+	if a.owner != nil {
+		j.Customer = a.owner.Name
+	}
+	return j
+}
+
+// Preview returns the job that a submission would become at a time in Unix ms, without its
+// tasks, or nil if it was accepted before. It returns the error with which the submission
+// would be refused: *fault.Unavailable without a configuration, *fault.NotFound without a
+// queue, *fault.Unauthorized, *fault.LimitExceeded, or *customer.NeverFits.
+func (m *StateMachine) Preview(r *Submission, nowMS int64) (*Job, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	_, err := m.state.checkSubmission(r)
-	return err
+	a, err := m.state.checkSubmission(r)
+	if err != nil || a.queue == nil {
+		return nil, err
+	}
+	j := a.job(r)
+	j.SubmittedMS = nowMS
+	if a.owner != nil {
+		var trial customer.Allowance
+		if known := m.state.Allowances[a.owner.Name]; known != nil {
+			trial = *known
+		}
+		j.BeyondAllowance = !trial.Take(a.owner.Weight, nowMS)
+	}
+	return j, nil
 }
 
-func (s *state) checkSubmission(r *Submission) (admission, error) {
+func (s *state) checkSubmission(r *Submission) (acceptance, error) {
 	if j := s.Jobs[r.ID]; j != nil {
 		if s.checkAccess(&Caller{Domain: r.Domain, Path: r.Path, Key: r.Key}, j, r.ID) != nil {
 			// The answer is that to an unknown key: it does not tell that the job exists.
-			return admission{}, &fault.Unauthorized{}
+			return acceptance{}, &fault.Unauthorized{}
 		}
-		return admission{}, nil
+		return acceptance{}, nil
 	}
 	if s.Config == nil {
-		return admission{}, &fault.Unavailable{What: "configuration", Reason: "none was accepted yet"}
+		return acceptance{}, &fault.Unavailable{What: "configuration", Reason: "none was accepted yet"}
 	}
 	queue, ok := s.Config.Route(r.Domain, r.Path)
 	if !ok {
-		return admission{}, &fault.NotFound{Kind: "queue", Name: r.Domain + r.Path}
+		return acceptance{}, &fault.NotFound{Kind: "queue", Name: r.Domain + r.Path}
 	}
-	a := admission{queue: queue}
+	a := acceptance{queue: queue}
 	if queue.KeyRequired {
 		if a.owner = s.customers.byKey[r.Key]; a.owner == nil {
-			return admission{}, &fault.Unauthorized{}
+			return acceptance{}, &fault.Unauthorized{}
 		}
 		if err := a.owner.checkFits(&r.Spec); err != nil {
-			return admission{}, err
+			return acceptance{}, err
 		}
 	}
 	if len(s.Jobs) >= MaxJobs {
-		return admission{}, &fault.LimitExceeded{What: "jobs", Limit: MaxJobs}
+		return acceptance{}, &fault.LimitExceeded{What: "jobs", Limit: MaxJobs}
 	}
 	return a, nil
 }
@@ -191,20 +217,19 @@
 func (c *Customer) checkFits(spec *Spec) error {
 	for i := range spec.Steps {
 		step := &spec.Steps[i]
-		least, what := step.charge(), "task"
+		least, what := step.Charge(), "task"
 		if step.Gang {
-			least, what = least.times(int64(step.Tasks)), "gang"
+			least, what = least.Times(int64(step.Tasks)), "gang"
 		}
-		if !c.Limit.allows(least) {
+		if !c.Limit.Allows(least) {
 			return &customer.NeverFits{Customer: c.Name, What: what + " of step " + strconv.Itoa(i)}
 		}
 	}
 	return nil
 }
 
-// takeAllowance counts a job against the rate that its customer is owed, and reports
-// whether it is beyond it.
-func (s *state) takeAllowance(owner *Customer) (beyond bool) {
+// allowance returns the allowance of a customer and creates it if needed.
+func (s *state) allowance(owner *Customer) *customer.Allowance {
 	if s.Allowances == nil {
 		s.Allowances = map[string]*customer.Allowance{}
 	}
@@ -213,7 +238,7 @@
 		a = &customer.Allowance{}
 		s.Allowances[owner.Name] = a
 	}
-	return !a.Take(owner.Weight, s.NowMS)
+	return a
 }
 
 // configureCustomers indexes the customers of the configuration, and forgets those that it
@@ -231,18 +256,21 @@
 // limit. A customer that the configuration no longer holds has none.
 func (s *state) exceedsLimit(name string, charge Demand) bool {
 	owner := s.customers.byName[name]
-	return owner != nil && !owner.Limit.allows(s.usage[name].Add(charge))
+	return owner != nil && !owner.Limit.Allows(s.usage[name].Add(charge))
 }
 
 // addRun adds a run that may be alive.
 func (s *state) addRun(target *Target, j *Job, ref TaskRef, run int) {
 	step := &j.Spec.Steps[ref.Step]
-	target.addRun(ref, activeRun{number: run, need: step.Reserved(), owner: j.Customer, charge: step.charge()})
+	target.addRun(ref, activeRun{number: run, need: step.Reserved(), owner: j.Customer, charge: step.Charge()})
 	if j.Customer != "" {
-		s.usage[j.Customer] = s.usage[j.Customer].Add(step.charge())
+		s.usage[j.Customer] = s.usage[j.Customer].Add(step.Charge())
 	}
 }
 
+// Usage returns what the runs of a customer that may be alive ask for.
+func (v *View) Usage(customer string) Demand { return v.state.usage[customer] }
+
 // removeRun removes a run that is not alive.
 func (s *state) removeRun(target *Target, ref TaskRef) {
 	if run := target.runs[ref]; run.owner != "" {
--- a/internal/work/start.go
+++ b/internal/work/start.go
@@ -112,7 +112,7 @@
 		return "host has enough tasks of the step"
 	case !step.Reserved().Within(s.free(target)):
 		return "no free capacity"
-	case s.exceedsLimit(j.Customer, step.charge()):
+	case s.exceedsLimit(j.Customer, step.Charge()):
 		return "limit of the customer"
 	}
 	return ""
