--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -51,7 +51,7 @@
 	var invalid *fault.Invalid
 	var limit *fault.LimitExceeded
 	var unavailable *fault.Unavailable
-	var unauthorized *fault.Unauthorized
+	var unauthorised *fault.Unauthorised
 	var neverFits *customer.NeverFits
 	var refused *admission.Refused
 	switch {
@@ -61,8 +61,8 @@
 		}
 	case errors.As(err, &notFound) && notFound.Kind == "queue":
 		return &link.Answer{Code: link.NoQueue, Reason: err.Error()}
-	case errors.As(err, &unauthorized):
-		return &link.Answer{Code: link.Unauthorized, Reason: err.Error()}
+	case errors.As(err, &unauthorised):
+		return &link.Answer{Code: link.Unauthorised, Reason: err.Error()}
 	case errors.As(err, &refused):
 		return &link.Answer{Code: link.Refused, RetryAfterMS: refused.RetryAfter.Milliseconds(), Reason: err.Error()}
 	case errors.As(err, &neverFits):
@@ -88,7 +88,7 @@
 	submission := &work.Submission{ID: r.JobRef.Job, Domain: r.JobRef.Domain, Path: r.JobRef.Path, Spec: r.Spec, Key: r.JobRef.Key}
 	if err := l.Submit(ctx, submission); err != nil {
 		a := c.errorAnswer(err)
-		if a.Code == link.Unauthorized {
+		if a.Code == link.Unauthorised {
 			return a, nil // counted by the entry host: callers that are not known could fill the log
 		}
 		c.cfg.Log.Info().Str("job", r.JobRef.Job).Str("code", string(a.Code)).Err(err).Msg("job not accepted")
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -241,7 +241,7 @@
 	link.NoQueue:      metrics.GetOrCreateHistogram(`agatehaven_entry_request_seconds{result="no_queue"}`),
 	link.NoJob:        metrics.GetOrCreateHistogram(`agatehaven_entry_request_seconds{result="no_job"}`),
 	link.Refused:      metrics.GetOrCreateHistogram(`agatehaven_entry_request_seconds{result="refused"}`),
-	link.Unauthorized: metrics.GetOrCreateHistogram(`agatehaven_entry_request_seconds{result="unauthorized"}`),
+	link.Unauthorised: metrics.GetOrCreateHistogram(`agatehaven_entry_request_seconds{result="unauthorised"}`),
 }
 
 // forwardRequest forwards a caller's request, records its duration, and logs it if no
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -31,7 +31,7 @@
 	CodeClockSkew        Code = "clock_skew"
 	CodeInternal         Code = "internal"
 	CodeUnsupported      Code = "unsupported"
-	CodeUnauthorized     Code = "unauthorized"
+	CodeUnauthorised     Code = "unauthorised"
 )
 
 // Coded is implemented by every error type of this project.
@@ -127,13 +127,13 @@
 // Code implements Coded.
 func (e *NotFound) Code() Code { return CodeNotFound }
 
-// Unauthorized reports a call whose key is missing or belongs to nobody who may make it.
-type Unauthorized struct{}
+// Unauthorised reports a call whose key is missing or belongs to nobody who may make it.
+type Unauthorised struct{}
 
-func (*Unauthorized) Error() string { return "the call carries no valid key" }
+func (*Unauthorised) Error() string { return "the call carries no valid key" }
 
 // Code implements Coded.
-func (*Unauthorized) Code() Code { return CodeUnauthorized }
+func (*Unauthorised) Code() Code { return CodeUnauthorised }
 
 // RevisionConflict reports that the records changed since the revision that
 // the operator saw. The operation had no effect.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -39,8 +39,8 @@
 	// Refused means that the job was not accepted and never runs. RetryAfterMS is the
 	// delay before the next attempt.
 	Refused Code = "refused"
-	// Unauthorized means that the call carries no key that may make it.
-	Unauthorized Code = "unauthorized"
+	// Unauthorised means that the call carries no key that may make it.
+	Unauthorised Code = "unauthorised"
 	// Invalid means that the order can never be carried out.
 	Invalid Code = "invalid"
 )
--- a/internal/work/customers.go
+++ b/internal/work/customers.go
@@ -84,10 +84,10 @@
 	}
 }
 
-// Allows reports whether a customer with a limit may run what asks for a sum of demands.
-func (limit Demand) Allows(sum Demand) bool {
+// Allows reports whether a customer with this limit may run what asks for a sum of demands.
+func (d Demand) Allows(sum Demand) bool {
 	within := func(limit, sum int64) bool { return limit == 0 || sum <= limit }
-	return within(limit.MilliCPU, sum.MilliCPU) && within(limit.MemoryMB, sum.MemoryMB) && within(limit.GPUs, sum.GPUs)
+	return within(d.MilliCPU, sum.MilliCPU) && within(d.MemoryMB, sum.MemoryMB) && within(d.GPUs, sum.GPUs)
 }
 
 // Charge is what a run of a step counts against its customer's limit: all that it asks for,
@@ -105,7 +105,7 @@
 }
 
 // CheckAccess returns why a caller may not read or cancel a job, or read from a queue if job
-// is "". Errors: *fault.Unauthorized; *fault.NotFound for the job of another customer. It
+// is "". Errors: *fault.Unauthorised; *fault.NotFound for the job of another customer. It
 // does not report that a job or queue does not exist.
 func (m *StateMachine) CheckAccess(c *Caller, job string) error {
 	m.mu.RLock()
@@ -131,7 +131,7 @@
 	case caller == nil && isOpen:
 		return &fault.NotFound{Kind: "job", Name: id}
 	case caller == nil:
-		return &fault.Unauthorized{}
+		return &fault.Unauthorised{}
 	case owner != "" && owner != caller.Name:
 		return &fault.NotFound{Kind: "job", Name: id}
 	}
@@ -162,7 +162,7 @@
 // Preview returns the job that a submission would become at a time in Unix ms, without its
 // tasks, or nil if it was accepted before. It returns the error with which the submission
 // would be refused: *fault.Unavailable without a configuration, *fault.NotFound without a
-// queue, *fault.Unauthorized, *fault.LimitExceeded, or *customer.NeverFits.
+// queue, *fault.Unauthorised, *fault.LimitExceeded, or *customer.NeverFits.
 func (m *StateMachine) Preview(r *Submission, nowMS int64) (*Job, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
@@ -186,7 +186,7 @@
 	if j := s.Jobs[r.ID]; j != nil {
 		if s.checkAccess(&Caller{Domain: r.Domain, Path: r.Path, Key: r.Key}, j, r.ID) != nil {
 			// The answer is that to an unknown key: it does not tell that the job exists.
-			return acceptance{}, &fault.Unauthorized{}
+			return acceptance{}, &fault.Unauthorised{}
 		}
 		return acceptance{}, nil
 	}
@@ -200,7 +200,7 @@
 	a := acceptance{queue: queue}
 	if queue.KeyRequired {
 		if a.owner = s.customers.byKey[r.Key]; a.owner == nil {
-			return acceptance{}, &fault.Unauthorized{}
+			return acceptance{}, &fault.Unauthorised{}
 		}
 		if err := a.owner.checkFits(&r.Spec); err != nil {
 			return acceptance{}, err
