schedule: count hosts that join a pool from when they come, where jobs compete for admission

A burst in one queue was admitted on the strength of all hosts that its pool could get, although those of other pools need seconds to empty and to move.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"hash/fnv"
-	"math"
 	"time"
 
 	"agatehaven.dev/agatehaven/internal/fault"
@@ -26,12 +25,9 @@
 
 // Pool is the load of a pool.
 type Pool struct {
-	// InTime is the work that is left of the runs and of the accepted jobs that will be in
-	// time, in thousandths of a core times ms. Counting includes that of the other jobs
-	// whose results can still count.
-	InTime, Counting float64
-	// Capacity is the CPU that the pool has or will get, in thousandths of a core.
-	Capacity float64
+	// InTime is how long the pool takes for the runs and for the accepted jobs that will be in
+	// time. Counting includes the other jobs whose results can still count.
+	InTime, Counting time.Duration
 	// RefusesHopeless is set if jobs are refused that could end only when their result does
 	// not count any more. Otherwise they wait.
 	RefusesHopeless bool
@@ -71,24 +67,18 @@
 // Check returns *Refused if the pool should not take the job. A job is never refused while
 // the pool has room for it in time.
 func Check(p Pool, j Job) error {
-	missedBy := p.timeFor(p.InTime) + j.Chain - j.Objective
+	missedBy := p.InTime + j.Chain - j.Objective
 	switch {
 	case missedBy <= 0:
 		return nil
 	case j.BeyondAllowance:
 		return refuse(&j, ReasonBeyondAllowance, missedBy)
-	case p.RefusesHopeless && p.timeFor(p.Counting)+j.Chain > LateFactor*j.Objective:
+	case p.RefusesHopeless && p.Counting+j.Chain > LateFactor*j.Objective:
 		return refuse(&j, ReasonHopeless, missedBy)
 	}
 	return nil
 }
 
-// timeFor returns how long the pool takes for some work.
-func (p *Pool) timeFor(work float64) time.Duration {
-	ms := math.Ceil(work / max(1, p.Capacity))
-	return time.Duration(min(ms, float64(time.Hour.Milliseconds()))) * time.Millisecond
-}
-
 // refuse returns the refusal of a job for which the pool has room after wait.
 func refuse(j *Job, reason string, wait time.Duration) error {
 	spread := time.Duration(retrySpread * fraction(j.ID) * float64(wait))
--- a/internal/leader/admit.go
+++ b/internal/leader/admit.go
@@ -58,6 +58,12 @@
 	return nil
 }
 
+// checksAdmission reports whether jobs compete for admission: those of customers do, and all
+// where hopeless ones are refused.
+func (l *Leader) checksAdmission(v *work.View) bool {
+	return l.cfg.RefusesHopelessJobs || (v.Config != nil && len(v.Config.Customers) > 0)
+}
+
 // checkRoom returns *admission.Refused if the pool of a job has no room for it. The mutex is
 // held.
 func (l *Leader) checkRoom(j *work.Job) error {
@@ -68,7 +74,7 @@
 	chain, objective := schedule.Objective(j, l.estimates.expected)
 	backlog := l.admissions.backlogs[j.Pool]
 	err := admission.Check(admission.Pool{
-		InTime: backlog.InTime, Counting: backlog.Counting, Capacity: schedule.UsableShare * float64(l.capacity(j.Pool)),
+		InTime: l.timeFor(j.Pool, backlog.InTime), Counting: l.timeFor(j.Pool, backlog.Counting),
 		RefusesHopeless: l.cfg.RefusesHopelessJobs,
 	}, admission.Job{ID: j.ID, Chain: ms(chain), Objective: ms(objective), BeyondAllowance: j.BeyondAllowance})
 	if err != nil {
@@ -81,6 +87,16 @@
 	return nil
 }
 
+// timeFor returns how long a pool takes for some work. The mutex is held.
+func (l *Leader) timeFor(pool string, work float64) time.Duration {
+	supplies, known := l.fleet.supplies[pool]
+	if !known {
+		return 0
+	}
+	ms := min(schedule.TimeFor(work, supplies), float64(time.Hour.Milliseconds()))
+	return time.Duration(ms) * time.Millisecond
+}
+
 // noteSubmitted records that the commit of a submission is not awaited any more.
 func (l *Leader) noteSubmitted(id string) {
 	l.mu.Lock()
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -195,6 +195,7 @@
 		decision := poolsize.Plan(poolsize.Default(), demand, hosts)
 		moves, l.fleet.spare = l.limitStandbyMoves(v, decision.Moves), decision.Spare
 		l.fleet.attainableCPU, l.fleet.demandMet = decision.AttainableCPU, decision.DemandMet
+		l.fleet.supplies = l.supplies(demand, hosts, &decision)
 		l.cordonHosts(decision.Cordoned)
 		l.logSizes(demand, hosts, len(moves))
 	})
--- a/internal/leader/hosts.go
+++ b/internal/leader/hosts.go
@@ -22,6 +22,8 @@
 	spare map[string]bool
 	// attainableCPU is the CPU that each pool can get, in thousandths of a core.
 	attainableCPU map[string]int64
+	// supplies holds when each pool has the CPU that it can get.
+	supplies map[string][]schedule.Supply
 	// demandMet holds the pools that have the hosts that their CPU demand asks for.
 	demandMet map[string]bool
 	// thoroughAt is when it was last looked at whether tasks need the hosts of a wave.
