--- a/internal/leader/admit.go
+++ b/internal/leader/admit.go
@@ -58,12 +58,6 @@
 	return nil
 }
 
-// checksAdmission reports whether jobs compete for admission: those of customers do, and all
-// where hopeless ones are refused.
-func (l *Leader) checksAdmission(v *work.View) bool {
-	return l.cfg.RefusesHopelessJobs || (v.Config != nil && len(v.Config.Customers) > 0)
-}
-
 // checkRoom returns *admission.Refused if the pool of a job has no room for it. The mutex is
 // held.
 func (l *Leader) checkRoom(j *work.Job) error {
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -99,9 +99,6 @@
 			DemandMet: func(pool string) bool { return l.fleet.demandMet[pool] },
 			Accounts:  accounts(v),
 		}
-		if l.checksAdmission(v) {
-			r.Supplies = func(pool string) []schedule.Supply { return l.fleet.supplies[pool] }
-		}
 		l.prunePermits(v)
 		l.interference = false
 		for _, j := range v.Live {
--- a/internal/schedule/postpone.go
+++ b/internal/schedule/postpone.go
@@ -29,12 +29,12 @@
 	}
 	taken, byCustomer := r.running(func(pool string) bool { return candidates[pool] != nil })
 	for name, jobs := range candidates {
-		supplies := r.supplies(name)
+		capacity := UsableShare * float64(r.Capacity(name))
 		r.orderByShare(jobs, byCustomer[name])
 		ahead := taken[name]
 		for _, u := range jobs {
 			reserve := reserveShare * float64(u.remainingMS)
-			if !u.job.Started() && float64(r.NowMS)+reserve+TimeFor(ahead, supplies) > float64(u.latestStartMS) {
+			if !u.job.Started() && float64(r.NowMS)+reserve+ahead/max(1, capacity) > float64(u.latestStartMS) {
 				u.rank = Postponed
 				continue
 			}
@@ -44,16 +44,6 @@
 	}
 }
 
-// supplies returns the CPU that a pool has and will get.
-func (r *Request) supplies(pool string) []Supply {
-	if r.Supplies != nil {
-		if known := r.Supplies(pool); known != nil {
-			return known
-		}
-	}
-	return []Supply{{MilliCPU: r.Capacity(pool)}}
-}
-
 // running returns the remaining work of the runs in each pool, in thousandths of a core
 // times ms, in all and by customer.
 func (r *Request) running(counts func(pool string) bool) (sums map[string]float64, byCustomer map[string]map[string]float64) {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -116,9 +116,6 @@
 	// Capacity returns the CPU that a pool can get, in thousandths of a core: that of
 	// its hosts and of those that other pools do not need.
 	Capacity func(pool string) int64
-	// Supplies, if set, returns when the pool has that CPU, nil if that is not known. Then all
-	// of it counts as there.
-	Supplies func(pool string) []Supply
 	// Duration returns the expected duration in ms of a task of a step.
 	Duration func(j *work.Job, step int) int64
 }
