--- a/internal/leader/demand.go
+++ b/internal/leader/demand.go
@@ -40,9 +40,11 @@
 	now := l.nowMS()
 	away := l.awayDataCentres(v)
 	l.arrivals.add(v, now, l.estimates.expected)
+	owners := accounts(v)
 	for _, j := range v.Live {
 		if d := index[j.Pool]; d != nil && !j.State.Final() {
-			d.missed = schedule.DeadlineStatusOf(j, now, l.estimates.expected) > schedule.InTime
+			d.missed = j.BeyondAllowance || schedule.DeadlineStatusOf(j, now, l.estimates.expected) > schedule.InTime
+			d.owner = owners[j.Customer]
 			for i := range j.Tasks {
 				d.add(l, v, j, &j.Tasks[i], away)
 			}
@@ -66,8 +68,11 @@
 type poolDemand struct {
 	*poolsize.Pool
 	durations mean
-	// missed is set while the tasks of a job are added that will miss its objective.
+	// missed is set while the tasks of a job are added that will miss its objective, or that
+	// its customer is not owed.
 	missed bool
+	// owner is the account of the customer whose tasks are added, nil without one.
+	owner *schedule.Account
 }
 
 // add includes a task. The leader's mutex is held.
@@ -81,7 +86,7 @@
 			d.Running += cpu
 			d.LateRunning += d.ifMissed(cpu)
 		}
-	case !t.Done && j.Ready(t):
+	case !t.Done && j.Ready(t) && d.owner.Take(step):
 		d.Waiting += cpu
 		d.LateWaiting += d.ifMissed(cpu)
 	}
--- a/internal/schedule/shares.go
+++ b/internal/schedule/shares.go
@@ -31,6 +31,16 @@
 	}
 }
 
+// Take accounts for a task of a step if the customer may run it beside what is accounted for.
+// It reports whether it may. A job without a customer always may.
+func (a *Account) Take(s *work.Step) bool {
+	if !a.mayRun(s) {
+		return false
+	}
+	a.add(s, 1)
+	return true
+}
+
 // minWeight stands for a weight of 0: such a customer gets what the others leave.
 const minWeight = 1e-6
 
