schedule: serve jobs that customers are owed before those beyond their rate

Cause: jobs beyond their customer's rate that had started came before all that had not, and jobs in time before postponed ones, whoever sent them. Without customers no job is beyond a rate, so nothing changes.

--- a/internal/schedule/overload_test.go
+++ b/internal/schedule/overload_test.go
@@ -30,6 +30,9 @@
 	jobs         int
 	ends         map[work.RunRef]int64
 	number       map[string]int64 // of the last ended run, by target
+	// accounts, if set, returns the customers, and backlogs are those of the last plan.
+	accounts func(v *work.View) map[string]*schedule.Account
+	backlogs map[string]schedule.Backlog
 }
 
 func newPool() *simulatedPool {
@@ -116,7 +119,11 @@
 		for _, j := range v.Live {
 			r.Jobs = append(r.Jobs, j)
 		}
+		if p.accounts != nil {
+			r.Accounts = p.accounts(v)
+		}
 		starts = schedule.Plan(r)
+		p.backlogs = r.Backlogs
 	})
 	return starts
 }
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -179,8 +179,8 @@
 	r.postpone(order)
 	r.addBacklog(order)
 	slices.SortFunc(order, func(a, b urgency) int {
-		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.rank, b.rank),
-			cmp.Compare(a.sortKey(), b.sortKey()), cmp.Compare(a.job.Sequence, b.job.Sequence))
+		return cmp.Or(cmp.Compare(a.priority, b.priority), compareBool(a.job.BeyondAllowance, b.job.BeyondAllowance),
+			cmp.Compare(a.rank, b.rank), cmp.Compare(a.sortKey(), b.sortKey()), cmp.Compare(a.job.Sequence, b.job.Sequence))
 	})
 	var starts []work.Start
 	for _, u := range order {
--- a/internal/schedule/shares.go
+++ b/internal/schedule/shares.go
@@ -35,14 +35,15 @@
 const minWeight = 1e-6
 
 // orderByShare orders the jobs of a pool as its capacity is to be divided: first those that
-// have started, which keep their hosts, then by priority, then those that their customers
-// are owed, then by weighted max-min fairness. The order is that of progressive filling
+// their customers are owed, then those that have started, which keep their hosts, then by
+// priority, then by weighted max-min fairness. The order is that of progressive filling
 // (Bertsekas and Gallager, Data Networks, 6.5.2): the customer whose running and already
 // admitted work is the least for its weight comes next. Only what runs and waits now
 // counts, so that a customer that was idle has its share at once and no more than that for
-// its past. The work of a gang counts as a whole, and long-lived tasks do not count: they
-// hold their hosts whatever waits. Jobs without a customer are served in the order of
-// their acceptance.
+// its past. What is left of a started job beyond its customer's rate yields to what others are
+// owed: a pool that is full of such jobs would otherwise have no room for any other in time.
+// The work of a gang counts as a whole, and long-lived tasks do not count: they hold their
+// hosts whatever waits. Jobs without a customer are served in the order of their acceptance.
 func (r *Request) orderByShare(jobs []*urgency, running map[string]float64) {
 	if len(r.Accounts) == 0 {
 		slices.SortFunc(jobs, func(a, b *urgency) int {
@@ -64,9 +65,8 @@
 		u.share = filled[name] / r.weightOf(name)
 	}
 	slices.SortFunc(jobs, func(a, b *urgency) int {
-		return cmp.Or(cmp.Compare(a.startedOrder(), b.startedOrder()), cmp.Compare(a.priority, b.priority),
-			compareBool(a.job.BeyondAllowance, b.job.BeyondAllowance), cmp.Compare(a.share, b.share),
-			cmp.Compare(a.job.Sequence, b.job.Sequence))
+		return cmp.Or(compareBool(a.job.BeyondAllowance, b.job.BeyondAllowance), cmp.Compare(a.startedOrder(), b.startedOrder()),
+			cmp.Compare(a.priority, b.priority), cmp.Compare(a.share, b.share), cmp.Compare(a.job.Sequence, b.job.Sequence))
 	})
 }
 
