--- a/internal/work/customers_test.go
+++ b/internal/work/customers_test.go
@@ -122,7 +122,9 @@
 var _ = Describe("the key of a call", func() {
 	var r *customerRegion
 
-	BeforeEach(func() { r = newCustomerRegion(owner("ann", work.Demand{}, "a1", "a2"), owner("bob", work.Demand{}, "b1")) })
+	BeforeEach(func() {
+		r = newCustomerRegion(owner("ann", work.Demand{}, "a1", "a2"), owner("bob", work.Demand{}, "b1"))
+	})
 
 	It("is needed to hand in a job unless the queue is open to all", func() {
 		// Guards against work that runs for nobody, and against callers of open queues who
