admission: refuse no job while the pool is idle or soon will be; test refusals

Cause: a job whose objective is shorter than its work takes, or that has none, was refused on an idle pool: a queue with such jobs served nobody beyond the customers' rates, and nobody at all where hopeless jobs are refused. Change: the wait that a job can bear is at least the shortest delay of a refused caller.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -69,9 +69,9 @@
 )
 
 // Check returns *Refused if the pool should not take the job. A job is never refused while
-// the pool has room for it in time.
+// the pool has room for it in time, or will have room before a refused caller could return.
 func Check(p Pool, j Job) error {
-	missedBy := p.timeFor(p.InTime) + j.Chain - j.Objective
+	missedBy := p.timeFor(p.InTime) - max(j.Objective-j.Chain, minRetry)
 	switch {
 	case missedBy <= 0:
 		return nil
