--- a/internal/schedule/shares_test.go
+++ b/internal/schedule/shares_test.go
@@ -373,6 +373,28 @@
 		}
 	})
 
+	It("counts work that only its limit keeps from starting neither against others nor as backlog", func() {
+		// Guards against a pool that is nearly idle and refuses or postpones the jobs of all
+		// customers, because one of them has sent far more than its limit lets run.
+		p := newSharedPool(map[string]float64{"c0": 1000, "c1": 1})
+		p.limit("c0", 4000)
+		p.refuses = true
+		for range 60 {
+			p.send("c0", "/q/", twoSteps()...)
+		}
+		p.step()
+		for i := range 4 {
+			id := "c1-" + strconv.Itoa(i)
+			p.jobsOf["c1"] = append(p.jobsOf["c1"], id)
+			p.sentMS[id] = p.nowMS
+			p.handIn(sentJob{"c1", id})
+			p.step()
+		}
+		Expect(p.refused).To(BeZero())
+		p.rest(5)
+		Expect(p.inTimeShare("c1", 0)).To(Equal(1.0))
+	})
+
 	It("misses no host for work that only its limit keeps from starting", func() {
 		// Guards against hosts that move to a pool, and stay there idle, for tasks that may not
 		// start on them.
