--- a/internal/leader/admit.go
+++ b/internal/leader/admit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"agatehaven.dev/agatehaven/internal/admission"
+	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/schedule"
 	"agatehaven.dev/agatehaven/internal/work"
 )
@@ -14,8 +15,9 @@
 type admissions struct {
 	// backlogs are those of the last plan, and of the jobs that were accepted since.
 	backlogs map[string]schedule.Backlog
-	// pending counts the submissions of each job whose commit is awaited. Such a job may be
-	// accepted, so another attempt must not be refused.
+	// pending counts the submissions of each job whose commit is awaited, or whose outcome
+	// stayed unknown in this term. Such a job may be accepted, so another attempt must not
+	// be refused.
 	pending map[string]int
 }
 
@@ -34,8 +36,10 @@
 	if err := l.admitJob(j, s.ID); err != nil {
 		return err
 	}
-	defer l.noteSubmitted(s.ID)
 	result, err := l.Propose(ctx, &work.Command{Submit: s})
+	if fault.CodeOf(err) != fault.CodeProposalUnknown {
+		l.noteSubmitted(s.ID)
+	}
 	if err != nil {
 		return err
 	}
@@ -81,7 +85,7 @@
 	return nil
 }
 
-// noteSubmitted records that the commit of a submission is not awaited any more.
+// noteSubmitted records that the outcome of a submission is known.
 func (l *Leader) noteSubmitted(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
