--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -108,7 +108,7 @@
 		return c.errorAnswer(err), nil
 	}
 	if _, ok := c.stateMachine.JobState(ref.Job); !ok {
-		return &link.Answer{Code: link.NoJob}, nil
+		return c.noJob(ref), nil
 	}
 	result, err := l.Propose(ctx, &work.Command{Cancel: ref.Job})
 	if err == nil {
--- a/internal/core/queries.go
+++ b/internal/core/queries.go
@@ -18,11 +18,17 @@
 	}
 	state, ok := c.stateMachine.JobState(ref.Job)
 	if !ok {
-		return &link.Answer{Code: link.NoJob}, nil
+		return c.noJob(ref), nil
 	}
 	return &link.Answer{Code: link.Done, State: state}, nil
 }
 
+// noJob returns the answer for a job that does not exist: the same as for one of another
+// customer.
+func (c *Core) noJob(ref *link.JobRef) *link.Answer {
+	return c.errorAnswer(&fault.NotFound{Kind: "job", Name: ref.Job})
+}
+
 // CountWaiting implements link.Handler.
 func (c *Core) CountWaiting(_ context.Context, ref *link.JobRef) (*link.Answer, error) {
 	if _, err := c.localLeader(); err != nil {
