entry: answer no 401 for a job of which an earlier attempt may be accepted; test refusals

Cause: a key that was withdrawn between two attempts of an entry host gave a 401 for a job that the first attempt may have handed in, so that it ran although its caller was rejected.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -284,7 +284,7 @@
 		case a.Code == link.NotReady:
 		case a.Code == link.Unknown:
 			mayHaveApplied = true
-		case a.Code == link.Refused && mayHaveApplied:
+		case mayHaveApplied && (a.Code == link.Refused || (resolve && a.Code == link.Unauthorised)):
 			// An earlier attempt may still be accepted, so this is no refusal.
 		default:
 			e.recordLeaderAnswer()
