--- a/internal/wal/fs.go
+++ b/internal/wal/fs.go
@@ -1,6 +1,7 @@
 package wal
 
 import (
+	"errors"
 	"io"
 	"os"
 	"path/filepath"
@@ -46,9 +47,17 @@
 // OSFS is the file system of the operating system.
 type OSFS struct{}
 
-// MkdirAll implements FS.
+// MkdirAll implements FS. It bars others from a directory that exists: files of earlier versions
+// in it may be readable by them.
 func (OSFS) MkdirAll(dir string) error {
-	return eris.Wrap(os.MkdirAll(dir, dirMode), "create directory")
+	if err := os.MkdirAll(dir, dirMode); err != nil {
+		return eris.Wrap(err, "create directory")
+	}
+	err := os.Chmod(dir, dirMode)
+	if errors.Is(err, os.ErrPermission) {
+		return nil // it belongs to somebody else; new files in it are still the owner's alone
+	}
+	return eris.Wrap(err, "restrict directory")
 }
 
 // List implements FS.
