leader, schedule: ask for no hosts for work that its customer's limit keeps from starting

Cause: the demand of a pool, the hosts that it misses and the room that a wave has to leave counted every waiting task. A customer with a limit of six tasks and a job of sixty had twelve hosts moved to its pool, of which two were used. Change: tasks count up to the limit of their customer, in the order of acceptance.

--- a/internal/leader/customers_test.go
+++ b/internal/leader/customers_test.go
@@ -132,3 +132,37 @@
 		}
 	})
 }
+
+// Guards against hosts that are moved to a pool, and idle there, for work that its customer's limit
+// keeps from starting, while another pool lacks them.
+func TestWorkBeyondALimitGetsNoHosts(t *testing.T) {
+	for name, step := range map[string]work.Step{"short": shortStep(60), "long-lived": longLivedStep(60)} {
+		t.Run(name, func(t *testing.T) {
+			simulate(t, func(w *world) {
+				for i := range 12 {
+					n := strconv.Itoa(i)
+					w.add("a"+n, "h"+n, "1:"+n, "desk").setDuration(0)
+				}
+				w.add("c", "hc", "2:1", "cuts").setDuration(0)
+				w.withCustomers(aCustomer("ann", 100, work.Demand{MilliCPU: 6000}))
+				l, stop := w.lead(2)
+				defer stop()
+				after(5 * time.Second) // all but one go to standby
+				NewWithT(t).Expect(l.Submit(context.Background(), submissionOf("ann", "j", "/draw/", step))).To(Succeed())
+				after(10 * time.Second)
+				hosts := 0
+				w.mu.Lock()
+				for _, target := range w.targets {
+					if target.state.Pool == "desk" && !target.dead {
+						hosts++
+					}
+				}
+				w.mu.Unlock()
+				running, logs := w.outcome()
+				if running != 6 || hosts > 3 {
+					t.Errorf("%d tasks run on %d hosts of which two are needed\n%s", running, hosts, logs)
+				}
+			})
+		})
+	}
+}
--- a/internal/leader/demand.go
+++ b/internal/leader/demand.go
@@ -1,6 +1,9 @@
 package leader
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"agatehaven.dev/agatehaven/internal/poolsize"
@@ -40,11 +43,12 @@
 	now := l.nowMS()
 	away := l.awayDataCentres(v)
 	l.arrivals.add(v, now, l.estimates.expected)
-	for _, j := range v.Live {
+	owners := accounts(v)
+	for _, j := range liveJobs(v, len(owners) > 0) {
 		if d := index[j.Pool]; d != nil && !j.State.Final() {
 			d.missed = schedule.DeadlineStatusOf(j, now, l.estimates.expected) > schedule.InTime
 			for i := range j.Tasks {
-				d.add(l, v, j, &j.Tasks[i], away)
+				d.add(l, v, j, &j.Tasks[i], away, owners[j.Customer])
 			}
 		}
 	}
@@ -62,6 +66,16 @@
 	return pools
 }
 
+// liveJobs returns the jobs with unfinished or running tasks, in the order of their acceptance if
+// it matters.
+func liveJobs(v *work.View, ordered bool) []*work.Job {
+	jobs := slices.Collect(maps.Values(v.Live))
+	if ordered {
+		slices.SortFunc(jobs, func(a, b *work.Job) int { return cmp.Compare(a.Sequence, b.Sequence) })
+	}
+	return jobs
+}
+
 // poolDemand sums up the demand of a pool.
 type poolDemand struct {
 	*poolsize.Pool
@@ -70,8 +84,9 @@
 	missed bool
 }
 
-// add includes a task. The leader's mutex is held.
-func (d *poolDemand) add(l *Leader, v *work.View, j *work.Job, t *work.Task, away map[string]bool) {
+// add includes a task, unless it has to wait for others of its customer, nil if it has none. The
+// leader's mutex is held.
+func (d *poolDemand) add(l *Leader, v *work.View, j *work.Job, t *work.Task, away map[string]bool, owner *schedule.Account) {
 	step := &j.Spec.Steps[t.Step]
 	cpu := step.Reserved().MilliCPU
 	switch {
@@ -81,7 +96,8 @@
 			d.Running += cpu
 			d.LateRunning += d.ifMissed(cpu)
 		}
-	case !t.Done && j.Ready(t):
+	case !t.Done && j.Ready(t) && owner.MayRun(step, 1) > 0:
+		owner.Add(step, 1)
 		d.Waiting += cpu
 		d.LateWaiting += d.ifMissed(cpu)
 	}
--- a/internal/leader/relocation.go
+++ b/internal/leader/relocation.go
@@ -14,6 +14,9 @@
 type relocation struct {
 	l *Leader
 	v *work.View
+	// owners are the customers. Tasks that have to wait for others of their customer need no
+	// room.
+	owners map[string]*schedule.Account
 	// rooms holds the room of the pools. The tasks that wait for a host have their share.
 	rooms map[string]*schedule.Room
 	// inPlace holds the runs that have no room elsewhere, on hosts on which all of them may be
@@ -42,7 +45,7 @@
 
 func newRelocation(l *Leader, v *work.View) *relocation {
 	r := &relocation{
-		l: l, v: v, rooms: map[string]*schedule.Room{}, inPlace: map[work.RunRef]bool{}, stuck: map[string]bool{}, emptied: map[string]bool{},
+		l: l, v: v, owners: accounts(v), rooms: map[string]*schedule.Room{}, inPlace: map[work.RunRef]bool{}, stuck: map[string]bool{}, emptied: map[string]bool{},
 	}
 	if now := l.now(); now.Sub(l.fleet.thoroughAt) >= thoroughInterval {
 		l.fleet.thoroughAt, r.thorough = now, true
@@ -70,6 +73,11 @@
 			if !j.Spec.Steps[t.Step].LongLived {
 				checked = step
 			}
+			owner := r.owners[j.Customer]
+			if owner.MayRun(&j.Spec.Steps[t.Step], 1) == 0 {
+				continue
+			}
+			owner.Add(&j.Spec.Steps[t.Step], 1)
 			if !r.hasRoom(j, t) {
 				r.unplaced = append(r.unplaced, waitingTask{j, t})
 			}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -330,18 +330,19 @@
 	placed := map[*Host]int{}
 	owner := r.account(j)
 	for i, t := range tasks {
-		if !owner.mayRun(s) {
+		may := owner.MayRun(s, len(tasks)-i)
+		if may == 0 {
 			break
 		}
 		h := r.chooseHost(j, t, s, need, placed)
 		if h == nil {
 			if s.LongLived || (!j.Active() && (s.Gang || !r.isInDemand(j.Pool, need))) {
-				r.addMissingHosts(j, s, r.withoutAwaitingPermit(j, s, tasks[i:], placed), used)
+				r.addMissingHosts(j, s, r.withoutAwaitingPermit(j, s, tasks[i:i+may], placed), used)
 			}
 			break // the other tasks have the same needs
 		}
 		h.add(s, 1)
-		owner.add(s, 1)
+		owner.Add(s, 1)
 		placed[h]++
 		used = append(used, h)
 		chosen = append(chosen, work.Start{Task: j.Ref(t), Target: h.Target.Key()})
@@ -351,7 +352,7 @@
 		// An incomplete gang would only wait.
 		for _, h := range used {
 			h.add(s, -1)
-			owner.add(s, -1)
+			owner.Add(s, -1)
 		}
 		r.poolOf(j.Pool).full = nil
 		return starts
--- a/internal/schedule/shares.go
+++ b/internal/schedule/shares.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"sort"
 
 	"agatehaven.dev/agatehaven/internal/work"
 )
@@ -19,15 +20,18 @@
 // account returns the account of a job's customer, nil if the job has none.
 func (r *Request) account(j *work.Job) *Account { return r.Accounts[j.Customer] }
 
-// mayRun reports whether the customer may run another task of a step.
-func (a *Account) mayRun(s *work.Step) bool {
-	return a == nil || a.Limit.Allows(a.Used.Add(s.Charge()))
+// MayRun returns how many of up to n more tasks of a step the customer may run.
+func (a *Account) MayRun(s *work.Step, n int) int {
+	if a == nil {
+		return n
+	}
+	return sort.Search(n, func(i int) bool { return !a.Limit.Allows(a.Used.Add(s.Charge().Times(int64(i) + 1))) })
 }
 
-// add accounts for n more tasks of a step, or fewer if n is negative.
-func (a *Account) add(s *work.Step, n int64) {
+// Add accounts for n more tasks of a step, or fewer if n is negative.
+func (a *Account) Add(s *work.Step, n int) {
 	if a != nil {
-		a.Used = a.Used.Add(s.Charge().Times(n))
+		a.Used = a.Used.Add(s.Charge().Times(int64(n)))
 	}
 }
 
--- a/internal/schedule/shares_test.go
+++ b/internal/schedule/shares_test.go
@@ -395,23 +395,29 @@
 		Expect(p.inTimeShare("c1", 0)).To(Equal(1.0))
 	})
 
-	It("misses no host for work that only its limit keeps from starting", func() {
+	DescribeTable("misses hosts only for work that its limit lets start", func(limit int64, hosts int) {
 		// Guards against hosts that move to a pool, and stay there idle, for tasks that may not
 		// start on them.
 		p := newSharedPool(even(1, 100))
-		p.limit("c0", 1000)
-		lasting := step(3, 1000)
+		p.limit("c0", limit)
+		lasting := step(9, 1000)
 		lasting.LongLived = true
-		p.send("c0", "/q/", lasting)
+		p.send("c0", "/q/", step(1, 1000))
 		p.tick(0)
+		p.send("c0", "/q/", lasting)
 		p.stateMachine.Read(func(v *work.View) {
 			r := &schedule.Request{
 				NowMS: p.nowMS, MaxStarts: 10, MaxMissing: 10, Duration: func(*work.Job, int) int64 { return simTaskMS },
 				Hosts: func(string) []*schedule.Host { return nil }, Jobs: slices.Collect(maps.Values(v.Live)), Accounts: p.accounts(v),
-				HostTypes: func() []schedule.HostType { return []schedule.HostType{{Resources: work.Demand{MilliCPU: 4000}}} },
+				HostTypes: func() []schedule.HostType { return []schedule.HostType{{Resources: work.Demand{MilliCPU: 2000}}} },
 			}
 			Expect(schedule.Plan(r)).To(BeEmpty())
-			Expect(r.MissingHosts["desk"]).To(BeZero())
+			Expect(r.MissingHosts["desk"]).To(Equal(hosts))
 		})
-	})
+	},
+		Entry("none of it", int64(1000), 0),
+		Entry("a part", int64(5000), 2),
+		Entry("all of it", int64(10_000), 5),
+		Entry("without a limit", int64(0), 5),
+	)
 })
