leader: play the random fleets with customers whose limits, weights and keys change

An oracle of limits adds up what is alive on the simulated targets, and a waiting task counts as lost only while its customer's limit allows it. The existing fleets are as before.

--- a/internal/leader/customers_test.go
+++ b/internal/leader/customers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -27,8 +28,7 @@
 	w.t.Helper()
 	c := *w.stateMachine.Configuration()
 	c.Version++
-	c.Customers = customers
-	c.Queues = append([]work.Queue(nil), c.Queues...)
+	c.Customers, c.Queues = customers, slices.Clone(c.Queues)
 	for i := range c.Queues {
 		c.Queues[i].KeyRequired = true
 	}
@@ -40,12 +40,6 @@
 	return &work.Submission{ID: id, Domain: "d", Path: path, Key: customer.Digest(name), Spec: work.Spec{Steps: steps}}
 }
 
-// usage returns what the runs of a customer ask for.
-func (w *world) usage(name string) (sum work.Demand) {
-	w.stateMachine.Read(func(v *work.View) { sum = v.Usage(name) })
-	return sum
-}
-
 // fill submits jobs of a customer until one is refused, and returns its id.
 func (w *world) fill(l *leader.Leader, name string) string {
 	w.t.Helper()
--- a/internal/leader/promises_test.go
+++ b/internal/leader/promises_test.go
@@ -116,7 +116,7 @@
 	if step := &j.Spec.Steps[t.Step]; step.Gang {
 		together = int64(step.Tasks)
 	}
-	if served || p.room(j, t) < 2*together {
+	if served || p.room(j, t) < 2*together || !p.w.quota.allows(p.w, j, t, together) {
 		delete(p.roomSince, ref)
 		return
 	}
--- a/internal/leader/randomfleet_test.go
+++ b/internal/leader/randomfleet_test.go
@@ -55,6 +55,8 @@
 	capacity []work.Demand
 	// labelled is set if some hosts have a label, and gpus if some have GPUs.
 	labelled, gpus bool
+	// customers, if set, hand in the jobs.
+	customers *fleetCustomers
 }
 
 func (f *fleetRun) run() {
@@ -64,6 +66,9 @@
 	if f.r.IntN(2) == 0 {
 		f.w.propose(&work.Command{Configure: f.w.withoutStandby()})
 	}
+	if f.customers != nil {
+		f.customers.configure()
+	}
 	f.term = 2
 	f.lead, f.stop = f.w.lead(f.term)
 	defer func() { f.stop() }()
@@ -227,12 +232,21 @@
 	f.w.note("job %s: %+v", id, steps)
 	f.w.mu.Unlock()
 	path := []string{"/draw/", "/draw/", "/once/", "/once/", "/cut/"}[f.r.IntN(5)]
+	if f.customers != nil {
+		if !f.customers.submit(id, path, steps) {
+			f.jobs = f.jobs[:len(f.jobs)-1]
+		}
+		return
+	}
 	f.w.propose(&work.Command{Submit: &work.Submission{ID: id, Domain: "d", Path: path, Spec: work.Spec{Steps: steps}}})
 }
 
 // disturb draws one disruption.
 func (f *fleetRun) disturb() {
 	w := f.w
+	if f.customers != nil {
+		f.customers.change()
+	}
 	t, host := f.target()
 	switch f.r.IntN(13) {
 	case 0:
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -133,6 +133,8 @@
 	disturbance float64
 	// sizes holds the capacity of hosts that differ from the others.
 	sizes map[string]work.Demand
+	// quota, if set, checks the limits of customers.
+	quota *quota
 	// logs holds the log lines of the leaders and the events of the targets.
 	logs logBuffer
 }
--- a/internal/leader/worldtarget_test.go
+++ b/internal/leader/worldtarget_test.go
@@ -223,6 +223,7 @@
 		w.violate("two runs of %v at the same time", ref.Task)
 	}
 	w.checkNotDone(ref.Task)
+	w.quota.checkBegin(w, ref)
 	if !t.late && !t.drainingSince.IsZero() && time.Since(t.drainingSince) > drainBound {
 		w.violate("%v begins on %s %v after it was confirmed that it drains", ref, t.state.Key(), time.Since(t.drainingSince))
 	}
