--- a/internal/leader/demand.go
+++ b/internal/leader/demand.go
@@ -1,6 +1,9 @@
 package leader
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"agatehaven.dev/agatehaven/internal/poolsize"
@@ -41,12 +44,11 @@
 	away := l.awayDataCentres(v)
 	l.arrivals.add(v, now, l.estimates.expected)
 	owners := accounts(v)
-	for _, j := range v.Live {
+	for _, j := range liveJobs(v, len(owners) > 0) {
 		if d := index[j.Pool]; d != nil && !j.State.Final() {
 			d.missed = j.BeyondAllowance || schedule.DeadlineStatusOf(j, now, l.estimates.expected) > schedule.InTime
-			d.owner = owners[j.Customer]
 			for i := range j.Tasks {
-				d.add(l, v, j, &j.Tasks[i], away)
+				d.add(l, v, j, &j.Tasks[i], away, owners[j.Customer])
 			}
 		}
 	}
@@ -64,6 +66,16 @@
 	return pools
 }
 
+// liveJobs returns the jobs with unfinished or running tasks, in the order of their acceptance if
+// it matters.
+func liveJobs(v *work.View, ordered bool) []*work.Job {
+	jobs := slices.Collect(maps.Values(v.Live))
+	if ordered {
+		slices.SortFunc(jobs, func(a, b *work.Job) int { return cmp.Compare(a.Sequence, b.Sequence) })
+	}
+	return jobs
+}
+
 // poolDemand sums up the demand of a pool.
 type poolDemand struct {
 	*poolsize.Pool
@@ -71,12 +83,11 @@
 	// missed is set while the tasks of a job are added that will miss its objective, or that
 	// its customer is not owed.
 	missed bool
-	// owner is the account of the customer whose tasks are added, nil without one.
-	owner *schedule.Account
 }
 
-// add includes a task. The leader's mutex is held.
-func (d *poolDemand) add(l *Leader, v *work.View, j *work.Job, t *work.Task, away map[string]bool) {
+// add includes a task, unless it has to wait for others of its customer, nil if it has none. The
+// leader's mutex is held.
+func (d *poolDemand) add(l *Leader, v *work.View, j *work.Job, t *work.Task, away map[string]bool, owner *schedule.Account) {
 	step := &j.Spec.Steps[t.Step]
 	cpu := step.Reserved().MilliCPU
 	switch {
@@ -86,7 +97,8 @@
 			d.Running += cpu
 			d.LateRunning += d.ifMissed(cpu)
 		}
-	case !t.Done && j.Ready(t) && d.owner.Take(step):
+	case !t.Done && j.Ready(t) && owner.MayRun(step, 1) > 0:
+		owner.Add(step, 1)
 		d.Waiting += cpu
 		d.LateWaiting += d.ifMissed(cpu)
 	}
--- a/internal/schedule/shares.go
+++ b/internal/schedule/shares.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"sort"
 
 	"agatehaven.dev/agatehaven/internal/work"
 )
@@ -19,40 +20,34 @@
 // account returns the account of a job's customer, nil if the job has none.
 func (r *Request) account(j *work.Job) *Account { return r.Accounts[j.Customer] }
 
-// mayRun reports whether the customer may run another task of a step.
-func (a *Account) mayRun(s *work.Step) bool {
-	return a == nil || a.Limit.Allows(a.Used.Add(s.Charge()))
-}
-
-// add accounts for n more tasks of a step, or fewer if n is negative.
-func (a *Account) add(s *work.Step, n int64) {
-	if a != nil {
-		a.Used = a.Used.Add(s.Charge().Times(n))
+// MayRun returns how many of up to n more tasks of a step the customer may run.
+func (a *Account) MayRun(s *work.Step, n int) int {
+	if a == nil {
+		return n
 	}
+	return sort.Search(n, func(i int) bool { return !a.Limit.Allows(a.Used.Add(s.Charge().Times(int64(i) + 1))) })
 }
 
-// Take accounts for a task of a step if the customer may run it beside what is accounted for.
-// It reports whether it may. A job without a customer always may.
-func (a *Account) Take(s *work.Step) bool {
-	if !a.mayRun(s) {
-		return false
+// Add accounts for n more tasks of a step, or fewer if n is negative.
+func (a *Account) Add(s *work.Step, n int) {
+	if a != nil {
+		a.Used = a.Used.Add(s.Charge().Times(int64(n)))
 	}
-	a.add(s, 1)
-	return true
 }
 
 // minWeight stands for a weight of 0: such a customer gets what the others leave.
 const minWeight = 1e-6
 
 // orderByShare orders the jobs of a pool as its capacity is to be divided: first those that
-// have started, which keep their hosts, then by priority, then those that their customers
-// are owed, then by weighted max-min fairness. The order is that of progressive filling
+// their customers are owed, then those that have started, which keep their hosts, then by
+// priority, then by weighted max-min fairness. The order is that of progressive filling
 // (Bertsekas and Gallager, Data Networks, 6.5.2): the customer whose running and already
 // admitted work is the least for its weight comes next. Only what runs and waits now
 // counts, so that a customer that was idle has its share at once and no more than that for
-// its past. The work of a gang counts as a whole, and long-lived tasks do not count: they
-// hold their hosts whatever waits. Jobs without a customer are served in the order of
-// their acceptance.
+// its past. What is left of a started job beyond its customer's rate yields to what others are
+// owed: a pool that is full of such jobs would otherwise have no room for any other in time.
+// The work of a gang counts as a whole, and long-lived tasks do not count: they hold their
+// hosts whatever waits. Jobs without a customer are served in the order of their acceptance.
 func (r *Request) orderByShare(jobs []*urgency, running map[string]float64) {
 	if len(r.Accounts) == 0 {
 		slices.SortFunc(jobs, func(a, b *urgency) int {
@@ -74,9 +69,8 @@
 		u.share = filled[name] / r.weightOf(name)
 	}
 	slices.SortFunc(jobs, func(a, b *urgency) int {
-		return cmp.Or(cmp.Compare(a.startedOrder(), b.startedOrder()), cmp.Compare(a.priority, b.priority),
-			compareBool(a.job.BeyondAllowance, b.job.BeyondAllowance), cmp.Compare(a.share, b.share),
-			cmp.Compare(a.job.Sequence, b.job.Sequence))
+		return cmp.Or(compareBool(a.job.BeyondAllowance, b.job.BeyondAllowance), cmp.Compare(a.startedOrder(), b.startedOrder()),
+			cmp.Compare(a.priority, b.priority), cmp.Compare(a.share, b.share), cmp.Compare(a.job.Sequence, b.job.Sequence))
 	})
 }
 
