--- a/internal/wal/fs.go
+++ b/internal/wal/fs.go
@@ -54,8 +54,10 @@
 		return eris.Wrap(err, "create directory")
 	}
 	err := os.Chmod(dir, dirMode)
-	if errors.Is(err, os.ErrPermission) {
-		return nil // it belongs to somebody else; new files in it are still the owner's alone
+	if errors.Is(err, os.ErrPermission) || errors.Is(err, errors.ErrUnsupported) {
+		// It belongs to somebody else, or the file system has no modes to change. New files
+		// in it are still the owner's alone.
+		return nil
 	}
 	return eris.Wrap(err, "restrict directory")
 }
