poolsize: expect all of a rise to go on; let hosts go that a pool has not wanted

Since a rise has to exceed chance and recent rates, all of it, not half, is expected to go on for the time of a move. Idle hosts that the pool has not wanted for 1.5 s go to standby at once instead of idling 1.5 s each; one and a twentieth of the hosts stay for losses that are not noticed yet. "pool size" lines have wanted, most_wanted, used and cordoned.

--- a/internal/leader/demand.go
+++ b/internal/leader/demand.go
@@ -12,20 +12,27 @@
 )
 
 // logSizes logs the demand and the hosts of the pools, at most once a second.
-func (l *Leader) logSizes(demand []poolsize.Pool, hosts []poolsize.Host, moves int) {
+func (l *Leader) logSizes(demand []poolsize.Pool, hosts []poolsize.Host, decision *poolsize.Decision, moves int) {
 	if l.now().Sub(l.fleet.sizesLoggedAt) < time.Second {
 		return
 	}
 	l.fleet.sizesLoggedAt = l.now()
-	count, movable := map[string]int{}, map[string]int{}
+	count, movable, used, cordoned := map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}
 	for _, h := range hosts {
 		count[h.Pool]++
 		if h.Movable {
 			movable[h.Pool]++
 		}
+		if h.Load > 0 || h.LongLived {
+			used[h.Pool]++
+		}
+		if decision.Cordoned[h.Name] {
+			cordoned[h.Pool]++
+		}
 	}
 	for _, p := range demand {
-		l.log.Info().Str("pool", p.Name).Int("hosts", count[p.Name]).Int("movable", movable[p.Name]).
+		l.log.Info().Str("pool", p.Name).Int("hosts", count[p.Name]).Int("wanted", decision.Wanted[p.Name]).Int("most_wanted", p.MostWanted).
+			Int("used", used[p.Name]).Int("cordoned", cordoned[p.Name]).Int("movable", movable[p.Name]).
 			Int64("running_mcpu", p.Running).Int64("waiting_mcpu", p.Waiting).
 			Int64("missed_running_mcpu", p.LateRunning).Int64("missed_waiting_mcpu", p.LateWaiting).Float64("arriving_mcpu", p.ArrivalRate).Float64("rising_mcpu", p.ArrivalRise).
 			Int("spread", p.MinHosts).Int("lacking", p.MissingHosts).Int("moves", moves).Msg("pool size")
@@ -54,7 +61,7 @@
 	}
 	for name, d := range index {
 		d.ArrivalRate, d.ArrivalRise = l.arrivals.rate(name)
-		d.DurationS = d.durations.value()
+		d.DurationS, d.MostWanted = d.durations.value(), l.fleet.wants.Most(name)
 		missing, ok := l.missingHosts[name]
 		d.WaitingLongLived = missing.longLived
 		if ok && l.now().Sub(missing.since) >= missingHostsDelay {
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -191,13 +191,14 @@
 		if v.Config == nil {
 			return
 		}
-		demand, hosts := l.demand(v), l.poolHosts(v)
-		decision := poolsize.Plan(poolsize.Default(), demand, hosts)
+		policy, demand, hosts := poolsize.Default(), l.demand(v), l.poolHosts(v)
+		decision := poolsize.Plan(policy, demand, hosts)
+		l.fleet.wants.Note(l.nowMS(), policy.IdleMS, decision.Wanted)
 		moves, l.fleet.spare = l.limitStandbyMoves(v, decision.Moves), decision.Spare
 		l.fleet.attainableCPU, l.fleet.demandMet = decision.AttainableCPU, decision.DemandMet
 		l.fleet.supplies = l.supplies(demand, hosts, &decision)
 		l.cordonHosts(decision.Cordoned)
-		l.logSizes(demand, hosts, len(moves))
+		l.logSizes(demand, hosts, &decision, len(moves))
 	})
 	for _, m := range moves {
 		h := l.fleet.host(m.Host)
--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -28,6 +28,10 @@
 	// MinHosts is the least number of hosts over which long-lived tasks have to be
 	// spread.
 	MinHosts int
+	// MostWanted is the largest number of hosts that the pool has wanted for Policy.IdleMS.
+	// A host beyond it goes to standby as soon as nothing runs there. With 0, as after a
+	// change of the leader, hosts idle for that time first.
+	MostWanted int
 	// MissingHosts is how many empty hosts are needed by tasks that no host can take,
 	// for whichever reason: memory, fragmented capacity or what runs beside them. Tasks for
 	// which Waiting asks for hosts that the pool does not have are not included.
@@ -64,8 +68,8 @@
 
 // Policy weighs the cost of moves against that of idle hosts.
 type Policy struct {
-	// IdleMS is how long a host idles before it moves to standby. A move there and back
-	// costs as much as about two seconds in a pool.
+	// IdleMS is how long a host idles, or its pool has wanted fewer hosts than it has,
+	// before it moves to standby: as long as a move takes by which it would come back.
 	IdleMS int64
 	// UsableShare is the share of a host that tasks of mixed sizes can use.
 	UsableShare float64
@@ -81,7 +85,7 @@
 
 // Default returns the policy in use.
 func Default() Policy {
-	return Policy{IdleMS: 1500, UsableShare: 0.9, HorizonS: 1.7, TrendShare: 0.5, ExtraHosts: 0}
+	return Policy{IdleMS: 1500, UsableShare: 0.9, HorizonS: 1.7, TrendShare: 1, ExtraHosts: 0}
 }
 
 // Move is a move of a host with its reason.
@@ -126,6 +130,8 @@
 	// DemandMet holds the pools that have as many hosts as the sum of their CPU demand asks
 	// for, whatever else tasks need of a host.
 	DemandMet map[string]bool
+	// Wanted is how many hosts each pool should have.
+	Wanted map[string]int
 }
 
 // Plan compares the demand of the pools with their hosts.
@@ -183,11 +189,14 @@
 			n.want, n.inTime = max(n.want, kept), max(n.inTime, kept)
 		}
 	}
-	attainableCPU := attainableCPU(order, needs, size)
+	attainableCPU, wanted := attainableCPU(order, needs, size), map[string]int{}
+	for _, n := range order {
+		wanted[n.pool.Name] = n.want
+	}
 	yieldHosts(order, needs, standby)
 	cordoned := cordonSurplus(order, hosts)
 	moves := p.assign(order, needs, hosts, standby)
-	return Decision{Moves: moves, Cordoned: cordoned, Spare: spare(needs, hosts, moves), AttainableCPU: attainableCPU, DemandMet: demandMet}
+	return Decision{Moves: moves, Cordoned: cordoned, Spare: spare(needs, hosts, moves), AttainableCPU: attainableCPU, DemandMet: demandMet, Wanted: wanted}
 }
 
 // suits reports whether the long-lived tasks that no host takes could run on this one.
@@ -426,10 +435,11 @@
 
 func (a *assignment) isOnStandby(h *Host) bool { return h.Pool == a.standby }
 
-// moveIdleToStandby moves the surplus hosts that have idled for a time.
+// moveIdleToStandby moves the surplus hosts that have idled for a time, or that their pool has
+// not wanted for as long.
 func (a *assignment) moveIdleToStandby(idleMS int64) {
 	for i := range a.free {
-		if h := &a.free[i]; a.isFree(h) && h.IdleMS >= idleMS && a.isSurplus(h) {
+		if h := &a.free[i]; a.isFree(h) && (h.IdleMS >= idleMS || a.isUnwanted(h)) && a.isSurplus(h) {
 			a.taken[h.Name] = true
 			a.needs[h.Pool].leave(h)
 			a.moves = append(a.moves, Move{h.Name, h.Pool, a.standby, "idle"})
@@ -437,6 +447,21 @@
 	}
 }
 
+// unnoticedDivisor divides the hosts of a pool to get how many of them may be lost without having
+// been noticed yet; one always may.
+const unnoticedDivisor = 20
+
+// isUnwanted reports whether the pool of a host has wanted fewer hosts than it has for some time,
+// also if some of the others are lost.
+func (a *assignment) isUnwanted(h *Host) bool {
+	n := a.needs[h.Pool]
+	if n == nil || n.pool.MostWanted == 0 {
+		return false
+	}
+	enough := max(n.pool.MostWanted, n.used)
+	return n.hosts > enough+1+enough/unnoticedDivisor
+}
+
 func inTimeOf(n *need) int { return n.inTime }
 func wantOf(n *need) int   { return n.want }
 
