--- a/internal/core/customers_test.go
+++ b/internal/core/customers_test.go
@@ -198,6 +198,30 @@
 	})
 })
 
+var _ = Describe("a leader that is cut off from the others", func() {
+	It("takes no key any more", func(ctx SpecContext) {
+		// Guards against a key that works at a host which cannot know that it was withdrawn. The
+		// bound is below that by which a change has to be in force everywhere.
+		processes := startCore()
+		configureAny(ctx, processes, keyedConfiguration(1, "old"))
+		p := leadingProcess(processes)
+		for _, other := range without(processes, p) {
+			other.stop()
+		}
+		codes := func() []link.Code {
+			ref := refOf("old", "/p/", "j")
+			read, err := p.ReadJobState(ctx, &ref)
+			Expect(err).NotTo(HaveOccurred())
+			submitted, err := p.Submit(ctx, requestOf("old", "/p/", "j", 1))
+			Expect(err).NotTo(HaveOccurred())
+			return []link.Code{read.Code, submitted.Code}
+		}
+		noAnswer := HaveEach(Or(Equal(link.NotReady), Equal(link.NotLeader), Equal(link.Unknown)))
+		Eventually(codes, "2s").Should(noAnswer)
+		Consistently(codes, "1s").Should(noAnswer)
+	})
+})
+
 // heldVersion returns the version of the configuration that a process holds, 0 without one.
 func heldVersion(p *testProcess) uint64 {
 	if c := p.stateMachine.Configuration(); c != nil {
