guard: bound what a process holds for its clients

Cause: nothing bounded the connections of a process nor the sum of what they hold. The head of a request was bounded by the HTTP library's 1 MiB, of which short lines need several times as much; bodies up to their limit were held for any number of silent clients, and a small body of many steps was decoded into a large job. The limits of the configuration were read nowhere.

Package guard gives each listener (front, ready, control, metrics, link) a share of the process's memory and descriptors. A pure table decides: at the limit of connections the one is closed that has sent least of a request for longest, of the addresses that have most; one that waits for an answer never is. Heads count by bytes and lines beyond what a connection may hold anyway, bodies by their declared length before they are read, documents by their number of elements before they are decoded. Without room a request is answered 503 with Connection: close, of which nothing was carried out; heads over the limit 431, bodies 413. Slow heads, idle connections, bodies without their rest and answers that are not read end in time.

Callers' limits are those of the configuration in force. The state machine keeps them, and entry hosts get them with the core's members twice a second; before, the defaults hold (heads 32 KiB and 10 s, bodies 256 KiB, idle connections 60 s).

--- a/internal/core/bootstrap.go
+++ b/internal/core/bootstrap.go
@@ -31,7 +31,7 @@
 	}
 	server := link.NewServer(link.Redirector{
 		Acceptor: c.acceptor, KnownMembers: func() link.Members { return link.Members{} }, OnMembers: func(*link.Members) {},
-	})
+	}, c.LinkShare, c.Log)
 	go func() { _ = server.Serve(listener) }() // returns an error once the server is closed
 	clients := link.NewClients(c.Port)
 	c.initialHosts = bootstrap.Agree(ctx, bootstrap.Config{
--- a/internal/core/bootstrap_test.go
+++ b/internal/core/bootstrap_test.go
@@ -9,8 +9,10 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"agatehaven.dev/agatehaven/internal/bootstrap"
+	"agatehaven.dev/agatehaven/internal/guard"
 	"agatehaven.dev/agatehaven/internal/link"
 )
 
@@ -22,7 +24,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	server := link.NewServer(link.Redirector{
 		Acceptor: bootstrap.NewAcceptor(true), KnownMembers: func() link.Members { return link.Members{} }, OnMembers: received.Store,
-	})
+	}, guard.Share{}, zerolog.Nop())
 	go func() { _ = server.Serve(listener) }() // returns an error once the server is closed
 	DeferCleanup(server.Close)
 	return &received
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -15,6 +15,7 @@
 	"agatehaven.dev/agatehaven/internal/bootstrap"
 	"agatehaven.dev/agatehaven/internal/clock"
 	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/guard"
 	"agatehaven.dev/agatehaven/internal/hlc"
 	"agatehaven.dev/agatehaven/internal/leader"
 	"agatehaven.dev/agatehaven/internal/link"
@@ -69,11 +70,13 @@
 	Port string
 	// Listen is the address on which this process serves the link; "" means Host and
 	// Port. It differs if there is a proxy in front of the process.
-	Listen   string
-	Targets  leader.Targets
-	Platform leader.Platform
-	Policy   leader.Policy
-	Timing   leader.Timing
+	Listen string
+	// LinkShare is what the link may use for its clients.
+	LinkShare guard.Share
+	Targets   leader.Targets
+	Platform  leader.Platform
+	Policy    leader.Policy
+	Timing    leader.Timing
 	// RefusesHopelessJobs is that of leader.Config.
 	RefusesHopelessJobs bool
 	Log                 zerolog.Logger
@@ -151,7 +154,7 @@
 	if err != nil {
 		return err
 	}
-	server := link.NewServer(c)
+	server := link.NewServer(c, c.cfg.LinkShare, c.cfg.Log)
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var wg sync.WaitGroup
--- a/internal/core/queries.go
+++ b/internal/core/queries.go
@@ -51,7 +51,11 @@
 // Members implements link.Handler.
 func (c *Core) Members(context.Context, *link.Empty) (*link.Members, error) {
 	s := c.replica.Status()
-	return &link.Members{Leader: s.Leader, Term: s.Term, Hosts: c.memberHosts()}, nil
+	m := &link.Members{Leader: s.Leader, Term: s.Term, Hosts: c.memberHosts()}
+	if cfg := c.stateMachine.Configuration(); cfg != nil {
+		m.Limits, m.Version = cfg.Limits, cfg.Version
+	}
+	return m, nil
 }
 
 // Configuration returns the newest acknowledged configuration, nil before the
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,6 +8,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -16,6 +17,7 @@
 	"agatehaven.dev/agatehaven/internal/bootstrap"
 	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/link"
+	"agatehaven.dev/agatehaven/internal/work"
 )
 
 const (
@@ -85,6 +87,10 @@
 	suspectUntil time.Time
 	// leaderAnswered is the time of a leader's last answer.
 	leaderAnswered time.Time
+	// version is the version of the configuration of limits.
+	version uint64
+
+	limits atomic.Pointer[work.RequestLimits]
 }
 
 // New returns an Entry that knows only the seeds.
@@ -137,6 +143,20 @@
 	}
 }
 
+// setLimits takes the limits of a configuration unless it is older than the one known.
+func (e *Entry) setLimits(m *link.Members) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if m.Version > e.version {
+		e.version = m.Version
+		e.limits.Store(m.Limits)
+	}
+}
+
+// RequestLimits returns the limits of the newest configuration of which this host knows, nil
+// without one.
+func (e *Entry) RequestLimits() *work.RequestLimits { return e.limits.Load() }
+
 // refreshMembers asks the leader, or the core hosts in turn if none is known, for the
 // core's members and leader. It makes up to three attempts.
 func (e *Entry) refreshMembers(ctx context.Context) {
@@ -150,6 +170,7 @@
 			continue
 		}
 		e.setHosts(m.Hosts, m.Leader == host)
+		e.setLimits(m)
 		e.observeLeader(m.Leader, m.Term)
 		if m.Leader == host {
 			e.recordLeaderAnswer()
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -12,7 +12,9 @@
 	"github.com/rs/zerolog"
 
 	"agatehaven.dev/agatehaven/internal/entry"
+	"agatehaven.dev/agatehaven/internal/guard"
 	"agatehaven.dev/agatehaven/internal/link"
+	"agatehaven.dev/agatehaven/internal/work"
 )
 
 func TestEntry(t *testing.T) {
@@ -26,6 +28,8 @@
 	leads atomic.Bool
 	// hangs is set while it takes jobs without an answer.
 	hangs atomic.Bool
+	// configuration is what it says of the one in force, nil if it knows none.
+	configuration atomic.Pointer[link.Members]
 }
 
 const address = "127.0.0.1"
@@ -50,6 +54,9 @@
 	if h.leads.Load() {
 		m.Leader = address
 	}
+	if c := h.configuration.Load(); c != nil {
+		m.Limits, m.Version = c.Limits, c.Version
+	}
 	return m, nil
 }
 
@@ -63,7 +70,7 @@
 		core = &coreHost{}
 		listener, err := net.Listen("tcp", net.JoinHostPort(address, "0"))
 		Expect(err).NotTo(HaveOccurred())
-		server := link.NewServer(core)
+		server := link.NewServer(core, guard.Share{}, zerolog.Nop())
 		go func() { _ = server.Serve(listener) }() // returns an error once the server is closed
 		DeferCleanup(server.Close)
 		_, port, err := net.SplitHostPort(listener.Addr().String())
@@ -104,6 +111,24 @@
 		Expect(code).To(Equal(link.Done))
 	})
 
+	It("takes the limits of the newest configuration of which a core host tells", func() {
+		// Guards against limits that a change does not reach, or that a core host undoes which
+		// has not heard of it yet.
+		tell := func(version uint64, limits *work.RequestLimits) {
+			core.configuration.Store(&link.Members{Version: version, Limits: limits})
+		}
+		Expect(e.RequestLimits()).To(BeNil())
+		first, second := work.RequestLimits{HeadBytes: 1}, work.RequestLimits{HeadBytes: 2}
+		tell(3, &first)
+		Eventually(e.RequestLimits, "3s").Should(Equal(&first))
+		tell(2, &second)
+		Consistently(e.RequestLimits, "1200ms").Should(Equal(&first))
+		tell(4, &second)
+		Eventually(e.RequestLimits, "3s").Should(Equal(&second))
+		tell(5, nil)
+		Eventually(e.RequestLimits, "3s").Should(BeNil())
+	})
+
 	It("refuses requests at once when the outage lasts longer than an election", func() {
 		// Guards against callers that wait in vain while the core is partitioned into two
 		// halves for seconds, although they could have asked another host.
--- a/internal/entry/orders_test.go
+++ b/internal/entry/orders_test.go
@@ -16,6 +16,7 @@
 
 	"agatehaven.dev/agatehaven/internal/entry"
 	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/guard"
 	"agatehaven.dev/agatehaven/internal/link"
 	"agatehaven.dev/agatehaven/internal/work"
 )
@@ -82,7 +83,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		_, port, err = net.SplitHostPort(listener.Addr().String())
 		Expect(err).NotTo(HaveOccurred())
-		server := link.NewServer(h)
+		server := link.NewServer(h, guard.Share{}, zerolog.Nop())
 		go func() { _ = server.Serve(listener) }() // returns an error once the server is closed
 		DeferCleanup(server.Close)
 		servers = append(servers, h)
--- a/internal/entry/refusal_test.go
+++ b/internal/entry/refusal_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"agatehaven.dev/agatehaven/internal/entry"
+	"agatehaven.dev/agatehaven/internal/guard"
 	"agatehaven.dev/agatehaven/internal/link"
 )
 
@@ -51,7 +52,7 @@
 		core = &scriptedCore{}
 		listener, err := net.Listen("tcp", net.JoinHostPort(address, "0"))
 		Expect(err).NotTo(HaveOccurred())
-		server := link.NewServer(core)
+		server := link.NewServer(core, guard.Share{}, zerolog.Nop())
 		go func() { _ = server.Serve(listener) }() // returns an error once the server is closed
 		DeferCleanup(server.Close)
 		_, port, err := net.SplitHostPort(listener.Addr().String())
--- /dev/null
+++ b/internal/guard/handler.go
@@ -0,0 +1,94 @@
+package guard
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"agatehaven.dev/agatehaven/internal/fault"
+)
+
+// handler refuses requests whose bodies are too long or for which there is no room, before
+// they are read.
+func (g *guard) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(*conn)
+		if !ok {
+			next.ServeHTTP(w, r) // a request of a test without a connection
+			return
+		}
+		limit := g.limits().MaxBodyBytes
+		length := r.ContentLength
+		if length < 0 {
+			length = limit
+		}
+		switch {
+		case length == 0:
+			g.move(c, serving)
+		case length > limit:
+			g.refused.count(reasonBody)
+			refuse(w, http.StatusRequestEntityTooLarge)
+			return
+		default:
+			g.move(c, readingBody)
+			if !g.hold(c, length) {
+				refuse(w, http.StatusServiceUnavailable)
+				return
+			}
+			r.Body = &body{ReadCloser: http.MaxBytesReader(w, r.Body, limit), conn: c}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// refuse answers a request of which nothing has been carried out.
+func refuse(w http.ResponseWriter, status int) {
+	h := w.Header()
+	h.Set("Connection", "close")
+	h.Set("Content-Length", "0")
+	if status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", strconv.Itoa(retryAfterSeconds))
+	}
+	w.WriteHeader(status)
+}
+
+// body is the body of a request. Its connection is not closed any more once it has been read.
+type body struct {
+	io.ReadCloser
+	conn *conn
+	// read is set at its end, and tooLong once it has exceeded the limit.
+	read, tooLong bool
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	var tooLong *http.MaxBytesError
+	if errors.As(err, &tooLong) && !b.tooLong {
+		b.tooLong = true
+		b.conn.guard.refused.count(reasonBody)
+	}
+	if errors.Is(err, io.EOF) && !b.read {
+		b.read = true
+		b.conn.guard.move(b.conn, serving)
+	}
+	return n, err
+}
+
+// BodyTooLong reports whether the body of a request has exceeded the limit of its listener. It
+// is known once the body has been read that far.
+func BodyTooLong(r *http.Request) bool {
+	b, ok := r.Body.(*body)
+	return ok && b.tooLong
+}
+
+// Hold adds bytes to what the connection of a request holds until the request is answered. It
+// returns *fault.Unavailable if there is no room.
+func Hold(r *http.Request, bytes int64) error {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	if !ok || c.guard.hold(c, bytes) {
+		return nil
+	}
+	return &fault.Unavailable{What: "memory for the request", Reason: "other requests hold it"}
+}
--- /dev/null
+++ b/internal/guard/table.go
@@ -0,0 +1,177 @@
+package guard
+
+import "time"
+
+// phase is what a connection is doing.
+type phase int
+
+// Phases of a connection, in the order in which connections are closed if there is no room.
+const (
+	// readingHead: a request has not been sent completely, or none was sent yet.
+	readingHead phase = iota
+	// idle: an answer was sent, and nothing since.
+	idle
+	// readingBody: the head of a request has been read, and its body has not.
+	readingBody
+	// answering: an answer is being sent.
+	answering
+	// serving: the request has been read. Such a connection is never closed.
+	serving
+)
+
+// holder is a connection with what it holds.
+type holder struct {
+	address string
+	phase   phase
+	since   time.Time
+	// bytes is the memory that it holds beside connectionBytes.
+	bytes int64
+	// evicted is set once it was chosen to be closed.
+	evicted bool
+	close   func()
+}
+
+// usage is what all connections of an address use.
+type usage struct {
+	connections int
+	bytes       int64
+}
+
+// table decides which connections a listener serves. It does no I/O and reads no clock.
+type table struct {
+	share     Share
+	holders   map[*holder]struct{}
+	addresses map[string]usage
+	bytes     int64
+	// closing is the number of holders that were evicted and have not ended yet.
+	closing int
+}
+
+// maxClosing is the number of evicted connections that may not have ended yet, as a part of
+// the share's connections. Beyond it new connections are refused, so that the total is bounded.
+const maxClosing = 8
+
+// aloneFactor is how many times a share's bytes a connection may hold while no other one holds
+// any.
+const aloneFactor = 2
+
+func newTable(share Share) *table {
+	return &table{share: share, holders: map[*holder]struct{}{}, addresses: map[string]usage{}}
+}
+
+// admit adds a connection. If there is no room, it returns the connection to close for it, or
+// reports that the new one is to be refused.
+func (t *table) admit(h *holder) (victim *holder, ok bool) {
+	if len(t.holders)-t.closing >= t.share.MaxConnections {
+		if t.closing > t.share.MaxConnections/maxClosing {
+			return nil, false
+		}
+		own := t.addresses[h.address].connections + 1
+		victim = t.choose(h, func(c *holder) (int64, bool) {
+			n := t.addresses[c.address].connections
+			return int64(n), n >= own || c.address == h.address
+		})
+		if victim == nil {
+			return nil, false
+		}
+		t.evict(victim)
+	}
+	t.holders[h] = struct{}{}
+	t.add(h, 1, 0)
+	return victim, true
+}
+
+// hold adds bytes to what a connection holds. If there is no room, it returns the connections
+// to close for it, or reports that this one is to be refused.
+func (t *table) hold(h *holder, bytes int64) (victims []*holder, ok bool) {
+	if h.evicted {
+		return nil, false
+	}
+	own := t.addresses[h.address].bytes + bytes
+	for t.bytes+bytes > t.share.MaxBytes {
+		if t.bytes == h.bytes && t.bytes+bytes <= aloneFactor*t.share.MaxBytes {
+			break
+		}
+		victim := t.choose(h, func(c *holder) (int64, bool) {
+			n := t.addresses[c.address].bytes
+			return n, c.bytes > 0 && (n >= own || c.address == h.address)
+		})
+		if victim == nil {
+			return victims, false
+		}
+		t.evict(victim)
+		victims = append(victims, victim)
+	}
+	t.add(h, 0, bytes)
+	return victims, true
+}
+
+// choose returns the connection to close in favour of another one: of the addresses that use
+// most, the one in the earliest phase for longest. Nil means that there is none.
+func (t *table) choose(favoured *holder, weigh func(c *holder) (weight int64, mayClose bool)) *holder {
+	var best *holder
+	var heaviest int64
+	for c := range t.holders {
+		if c == favoured || c.evicted || c.phase == serving {
+			continue
+		}
+		weight, mayClose := weigh(c)
+		if !mayClose {
+			continue
+		}
+		if best == nil || weight > heaviest || (weight == heaviest && c.before(best)) {
+			best, heaviest = c, weight
+		}
+	}
+	return best
+}
+
+// before reports whether h is closed before c, if their addresses use as much.
+func (h *holder) before(c *holder) bool {
+	if h.phase != c.phase {
+		return h.phase < c.phase
+	}
+	return h.since.Before(c.since)
+}
+
+// evict takes what a connection holds from it. It stays in the table until it has ended.
+func (t *table) evict(h *holder) {
+	h.evicted = true
+	t.closing++
+	t.add(h, -1, -h.bytes)
+}
+
+// add changes what the connections of an address use.
+func (t *table) add(h *holder, connections int, bytes int64) {
+	h.bytes += bytes
+	t.bytes += bytes
+	u := t.addresses[h.address]
+	u.connections += connections
+	u.bytes += bytes
+	if u == (usage{}) {
+		delete(t.addresses, h.address)
+		return
+	}
+	t.addresses[h.address] = u
+}
+
+// move sets the phase of a connection. An idle one holds nothing.
+func (t *table) move(h *holder, to phase, now time.Time) {
+	h.phase, h.since = to, now
+	if to == idle && !h.evicted {
+		t.add(h, 0, -h.bytes)
+	}
+}
+
+// remove takes a connection that has ended from the table.
+func (t *table) remove(h *holder) {
+	if _, known := t.holders[h]; !known {
+		return
+	}
+	delete(t.holders, h)
+	if h.evicted {
+		t.closing--
+		return
+	}
+	t.add(h, -1, -h.bytes)
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -113,6 +113,10 @@
 	Leader string   `cbor:"1,keyasint,omitempty"`
 	Hosts  []string `cbor:"2,keyasint,omitempty"`
 	Term   uint64   `cbor:"3,keyasint,omitempty"`
+	// Limits are those of the configuration in force, nil if it is not known or has none.
+	Limits *work.RequestLimits `cbor:"4,keyasint,omitempty"`
+	// Version is the version of that configuration, 0 if it is not known.
+	Version uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // LeaveRequest tells that a target has left: it is the last message of a target.
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/rs/zerolog"
 
 	"agatehaven.dev/agatehaven/internal/codec"
+	"agatehaven.dev/agatehaven/internal/guard"
 )
 
 const (
@@ -29,8 +31,16 @@
 	}
 }
 
-// NewServer returns an HTTP server that serves h.
-func NewServer(h Handler) *http.Server {
+// limits are those of the calls of other processes.
+func limits() guard.Limits {
+	return guard.Limits{
+		MaxHeadBytes: guard.DefaultLimits.MaxHeadBytes, MaxBodyBytes: codec.MaxMessageBytes,
+		HeadTimeout: serverHeaderTimeout, IdleTimeout: serverIdleTimeout,
+	}
+}
+
+// NewServer returns an HTTP server that serves h and may use share for its clients.
+func NewServer(h Handler, share guard.Share, log zerolog.Logger) *guard.Server {
 	options := []connect.HandlerOption{connect.WithCompression(compression, nil, nil)}
 	for _, o := range commonOptions() {
 		options = append(options, o)
@@ -50,7 +60,7 @@
 	handle(mux, "Join", h.Join, options)
 	handle(mux, "Exchange", h.Exchange, options)
 	handle(mux, "Found", h.Bootstrap, options)
-	return &http.Server{Handler: mux, ReadHeaderTimeout: serverHeaderTimeout, IdleTimeout: serverIdleTimeout}
+	return guard.NewServer(mux, guard.Config{Name: "link", Share: share, Limits: limits, Log: log})
 }
 
 func handle[Req, Res any](mux *http.ServeMux, name string, call func(context.Context, *Req) (*Res, error), options []connect.HandlerOption) {
--- a/internal/work/model.go
+++ b/internal/work/model.go
@@ -12,6 +12,18 @@
 	Pools    []Pool  `cbor:"4,keyasint"`
 	// Customers are those whose keys open the queues that require one.
 	Customers []Customer `cbor:"5,keyasint,omitempty"`
+	// Limits bound the requests of callers, nil if the operator set none.
+	Limits *RequestLimits `cbor:"6,keyasint,omitempty"`
+}
+
+// RequestLimits bound the requests of callers. A limit of 0 is not set.
+type RequestLimits struct {
+	// HeadBytes bounds a request line with its header lines, BodyBytes a body.
+	HeadBytes int64 `cbor:"1,keyasint,omitempty"`
+	BodyBytes int64 `cbor:"2,keyasint,omitempty"`
+	// HeadMS bounds the time in which a head is sent, and IdleMS that between two requests.
+	HeadMS int64 `cbor:"3,keyasint,omitempty"`
+	IdleMS int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Queue accepts jobs and names the pool that runs them.
