--- a/internal/guard/share.go
+++ b/internal/guard/share.go
@@ -52,7 +52,7 @@
 	UsableShare = 0.7
 	// runtimeBytes is the memory of a process beside the heap and the stacks of Go: the
 	// program text and the C library.
-	runtimeBytes = 16 << 20
+	runtimeBytes = 20 << 20
 	// clientShare is the share of the heap that is for clients.
 	clientShare = 0.5
 	// connectionShare is the share of a listener's memory that is for connections; the rest
