--- a/internal/guard/share.go
+++ b/internal/guard/share.go
@@ -43,8 +43,8 @@
 	headCopies = 2
 	// elementBytes is the memory that an object or a list in a JSON document needs at most
 	// when it is decoded and translated, fieldBytes that of a number, a string or a name.
-	elementBytes = 1024
-	fieldBytes   = 32
+	elementBytes = 768
+	fieldBytes   = 24
 )
 
 const (
--- a/internal/guard/table.go
+++ b/internal/guard/table.go
@@ -53,7 +53,7 @@
 
 // aloneFactor is how many times a share's bytes a connection may hold while no other one holds
 // any.
-const aloneFactor = 2
+const aloneFactor = 3
 
 func newTable(share Share) *table {
 	return &table{share: share, holders: map[*holder]struct{}{}, addresses: map[string]usage{}}
