ctl: show customers with their limits, use and refusals

Operators saw customers only in the configuration. The leader now counts refused submissions by customer and reason, and answers a query for all customers with number of keys, weight, limit, what their runs ask for and their waiting jobs. agatehavenctl customers asks any core or entry host over the link and goes on to the leader. The counts belong to the leader and are not replicated: refusals do not enter the log, so that they cannot fill it.

--- a/internal/core/queries.go
+++ b/internal/core/queries.go
@@ -48,6 +48,15 @@
 	return &link.Answer{Code: link.Done, Waiting: c.stateMachine.Waiting(queue.Name)}, nil
 }
 
+// Customers implements link.Handler.
+func (c *Core) Customers(context.Context, *link.Empty) (*link.CustomersAnswer, error) {
+	l, err := c.localLeader()
+	if err != nil {
+		return &link.CustomersAnswer{Answer: *c.errorAnswer(err)}, nil
+	}
+	return &link.CustomersAnswer{Answer: link.Answer{Code: link.Done}, Customers: l.Customers()}, nil
+}
+
 // Members implements link.Handler.
 func (c *Core) Members(context.Context, *link.Empty) (*link.Members, error) {
 	s := c.replica.Status()
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -35,11 +35,6 @@
 }
 
 func newClient(a *app, servers []string) (*client, error) {
-	for _, server := range servers {
-		if _, port, err := net.SplitHostPort(server); err != nil || port == "" {
-			return nil, &UsageError{Reason: fmt.Sprintf("%q is not an address", server), Next: "give -server as IP:port"}
-		}
-	}
 	config, err := a.tls.ClientConfig()
 	if err != nil {
 		return nil, err
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -8,6 +8,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"time"
 
@@ -147,6 +148,7 @@
 	c.Register(requestsCommand(a), "requests")
 	c.Register(cancelCommand(a), "requests")
 	c.Register(replicasCommand(a), "the region")
+	c.Register(customersCommand(a), jobsWithSteps)
 	for _, command := range []*subcommand{statusCommand(a), timelineCommand(a), explainCommand(a)} {
 		c.Register(command, "the region")
 	}
@@ -158,6 +160,18 @@
 	if a.client != nil {
 		return a.client, nil
 	}
+	servers, err := a.givenServers()
+	if err != nil {
+		return nil, err
+	}
+	c, err := newClient(a, servers)
+	a.client = c
+	return c, err
+}
+
+// givenServers returns the addresses given by flag or environment. It returns *UsageError if
+// there are none, or if one is no address.
+func (a *app) givenServers() ([]string, error) {
 	servers := a.servers
 	if len(servers) == 0 {
 		servers = splitServers(a.env.Getenv(ServersVariable))
@@ -168,9 +182,12 @@
 			Next:   "add -server IP:port before the command, or set " + ServersVariable,
 		}
 	}
-	c, err := newClient(a, servers)
-	a.client = c
-	return c, err
+	for _, server := range servers {
+		if _, port, err := net.SplitHostPort(server); err != nil || port == "" {
+			return nil, &UsageError{Reason: fmt.Sprintf("%q is not an address", server), Next: "give -server as IP:port"}
+		}
+	}
+	return servers, nil
 }
 
 // subcommand is one command of the tool.
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -61,6 +61,8 @@
 	clock      *steppingClock
 	server     string
 	refusing   string
+	leader     string // link addresses
+	follower   string
 	ids        int
 	stdin      string
 }
@@ -72,6 +74,8 @@
 	DeferCleanup(live.Close)
 	s.server = live.Listener.Addr().String()
 	s.refusing = refusingAddress()
+	port := serveLink()
+	s.leader, s.follower = net.JoinHostPort(linkLeader, port), net.JoinHostPort(linkFollower, port)
 	return s
 }
 
@@ -100,7 +104,7 @@
 	// before the test's reads.
 	s.fakeRegion.mu.Lock()
 	defer s.fakeRegion.mu.Unlock()
-	text := strings.NewReplacer(s.server, "LIVE", s.refusing, "DEAD").Replace(out.String())
+	text := strings.NewReplacer(s.server, "LIVE", s.refusing, "DEAD", s.leader, "LEADER", s.follower, "FOLLOWER").Replace(out.String())
 	return text, code
 }
 
@@ -146,7 +150,7 @@
 		case "%":
 			s.applyDirective(rest)
 		case "$":
-			args := strings.Fields(strings.NewReplacer("agatehavenctl ", "", "LIVE", s.server, "DEAD", s.refusing).Replace(rest))
+			args := strings.Fields(strings.NewReplacer("agatehavenctl ", "", "LIVE", s.server, "DEAD", s.refusing, "LEADER", s.leader, "FOLLOWER", s.follower).Replace(rest))
 			text, code := s.run(context.Background(), args...)
 			_, _ = fmt.Fprintf(&out, "%s[exit %d]\n\n", text, code)
 		}
@@ -167,7 +171,7 @@
 		}
 		Expect(seen).To(Equal(string(transcript)))
 	},
-		Entry(nil, "queries"), Entry(nil, "commands"), Entry(nil, "refusals"), Entry(nil, "help"), Entry(nil, "json"),
+		Entry(nil, "queries"), Entry(nil, "commands"), Entry(nil, "refusals"), Entry(nil, "help"), Entry(nil, "json"), Entry(nil, "customers"),
 	)
 
 	It("resends a change with the same request id after a lost answer, with one effect", func() {
--- a/internal/leader/admit.go
+++ b/internal/leader/admit.go
@@ -19,10 +19,12 @@
 	// stayed unknown in this term. Such a job may be accepted, so another attempt must not
 	// be refused.
 	pending map[string]int
+	// refused counts the refusals of customers' jobs by customer.
+	refused map[string]*Refusals
 }
 
 func newAdmissions() admissions {
-	return admissions{backlogs: map[string]schedule.Backlog{}, pending: map[string]int{}}
+	return admissions{backlogs: map[string]schedule.Backlog{}, pending: map[string]int{}, refused: map[string]*Refusals{}}
 }
 
 // Submit commits a job unless the state machine or a busy pool refuses it: such calls must
@@ -31,6 +33,9 @@
 func (l *Leader) Submit(ctx context.Context, s *work.Submission) error {
 	j, err := l.cfg.StateMachine.Preview(s, l.nowMS())
 	if err != nil {
+		l.mu.Lock()
+		l.noteRefusal(l.cfg.StateMachine.OwnerOf(s), err)
+		l.mu.Unlock()
 		return err
 	}
 	if err := l.admitJob(j, s.ID); err != nil {
@@ -55,6 +60,7 @@
 	if j != nil && l.admissions.pending[id] == 0 && !j.Spec.LongLived() && j.Spec.Occurrences == 0 {
 		if err := l.checkRoom(j); err != nil {
 			countRefusal(err)
+			l.noteRefusal(j.Customer, err)
 			return err
 		}
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -174,7 +174,8 @@
 // Run carries out the leader's duties until ctx ends.
 func (l *Leader) Run(ctx context.Context) {
 	l.ctx = ctx
-	loops := []func(){l.confirmLoop, l.planLoop, l.sessionLoop, l.fleetLoop, l.permitLoop, l.reportLoop}
+	loops := []func(){l.confirmLoop, l.planLoop, l.sessionLoop, l.fleetLoop, l.permitLoop, l.reportLoop, l.customerLoop}
+	defer l.exportCustomers()()
 	for _, duty := range loops {
 		l.wg.Go(duty)
 	}
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -71,6 +71,7 @@
 	startWave     *connect.Client[work.Wave, Answer]
 	announce      *connect.Client[work.Announcement, Answer]
 	leave         *connect.Client[LeaveRequest, Answer]
+	customers     *connect.Client[Empty, CustomersAnswer]
 	members       *connect.Client[Empty, Members]
 	updateMembers *connect.Client[Members, Empty]
 	step          *connect.Client[StepRequest, Empty]
@@ -88,6 +89,7 @@
 		startWave:     procedure[work.Wave, Answer](c, address, "StartWave"),
 		announce:      procedure[work.Announcement, Answer](c, address, "Announce"),
 		leave:         procedure[LeaveRequest, Answer](c, address, "Leave"),
+		customers:     procedure[Empty, CustomersAnswer](c, address, "Customers"),
 		members:       procedure[Empty, Members](c, address, "Members"),
 		updateMembers: procedure[Members, Empty](c, address, "Tell"), step: procedure[StepRequest, Empty](c, address, "Step"),
 		join: procedure[JoinRequest, Answer](c, address, "Join"), exchange: procedure[relay.Request, relay.Answer](c, address, "Exchange"),
@@ -157,6 +159,11 @@
 	return call(ctx, c, c.leave, r)
 }
 
+// Customers implements Handler.
+func (c *Client) Customers(ctx context.Context, e *Empty) (*CustomersAnswer, error) {
+	return call(ctx, c, c.customers, e)
+}
+
 // Members implements Handler.
 func (c *Client) Members(ctx context.Context, e *Empty) (*Members, error) {
 	return call(ctx, c, c.members, e)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -9,6 +9,7 @@
 	"agatehaven.dev/agatehaven/internal/bootstrap"
 	"agatehaven.dev/agatehaven/internal/customer"
 	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/leader"
 	"agatehaven.dev/agatehaven/internal/relay"
 	"agatehaven.dev/agatehaven/internal/work"
 )
@@ -120,6 +121,13 @@
 	Target string `cbor:"1,keyasint"`
 }
 
+// CustomersAnswer is the answer to a call for the customers. Customers is set if the code is
+// Done.
+type CustomersAnswer struct {
+	Answer    Answer                  `cbor:"1,keyasint"`
+	Customers []leader.CustomerStatus `cbor:"2,keyasint,omitempty"`
+}
+
 // Handler serves the link calls of a process.
 type Handler interface {
 	// Submit accepts a job and commits it.
@@ -138,6 +146,8 @@
 	Announce(ctx context.Context, a *work.Announcement) (*Answer, error)
 	// Leave records that a target has left.
 	Leave(ctx context.Context, r *LeaveRequest) (*Answer, error)
+	// Customers returns what operators see of the customers.
+	Customers(ctx context.Context, e *Empty) (*CustomersAnswer, error)
 	// Members returns the core's members and leader.
 	Members(ctx context.Context, e *Empty) (*Members, error)
 	// UpdateMembers takes the core's members and leader from the leader. On the wire
--- a/internal/link/redirector.go
+++ b/internal/link/redirector.go
@@ -57,6 +57,12 @@
 // Join implements Handler.
 func (rd Redirector) Join(context.Context, *JoinRequest) (*Answer, error) { return rd.redirect() }
 
+// Customers implements Handler.
+func (rd Redirector) Customers(context.Context, *Empty) (*CustomersAnswer, error) {
+	a, err := rd.redirect()
+	return &CustomersAnswer{Answer: *a}, err
+}
+
 // Members implements Handler.
 func (rd Redirector) Members(context.Context, *Empty) (*Members, error) {
 	m := rd.KnownMembers()
--- a/internal/work/customers.go
+++ b/internal/work/customers.go
@@ -182,6 +182,24 @@
 	return j, nil
 }
 
+// OwnerOf returns the customer to whom a submitted job would belong, empty if its queue is
+// open to all or its key is not known.
+func (m *StateMachine) OwnerOf(r *Submission) string {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if m.state.Config == nil {
+		return ""
+	}
+	queue, ok := m.state.Config.Route(r.Domain, r.Path)
+	if !ok || !queue.KeyRequired {
+		return ""
+	}
+	if owner := m.state.customers.byKey[r.Key]; owner != nil {
+		return owner.Name
+	}
+	return ""
+}
+
 func (s *state) checkSubmission(r *Submission) (acceptance, error) {
 	if j := s.Jobs[r.ID]; j != nil {
 		if s.checkAccess(&Caller{Domain: r.Domain, Path: r.Path, Key: r.Key}, j, r.ID) != nil {
--- a/internal/work/model.go
+++ b/internal/work/model.go
@@ -48,9 +48,9 @@
 
 // Demand is what a task needs of a host, or what a host offers.
 type Demand struct {
-	MilliCPU int64 `cbor:"1,keyasint,omitempty"`
-	MemoryMB int64 `cbor:"2,keyasint,omitempty"`
-	GPUs     int64 `cbor:"3,keyasint,omitempty"`
+	MilliCPU int64 `cbor:"1,keyasint,omitempty" json:"cpu_millis"`
+	MemoryMB int64 `cbor:"2,keyasint,omitempty" json:"memory_mb"`
+	GPUs     int64 `cbor:"3,keyasint,omitempty" json:"gpus"`
 }
 
 // Add returns the sum of two demands.
