ctl: explain where a job would go, without submitting it

An operator could see that a job waits, but not for which host, limit or other job. agatehavenctl placement asks the leader about an accepted job, or about one described by flags or a file: the hosts on which its tasks would start now, each other host or group of hosts with what rules it out, its place in the order, its customer's share and limit, and whether it would be refused and when to come back. Output as table and JSON.

The leader makes the plan's input by the same function as for its plans, without its side effects, one explanation at a time and five a second at most. Reasons that are the policy service's are those that are known; it is not asked.

--- a/internal/core/queries.go
+++ b/internal/core/queries.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/leader"
 	"agatehaven.dev/agatehaven/internal/link"
 	"agatehaven.dev/agatehaven/internal/work"
 )
@@ -57,6 +58,21 @@
 	return &link.CustomersAnswer{Answer: link.Answer{Code: link.Done}, Customers: l.Customers()}, nil
 }
 
+// Explain implements link.Handler.
+func (c *Core) Explain(_ context.Context, q *leader.Question) (*link.ExplainAnswer, error) {
+	l, err := c.localLeader()
+	if err != nil {
+		return &link.ExplainAnswer{Answer: *c.errorAnswer(err)}, nil
+	}
+	explanation, err := l.Explain(q)
+	if err != nil {
+		return &link.ExplainAnswer{Answer: *c.errorAnswer(err)}, nil
+	}
+	return &link.ExplainAnswer{
+		Answer: link.Answer{Code: link.Done}, Explanation: explanation, Submission: *c.resultAnswer(explanation.Refusal),
+	}, nil
+}
+
 // Members implements link.Handler.
 func (c *Core) Members(context.Context, *link.Empty) (*link.Members, error) {
 	s := c.replica.Status()
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -149,6 +149,7 @@
 	c.Register(cancelCommand(a), "requests")
 	c.Register(replicasCommand(a), "the region")
 	c.Register(customersCommand(a), jobsWithSteps)
+	c.Register(placementCommand(a), jobsWithSteps)
 	for _, command := range []*subcommand{statusCommand(a), timelineCommand(a), explainCommand(a)} {
 		c.Register(command, "the region")
 	}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -171,7 +171,7 @@
 		}
 		Expect(seen).To(Equal(string(transcript)))
 	},
-		Entry(nil, "queries"), Entry(nil, "commands"), Entry(nil, "refusals"), Entry(nil, "help"), Entry(nil, "json"), Entry(nil, "customers"),
+		Entry(nil, "queries"), Entry(nil, "commands"), Entry(nil, "refusals"), Entry(nil, "help"), Entry(nil, "json"), Entry(nil, "customers"), Entry(nil, "placement"),
 	)
 
 	It("resends a change with the same request id after a lost answer, with one effect", func() {
--- a/internal/ctl/errors.go
+++ b/internal/ctl/errors.go
@@ -75,6 +75,18 @@
 // Code implements fault.Coded.
 func (e *LostAnswerError) Code() fault.Code { return codeLostAnswer }
 
+// LeaderError reports why the leader of a region of jobs with steps did not answer a question.
+// Next is the advice printed after the error.
+type LeaderError struct {
+	LeaderCode   fault.Code
+	Reason, Next string
+}
+
+func (e *LeaderError) Error() string { return e.Reason }
+
+// Code implements fault.Coded.
+func (e *LeaderError) Code() fault.Code { return e.LeaderCode }
+
 // NotEverywhereError reports that parts of the region were not reached or do
 // not have the revision in force. Names lists them; Next is the advice printed
 // after the error.
@@ -148,6 +160,10 @@
 	if errors.As(err, &partial) {
 		return partial.Next
 	}
+	var leader *LeaderError
+	if errors.As(err, &leader) {
+		return leader.Next
+	}
 	switch fault.CodeOf(err) {
 	case codeUnreachable:
 		return "check the addresses given with -server, or name other entry hosts"
--- a/internal/ctl/leader.go
+++ b/internal/ctl/leader.go
@@ -68,15 +68,15 @@
 	return call(ctx, link.NewClients(port).To(host))
 }
 
-// answerError returns the error of the leader's answer, or nil.
+// answerError returns *LeaderError unless the leader has answered the question.
 func answerError(a *link.Answer) error {
 	switch a.Code {
+	case link.Done:
+		return nil
 	case link.NoQueue, link.NoJob:
-		return &fault.Remote{RemoteCode: fault.CodeNotFound, Text: a.Reason}
+		return &LeaderError{fault.CodeNotFound, a.Reason, "check the name; a finished job is not known any more"}
 	case link.Invalid:
-		return &fault.Remote{RemoteCode: fault.CodeInvalid, Text: a.Reason}
-	case link.Refused:
-		return &fault.Remote{RemoteCode: fault.CodeLimitExceeded, Text: a.Reason}
+		return &LeaderError{fault.CodeInvalid, a.Reason, "correct the input named above and repeat the command"}
 	}
-	return a.Err("region")
+	return &LeaderError{fault.CodeUnavailable, "the leader cannot answer now: " + a.Reason, "repeat the command in a second"}
 }
--- a/internal/ctl/records.go
+++ b/internal/ctl/records.go
@@ -74,7 +74,9 @@
 	return out, warnings, nil
 }
 
-func (a *app) readRecordFile(path string) ([]model.Record, error) {
+// readFile reads a file in TOML or JSON into out; "-" is standard input. example names a valid
+// file.
+func (a *app) readFile(path, example string, out any) error {
 	var data []byte
 	var err error
 	if path == "-" {
@@ -83,11 +85,18 @@
 		data, err = os.ReadFile(path)
 	}
 	if err != nil {
-		return nil, &UsageError{Reason: err.Error(), Next: "check the path given with -f"}
+		return &UsageError{Reason: err.Error(), Next: "check the path given with -f"}
+	}
+	if err := decodeFile(data, out); err != nil {
+		return &UsageError{Reason: path + ": " + err.Error(), Next: "correct the file; see " + example}
 	}
+	return nil
+}
+
+func (a *app) readRecordFile(path string) ([]model.Record, error) {
 	var file recordFile
-	if err := decodeRecordFile(data, &file); err != nil {
-		return nil, &UsageError{Reason: path + ": " + err.Error(), Next: "correct the file; see examples/records.toml"}
+	if err := a.readFile(path, "examples/records.toml", &file); err != nil {
+		return nil, err
 	}
 	out := make([]model.Record, 0, len(file.Records))
 	for i, r := range file.Records {
@@ -109,8 +118,8 @@
 	return out, nil
 }
 
-// decodeRecordFile decodes valid JSON as JSON and everything else as TOML.
-func decodeRecordFile(data []byte, file *recordFile) error {
+// decodeFile decodes valid JSON as JSON and everything else as TOML.
+func decodeFile(data []byte, file any) error {
 	if json.Valid(data) {
 		decoder := json.NewDecoder(bytes.NewReader(data))
 		decoder.DisallowUnknownFields()
--- a/internal/leader/admit.go
+++ b/internal/leader/admit.go
@@ -57,38 +57,41 @@
 func (l *Leader) admitJob(j *work.Job, id string) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if j != nil && l.admissions.pending[id] == 0 && !j.Spec.LongLived() && j.Spec.Occurrences == 0 {
+	if j != nil && l.admissions.pending[id] == 0 && l.competes(j) {
 		if err := l.checkRoom(j); err != nil {
 			countRefusal(err)
 			l.noteRefusal(j.Customer, err)
 			return err
 		}
+		l.addBacklog(j)
 	}
 	l.admissions.pending[id]++
 	return nil
 }
 
-// checkRoom returns *admission.Refused if the pool of a job has no room for it. The mutex is
-// held.
+// competes reports whether a new job is admitted only if its pool has room.
+func (l *Leader) competes(j *work.Job) bool {
+	return (j.Customer != "" || l.cfg.RefusesHopelessJobs) && !j.Spec.LongLived() && j.Spec.Occurrences == 0
+}
+
+// checkRoom returns *admission.Refused if the pool of a job has no room for it. It changes
+// nothing. The mutex is held.
 func (l *Leader) checkRoom(j *work.Job) error {
-	if j.Customer == "" && !l.cfg.RefusesHopelessJobs {
-		return nil
-	}
 	ms := func(v int64) time.Duration { return time.Duration(v) * time.Millisecond }
 	chain, objective := schedule.Objective(j, l.estimates.expected)
 	backlog := l.admissions.backlogs[j.Pool]
-	err := admission.Check(admission.Pool{
+	return admission.Check(admission.Pool{
 		InTime: l.timeFor(j.Pool, backlog.InTime), Counting: l.timeFor(j.Pool, backlog.Counting),
 		RefusesHopeless: l.cfg.RefusesHopelessJobs,
 	}, admission.Job{ID: j.ID, Chain: ms(chain), Objective: ms(objective), BeyondAllowance: j.BeyondAllowance})
-	if err != nil {
-		return err
-	}
-	work := schedule.WorkOf(j, l.estimates.expected)
+}
+
+// addBacklog counts an admitted job as part of its pool's backlog. The mutex is held.
+func (l *Leader) addBacklog(j *work.Job) {
+	backlog, work := l.admissions.backlogs[j.Pool], schedule.WorkOf(j, l.estimates.expected)
 	backlog.InTime += work
 	backlog.Counting += work
 	l.admissions.backlogs[j.Pool] = backlog
-	return nil
 }
 
 // timeFor returns how long a pool takes for some work. The mutex is held.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -111,6 +111,7 @@
 	waitingSteps map[work.TaskRef]time.Time
 	permits      permits
 	admissions   admissions
+	explanations *explanations
 	reports      *ring.Ring[pendingReport]
 }
 
@@ -167,7 +168,7 @@
 		sessions: map[string]*session{}, statuses: map[string]*targetStatus{}, wake: make(wakeup, 1), fleetWake: make(wakeup, 1),
 		planning: make(planLock, 1), fleet: newFleet(), estimates: newDurationEstimates(), permits: newPermits(), reports: newReports(),
 		missingHosts: map[string]missingHosts{}, waitingSteps: map[work.TaskRef]time.Time{},
-		beginsReported: map[string]time.Time{}, admissions: newAdmissions(),
+		beginsReported: map[string]time.Time{}, admissions: newAdmissions(), explanations: newExplanations(),
 	}
 }
 
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -87,30 +87,13 @@
 	defer l.mu.Unlock()
 	var starts []work.Start
 	l.cfg.StateMachine.Read(func(v *work.View) {
-		r := &schedule.Request{
-			NowMS: l.nowMS(), TimeOfDayMS: l.now().UnixMilli(), MaxStarts: maxStarts, Duration: l.estimates.expected,
-			Permitted: func(j *work.Job, t *work.Task, target *work.Target, hosts []*schedule.Host) bool {
-				return l.permitted(v, j, t, target, hosts)
-			},
-			Denied: func(j *work.Job, t *work.Task, target *work.Target) bool {
-				return j.PolicyChecked && l.permits.denied(stepRef(j.Ref(t)), target.ID)
-			},
-			Capacity: l.capacity, HostTypes: l.fleet.hostTypes, MaxMissing: len(l.fleet.hosts),
-			DemandMet: func(pool string) bool { return l.fleet.demandMet[pool] },
-			Accounts:  accounts(v),
-		}
 		l.prunePermits(v)
-		l.interference = false
-		for _, j := range v.Live {
-			r.Jobs = append(r.Jobs, j)
-			for i := range j.Spec.Steps {
-				l.interference = l.interference || interferes(&j.Spec.Steps[i])
-			}
-		}
 		l.noteWaitingSteps(v)
-		r.MayUseLastResort = l.mayUseLastResort
-		awaiting := hostsAwaitingMaintenance(v)
-		r.Hosts = func(pool string) []*schedule.Host { return l.usable(v, pool, awaiting) }
+		var r *schedule.Request
+		r, l.interference = l.planRequest(v, func() map[string]bool { return l.awayDataCentres(v) }, nil)
+		r.Permitted = func(j *work.Job, t *work.Task, target *work.Target, hosts []*schedule.Host) bool {
+			return l.permitted(v, j, t, target, hosts)
+		}
 		starts = schedule.Plan(r)
 		l.admissions.backlogs = r.Backlogs
 		l.noteMissingHosts(r)
@@ -119,6 +102,35 @@
 	return starts
 }
 
+// planRequest returns the input of a plan without the policy's answers, and whether some tasks
+// interfere with others. It includes a further job unless that is nil. away returns the
+// unreachable data centres. It changes nothing. The mutex is held.
+func (l *Leader) planRequest(v *work.View, away func() map[string]bool, further *work.Job) (r *schedule.Request, interference bool) {
+	r = &schedule.Request{
+		NowMS: l.nowMS(), TimeOfDayMS: l.now().UnixMilli(), MaxStarts: maxStarts, Duration: l.estimates.expected,
+		Denied: func(j *work.Job, t *work.Task, target *work.Target) bool {
+			return j.PolicyChecked && l.permits.denied(stepRef(j.Ref(t)), target.ID)
+		},
+		Capacity: l.capacity, HostTypes: l.fleet.hostTypes, MaxMissing: len(l.fleet.hosts),
+		DemandMet: func(pool string) bool { return l.fleet.demandMet[pool] },
+		Accounts:  accounts(v), MayUseLastResort: l.mayUseLastResort,
+	}
+	for _, j := range v.Live {
+		r.Jobs = append(r.Jobs, j)
+	}
+	if further != nil {
+		r.Jobs = append(r.Jobs, further)
+	}
+	for _, j := range r.Jobs {
+		for i := range j.Spec.Steps {
+			interference = interference || interferes(&j.Spec.Steps[i])
+		}
+	}
+	awaiting := hostsAwaitingMaintenance(v)
+	r.Hosts = func(pool string) []*schedule.Host { return l.usable(v, pool, away(), awaiting, interference) }
+	return r, interference
+}
+
 // missingHostsDelay is how long a task waits for a suitable host before its pool gets
 // more hosts. Other tasks may end in that time.
 const missingHostsDelay = 500 * time.Millisecond
@@ -160,10 +172,10 @@
 }
 
 // usable returns the targets of a pool that may take new runs. Their runs are inspected
-// only if some tasks interfere with others. awaiting holds the hosts that await maintenance.
-func (l *Leader) usable(v *work.View, pool string, awaiting map[string]bool) []*schedule.Host {
+// only if some tasks interfere with others. away holds the unreachable data centres, and
+// awaiting the hosts that await maintenance.
+func (l *Leader) usable(v *work.View, pool string, away, awaiting map[string]bool, interference bool) []*schedule.Host {
 	var hosts []*schedule.Host
-	away := l.awayDataCentres(v)
 	for key, t := range v.Targets {
 		if t.Pool != pool || l.exclusionReason(v, key, t, away) != "" {
 			continue
@@ -171,7 +183,7 @@
 		h := &schedule.Host{
 			Target: t, Free: v.Free(t), Penalty: l.statuses[key].failures, SetAside: l.isSetAside(key), AwaitsMaintenance: awaiting[t.Host],
 		}
-		if l.interference {
+		if interference {
 			noteCoLocated(v, h)
 		}
 		hosts = append(hosts, h)
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -13,6 +13,7 @@
 
 	"agatehaven.dev/agatehaven/internal/bootstrap"
 	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/leader"
 	"agatehaven.dev/agatehaven/internal/relay"
 	"agatehaven.dev/agatehaven/internal/work"
 )
@@ -72,6 +73,7 @@
 	announce      *connect.Client[work.Announcement, Answer]
 	leave         *connect.Client[LeaveRequest, Answer]
 	customers     *connect.Client[Empty, CustomersAnswer]
+	explain       *connect.Client[leader.Question, ExplainAnswer]
 	members       *connect.Client[Empty, Members]
 	updateMembers *connect.Client[Members, Empty]
 	step          *connect.Client[StepRequest, Empty]
@@ -90,6 +92,7 @@
 		announce:      procedure[work.Announcement, Answer](c, address, "Announce"),
 		leave:         procedure[LeaveRequest, Answer](c, address, "Leave"),
 		customers:     procedure[Empty, CustomersAnswer](c, address, "Customers"),
+		explain:       procedure[leader.Question, ExplainAnswer](c, address, "Explain"),
 		members:       procedure[Empty, Members](c, address, "Members"),
 		updateMembers: procedure[Members, Empty](c, address, "Tell"), step: procedure[StepRequest, Empty](c, address, "Step"),
 		join: procedure[JoinRequest, Answer](c, address, "Join"), exchange: procedure[relay.Request, relay.Answer](c, address, "Exchange"),
@@ -164,6 +167,11 @@
 	return call(ctx, c, c.customers, e)
 }
 
+// Explain implements Handler.
+func (c *Client) Explain(ctx context.Context, q *leader.Question) (*ExplainAnswer, error) {
+	return call(ctx, c, c.explain, q)
+}
+
 // Members implements Handler.
 func (c *Client) Members(ctx context.Context, e *Empty) (*Members, error) {
 	return call(ctx, c, c.members, e)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -128,6 +128,15 @@
 	Customers []leader.CustomerStatus `cbor:"2,keyasint,omitempty"`
 }
 
+// ExplainAnswer is the answer to a question where a job would go. The others are set if the
+// code of Answer is Done.
+type ExplainAnswer struct {
+	Answer      Answer              `cbor:"1,keyasint"`
+	Explanation *leader.Explanation `cbor:"2,keyasint,omitempty"`
+	// Submission is what a submission of the job would be answered, Done for an accepted job.
+	Submission Answer `cbor:"3,keyasint"`
+}
+
 // Handler serves the link calls of a process.
 type Handler interface {
 	// Submit accepts a job and commits it.
@@ -148,6 +157,8 @@
 	Leave(ctx context.Context, r *LeaveRequest) (*Answer, error)
 	// Customers returns what operators see of the customers.
 	Customers(ctx context.Context, e *Empty) (*CustomersAnswer, error)
+	// Explain tells where a job would go now, and why. It changes nothing.
+	Explain(ctx context.Context, q *leader.Question) (*ExplainAnswer, error)
 	// Members returns the core's members and leader.
 	Members(ctx context.Context, e *Empty) (*Members, error)
 	// UpdateMembers takes the core's members and leader from the leader. On the wire
--- a/internal/link/redirector.go
+++ b/internal/link/redirector.go
@@ -5,6 +5,7 @@
 
 	"agatehaven.dev/agatehaven/internal/bootstrap"
 	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/leader"
 	"agatehaven.dev/agatehaven/internal/relay"
 	"agatehaven.dev/agatehaven/internal/work"
 )
@@ -63,6 +64,12 @@
 	return &CustomersAnswer{Answer: *a}, err
 }
 
+// Explain implements Handler.
+func (rd Redirector) Explain(context.Context, *leader.Question) (*ExplainAnswer, error) {
+	a, err := rd.redirect()
+	return &ExplainAnswer{Answer: *a}, err
+}
+
 // Members implements Handler.
 func (rd Redirector) Members(context.Context, *Empty) (*Members, error) {
 	m := rd.KnownMembers()
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -45,6 +45,7 @@
 	handle(mux, "Announce", h.Announce, options)
 	handle(mux, "Leave", h.Leave, options)
 	handle(mux, "Customers", h.Customers, options)
+	handle(mux, "Explain", h.Explain, options)
 	handle(mux, "Members", h.Members, options)
 	handle(mux, "Tell", h.UpdateMembers, options)
 	handle(mux, "Step", h.Step, options)
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -118,6 +118,8 @@
 	Capacity func(pool string) int64
 	// Duration returns the expected duration in ms of a task of a step.
 	Duration func(j *work.Job, step int) int64
+	// explaining, if set, records what the plan does with one job.
+	explaining *explaining
 }
 
 // urgency determines the order in which jobs are served.
@@ -184,6 +186,7 @@
 	})
 	var starts []work.Start
 	for _, u := range order {
+		r.explaining.beforeJob(r, &u, len(starts))
 		starts = r.planJob(u.job, starts)
 		if r.full || len(starts) >= r.MaxStarts {
 			break
--- a/internal/work/apply.go
+++ b/internal/work/apply.go
@@ -247,8 +247,15 @@
 	if a.owner != nil {
 		j.BeyondAllowance = !s.allowance(a.owner).Take(a.owner.Weight, s.NowMS)
 	}
-	for k := range max(1, r.Spec.Occurrences) {
-		for i, step := range r.Spec.Steps {
+	j.createTasks()
+	s.Jobs[j.ID], s.live[j.ID] = j, j
+	return &Result{Job: j.ID}
+}
+
+// createTasks creates the tasks of a new job.
+func (j *Job) createTasks() {
+	for k := range max(1, j.Spec.Occurrences) {
+		for i, step := range j.Spec.Steps {
 			for n := range step.Tasks {
 				j.Tasks = append(j.Tasks, Task{Occurrence: k, Step: i, Index: n})
 			}
@@ -256,8 +263,6 @@
 	}
 	j.indexTasks()
 	j.open = len(j.Tasks)
-	s.Jobs[j.ID], s.live[j.ID] = j, j
-	return &Result{Job: j.ID}
 }
 
 func (s *state) cancel(id string) *Result {
--- a/internal/work/customers.go
+++ b/internal/work/customers.go
@@ -170,16 +170,22 @@
 	if err != nil || a.queue == nil {
 		return nil, err
 	}
+	return m.state.preview(&a, r, nowMS), nil
+}
+
+// preview returns the job that a submission would become, without its tasks. It takes no
+// allowance.
+func (s *state) preview(a *acceptance, r *Submission, nowMS int64) *Job {
 	j := a.job(r)
 	j.SubmittedMS = nowMS
 	if a.owner != nil {
 		var trial customer.Allowance
-		if known := m.state.Allowances[a.owner.Name]; known != nil {
+		if known := s.Allowances[a.owner.Name]; known != nil {
 			trial = *known
 		}
 		j.BeyondAllowance = !trial.Take(a.owner.Weight, nowMS)
 	}
-	return j, nil
+	return j
 }
 
 // OwnerOf returns the customer to whom a submitted job would belong, empty if its queue is
@@ -220,14 +226,25 @@
 		if a.owner = s.customers.byKey[r.Key]; a.owner == nil {
 			return acceptance{}, &fault.Unauthorised{}
 		}
-		if err := a.owner.checkFits(&r.Spec); err != nil {
-			return acceptance{}, err
+	}
+	if err := s.checkRoom(&a, &r.Spec); err != nil {
+		return acceptance{}, err
+	}
+	return a, nil
+}
+
+// checkRoom returns *customer.NeverFits or *fault.LimitExceeded if the state does not take a
+// job.
+func (s *state) checkRoom(a *acceptance, spec *Spec) error {
+	if a.owner != nil {
+		if err := a.owner.checkFits(spec); err != nil {
+			return err
 		}
 	}
 	if len(s.Jobs) >= MaxJobs {
-		return acceptance{}, &fault.LimitExceeded{What: "jobs", Limit: MaxJobs}
+		return &fault.LimitExceeded{What: "jobs", Limit: MaxJobs}
 	}
-	return a, nil
+	return nil
 }
 
 // checkFits returns *customer.NeverFits if a task or a gang of a job exceeds the customer's
