--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -9,6 +9,7 @@
 	"agatehaven.dev/agatehaven/internal/bootstrap"
 	"agatehaven.dev/agatehaven/internal/customer"
 	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/leader"
 	"agatehaven.dev/agatehaven/internal/relay"
 	"agatehaven.dev/agatehaven/internal/work"
 )
@@ -124,6 +125,22 @@
 	Target string `cbor:"1,keyasint"`
 }
 
+// CustomersAnswer is the answer to a call for the customers. Customers is set if the code is
+// Done.
+type CustomersAnswer struct {
+	Answer    Answer                  `cbor:"1,keyasint"`
+	Customers []leader.CustomerStatus `cbor:"2,keyasint,omitempty"`
+}
+
+// ExplainAnswer is the answer to a question where a job would go. The others are set if the
+// code of Answer is Done.
+type ExplainAnswer struct {
+	Answer      Answer              `cbor:"1,keyasint"`
+	Explanation *leader.Explanation `cbor:"2,keyasint,omitempty"`
+	// Submission is what a submission of the job would be answered, Done for an accepted job.
+	Submission Answer `cbor:"3,keyasint"`
+}
+
 // Handler serves the link calls of a process.
 type Handler interface {
 	// Submit accepts a job and commits it.
@@ -142,6 +159,10 @@
 	Announce(ctx context.Context, a *work.Announcement) (*Answer, error)
 	// Leave records that a target has left.
 	Leave(ctx context.Context, r *LeaveRequest) (*Answer, error)
+	// Customers returns what operators see of the customers.
+	Customers(ctx context.Context, e *Empty) (*CustomersAnswer, error)
+	// Explain tells where a job would go now, and why. It changes nothing.
+	Explain(ctx context.Context, q *leader.Question) (*ExplainAnswer, error)
 	// Members returns the core's members and leader.
 	Members(ctx context.Context, e *Empty) (*Members, error)
 	// UpdateMembers takes the core's members and leader from the leader. On the wire
--- a/internal/link/redirector.go
+++ b/internal/link/redirector.go
@@ -5,6 +5,7 @@
 
 	"agatehaven.dev/agatehaven/internal/bootstrap"
 	"agatehaven.dev/agatehaven/internal/fault"
+	"agatehaven.dev/agatehaven/internal/leader"
 	"agatehaven.dev/agatehaven/internal/relay"
 	"agatehaven.dev/agatehaven/internal/work"
 )
@@ -57,6 +58,18 @@
 // Join implements Handler.
 func (rd Redirector) Join(context.Context, *JoinRequest) (*Answer, error) { return rd.redirect() }
 
+// Customers implements Handler.
+func (rd Redirector) Customers(context.Context, *Empty) (*CustomersAnswer, error) {
+	a, err := rd.redirect()
+	return &CustomersAnswer{Answer: *a}, err
+}
+
+// Explain implements Handler.
+func (rd Redirector) Explain(context.Context, *leader.Question) (*ExplainAnswer, error) {
+	a, err := rd.redirect()
+	return &ExplainAnswer{Answer: *a}, err
+}
+
 // Members implements Handler.
 func (rd Redirector) Members(context.Context, *Empty) (*Members, error) {
 	m := rd.KnownMembers()
