--- a/internal/ctl/link_test.go
+++ b/internal/ctl/link_test.go
@@ -6,7 +6,9 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
+	"agatehaven.dev/agatehaven/internal/guard"
 	"agatehaven.dev/agatehaven/internal/leader"
 	"agatehaven.dev/agatehaven/internal/link"
 	"agatehaven.dev/agatehaven/internal/schedule"
@@ -86,7 +88,7 @@
 	serve := func(host, port string, h link.Handler) string {
 		listener, err := net.Listen("tcp", net.JoinHostPort(host, port))
 		Expect(err).NotTo(HaveOccurred())
-		server := link.NewServer(h)
+		server := link.NewServer(h, guard.Share{}, zerolog.Nop())
 		go func() { _ = server.Serve(listener) }() // ends with Close
 		DeferCleanup(server.Close)
 		_, port, err = net.SplitHostPort(listener.Addr().String())
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -96,6 +96,7 @@
 		}
 		starts = schedule.Plan(r)
 		l.admissions.backlogs = r.Backlogs
+		l.notePlaces(r)
 		l.noteMissingHosts(r)
 		l.logStarved(v)
 	})
@@ -114,6 +115,7 @@
 		Capacity: l.capacity, HostTypes: l.fleet.hostTypes, MaxMissing: len(l.fleet.hosts),
 		DemandMet: func(pool string) bool { return l.fleet.demandMet[pool] },
 		Accounts:  accounts(v), MayUseLastResort: l.mayUseLastResort,
+		MaxKept: maxKeptPlaces, Held: l.places.kept, BlockedBefore: l.places.blockedSince,
 	}
 	for _, j := range v.Live {
 		r.Jobs = append(r.Jobs, j)
