customer: owe the new rate as soon as a weight is lowered; test allowances

Cause: the jobs taken at a high rate counted in full against a lower one: after a weight was lowered from 100 to 2 the customer was owed nothing for 49 s. Change: no more counts than the present rate's second.

--- a/internal/customer/customer.go
+++ b/internal/customer/customer.go
@@ -35,12 +35,14 @@
 // Take counts a job at a time in Unix ms, and reports whether the customer is owed it at
 // a rate in jobs per second. A job beyond the rate is not counted.
 func (a *Allowance) Take(perSecond float64, nowMS int64) bool {
+	// A rate below one job a second still owes single jobs.
+	size := max(1, perSecond)
+	a.Taken = min(a.Taken, size) // the rate may have been lowered since
 	if nowMS > a.AtMS {
 		a.Taken = max(0, a.Taken-perSecond*float64(nowMS-a.AtMS)/1000)
 		a.AtMS = nowMS
 	}
-	// A rate below one job a second still owes single jobs.
-	if a.Taken+1 > max(1, perSecond) {
+	if a.Taken+1 > size {
 		return false
 	}
 	a.Taken++
