leader: take the arrivals of the last second from the jobs that a new leader finds

Windows that reach back before the first sample show no rise, so a leader that took over while a queue's turn began ordered hosts for it a second late. The first look now goes back a second, over the jobs that have not ended.

--- a/internal/leader/arrivals.go
+++ b/internal/leader/arrivals.go
@@ -5,8 +5,13 @@
 	"agatehaven.dev/agatehaven/internal/work"
 )
 
-// firstArrivalsMS is how far the first look at the jobs goes back.
-const firstArrivalsMS = 500
+const (
+	// firstArrivalsMS is how far the first look at the jobs goes back, in parts of
+	// arrivalPartMS. A new leader finds the jobs that have not ended, so it may take steady
+	// demand for a rise at first, and orders hosts too many rather than too few.
+	firstArrivalsMS = 1000
+	arrivalPartMS   = 100
+)
 
 // arrivals measures the work that arrives for each pool.
 type arrivals struct {
@@ -20,25 +25,36 @@
 // add samples the work that arrived since the last call. expect returns the expected
 // duration in ms of a task of a step.
 func (a *arrivals) add(v *work.View, nowMS int64, expect func(j *work.Job, step int) int64) {
-	first, seen, fromMS := a.sampledMS == 0, a.sequence, a.sampledMS
+	fromMS, partMS, seen := a.sampledMS, nowMS-a.sampledMS, a.sequence
+	first := fromMS == 0
 	if first {
-		fromMS = nowMS - firstArrivalsMS
+		fromMS, partMS = nowMS-firstArrivalsMS, arrivalPartMS
+	}
+	parts := make([]map[string]forecast.Work, max(1, (nowMS-fromMS)/max(1, partMS)))
+	for i := range parts {
+		parts[i] = map[string]forecast.Work{}
 	}
-	pools := map[string]forecast.Work{}
 	for _, j := range v.Live {
 		a.sequence = max(a.sequence, j.Sequence)
 		if j.Sequence <= seen || (first && j.SubmittedMS <= fromMS) || j.Spec.LongLived() {
 			continue
 		}
-		sum := pools[j.Pool]
+		part := parts[len(parts)-1]
+		if first && j.SubmittedMS < nowMS {
+			part = parts[(j.SubmittedMS-fromMS)/partMS]
+		}
+		sum := part[j.Pool]
 		sum.Jobs++
 		for i := range j.Tasks {
 			step := j.Tasks[i].Step
 			sum.CPU += float64(j.Spec.Steps[step].Reserved().MilliCPU) * float64(expect(j, step)) / 1000
 		}
-		pools[j.Pool] = sum
+		part[j.Pool] = sum
+	}
+	for i, pools := range parts {
+		from := fromMS + int64(i)*partMS
+		a.seen.Add(from, from+partMS, pools)
 	}
-	a.seen.Add(fromMS, nowMS, pools)
 	a.sampledMS = nowMS
 }
 
