core: log what an accepted job asks for

An operator who looks for the cause of a long wait saw the number of a job's steps, not how large its tasks are.

--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -94,7 +94,8 @@
 		c.cfg.Log.Info().Str("job", r.JobRef.Job).Str("code", string(a.Code)).Err(err).Msg("job not accepted")
 		return a, nil
 	}
-	c.cfg.Log.Info().Str("job", r.JobRef.Job).Str("path", r.JobRef.Path).Int("steps", len(r.Spec.Steps)).Msg("job accepted")
+	c.cfg.Log.Info().Str("job", r.JobRef.Job).Str("path", r.JobRef.Path).Int("steps", len(r.Spec.Steps)).
+		Str("demand", describeSteps(r.Spec.Steps)).Msg("job accepted")
 	return &link.Answer{Code: link.Done}, nil
 }
 
