schedule: keep places for large tasks and gangs

Small tasks took each core that came free, so that a task that needs most of a host, or a gang that needs several, could wait for ever although it was the most urgent. The plan now keeps a place for one that has been blocked for its expected duration, on the hosts that are expected to have room first, and puts less urgent tasks there only if they end before or fit beside it (reservation with backfilling).

--- a/internal/schedule/overload_test.go
+++ b/internal/schedule/overload_test.go
@@ -22,30 +22,62 @@
 	simObjectiveMS = 3800
 )
 
-// simulatedPool simulates hosts that run jobs of two steps with four tasks each.
+// simulatedPool simulates hosts that run jobs, of two steps with four tasks each if tick submits
+// them.
 type simulatedPool struct {
 	stateMachine *work.StateMachine
 	index        uint64
 	nowMS        int64
 	jobs         int
+	capacity     int64
 	ends         map[work.RunRef]int64
 	number       map[string]int64 // of the last ended run, by target
 	// accounts, if set, returns the customers, and backlogs are those of the last plan.
 	accounts func(v *work.View) map[string]*schedule.Account
 	backlogs map[string]schedule.Backlog
+	// duration returns the expected duration of a task, and took the true one of the i-th
+	// start of a plan.
+	duration func(j *work.Job, step int) int64
+	took     func(i int, s work.StartedRun) int64
+	// maxKept and adjust, if set, change the request of a plan.
+	maxKept int
+	adjust  func(r *schedule.Request)
+	// kept and counts are results of the last plan and of all.
+	kept         []schedule.Kept
+	counts       schedule.PlaceCounts
+	blockedSince map[work.TaskRef]int64
+	// away holds the hosts that take no runs.
+	away map[string]bool
+	// check, if set, sees each plan with its hosts as the plan leaves them.
+	check func(r *schedule.Request, hosts []*schedule.Host, starts []work.Start)
 }
 
-func newPool() *simulatedPool {
-	p := &simulatedPool{stateMachine: work.New(), nowMS: 1_000_000, ends: map[work.RunRef]int64{}, number: map[string]int64{}}
+func newPool() *simulatedPool { return newPoolOf(simHosts, work.Demand{MilliCPU: simSlots * 1000}) }
+
+// newPoolOf returns a pool of equal hosts.
+func newPoolOf(hosts int, resources work.Demand) *simulatedPool {
+	p := &simulatedPool{
+		stateMachine: work.New(), nowMS: 1_000_000, ends: map[work.RunRef]int64{}, number: map[string]int64{},
+		capacity: int64(hosts) * resources.MilliCPU,
+		duration: func(*work.Job, int) int64 { return simTaskMS },
+		// Every third task takes 1.4 times the expected duration, the others 0.8 times.
+		took: func(i int, _ work.StartedRun) int64 {
+			if i%3 == 0 {
+				return simTaskMS * 14 / 10
+			}
+			return simTaskMS * 8 / 10
+		},
+	}
 	p.do(&work.Command{Configure: &work.Configuration{
 		Version: 1, Pools: []work.Pool{{Name: "desk"}},
-		Queues: []work.Queue{{Name: "q", Domain: "d", Prefix: "/q/", Pool: "desk", Attempts: 2, Stretch: 1.6, SlackMS: 600}},
+		Queues: []work.Queue{
+			{Name: "q", Domain: "d", Prefix: "/q/", Pool: "desk", Attempts: 2, Stretch: 1.6, SlackMS: 600},
+			{Name: "patient", Domain: "d", Prefix: "/patient/", Pool: "desk", Priority: 1, Attempts: 2, Stretch: 1.6, SlackMS: 600},
+		},
 	}})
-	for i := range simHosts {
+	for i := range hosts {
 		n := strconv.Itoa(i)
-		p.do(&work.Command{Register: &work.Target{
-			ID: n, Born: 1, Host: n, Pool: "desk", Address: n, Resources: work.Demand{MilliCPU: simSlots * 1000},
-		}})
+		p.do(&work.Command{Register: &work.Target{ID: n, Born: 1, Host: n, Pool: "desk", Address: n, Resources: resources}})
 	}
 	return p
 }
@@ -61,9 +93,24 @@
 	return result
 }
 
-// tick submits jobs, ends the runs whose duration has passed, and starts what is
-// planned. Every third task takes 1.4 times the expected duration, the others 0.8
-// times.
+// submit hands in a job.
+func (p *simulatedPool) submit(id, path string, steps ...work.Step) {
+	GinkgoHelper()
+	p.do(&work.Command{Submit: &work.Submission{ID: id, Domain: "d", Path: path, Spec: work.Spec{Steps: steps}}})
+}
+
+// startedOn returns the target on which the first task of a job runs, empty if it has not
+// started.
+func (p *simulatedPool) startedOn(id string) (target string) {
+	p.stateMachine.Read(func(v *work.View) {
+		if j := v.Live[id]; j != nil {
+			target = j.Tasks[0].Target
+		}
+	})
+	return target
+}
+
+// tick submits jobs, and advances the time.
 func (p *simulatedPool) tick(jobs int) {
 	GinkgoHelper()
 	p.nowMS += simTickMS
@@ -71,10 +118,14 @@
 		p.jobs++
 		second := step(4, 1000)
 		second.After = []int{0}
-		p.do(&work.Command{Submit: &work.Submission{
-			ID: strconv.Itoa(p.jobs), Domain: "d", Path: "/q/", Spec: work.Spec{Steps: []work.Step{step(4, 1000), second}},
-		}})
+		p.submit(strconv.Itoa(p.jobs), "/q/", step(4, 1000), second)
 	}
+	p.run()
+}
+
+// run ends the runs whose duration has passed, and starts what is planned.
+func (p *simulatedPool) run() {
+	GinkgoHelper()
 	reports := map[string]*work.Report{}
 	p.stateMachine.Read(func(v *work.View) {
 		for r, at := range p.ends {
@@ -94,24 +145,25 @@
 		p.do(&work.Command{Reports: []work.Report{*r}})
 	}
 	if starts := p.plan(); len(starts) > 0 {
-		for i, s := range p.do(&work.Command{Start: starts}).Started {
-			took := int64(simTaskMS * 8 / 10)
-			if i%3 == 0 {
-				took = simTaskMS * 14 / 10
-			}
-			p.ends[work.RunRef{Task: s.Task, Run: s.Run}] = p.nowMS + took
+		started := p.do(&work.Command{Start: starts}).Started
+		Expect(started).To(HaveLen(len(starts)), "the rules allow all planned starts")
+		for i, s := range started {
+			p.ends[work.RunRef{Task: s.Task, Run: s.Run}] = p.nowMS + p.took(i, s)
 		}
 	}
 }
 
 func (p *simulatedPool) plan() (starts []work.Start) {
 	p.stateMachine.Read(func(v *work.View) {
+		var hosts []*schedule.Host
 		r := &schedule.Request{
-			NowMS: p.nowMS, MaxStarts: 1000, Duration: func(*work.Job, int) int64 { return simTaskMS },
-			Capacity: func(string) int64 { return simHosts * simSlots * 1000 },
-			Hosts: func(string) (hosts []*schedule.Host) {
+			NowMS: p.nowMS, MaxStarts: 1000, Duration: p.duration,
+			Capacity: func(string) int64 { return p.capacity },
+			Hosts: func(string) []*schedule.Host {
 				for _, t := range v.Targets {
-					hosts = append(hosts, &schedule.Host{Target: t, Free: v.Free(t)})
+					if !p.away[t.Host] {
+						hosts = append(hosts, &schedule.Host{Target: t, Free: v.Free(t)})
+					}
 				}
 				return hosts
 			},
@@ -122,8 +174,16 @@
 		if p.accounts != nil {
 			r.Accounts = p.accounts(v)
 		}
+		r.MaxKept, r.Held, r.BlockedBefore = p.maxKept, p.kept, p.blockedSince
+		if p.adjust != nil {
+			p.adjust(r)
+		}
 		starts = schedule.Plan(r)
-		p.backlogs = r.Backlogs
+		p.kept, p.blockedSince, p.backlogs = r.Kept, r.BlockedSince, r.Backlogs
+		p.counts.Add(r.PlaceCounts)
+		if p.check != nil {
+			p.check(r, hosts, starts)
+		}
 	})
 	return starts
 }
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -28,6 +28,10 @@
 	SetAside bool
 	// AwaitsMaintenance is set if the host will be emptied for a wave.
 	AwaitsMaintenance bool
+	// ends holds the expected ends of the runs on the host, and kept the place that it keeps
+	// for a step.
+	ends []runEnd
+	kept *place
 }
 
 // add accounts for one more task of a step, or one less if n is -1.
@@ -118,6 +122,22 @@
 	Capacity func(pool string) int64
 	// Duration returns the expected duration in ms of a task of a step.
 	Duration func(j *work.Job, step int) int64
+
+	// MaxKept bounds the places that a pool keeps for tasks which no host has room for. If it
+	// is 0, none is kept. The members of a gang may have more, if they are the first.
+	MaxKept int
+	// Held is what the last plan kept, and Kept is set by Plan to what this one keeps.
+	Held, Kept []Kept
+	// BlockedBefore is the BlockedSince of the last plan, and BlockedSince is set by Plan to
+	// since when the most urgent steps without room have waited, in Unix ms.
+	BlockedBefore, BlockedSince map[work.TaskRef]int64
+	// PlaceCounts is set by Plan.
+	PlaceCounts PlaceCounts
+	// stillBlocked holds the steps that may have a place.
+	stillBlocked map[work.TaskRef]*blockedStep
+	// hostOrder and jobOrder are compared with the orders of hosts and of equally urgent jobs.
+	hostOrder func(s *work.Step, a, b *Host) bool
+	jobOrder  func(a, b *urgency) int
 }
 
 // urgency determines the order in which jobs are served.
@@ -176,11 +196,13 @@
 	r.pools, r.MissingHosts, r.MissingLongLived = map[string]*pool{}, map[string]int{}, map[string]int{}
 	r.MissingNeeds, r.MissingShortNeeds = map[string][]Need{}, map[string][]Need{}
 	r.Backlogs = map[string]Backlog{}
+	r.Kept, r.PlaceCounts = nil, PlaceCounts{}
+	r.BlockedSince, r.stillBlocked = map[work.TaskRef]int64{}, map[work.TaskRef]*blockedStep{}
 	r.postpone(order)
 	r.addBacklog(order)
 	slices.SortFunc(order, func(a, b urgency) int {
 		return cmp.Or(cmp.Compare(a.priority, b.priority), compareBool(a.job.BeyondAllowance, b.job.BeyondAllowance),
-			cmp.Compare(a.rank, b.rank), cmp.Compare(a.sortKey(), b.sortKey()), cmp.Compare(a.job.Sequence, b.job.Sequence))
+			cmp.Compare(a.rank, b.rank), r.compareJobs(&a, &b), cmp.Compare(a.sortKey(), b.sortKey()), cmp.Compare(a.job.Sequence, b.job.Sequence))
 	})
 	var starts []work.Start
 	for _, u := range order {
@@ -189,6 +211,7 @@
 			break
 		}
 	}
+	r.carryOver()
 	return starts[:min(len(starts), max(r.MaxStarts, r.gangEnd))]
 }
 
@@ -205,6 +228,15 @@
 	// gangHosts holds the idle hosts on which a part of a gang has a place. They are needed
 	// beside the missing ones, although nothing starts on them yet.
 	gangHosts map[*Host]bool
+	// blockedSteps is the number of noted steps without a host. blocked holds those that may
+	// have a place and have none yet, places is the number of hosts that keep one, and heldBack
+	// holds demands that only these hosts have room for.
+	blockedSteps int
+	blocked      []blockedStep
+	places       int
+	heldBack     []heldBack
+	// endsNoted is set once the expected ends of the runs are known.
+	endsNoted bool
 }
 
 // maxFull bounds the length of pool.full. The jobs of a queue have similar demands.
@@ -334,14 +366,24 @@
 		if may == 0 {
 			break
 		}
-		h := r.chooseHost(j, t, s, need, placed)
+		h, heldBack := r.chooseHost(j, t, s, need, placed)
+		if h != nil && !s.LongLived && r.keepPlaces(j.Pool) {
+			h, heldBack = r.chooseHost(j, t, s, need, placed)
+		}
 		if h == nil {
+			if i+may == len(tasks) || !s.Gang {
+				r.block(j, tasks[i:i+may], placed)
+			}
+			if heldBack {
+				r.PlaceCounts.HeldBack++
+				break
+			}
 			if s.LongLived || (!j.Active() && (s.Gang || !r.isInDemand(j.Pool, need))) {
 				r.addMissingHosts(j, s, r.withoutAwaitingPermit(j, s, tasks[i:i+may], placed), used)
 			}
 			break // the other tasks have the same needs
 		}
-		h.add(s, 1)
+		r.start(h, j, s, step)
 		owner.Add(s, 1)
 		placed[h]++
 		used = append(used, h)
@@ -351,12 +393,15 @@
 	if s.Gang && (r.full || len(chosen) < s.Tasks) {
 		// An incomplete gang would only wait.
 		for _, h := range used {
-			h.add(s, -1)
+			r.undo(h, j, s, step)
 			owner.Add(s, -1)
 		}
 		r.poolOf(j.Pool).full = nil
 		return starts
 	}
+	if len(chosen) > 0 {
+		r.countStarts(chosen[0].Task, used)
+	}
 	if starts = append(starts, chosen...); s.Gang {
 		r.gangEnd = len(starts)
 	}
@@ -371,18 +416,24 @@
 
 // chooseHost returns the host for a task: if possible one on which it has not failed;
 // then one with few failures, in the rack of its data, and with the least free CPU that
-// suffices, so that other hosts become idle.
-func (r *Request) chooseHost(j *work.Job, t *work.Task, s *work.Step, need work.Demand, placed map[*Host]int) *Host {
+// suffices, so that other hosts become idle. heldBack is set if only hosts that keep places for
+// other tasks could take it.
+func (r *Request) chooseHost(j *work.Job, t *work.Task, s *work.Step, need work.Demand, placed map[*Host]int) (host *Host, heldBack bool) {
 	p := r.poolOf(j.Pool)
 	if p.isFull(need) {
-		return nil
+		return nil, false
+	}
+	endMS := r.backfillEnd(p, j, s, t.Step)
+	if p.isHeldBack(need, endMS) {
+		return nil, true
 	}
 	permitted := func(h *Host) bool { return r.Permitted == nil || r.Permitted(j, t, h.Target, p.hosts) }
 	// failed is the host on which the task last failed, lastResort one that it should not take.
 	var best, failed, lastResort *Host
-	fits, open := false, 0
+	fits, mayFit, open := false, false, 0
 	for _, h := range p.hosts {
-		fits = fits || need.Within(h.Free)
+		inRoom, kept := need.Within(h.Free), h.holdsBack(need, endMS)
+		fits, mayFit = fits || inRoom, mayFit || (inRoom && !kept)
 		if !h.SetAside {
 			open++
 		}
@@ -394,105 +445,26 @@
 				lastResort = h
 			}
 		case obstacle != "":
+		case kept:
+			heldBack = true
 		case t.FailedOn != "" && h.Target.Host == t.FailedOn:
 			failed = h
-		case (best == nil || fitsBetter(s, h, best)) && permitted(h):
+		case (best == nil || r.isBetter(s, h, best)) && permitted(h):
 			best = h
 		}
 	}
 	if !fits && len(p.full) < maxFull {
 		p.full = append(p.full, need)
 	}
-	if best == nil && failed != nil && permitted(failed) &&
-		(open == 1 || failed.Penalty == 0 || r.NowMS-t.StartedMS >= failedHostPauseMS) {
-		return failed
-	}
-	if best == nil && lastResort != nil && r.MayUseLastResort != nil && r.MayUseLastResort(j, t) {
-		return lastResort
+	if fits && !mayFit {
+		p.noteHeldBack(need, endMS)
 	}
-	return best
-}
-
-// Obstacle is why a host cannot take a task, empty if it can.
-type Obstacle string
-
-// Obstacles to placing a task on a host.
-const (
-	NoCPU    Obstacle = "no CPU"
-	NoMemory Obstacle = "no memory"
-	NoGPU    Obstacle = "no GPU"
-	NoLabel  Obstacle = "no label"
-	// ServingWork: fill-in work would disturb the serving tasks of the host, and has to be
-	// paced beside them.
-	ServingWork Obstacle = "serving work"
-	// FillInCPU: fill-in work would disturb a serving task, or would exceed the free
-	// CPU.
-	FillInCPU Obstacle = "fill-in work"
-	// StepLimit: the host has as many tasks of the step as the step allows.
-	StepLimit Obstacle = "most of the step"
-	// SetAside: several runs have failed on the host. Short tasks do not take it at all, since
-	// their attempts are limited.
-	SetAside Obstacle = "set aside"
-)
-
-// Obstacle returns why the host cannot take a task of a step. placed is how many tasks
-// of the step the plan has already placed there.
-func (h *Host) Obstacle(j *work.Job, t *work.Task, s *work.Step, placed int) Obstacle {
-	need := s.Reserved()
 	switch {
-	case need.MilliCPU > h.Free.MilliCPU:
-		return NoCPU
-	case need.MemoryMB > h.Free.MemoryMB:
-		return NoMemory
-	case need.GPUs > h.Free.GPUs:
-		return NoGPU
-	case s.Label != "" && !slices.Contains(h.Target.Labels, s.Label):
-		return NoLabel
-	case s.MaxPerHost > 0 && placed+h.Target.RunsOfStep(j.ID, t.Occurrence, t.Step) >= s.MaxPerHost:
-		return StepLimit
-	case s.FillIn && h.HasServing:
-		return ServingWork
-	case s.FillIn && h.FillInCPU+s.Demand.MilliCPU > h.Free.MilliCPU, !s.FillIn && s.TailLatencyTargetMS > 0 && h.FillInCPU > 0:
-		return FillInCPU
-	case h.SetAside:
-		return SetAside
-	}
-	return ""
-}
-
-// IsPreference reports whether the host can take the task, but should do so only if no other
-// can: what runs there would disturb the task or be disturbed by it, or other runs have failed
-// there.
-func (o Obstacle) IsPreference() bool { return o == ServingWork || o == FillInCPU || o == SetAside }
-
-// isBetterLastResort reports whether host a is better than b for a task that no host without an obstacle
-// takes.
-func isBetterLastResort(s *work.Step, a, b *Host) bool {
-	if a.SetAside != b.SetAside {
-		return b.SetAside
-	}
-	if s.FillIn && a.HasServing != b.HasServing {
-		return b.HasServing
-	}
-	if a.FillInCPU != b.FillInCPU {
-		return a.FillInCPU < b.FillInCPU
-	}
-	return fitsBetter(s, a, b)
-}
-
-// fitsBetter reports whether host a suits a task of a step better than b.
-func fitsBetter(s *work.Step, a, b *Host) bool {
-	if a.Penalty != b.Penalty {
-		return a.Penalty < b.Penalty
-	}
-	if s.LongLived && a.AwaitsMaintenance != b.AwaitsMaintenance {
-		return b.AwaitsMaintenance
-	}
-	if s.DataRack != "" && (a.Target.Rack == s.DataRack) != (b.Target.Rack == s.DataRack) {
-		return a.Target.Rack == s.DataRack
-	}
-	if a.Free.MilliCPU != b.Free.MilliCPU {
-		return a.Free.MilliCPU < b.Free.MilliCPU
+	case best != nil:
+	case failed != nil && permitted(failed) && (open == 1 || failed.Penalty == 0 || r.NowMS-t.StartedMS >= failedHostPauseMS):
+		best = failed
+	case lastResort != nil && r.MayUseLastResort != nil && r.MayUseLastResort(j, t):
+		best = lastResort
 	}
-	return a.Target.ID < b.Target.ID
+	return best, heldBack && best == nil
 }
