--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -115,7 +115,6 @@
 	Accounts map[string]*Account
 	// Backlogs is set by Plan to the backlogs of the pools that have jobs which can be in time.
 	Backlogs map[string]Backlog
-	Backlog  map[string]float64
 
 	// Capacity returns the CPU that a pool can get, in thousandths of a core: that of
 	// its hosts and of those that other pools do not need.
--- a/internal/work/customers.go
+++ b/internal/work/customers.go
@@ -49,7 +49,7 @@
 		switch {
 		case owner.Name == "" || names[owner.Name]:
 			return &fault.Invalid{Field: "customer " + strconv.Itoa(i), Reason: "name is missing or not unique"}
-		case !(owner.Weight >= 0 && owner.Weight <= maxWeight):
+		case !(owner.Weight >= 0 && owner.Weight <= MaxWeight):
 			return &fault.Invalid{Field: "weight of customer " + strconv.Itoa(i), Reason: "out of range"}
 		case min(owner.Limit.MilliCPU, owner.Limit.MemoryMB, owner.Limit.GPUs) < 0:
 			return &fault.Invalid{Field: "limit of customer " + strconv.Itoa(i), Reason: "is negative"}
@@ -70,8 +70,8 @@
 }
 
 const (
-	// maxWeight bounds Customer.Weight. It is far beyond the jobs per second of any region.
-	maxWeight = 1e9
+	// MaxWeight bounds Customer.Weight. It is far beyond the jobs per second of any region.
+	MaxWeight = 1e9
 	// maxLimit bounds each resource of a customer's limit, so that sums do not overflow.
 	maxLimit = 1 << 53
 )
