schedule: tell of kept places in explanations

A host that keeps a place for others seemed to have room, and the place of a job that waits was not told. An explanation now copies the places that the hosts keep at the end of the job's turn, names such hosts with their reason, and lists the pool's places with host, tasks, when they come free, how late that is and how many earlier ones were given up, those of the job first.

Tests of schedule, leader and ctl pass; the new spec fails without the reason, without the list and without the copy of the places.

--- a/internal/ctl/link_test.go
+++ b/internal/ctl/link_test.go
@@ -50,7 +50,9 @@
 	x := &leader.Explanation{
 		Job: q.Job, Accepted: q.Job != "", Queue: "lessons", Pool: "desk", ExpectedMS: 2600, ObjectiveMS: 5200, BacklogMS: 7300,
 		PolicyNotAsked: q.Job == "",
-		Plan:           schedule.Explanation{Status: "postponed", Ahead: 12, StartsAhead: 40},
+		Plan: schedule.Explanation{Status: "postponed", Ahead: 12, StartsAhead: 40, Places: []schedule.KeptPlace{
+			{Job: "j1", Host: "d-3", Tasks: 1, FreeInMS: 1250, LateMS: 40}, {Job: "j0", Step: 2, Host: "d-10", Tasks: 3, Moves: 2},
+		}},
 		Excluded: []schedule.HostGroup{
 			{Reason: "belongs to pool checks", Count: 30, Hosts: []string{"c-1", "c-2", "c-3", "c-4", "c-5"}},
 			{Reason: "silent", Count: 1, Hosts: []string{"d-7\x1b[31m"}},
--- a/internal/ctl/placement.go
+++ b/internal/ctl/placement.go
@@ -225,6 +225,20 @@
 	for i := range p.Excluded {
 		hostGroupRow(t, "all", &p.Excluded[i])
 	}
+	placeRows(t, p.Plan.Places)
+}
+
+// placeRows lists the places that the pool keeps.
+func placeRows(t *tableWriter, places []schedule.KeptPlace) {
+	if len(places) == 0 {
+		return
+	}
+	t.rows = append(t.rows, "")
+	t.row("PLACE KEPT FOR", "STEP", "TASKS", "HOST", "FREE IN", "LATE BY", "MOVED")
+	for i := range places {
+		k := &places[i]
+		t.row(k.Job, k.Step, k.Tasks, k.Host, formatMillis(k.FreeInMS), formatMillis(k.LateMS), k.Moves)
+	}
 }
 
 func hostGroupRow(t *tableWriter, step string, g *schedule.HostGroup) {
--- a/internal/leader/export_test.go
+++ b/internal/leader/export_test.go
@@ -52,5 +52,5 @@
 	}
 	return fmt.Sprint(l.fences, l.estimates, l.arrivals, l.missingHosts, l.starved, l.beginsReported, l.interference, l.waitingSteps,
 		l.admissions.backlogs, l.admissions.pending, refused, permits, len(l.permits.queries.Items()), len(l.sessions), orders,
-		len(l.statuses), hosts, l.fleet.away, l.fleet.awayAt, l.fleet.attainableCPU, l.fleet.supplies, l.fleet.tokensIssued, l.uploads.Load())
+		len(l.statuses), hosts, l.fleet.away, l.fleet.awayAt, l.fleet.attainableCPU, l.fleet.supplies, l.fleet.tokensIssued, l.places, l.uploads.Load())
 }
--- a/internal/schedule/explain.go
+++ b/internal/schedule/explain.go
@@ -13,6 +13,8 @@
 	maxExplainedSteps = 32
 	// maxNamedHosts bounds the names in a group of hosts.
 	maxNamedHosts = 20
+	// maxNamedPlaces bounds the kept places that are named.
+	maxNamedPlaces = 20
 )
 
 // Explanation tells what a plan does with one job, and why.
@@ -27,6 +29,23 @@
 	// that are left out.
 	Steps     []StepExplanation `cbor:"4,keyasint" json:"steps"`
 	MoreSteps int               `cbor:"5,keyasint,omitempty" json:"more_steps,omitempty"`
+	// Places are those that the pool keeps for tasks that no host has room for, those of the job
+	// first.
+	Places []KeptPlace `cbor:"6,keyasint,omitempty" json:"places,omitempty"`
+}
+
+// KeptPlace is a place that a pool keeps on a host for tasks of a step.
+type KeptPlace struct {
+	Job   string `cbor:"1,keyasint" json:"job"`
+	Step  int    `cbor:"2,keyasint" json:"step"`
+	Host  string `cbor:"3,keyasint" json:"host"`
+	Tasks int    `cbor:"4,keyasint" json:"tasks"`
+	// FreeInMS is when the host is expected to have room, from now, and LateMS how much later
+	// that is than when the place was first kept.
+	FreeInMS int64 `cbor:"5,keyasint,omitempty" json:"free_in_ms"`
+	LateMS   int64 `cbor:"6,keyasint,omitempty" json:"late_ms"`
+	// Moves is how many earlier places of the step did not come free in time.
+	Moves int `cbor:"7,keyasint,omitempty" json:"moves"`
 }
 
 // StepExplanation tells where the tasks of a step would start.
@@ -76,6 +95,7 @@
 	WaitsForPlan   WaitReason = "the plan is full: other starts go first"
 	WaitsForRoom   WaitReason = "no host takes it"
 	WaitsForAll    WaitReason = "no hosts for all members of the gang at the same time"
+	WaitsForPlaces WaitReason = "hosts with room keep places for other tasks"
 	WaitsForPolicy WaitReason = "the policy service has permitted no host yet"
 )
 
@@ -83,6 +103,7 @@
 const (
 	ReasonSuitsLess    = "has room, others suit better"
 	ReasonHasRoom      = "has room"
+	ReasonKeepsPlace   = "keeps a place for other tasks"
 	ReasonFailedThere  = "a run of the task failed there"
 	ReasonDenied       = "denied by the policy service"
 	ReasonNotPermitted = "not permitted by the policy service yet"
@@ -97,7 +118,8 @@
 	job *work.Job
 	out *Explanation
 	// hosts are copies of the pool's hosts, and account one of the customer's account, as they
-	// were when it was the job's turn.
+	// were when it was the job's turn. The places that the hosts keep are those of its end, since
+	// they are found when a task is about to take a host.
 	hosts   []Host
 	account *Account
 	seen    bool
@@ -119,6 +141,7 @@
 		e.out.Status, e.out.StartsAhead = statusNames[r.rank(j).rank], len(starts)
 	}
 	e.explainSteps(r, starts)
+	e.explainPlaces(r)
 	return e.out
 }
 
@@ -135,10 +158,43 @@
 	}
 }
 
+// afterJob is called when a plan has served a job.
+func (e *explaining) afterJob(r *Request, j *work.Job) {
+	if e == nil || j != e.job {
+		return
+	}
+	for i, h := range r.poolOf(j.Pool).hosts {
+		if h.kept != nil {
+			kept := *h.kept
+			e.hosts[i].kept = &kept
+		}
+	}
+}
+
+// explainPlaces names the places that the job's pool keeps.
+func (e *explaining) explainPlaces(r *Request) {
+	pools := map[string]string{}
+	for _, j := range r.Jobs {
+		pools[j.ID] = j.Pool
+	}
+	for _, k := range r.Kept {
+		if pools[k.Job] != e.job.Pool {
+			continue
+		}
+		e.out.Places = append(e.out.Places, KeptPlace{
+			Job: k.Job, Step: k.Step, Host: k.Host, Tasks: k.Tasks, Moves: k.Moves,
+			FreeInMS: max(0, k.FreeAtMS-r.NowMS), LateMS: max(0, k.FreeAtMS-k.PromisedMS),
+		})
+	}
+	slices.SortStableFunc(e.out.Places, func(a, b KeptPlace) int { return compareBool(a.Job != e.job.ID, b.Job != e.job.ID) })
+	e.out.Places = e.out.Places[:min(len(e.out.Places), maxNamedPlaces)]
+}
+
 // note copies the state of the plan.
 func (e *explaining) note(r *Request) {
 	for _, h := range r.poolOf(e.job.Pool).hosts {
 		e.hosts = append(e.hosts, *h)
+		e.hosts[len(e.hosts)-1].kept = nil
 	}
 	if a := r.account(e.job); a != nil {
 		e.account = &Account{Weight: a.Weight, Limit: a.Limit, Used: a.Used}
@@ -232,9 +288,10 @@
 	if s.Gang {
 		least = s.Tasks
 	}
-	hasRoom, unasked := false, false
+	hasRoom, keepsPlace, unasked := false, false, false
 	for _, g := range x.Hosts {
 		hasRoom = hasRoom || g.Reason == ReasonHasRoom
+		keepsPlace = keepsPlace || g.Reason == ReasonKeepsPlace
 		unasked = unasked || g.Reason == ReasonNotPermitted
 	}
 	switch {
@@ -244,6 +301,8 @@
 		return WaitsForPlan
 	case hasRoom && s.Gang:
 		return WaitsForAll
+	case !hasRoom && keepsPlace:
+		return WaitsForPlaces
 	case !hasRoom && unasked:
 		return WaitsForPolicy
 	}
@@ -273,6 +332,8 @@
 	switch obstacle := h.Obstacle(e.job, t, s, 0); {
 	case obstacle != "":
 		return string(obstacle)
+	case h.holdsBack(s.Reserved(), r.backfillEnd(r.poolOf(e.job.Pool), e.job, s, t.Step)):
+		return ReasonKeepsPlace
 	case t.FailedOn != "" && h.Target.Host == t.FailedOn:
 		return ReasonFailedThere
 	case r.Denied != nil && r.Denied(e.job, t, h.Target):
--- a/internal/schedule/explain_test.go
+++ b/internal/schedule/explain_test.go
@@ -220,6 +220,39 @@
 		Entry("behind a plan that ends with its own tasks", func(e *explained) { e.MaxStarts = 1 }, step(2, 1000), schedule.WaitsForPlan),
 	)
 
+	It("names the places that are kept, and the hosts that keep them for others", func() {
+		// Guards, with a large task that has waited for long beside small ones, against a host
+		// that seems to have room while it keeps a place, and against a place that is not told.
+		p := poolWithBlockedTask(2000, "/q/", 6000)
+		p.advance(simTickMS)
+		p.submit("short", "/patient/", timed(1, 1000, 100))
+		p.submit("long", "/patient/", timed(1, 3000, 9000))
+		var asked map[string]*schedule.Explanation
+		p.adjust = func(r *schedule.Request) {
+			asked = map[string]*schedule.Explanation{}
+			hosts := r.Hosts("desk")
+			r.Hosts = func(string) (copies []*schedule.Host) {
+				for _, h := range hosts {
+					c := *h
+					copies = append(copies, &c)
+				}
+				return copies
+			}
+			for _, j := range r.Jobs {
+				other := *r
+				asked[j.ID] = schedule.Explain(&other, j)
+			}
+		}
+		p.advance(simTickMS)
+		place := And(HaveField("Job", "large"), HaveField("Tasks", 1), HaveField("FreeInMS", BeNumerically(">", 0)))
+		Expect(asked["large"].Places).To(ConsistOf(place))
+		Expect(asked["large"].Steps[0].Why).To(Equal(schedule.WaitsForRoom))
+		Expect(asked["short"].Steps[0].Waiting).To(BeZero())
+		Expect(asked["long"].Places).To(ConsistOf(place))
+		Expect(asked["long"].Steps[0].Why).To(Equal(schedule.WaitsForPlaces))
+		Expect(ruledOut(&asked["long"].Steps[0])).To(HaveKey(schedule.ReasonKeepsPlace))
+	})
+
 	It("bounds what it names", func() {
 		// Guards, with 2,000 hosts and 100 steps, against an answer that grows with them.
 		steps := make([]work.Step, 100)
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -209,6 +209,7 @@
 	for _, u := range order {
 		r.explaining.beforeJob(r, &u, len(starts))
 		starts = r.planJob(u.job, starts)
+		r.explaining.afterJob(r, u.job)
 		if r.full || len(starts) >= r.MaxStarts {
 			break
 		}
