--- a/internal/ctl/customers.go
+++ b/internal/ctl/customers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 
@@ -52,7 +53,7 @@
 		if c.Limit != (work.Demand{}) {
 			limit = formatLimit(c.Limit)
 		}
-		t.row(name, c.Keys, c.Weight, limit, formatDemand(c.Running), c.Waiting, c.Refused.Sum(), refusalSummary(&c.Refused))
+		t.row(name, c.Keys, formatWeight(c.Weight), limit, formatDemand(c.Running), c.Waiting, c.Refused.Sum(), refusalSummary(&c.Refused))
 	}
 }
 
@@ -80,6 +81,12 @@
 	return strings.Join(parts, ", ")
 }
 
+// formatWeight formats a weight, or a sum of weights without its rounding errors.
+func formatWeight(w float64) string {
+	const digits = 1e6
+	return strconv.FormatFloat(math.Round(w*digits)/digits, 'f', -1, 64)
+}
+
 // formatCPU formats thousandths of a core as cores.
 func formatCPU(millis int64) string {
 	return strconv.FormatFloat(float64(millis)/1000, 'f', -1, 64)
--- a/internal/ctl/link_test.go
+++ b/internal/ctl/link_test.go
@@ -31,7 +31,7 @@
 			Running: work.Demand{MilliCPU: 12_500, MemoryMB: 4096, GPUs: 1}, Waiting: 3,
 			Refused: leader.Refusals{BeyondAllowance: 17, NeverFits: 1},
 		},
-		{Name: "bob\x1b[31m", Keys: 1, Weight: 1},
+		{Name: "bob\x1b[31m", Keys: 1, Weight: 1_000_000},
 		{Name: "eve", Removed: true, Running: work.Demand{MilliCPU: 1000, MemoryMB: 100}},
 	}}, nil
 }
--- a/internal/ctl/placement.go
+++ b/internal/ctl/placement.go
@@ -185,7 +185,7 @@
 		if s.BeyondAllowance {
 			allowance = "beyond its allowance"
 		}
-		line("customer", "%s, weight %v of %v, runs %s of %s CPU in the pool", s.Customer, s.Weight, s.PoolWeight,
+		line("customer", "%s, weight %s of %s, runs %s of %s CPU in the pool", s.Customer, formatWeight(s.Weight), formatWeight(s.PoolWeight),
 			formatCPU(s.MilliCPU), formatCPU(s.PoolMilliCPU))
 		line("", "%s in all, %s, %s", formatDemand(s.Running), limit, allowance)
 	}
