guard: close no connection for a request that is refused

Cause: a request without room had connections closed one by one before it was known whether that suffices. A small document that would hold more than the share (many brackets) closed all unfinished bodies of its address, and was refused. The platform forwards all callers from one address.

Change: evictions are taken back if they do not make enough room.

Result: TestRefusedRequestsCloseNone fails before (one connection closed) and passes now.

--- a/internal/guard/table.go
+++ b/internal/guard/table.go
@@ -82,12 +82,14 @@
 }
 
 // hold adds bytes to what a connection holds. If there is no room, it returns the connections
-// to close for it, or reports that this one is to be refused.
+// to close for it, or reports that this one is to be refused. It closes none for one that it
+// refuses.
 func (t *table) hold(h *holder, bytes int64) (victims []*holder, ok bool) {
 	if h.evicted {
 		return nil, false
 	}
 	own := t.addresses[h.address].bytes + bytes
+	var taken []int64
 	for t.bytes+bytes > t.share.MaxBytes {
 		if t.bytes == h.bytes && t.bytes+bytes <= aloneFactor*t.share.MaxBytes {
 			break
@@ -97,10 +99,13 @@
 			return n, c.bytes > 0 && (n >= own || c.address == h.address)
 		})
 		if victim == nil {
-			return victims, false
+			for i, v := range victims {
+				t.restore(v, taken[i])
+			}
+			return nil, false
 		}
+		victims, taken = append(victims, victim), append(taken, victim.bytes)
 		t.evict(victim)
-		victims = append(victims, victim)
 	}
 	t.add(h, 0, bytes)
 	return victims, true
@@ -141,6 +146,13 @@
 	t.add(h, -1, -h.bytes)
 }
 
+// restore takes back an eviction, and returns to a connection what it held.
+func (t *table) restore(h *holder, bytes int64) {
+	h.evicted = false
+	t.closing--
+	t.add(h, 1, bytes)
+}
+
 // add changes what the connections of an address use.
 func (t *table) add(h *holder, connections int, bytes int64) {
 	h.bytes += bytes
--- a/internal/guard/table_test.go
+++ b/internal/guard/table_test.go
@@ -123,6 +123,25 @@
 	}
 }
 
+// The load: a small document that would hold more than all may, while others are sent. It is
+// refused, and closes none of them.
+func TestRefusedRequestsCloseNone(t *testing.T) {
+	tab := newTable(Share{MaxConnections: 10, MaxBytes: 100})
+	hostile, _ := connect(t, tab, "a", serving, at(0))
+	busy, _ := connect(t, tab, "a", serving, at(0))
+	calm, _ := connect(t, tab, "a", readingBody, at(1))
+	tab.hold(busy, 10)
+	tab.hold(calm, 10)
+	for _, bytes := range []int64{95, 1000} {
+		if victims, ok := tab.hold(hostile, bytes); ok || len(victims) != 0 || calm.evicted {
+			t.Errorf("%d bytes: admitted %t, closed %v, want a refusal", bytes, ok, victims)
+		}
+	}
+	if tab.bytes != 20 || tab.closing != 0 || tab.addresses["a"] != (usage{connections: 3, bytes: 20}) {
+		t.Errorf("%d bytes held, %d closing, %+v", tab.bytes, tab.closing, tab.addresses)
+	}
+}
+
 // The load: what was read completely and waits for an answer. It is not closed for others.
 func TestWhatIsServedKeepsItsRoom(t *testing.T) {
 	tab := newTable(Share{MaxConnections: 10, MaxBytes: 100})
