guard: answer without the body that a client offers, and run nothing after an eviction

Cause: the body of the server's own request was replaced, so that the server no longer knew that the client waits for 100 Continue, and read the body before it sent an answer that did not need it: the answer came when the body timed out. The invitation to send a body also counted as an answer, so that such silent clients were closed after all others that hold bodies. A request whose connection was closed for others just as its body ended was carried out, and its answer lost.

Change: the handler gets a copy of the request. A connection whose body is not read stays in that phase while something is sent. The end of a body, or a request without one, on a connection that was chosen to be closed is an error.

--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -67,7 +67,7 @@
 
 // Write implements net.Conn. A client that does not read keeps it waiting.
 func (c *conn) Write(p []byte) (int, error) {
-	c.guard.move(c, answering)
+	c.guard.answer(c)
 	return c.Conn.Write(p)
 }
 
--- a/internal/guard/handler.go
+++ b/internal/guard/handler.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 
@@ -25,7 +26,10 @@
 		}
 		switch {
 		case length == 0:
-			g.move(c, serving)
+			if !g.move(c, serving) {
+				refuse(w, http.StatusServiceUnavailable)
+				return
+			}
 		case length > limit:
 			g.refused.count(reasonBody)
 			refuse(w, http.StatusRequestEntityTooLarge)
@@ -36,7 +40,11 @@
 				refuse(w, http.StatusServiceUnavailable)
 				return
 			}
-			r.Body = &body{ReadCloser: http.MaxBytesReader(w, r.Body, limit), conn: c}
+			// The server looks at its own request, so that an answer does not wait for a body
+			// for which the client has not been asked.
+			request := *r
+			request.Body = &body{ReadCloser: http.MaxBytesReader(w, r.Body, limit), conn: c}
+			r = &request
 		}
 		next.ServeHTTP(w, r)
 	})
@@ -54,6 +62,8 @@
 }
 
 // body is the body of a request. Its connection is not closed any more once it has been read.
+// The end of a body whose connection was closed before is not reported, so that no request is
+// carried out whose answer would be lost.
 type body struct {
 	io.ReadCloser
 	conn *conn
@@ -71,7 +81,9 @@
 	}
 	if errors.Is(err, io.EOF) && !b.read {
 		b.read = true
-		b.conn.guard.move(b.conn, serving)
+		if !b.conn.guard.move(b.conn, serving) {
+			return 0, net.ErrClosed
+		}
 	}
 	return n, err
 }
--- a/internal/guard/listener.go
+++ b/internal/guard/listener.go
@@ -149,13 +149,26 @@
 	return ok
 }
 
-// move sets the phase of a connection.
-func (g *guard) move(c *conn, to phase) {
+// move sets the phase of a connection, and reports whether the connection has not been chosen
+// to be closed.
+func (g *guard) move(c *conn, to phase) bool {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.table.move(&c.holder, to, now)
 	g.update()
+	return !c.holder.evicted
+}
+
+// answer notes that something is sent on a connection. While its body is not read, that is the
+// invitation to send it, or an answer that does not depend on it.
+func (g *guard) answer(c *conn) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.holder.phase != readingBody && c.holder.phase != answering {
+		g.table.move(&c.holder, answering, now)
+	}
 }
 
 func (g *guard) remove(c *conn) {
