guard: count what has been read of a body of unknown length

Cause: a body without a declared length counted as the longest that is permitted from its first byte. Where the operator permits long bodies, one client that had sent a byte held the whole share of the listener, and bodies of others were closed for it or refused.

Change: such a body counts 16 KiB at first and doubles as it is read. If there is no room, reading it fails with *fault.Unavailable, which the handlers answer with 503, and the connection ends without waiting for the rest.

Result: TestBodiesOfUnknownLength fails before, and with either half of the mechanism disabled, and passes now.

--- a/internal/guard/expect_test.go
+++ b/internal/guard/expect_test.go
@@ -1,13 +1,18 @@
 package guard_test
 
 import (
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"agatehaven.dev/agatehaven/internal/fault"
 	"agatehaven.dev/agatehaven/internal/guard"
 )
 
@@ -71,3 +76,44 @@
 		}
 	})
 }
+
+// The load: clients that begin bodies of unknown length and send little, where long bodies are
+// permitted. Each holds what it has sent, and those that send on are refused once there is no room.
+func TestBodiesOfUnknownLength(t *testing.T) {
+	const post = "POST / HTTP/1.1\r\nHost: a\r\n"
+	chunk := func(n int) string { return fmt.Sprintf("%x\r\n%s\r\n", n, strings.Repeat("a", n)) }
+	var release chan struct{}
+	run(t, guard.Share{MaxConnections: 100, MaxBytes: 1 << 20}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var unavailable *fault.Unavailable
+		n, err := io.Copy(io.Discard, r.Body)
+		if errors.As(err, &unavailable) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if n == 1_000_000 {
+			<-release
+		}
+		w.Header().Set("Bytes", strconv.FormatInt(n, 10))
+	}), func(h *host) {
+		h.limits.Store(&guard.Limits{MaxHeadBytes: 5000, MaxBodyBytes: 1 << 30, HeadTimeout: time.Second, IdleTimeout: time.Second})
+		release = make(chan struct{})
+		calm := h.connect()
+		calm.send(post + "Content-Length: 100\r\n\r\naaa")
+		silent := h.connect()
+		silent.send(post + "Transfer-Encoding: chunked\r\n\r\n" + chunk(1))
+		calm.expectOpen(true)
+		calm.send(strings.Repeat("a", 97))
+		calm.expect(http.StatusOK)
+		long := h.connect()
+		long.send(post + "Transfer-Encoding: chunked\r\n\r\n" + chunk(500_000) + "0\r\n\r\n")
+		if res := long.expect(http.StatusOK); res.header.Get("Bytes") != "500000" {
+			h.Errorf("answered %v", res.header)
+		}
+		busy := h.connect()
+		busy.send(post + "Content-Length: 1000000\r\n\r\n" + strings.Repeat("a", 1_000_000))
+		silent.send(chunk(100_000))
+		silent.expect(http.StatusServiceUnavailable)
+		close(release)
+		busy.expect(http.StatusOK)
+	})
+}
--- a/internal/guard/handler.go
+++ b/internal/guard/handler.go
@@ -20,9 +20,9 @@
 			return
 		}
 		limit := g.limits().MaxBodyBytes
-		length := r.ContentLength
-		if length < 0 {
-			length = limit
+		length, unknown := r.ContentLength, r.ContentLength < 0
+		if unknown {
+			length = min(limit, firstBodyBytes)
 		}
 		switch {
 		case length == 0:
@@ -43,13 +43,21 @@
 			// The server looks at its own request, so that an answer does not wait for a body
 			// for which the client has not been asked.
 			request := *r
-			request.Body = &body{ReadCloser: http.MaxBytesReader(w, r.Body, limit), conn: c}
+			held := &body{ReadCloser: http.MaxBytesReader(w, r.Body, limit), conn: c, header: w.Header()}
+			if unknown {
+				held.held, held.limit = length, limit
+			}
+			request.Body = held
 			r = &request
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// firstBodyBytes is what a body of unknown length holds at first. It holds more as it is read,
+// so that a client that sends little does not hold what the longest body needs.
+const firstBodyBytes = 16 << 10
+
 // refuse answers a request of which nothing has been carried out.
 func refuse(w http.ResponseWriter, status int) {
 	h := w.Header()
@@ -67,13 +75,26 @@
 type body struct {
 	io.ReadCloser
 	conn *conn
+	// header is that of the answer.
+	header http.Header
 	// read is set at its end, and tooLong once it has exceeded the limit.
 	read, tooLong bool
+	// bytes is what has been read, held what is held for it and limit the most that is; held is
+	// 0 for a body of a known length.
+	bytes, held, limit int64
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if b.bytes += int64(n); b.held > 0 && b.bytes > b.held {
+		more := max(min(2*b.held, b.limit), b.bytes) - b.held
+		if !b.conn.guard.hold(b.conn, more) {
+			b.header.Set("Connection", "close") // the answer does not wait for the rest
+			return 0, noRoom()
+		}
+		b.held += more
+	}
 	var tooLong *http.MaxBytesError
 	if errors.As(err, &tooLong) && !b.tooLong {
 		b.tooLong = true
@@ -102,5 +123,9 @@
 	if !ok || c.guard.hold(c, bytes) {
 		return nil
 	}
+	return noRoom()
+}
+
+func noRoom() error {
 	return &fault.Unavailable{What: "memory for the request", Reason: "other requests hold it"}
 }
