guard: finish answers that have just begun

Cause: among addresses, the one with most connections was closed first whatever its connections did. An answer to a busy address, such as one from which callers are forwarded, was cut off for a crowd of silent connections of many addresses, although its request had been carried out.

Change: a connection whose answer began less than a second ago is not closed for others. Slow readers are, as before, after that second.

Result: TestAnswersAreFinished fails before and passes now.

--- a/internal/guard/table.go
+++ b/internal/guard/table.go
@@ -43,6 +43,8 @@
 	holders   map[*holder]struct{}
 	addresses map[string]usage
 	bytes     int64
+	// now is the latest time that the table was told.
+	now time.Time
 	// closing is the number of holders that were evicted and have not ended yet.
 	closing int
 }
@@ -51,6 +53,10 @@
 // the share's connections. Beyond it new connections are refused, so that the total is bounded.
 const maxClosing = 8
 
+// answerGrace is how long an answer may take before its connection may be closed: an ordinary
+// client reads it at once, and its request has been carried out.
+const answerGrace = time.Second
+
 // aloneFactor is how many times a share's bytes a connection may hold while no other one holds
 // any.
 const aloneFactor = 3
@@ -62,6 +68,7 @@
 // admit adds a connection. If there is no room, it returns the connection to close for it, or
 // reports that the new one is to be refused.
 func (t *table) admit(h *holder) (victim *holder, ok bool) {
+	t.observe(h.since)
 	if len(t.holders)-t.closing >= t.share.MaxConnections {
 		if t.closing > t.share.MaxConnections/maxClosing {
 			return nil, false
@@ -117,7 +124,7 @@
 	var best *holder
 	var heaviest int64
 	for c := range t.holders {
-		if c == favoured || c.evicted || c.phase == serving {
+		if c == favoured || c.evicted || c.phase == serving || (c.phase == answering && t.now.Sub(c.since) < answerGrace) {
 			continue
 		}
 		weight, mayClose := weigh(c)
@@ -167,8 +174,16 @@
 	t.addresses[h.address] = u
 }
 
+// observe notes the time.
+func (t *table) observe(now time.Time) {
+	if now.After(t.now) {
+		t.now = now
+	}
+}
+
 // move sets the phase of a connection. An idle one holds nothing.
 func (t *table) move(h *holder, to phase, now time.Time) {
+	t.observe(now)
 	h.phase, h.since = to, now
 	if to == idle && !h.evicted {
 		t.add(h, 0, -h.bytes)
--- a/internal/guard/table_test.go
+++ b/internal/guard/table_test.go
@@ -169,6 +169,24 @@
 	}
 }
 
+// The load: a crowd of many addresses connects while an answer to a busier address is being
+// sent. The answer is finished, unless its client does not read it.
+func TestAnswersAreFinished(t *testing.T) {
+	tab := newTable(Share{MaxConnections: 4, MaxBytes: 100})
+	connect(t, tab, "busy", serving, at(10))
+	answer, _ := connect(t, tab, "busy", answering, at(10))
+	connect(t, tab, "crowd 1", readingHead, at(0))
+	connect(t, tab, "crowd 2", readingHead, at(1))
+	_, victim := connect(t, tab, "crowd 3", readingHead, at(10))
+	if victim == nil || victim.address != "crowd 1" {
+		t.Errorf("closed %+v, want the head that is unfinished for longest", victim)
+	}
+	tab.remove(victim)
+	if _, victim = connect(t, tab, "crowd 4", readingHead, at(12)); victim != answer {
+		t.Errorf("closed %+v, want the answer that is not read", victim)
+	}
+}
+
 // The load: a closed connection whose goroutine still reads.
 func TestClosedConnectionHoldsNothing(t *testing.T) {
 	tab := newTable(Share{MaxConnections: 1, MaxBytes: 100})
