schedule: keep places behind steps that no host could take, and across plans that are full

Cause: a plan notes at most 16 blocked steps of a pool. Steps that need a label or a size that no host of the pool has, and gangs larger than the pool, took these notes, so that large steps behind them got no place. A plan that had all the starts that it may have (256) before it came to a blocked step dropped its place and forgot since when it had waited; in a long burst of small tasks it never waited for long enough.

Change: steps that the empty hosts of the pool could not hold are not noted. Places and waits of jobs that a plan has not come to are carried over.

--- a/internal/schedule/reserve.go
+++ b/internal/schedule/reserve.go
@@ -103,7 +103,7 @@
 // pool gets hosts for them.
 func (r *Request) block(j *work.Job, tasks []*work.Task, placed map[*Host]int) {
 	p, s := r.poolOf(j.Pool), &j.Spec.Steps[tasks[0].Step]
-	if p.blockedSteps >= blockedPerPlace*r.MaxKept || s.FillIn || s.LongLived || (!s.Gang && !p.isLarge(s)) {
+	if p.blockedSteps >= blockedPerPlace*r.MaxKept || s.FillIn || s.LongLived || (!s.Gang && !p.isLarge(s)) || !p.couldHold(s) {
 		return
 	}
 	p.blockedSteps++
@@ -132,6 +132,27 @@
 	})
 }
 
+// couldHold reports whether the hosts of the pool, if they were empty, had room for a task of a
+// step, or for all members of a gang. Other steps wait for hosts, and a place does not help them.
+func (p *pool) couldHold(s *work.Step) bool {
+	left := 1
+	if s.Gang {
+		left = s.Tasks
+	}
+	for _, h := range p.hosts {
+		if s.Label != "" && !slices.Contains(h.Target.Labels, s.Label) {
+			continue
+		}
+		for free := h.Target.Resources; left > 0 && s.Reserved().Within(free); left-- {
+			free = free.Sub(s.Reserved())
+		}
+		if left == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // keepPlaces keeps places for the blocked steps of a pool, the most urgent first. It reports
 // whether there were any such steps.
 func (r *Request) keepPlaces(name string) bool {
@@ -397,6 +418,28 @@
 	}
 }
 
+// carryUnplanned keeps the places and the waits of jobs that a plan has not come to, since it
+// has all the starts that it may have.
+func (r *Request) carryUnplanned(order []urgency) {
+	if len(r.Held)+len(r.BlockedBefore) == 0 {
+		return
+	}
+	unplanned := make(map[string]bool, len(order))
+	for _, u := range order {
+		unplanned[u.job.ID] = true
+	}
+	for ref, since := range r.BlockedBefore {
+		if unplanned[ref.Job] {
+			r.BlockedSince[ref] = since
+		}
+	}
+	for _, k := range r.Held {
+		if unplanned[k.Job] {
+			r.Kept = append(r.Kept, k)
+		}
+	}
+}
+
 // carryOver keeps the places of the last plan in the pools in which nothing less urgent had a
 // host, so that their promises hold when the next plan needs them.
 func (r *Request) carryOver() {
--- a/internal/schedule/reserve_test.go
+++ b/internal/schedule/reserve_test.go
@@ -243,6 +243,41 @@
 		}
 	})
 
+	It("are kept across plans that end before their step", func() {
+		// Load: a burst of urgent tasks takes all the starts of a plan.
+		p := poolWithBlockedTask(9000, "/q/", 7000)
+		p.submit("small", "/patient/", timed(1, 2000, 60_000))
+		p.advance(simTickMS)
+		Expect(p.kept).To(HaveLen(1))
+		p.submit("urgent", "/q/", timed(3, 100, 5000))
+		p.adjust = func(r *schedule.Request) { r.MaxStarts = 3 }
+		p.advance(simTickMS)
+		Expect(p.startedOn("urgent")).NotTo(BeEmpty())
+		p.adjust = nil
+		p.advance(simTickMS)
+		Expect(p.kept).To(HaveLen(1))
+		Expect(p.startedOn("small")).To(BeEmpty())
+	})
+
+	It("are kept behind steps that no host of the pool can take", func() {
+		// Load: urgent jobs for which hosts have yet to come.
+		p := poolWithPlaces(1, nil)
+		p.submit("runs", "/q/", timed(1, 5000, 5000))
+		p.advance(simTickMS)
+		for i := range 10 {
+			p.submit("huge"+strconv.Itoa(i), "/q/", timed(1, 9000, 1000))
+			gang := timed(3, 7000, 1000)
+			gang.Gang = true
+			p.submit("gang"+strconv.Itoa(i), "/q/", gang)
+		}
+		p.submit("large", "/q/", timed(1, 7000, 1000))
+		p.waitLong()
+		p.submit("small", "/patient/", timed(1, 2000, 60_000))
+		p.advance(simTickMS)
+		Expect(p.kept).To(HaveLen(1))
+		Expect(p.startedOn("small")).To(BeEmpty())
+	})
+
 	It("are not kept where there is room", func() {
 		// Load: the policy service has not answered yet for a task that has room.
 		p := poolWithPlaces(1, nil)
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -207,10 +207,11 @@
 			cmp.Compare(a.rank, b.rank), r.compareJobs(&a, &b), cmp.Compare(a.sortKey(), b.sortKey()), cmp.Compare(a.job.Sequence, b.job.Sequence))
 	})
 	var starts []work.Start
-	for _, u := range order {
+	for i, u := range order {
 		r.explaining.beforeJob(r, &u, len(starts))
 		starts = r.planJob(u.job, starts)
 		if r.full || len(starts) >= r.MaxStarts {
+			r.carryUnplanned(order[i+1:])
 			break
 		}
 	}
