guard: close idle connections for new ones where they are more

Cause: an unfinished head was closed before any idle connection, however new. Where idle connections filled a listener, be it a crowd's or those of ordinary callers, each new connection closed the one before it, whose head was still on its way.

Change: a connection that is younger than a second and has sent no head ranks after idle ones while there are more idle ones than new ones.

Result: TestNewConnectionsAmongIdleOnes fails before and passes now; TestIdleConnectionsAmongNewOnes guards the other side.

--- a/internal/guard/table.go
+++ b/internal/guard/table.go
@@ -5,7 +5,8 @@
 // phase is what a connection is doing.
 type phase int
 
-// Phases of a connection, in the order in which connections are closed if there is no room.
+// Phases of a connection, in the order in which connections are closed if there is no room, but
+// see order.
 const (
 	// readingHead: a request has not been sent completely, or none was sent yet.
 	readingHead phase = iota
@@ -57,6 +58,9 @@
 // client reads it at once, and its request has been carried out.
 const answerGrace = time.Second
 
+// headGrace is how long a new connection may take to send its head before it counts as silent.
+const headGrace = time.Second
+
 // aloneFactor is how many times a share's bytes a connection may hold while no other one holds
 // any.
 const aloneFactor = 3
@@ -123,6 +127,13 @@
 func (t *table) choose(favoured *holder, weigh func(c *holder) (weight int64, mayClose bool)) *holder {
 	var best *holder
 	var heaviest int64
+	idleFirst := t.idleFirst()
+	before := func(a, b *holder) bool {
+		if x, y := t.order(a, idleFirst), t.order(b, idleFirst); x != y {
+			return x < y
+		}
+		return a.since.Before(b.since)
+	}
 	for c := range t.holders {
 		if c == favoured || c.evicted || c.phase == serving || (c.phase == answering && t.now.Sub(c.since) < answerGrace) {
 			continue
@@ -131,19 +142,44 @@
 		if !mayClose {
 			continue
 		}
-		if best == nil || weight > heaviest || (weight == heaviest && c.before(best)) {
+		if best == nil || weight > heaviest || (weight == heaviest && before(c, best)) {
 			best, heaviest = c, weight
 		}
 	}
 	return best
 }
 
-// before reports whether h is closed before c, if their addresses use as much.
-func (h *holder) before(c *holder) bool {
-	if h.phase != c.phase {
-		return h.phase < c.phase
+// order returns the phase by which a connection is ranked. A new connection may not have had
+// the time to send its head: if idleFirst is set, it ranks after the idle ones.
+func (t *table) order(h *holder, idleFirst bool) phase {
+	if idleFirst && t.isNew(h) {
+		return idle + 1
+	}
+	if h.phase > idle {
+		return h.phase + 1
+	}
+	return h.phase
+}
+
+// isNew reports whether a connection was opened a moment ago and has sent no request.
+func (t *table) isNew(h *holder) bool {
+	return h.phase == readingHead && t.now.Sub(h.since) < headGrace
+}
+
+// idleFirst reports whether more connections are idle than new. The more numerous ones make
+// room, so that neither can take that of the other.
+func (t *table) idleFirst() bool {
+	excess := 0
+	for h := range t.holders {
+		switch {
+		case h.evicted:
+		case h.phase == idle:
+			excess++
+		case t.isNew(h):
+			excess--
+		}
 	}
-	return h.since.Before(c.since)
+	return excess > 0
 }
 
 // evict takes what a connection holds from it. It stays in the table until it has ended.
--- a/internal/guard/table_test.go
+++ b/internal/guard/table_test.go
@@ -169,6 +169,40 @@
 	}
 }
 
+// The load: connections that were used once fill the listener, and new ones come faster than
+// their heads. The new ones are not closed for each other.
+func TestNewConnectionsAmongIdleOnes(t *testing.T) {
+	tab := newTable(Share{MaxConnections: 20, MaxBytes: 100})
+	for i := range 20 {
+		connect(t, tab, "a", idle, at(i))
+	}
+	for i := range 5 {
+		_, victim := connect(t, tab, "a", readingHead, at(20).Add(time.Duration(i)*time.Millisecond))
+		if victim == nil || victim.phase != idle || victim.since != at(i) {
+			t.Fatalf("closed %+v, want the connection that is idle for longest", victim)
+		}
+		tab.remove(victim)
+	}
+}
+
+// The load: new connections faster than their heads, beside some idle ones, which stay.
+func TestIdleConnectionsAmongNewOnes(t *testing.T) {
+	tab := newTable(Share{MaxConnections: 20, MaxBytes: 100})
+	for range 9 {
+		connect(t, tab, "a", idle, at(0))
+	}
+	for i := range 100 {
+		_, victim := connect(t, tab, "a", readingHead, at(20).Add(time.Duration(i)*time.Millisecond))
+		if victim == nil {
+			continue
+		}
+		if victim.phase != readingHead {
+			t.Fatalf("closed %+v, want a new connection", victim)
+		}
+		tab.remove(victim)
+	}
+}
+
 // The load: a crowd of many addresses connects while an answer to a busier address is being
 // sent. The answer is finished, unless its client does not read it.
 func TestAnswersAreFinished(t *testing.T) {
