--- a/internal/guard/table_test.go
+++ b/internal/guard/table_test.go
@@ -123,6 +123,25 @@
 	}
 }
 
+// The load: a small document that would hold more than all may, while others are sent. It is
+// refused, and closes none of them.
+func TestRefusedRequestsCloseNone(t *testing.T) {
+	tab := newTable(Share{MaxConnections: 10, MaxBytes: 100})
+	hostile, _ := connect(t, tab, "a", serving, at(0))
+	busy, _ := connect(t, tab, "a", serving, at(0))
+	calm, _ := connect(t, tab, "a", readingBody, at(1))
+	tab.hold(busy, 10)
+	tab.hold(calm, 10)
+	for _, bytes := range []int64{95, 1000} {
+		if victims, ok := tab.hold(hostile, bytes); ok || len(victims) != 0 || calm.evicted {
+			t.Errorf("%d bytes: admitted %t, closed %v, want a refusal", bytes, ok, victims)
+		}
+	}
+	if tab.bytes != 20 || tab.closing != 0 || tab.addresses["a"] != (usage{connections: 3, bytes: 20}) {
+		t.Errorf("%d bytes held, %d closing, %+v", tab.bytes, tab.closing, tab.addresses)
+	}
+}
+
 // The load: what was read completely and waits for an answer. It is not closed for others.
 func TestWhatIsServedKeepsItsRoom(t *testing.T) {
 	tab := newTable(Share{MaxConnections: 10, MaxBytes: 100})
@@ -150,6 +169,58 @@
 	}
 }
 
+// The load: connections that were used once fill the listener, and new ones come faster than
+// their heads. The new ones are not closed for each other.
+func TestNewConnectionsAmongIdleOnes(t *testing.T) {
+	tab := newTable(Share{MaxConnections: 20, MaxBytes: 100})
+	for i := range 20 {
+		connect(t, tab, "a", idle, at(i))
+	}
+	for i := range 5 {
+		_, victim := connect(t, tab, "a", readingHead, at(20).Add(time.Duration(i)*time.Millisecond))
+		if victim == nil || victim.phase != idle || victim.since != at(i) {
+			t.Fatalf("closed %+v, want the connection that is idle for longest", victim)
+		}
+		tab.remove(victim)
+	}
+}
+
+// The load: new connections faster than their heads, beside some idle ones, which stay.
+func TestIdleConnectionsAmongNewOnes(t *testing.T) {
+	tab := newTable(Share{MaxConnections: 20, MaxBytes: 100})
+	for range 9 {
+		connect(t, tab, "a", idle, at(0))
+	}
+	for i := range 100 {
+		_, victim := connect(t, tab, "a", readingHead, at(20).Add(time.Duration(i)*time.Millisecond))
+		if victim == nil {
+			continue
+		}
+		if victim.phase != readingHead {
+			t.Fatalf("closed %+v, want a new connection", victim)
+		}
+		tab.remove(victim)
+	}
+}
+
+// The load: a crowd of many addresses connects while an answer to a busier address is being
+// sent. The answer is finished, unless its client does not read it.
+func TestAnswersAreFinished(t *testing.T) {
+	tab := newTable(Share{MaxConnections: 4, MaxBytes: 100})
+	connect(t, tab, "busy", serving, at(10))
+	answer, _ := connect(t, tab, "busy", answering, at(10))
+	connect(t, tab, "crowd 1", readingHead, at(0))
+	connect(t, tab, "crowd 2", readingHead, at(1))
+	_, victim := connect(t, tab, "crowd 3", readingHead, at(10))
+	if victim == nil || victim.address != "crowd 1" {
+		t.Errorf("closed %+v, want the head that is unfinished for longest", victim)
+	}
+	tab.remove(victim)
+	if _, victim = connect(t, tab, "crowd 4", readingHead, at(12)); victim != answer {
+		t.Errorf("closed %+v, want the answer that is not read", victim)
+	}
+}
+
 // The load: a closed connection whose goroutine still reads.
 func TestClosedConnectionHoldsNothing(t *testing.T) {
 	tab := newTable(Share{MaxConnections: 1, MaxBytes: 100})
