guard: bound the time for a head that begins together with the last request

Cause: the idle time was used for a head of which no byte had been read since the answer. The beginning of a pipelined request is in the server's buffer already, so the rest of its head could take the idle time.

Change: the first time that the server sets after an answer is the idle time, the second one that of the head.

Result: TestPipelinedHeadIsSlow fails before and passes now.

--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -25,6 +25,8 @@
 	inBody bool
 	// waits is set from an answer until the next request begins.
 	waits bool
+	// idleSet is set once the time until the next request has been set.
+	idleSet bool
 	// headBytes and headLines count the head that is being read.
 	headBytes, headLines int
 	// headHeld is what the head holds.
@@ -77,7 +79,8 @@
 	switch {
 	case t.IsZero() || c.inBody:
 		return c.Conn.SetReadDeadline(t)
-	case c.waits && c.headBytes == 0:
+	case c.waits && !c.idleSet:
+		c.idleSet = true // the next time is for a head, a part of which may have been read already
 		return c.Conn.SetReadDeadline(time.Now().Add(c.guard.limits().IdleTimeout))
 	}
 	c.waits = false
@@ -92,7 +95,7 @@
 
 // answered is called when a request has been answered.
 func (c *conn) answered() {
-	c.inBody, c.waits = false, true
+	c.inBody, c.waits, c.idleSet = false, true, false
 	c.headBytes, c.headLines, c.headHeld = 0, 0, 0
 	c.guard.move(c, idle)
 }
--- a/internal/guard/expect_test.go
+++ b/internal/guard/expect_test.go
@@ -117,3 +117,17 @@
 		busy.expect(http.StatusOK)
 	})
 }
+
+// The load: a request with the beginning of the next one, the rest of which does not come.
+func TestPipelinedHeadIsSlow(t *testing.T) {
+	run(t, guard.Share{}, nil, func(h *host) {
+		h.limits.Store(&guard.Limits{MaxHeadBytes: 5000, MaxBodyBytes: 100, HeadTimeout: 3 * time.Second, IdleTimeout: 90 * time.Second})
+		c := h.connect()
+		c.send(get + "GET / HT")
+		c.expect(http.StatusOK)
+		<-time.After(2900 * time.Millisecond)
+		c.expectOpen(true)
+		<-time.After(time.Second)
+		c.expectOpen(false)
+	})
+}
