--- a/internal/leader/demand.go
+++ b/internal/leader/demand.go
@@ -31,7 +31,7 @@
 		}
 	}
 	for _, p := range demand {
-		l.log.Info().Str("pool", p.Name).Int("hosts", count[p.Name]).Int("wanted", decision.Wanted[p.Name]).Int("most_wanted", p.MostWanted).
+		l.log.Info().Str("pool", p.Name).Int("hosts", count[p.Name]).Int("wanted", decision.Wanted[p.Name]).
 			Int("used", used[p.Name]).Int("cordoned", cordoned[p.Name]).Int("movable", movable[p.Name]).
 			Int64("running_mcpu", p.Running).Int64("waiting_mcpu", p.Waiting).
 			Int64("missed_running_mcpu", p.LateRunning).Int64("missed_waiting_mcpu", p.LateWaiting).Float64("arriving_mcpu", p.ArrivalRate).Float64("rising_mcpu", p.ArrivalRise).
@@ -61,7 +61,7 @@
 	}
 	for name, d := range index {
 		d.ArrivalRate, d.ArrivalRise = l.arrivals.rate(name)
-		d.DurationS, d.MostWanted = d.durations.value(), l.fleet.wants.Most(name)
+		d.DurationS = d.durations.value()
 		missing, ok := l.missingHosts[name]
 		d.WaitingLongLived = missing.longLived
 		if ok && l.now().Sub(missing.since) >= missingHostsDelay {
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -191,9 +191,8 @@
 		if v.Config == nil {
 			return
 		}
-		policy, demand, hosts := poolsize.Default(), l.demand(v), l.poolHosts(v)
-		decision := poolsize.Plan(policy, demand, hosts)
-		l.fleet.wants.Note(l.nowMS(), policy.IdleMS, decision.Wanted)
+		demand, hosts := l.demand(v), l.poolHosts(v)
+		decision := poolsize.Plan(poolsize.Default(), demand, hosts)
 		moves, l.fleet.spare = l.limitStandbyMoves(v, decision.Moves), decision.Spare
 		l.fleet.attainableCPU, l.fleet.demandMet = decision.AttainableCPU, decision.DemandMet
 		l.fleet.supplies = l.supplies(demand, hosts, &decision)
--- a/internal/leader/hosts.go
+++ b/internal/leader/hosts.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"agatehaven.dev/agatehaven/internal/poolsize"
 	"agatehaven.dev/agatehaven/internal/schedule"
 	"agatehaven.dev/agatehaven/internal/work"
 )
@@ -27,8 +26,6 @@
 	supplies map[string][]schedule.Supply
 	// demandMet holds the pools that have the hosts that their CPU demand asks for.
 	demandMet map[string]bool
-	// wants holds how many hosts the pools have wanted lately.
-	wants poolsize.Wants
 	// thoroughAt is when it was last looked at whether tasks need the hosts of a wave.
 	thoroughAt time.Time
 	// sizesLoggedAt is when the sizes of the pools were last logged.
--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -28,10 +28,6 @@
 	// MinHosts is the least number of hosts over which long-lived tasks have to be
 	// spread.
 	MinHosts int
-	// MostWanted is the largest number of hosts that the pool has wanted for Policy.IdleMS.
-	// A host beyond it goes to standby as soon as nothing runs there. With 0, as after a
-	// change of the leader, hosts idle for that time first.
-	MostWanted int
 	// MissingHosts is how many empty hosts are needed by tasks that no host can take,
 	// for whichever reason: memory, fragmented capacity or what runs beside them. Tasks for
 	// which Waiting asks for hosts that the pool does not have are not included.
@@ -68,8 +64,8 @@
 
 // Policy weighs the cost of moves against that of idle hosts.
 type Policy struct {
-	// IdleMS is how long a host idles, or its pool has wanted fewer hosts than it has,
-	// before it moves to standby: as long as a move takes by which it would come back.
+	// IdleMS is how long a host idles before it moves to standby: as long as a move takes by
+	// which it would come back.
 	IdleMS int64
 	// UsableShare is the share of a host that tasks of mixed sizes can use.
 	UsableShare float64
@@ -435,11 +431,10 @@
 
 func (a *assignment) isOnStandby(h *Host) bool { return h.Pool == a.standby }
 
-// moveIdleToStandby moves the surplus hosts that have idled for a time, or that their pool has
-// not wanted for as long.
+// moveIdleToStandby moves the surplus hosts that have idled for a time.
 func (a *assignment) moveIdleToStandby(idleMS int64) {
 	for i := range a.free {
-		if h := &a.free[i]; a.isFree(h) && (h.IdleMS >= idleMS || a.isUnwanted(h)) && a.isSurplus(h) {
+		if h := &a.free[i]; a.isFree(h) && h.IdleMS >= idleMS && a.isSurplus(h) {
 			a.taken[h.Name] = true
 			a.needs[h.Pool].leave(h)
 			a.moves = append(a.moves, Move{h.Name, h.Pool, a.standby, "idle"})
@@ -447,21 +442,6 @@
 	}
 }
 
-// unnoticedDivisor divides the hosts of a pool to get how many of them may be lost without having
-// been noticed yet; one always may.
-const unnoticedDivisor = 20
-
-// isUnwanted reports whether the pool of a host has wanted fewer hosts than it has for some time,
-// also if some of the others are lost.
-func (a *assignment) isUnwanted(h *Host) bool {
-	n := a.needs[h.Pool]
-	if n == nil || n.pool.MostWanted == 0 {
-		return false
-	}
-	enough := max(n.pool.MostWanted, n.used)
-	return n.hosts > enough+1+enough/unnoticedDivisor
-}
-
 func inTimeOf(n *need) int { return n.inTime }
 func wantOf(n *need) int   { return n.want }
 
