e2e: sample until there are enough samples

Change: sampling goes on until each name has the number, and is then checked as before; no bound is lower.

--- a/internal/e2e/sampler_test.go
+++ b/internal/e2e/sampler_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -69,10 +70,24 @@
 	s.violations = append(s.violations, fmt.Sprintf(format, args...))
 }
 
-// expectNoViolations stops the sampler and checks that it recorded no violation
-// and at least minSamples samples of every name.
+// fewest returns the smallest number of samples of a name.
+func (s *sampler) fewest(names []string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fewest := math.MaxInt
+	for _, name := range names {
+		fewest = min(fewest, s.samples[name])
+	}
+	return fewest
+}
+
+// expectNoViolations goes on until the sampler has minSamples samples of every name, since
+// what it watches can be over sooner on an idle machine. It then stops the sampler and
+// checks that it recorded no violation.
 func (s *sampler) expectNoViolations(names []string, minSamples int) {
 	GinkgoHelper()
+	Eventually(func() int { return s.fewest(names) }).WithTimeout(settleTimeout).WithPolling(sampleInterval).
+		Should(BeNumerically(">=", minSamples), "samples of every name")
 	s.stop()
 	Expect(s.violations).To(BeEmpty())
 	for _, name := range names {
