review: case 12, timed jobs with many occurrences

At 18 jobs a second, with 500 occurrences each, all three core processes exceed the memory of their machines after some 570 jobs, and again after each restart. It replaces the case of many large jobs, which has the same cause.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -34,7 +34,7 @@
 }{
 	"silent":      {2, 6, true, playSilent},
 	"lapse":       {2, 6, true, playLapse},
-	"large":       {2, 6, true, playLarge},
+	"timed":       {2, 6, true, playTimed},
 	"first-start": {2, 6, false, playFirstStart},
 }
 
--- a/review/standin-3/large.go
+++ b/review/standin-3/timed.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"strconv"
@@ -15,42 +16,44 @@
 const (
 	// memoryMB is the memory of a core machine, as in the settings.
 	memoryMB = 284
-	// largeJobs is how many large jobs come at once, and largeCount the subtasks of each.
-	largeJobs  = 250
-	largeCount = 10000
-	// largeClients hand them in.
-	largeClients = 10
+	// timedJobs is how many timed jobs are handed in, one in timedGap: 18 a second, the mean of a
+	// small deployment.
+	timedJobs = 720
+	timedGap  = 55 * time.Millisecond
+	// timedCount is the number of subtasks of their step, and occurrences how often it runs.
+	timedCount  = 8
+	occurrences = 500
+	// firstIn is when they run for the first time, and every is the time between two runs.
+	firstIn = 10 * time.Minute
+	every   = time.Hour
 )
 
-// playLarge has large jobs come at once, and looks whether the processes of the core stay within
-// their memory and an ordinary client is answered.
-func playLarge(w *world, trouble bool) bool {
+// playTimed has timed jobs handed in at an ordinary rate, and looks whether the processes of the
+// core stay within their memory.
+func playTimed(w *world, trouble bool) bool {
 	client := &http.Client{Timeout: 3 * time.Second}
 	job := newID()
 	if !w.submit(client, longPrefix, job, 5, true, work{longTime, "done"}) {
 		cannotRun("the job was not accepted")
 	}
 	w.awaitRunning(job, 5)
-	count := largeCount
+	repeat := occurrences
 	if !trouble {
-		count = 6
+		repeat = 1
 	}
 	ended := w.enforceMemory()
 	var wg sync.WaitGroup
-	for range largeClients {
-		wg.Go(func() {
-			for range largeJobs / largeClients {
-				w.submitLarge(count)
-			}
-		})
+	for range timedJobs {
+		wg.Go(func() { w.submitTimed(repeat) })
+		pause(timedGap)
 	}
 	wg.Wait()
-	pause(30 * time.Second)
+	pause(20 * time.Second)
 	status, answer := w.send(client, http.MethodGet, w.front(0)+longPrefix+job, nil)
 	w.note(fmt.Sprintf("GET %s: %d %s", job, status, answer))
 	n := 0
 	for _, c := range w.system.cores {
-		w.note(fmt.Sprintf("%s ended %d times by itself", c.name, ended(c)))
+		w.note(fmt.Sprintf("%s ended %d times over its memory", c.name, ended(c)))
 		if ended(c) >= 3 {
 			n++
 		}
@@ -58,20 +61,18 @@
 	return n < 2
 }
 
-// submitLarge hands a job in once.
-func (w *world) submitLarge(count int) {
+// submitTimed hands a timed job in once.
+func (w *world) submitTimed(repeat int) {
 	id := newID()
-	w.mu.Lock()
-	w.works[id] = work{time.Second, "done"}
-	w.mu.Unlock()
-	body, err := json.Marshal(map[string]any{"spec": "s", "steps": []any{
-		map[string]any{"count": count, "cpu": 500, "memMb": 128, "estimateMs": 900},
-	}})
+	body, err := json.Marshal(map[string]any{
+		"spec": "spec of " + id, "repeatCount": repeat, "firstMs": time.Now().Add(firstIn).UnixMilli(), "intervalMs": every.Milliseconds(),
+		"steps": []any{map[string]any{"count": timedCount, "cpu": 500, "memMb": 128, "estimateMs": 900}},
+	})
 	if err != nil {
 		cannotRun(err.Error())
 	}
-	status, _ := w.send(&http.Client{Timeout: 3 * time.Second}, http.MethodPost, w.front(int(time.Now().UnixNano()))+shortPrefix+id, body)
-	w.note(fmt.Sprintf("POST %s with %d subtasks: %d", id, count, status))
+	status, _ := w.send(&http.Client{Timeout: 3 * time.Second}, http.MethodPost, w.front(rand.Int())+shortPrefix+id, body)
+	w.note(fmt.Sprintf("POST %s, %d times %d subtasks: %d", id, repeat, timedCount, status))
 }
 
 // enforceMemory kills each core process that uses more than its machine has, and starts it again
