--- a/review/standin-3/executor.go
+++ b/review/standin-3/executor.go
@@ -42,6 +42,14 @@
 	number   int64
 	changed  chan struct{}
 	state    string
+	// lateUntil is until when starts, and the first stop, of the first run of a subtask are left
+	// unanswered and carried out lateBy later. lateStops holds the subtasks of these stops.
+	lateUntil time.Time
+	lateStops map[string]bool
+	// unanswered and answered count the orders until then.
+	unanswered, answered int
+	// late is set while an order is carried out late.
+	late bool
 }
 
 // activeRun is a subtask at work.
@@ -71,14 +79,25 @@
 
 // startExecutor starts an executor on a machine.
 func startExecutor(w *world, m *machine) *executor {
+	return startAs(w, m, fmt.Sprintf("i-%08x", rand.Uint32()), nil)
+}
+
+// startAs starts an executor with an id. A later life under the id of an earlier one has its
+// address.
+func startAs(w *world, m *machine, id string, front *proxy) *executor {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		cannotRun(err.Error())
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	e := &executor{
-		world: w, id: fmt.Sprintf("i-%08x", rand.Uint32()), machine: m, pool: m.pool, born: time.Now(), stop: stop,
-		proxy: newProxy("127.0.0.1:0", listener.Addr().String()), runs: map[string]*activeRun{}, highest: map[string]int{}, changed: make(chan struct{}), state: "ready",
+		world: w, id: id, machine: m, pool: m.pool, born: time.Now(), stop: stop,
+		proxy: front, runs: map[string]*activeRun{}, highest: map[string]int{}, changed: make(chan struct{}), state: "ready",
+	}
+	if front == nil {
+		e.proxy = newProxy("127.0.0.1:0", listener.Addr().String())
+	} else {
+		front.forwardTo(listener.Addr().String())
 	}
 	e.address = e.proxy.address()
 	mux := http.NewServeMux()
@@ -115,6 +134,12 @@
 		status, answer := http.StatusBadRequest, map[string]any{}
 		err := json.NewDecoder(r.Body).Decode(&o)
 		e.mu.Lock()
+		if err == nil && e.isLate(r.URL.Path, &o) {
+			e.mu.Unlock()
+			e.carryOutLate(r.URL.Path, &o, f)
+			<-r.Context().Done()
+			return
+		}
 		switch {
 		case err != nil:
 		case e.dead || r.Header.Get("X-Target-Instance") != e.id:
@@ -131,6 +156,48 @@
 	}
 }
 
+// stoppedAtWork is the event of a subtask that was at work when an order ended it on time.
+const stoppedAtWork = "at work until a stop of"
+
+// lateBy is how much later an unanswered order is carried out, the least that the bench has.
+const lateBy = 2 * time.Second
+
+// isLate reports whether an order is left unanswered. The mutex is held.
+func (e *executor) isLate(path string, o *order) bool {
+	if time.Now().After(e.lateUntil) {
+		return false
+	}
+	late := o.Run == 1 && (path == "/run-start" || (path == "/run-stop" && !e.lateStops[o.Task]))
+	if late && path == "/run-stop" {
+		if e.lateStops == nil {
+			e.lateStops = map[string]bool{}
+		}
+		e.lateStops[o.Task] = true
+	}
+	if late {
+		e.unanswered++
+	} else {
+		e.answered++
+	}
+	return late
+}
+
+// carryOutLate carries out an order that gets no answer.
+func (e *executor) carryOutLate(path string, o *order, f func(o *order) (int, map[string]any)) {
+	e.world.note(fmt.Sprintf("%s %s run %d on %s gets no answer", path, o.Task, o.Run, e.id))
+	time.AfterFunc(lateBy, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.dead || o.Fence < e.fence {
+			return
+		}
+		e.fence = o.Fence
+		e.late = true
+		f(o)
+		e.late = false
+	})
+}
+
 func reply(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -138,7 +205,7 @@
 }
 
 func (e *executor) extend(untilMS int64) {
-	e.leaseEnd = max(e.leaseEnd, min(untilMS, e.clock()+maxHoldMS))
+	e.leaseEnd = max(e.leaseEnd, min(untilMS, e.clock()+e.world.system.maxHoldMS))
 }
 
 // start serves /run-start. The mutex is held.
@@ -186,6 +253,9 @@
 // stopRun serves /run-stop. The mutex is held.
 func (e *executor) stopRun(o *order) (int, map[string]any) {
 	if r := e.runs[o.Task]; r != nil && r.number == o.Run {
+		if !e.late && time.Since(r.began) > startup {
+			e.world.record(stoppedAtWork, o.Task, o.Run, e.id)
+		}
 		e.finish(o.Task, "stopped")
 	}
 	e.highest[o.Task] = max(e.highest[o.Task], o.Run)
--- a/review/standin-3/firststart.go
+++ b/review/standin-3/firststart.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -37,5 +38,7 @@
 		return time.Now().Before(limit)
 	}
 	w.note("the manifest was never confirmed")
+	client := &http.Client{Timeout: 3 * time.Second}
+	w.note(fmt.Sprintf("a job is accepted: %t", w.submit(client, longPrefix, newID(), 5, true, work{longTime, "done"})))
 	return false
 }
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -16,6 +16,13 @@
 	notRun     = 2
 )
 
+// maxHoldMS is the longest lease of an executor in the site ramdin-rota, longHoldMS that in
+// cegtabla-ops.
+const (
+	maxHoldMS  = 6000
+	longHoldMS = 10000
+)
+
 // notRunError ends a case that could not run.
 type notRunError string
 
@@ -35,6 +42,8 @@
 	"silent":      {2, 6, true, playSilent},
 	"lapse":       {2, 6, true, playLapse},
 	"timed":       {2, 6, true, playTimed},
+	"late-starts": {2, 6, true, playLateStarts},
+	"returned":    {2, 8, true, playReturned},
 	"first-start": {2, 6, false, playFirstStart},
 }
 
@@ -75,6 +84,10 @@
 		}
 	}()
 	w = newWorld(dir, path, *record, chosen.entries, chosen.machines)
+	w.system.maxHoldMS = maxHoldMS
+	if *name == "returned" {
+		w.system.maxHoldMS = longHoldMS
+	}
 	if chosen.boots {
 		w.boot()
 	}
--- a/review/standin-3/proxy.go
+++ b/review/standin-3/proxy.go
@@ -51,7 +51,7 @@
 }
 
 func (p *proxy) serve(client net.Conn) {
-	server, err := net.Dial("tcp", p.backend)
+	server, err := net.Dial("tcp", p.target())
 	if err != nil {
 		_ = client.Close() // the caller sees a connection that ends
 		return
@@ -121,3 +121,16 @@
 	}
 	return n
 }
+
+// forwardTo has new connections go to another server.
+func (p *proxy) forwardTo(backend string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.backend = backend
+}
+
+func (p *proxy) target() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.backend
+}
--- a/review/standin-3/system.go
+++ b/review/standin-3/system.go
@@ -22,7 +22,6 @@
 	frontPort   = "7080"
 	readyPort   = "7081"
 	heartbeatMS = 1500
-	maxHoldMS   = 6000
 	stopMS      = 900
 	cancelMS    = 3000
 	ackMS       = 4000
@@ -82,7 +81,7 @@
 rollbackSlackMs = 250
 maxStretchMs = 5000
 recoverS = 12
-maxHoldMs = 6000
+maxHoldMs = %[12]d
 stopMs = 900
 gangTimeoutMs = 3000
 cancel_ms = 3000
@@ -121,6 +120,7 @@
 	dir, binary, network, provider string
 	cores, entries                 []*process
 	first                          bool
+	maxHoldMS                      int64
 }
 
 // newSystem chooses loopback addresses that are free.
@@ -173,7 +173,7 @@
 	}
 	class := map[string]string{"core": "core", "entry": "edge"}[p.role]
 	text := fmt.Sprintf(settings, p.name, p.role, class, p.ip, p.zone, strings.Join(seeds, ","), s.first, p.role == "core",
-		s.provider, filepath.Join(dir, "data"), p.link)
+		s.provider, filepath.Join(dir, "data"), p.link, s.maxHoldMS)
 	file := filepath.Join(dir, "boot.toml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		cannotRun(err.Error())
