--- a/review/standin-3/returned.go
+++ b/review/standin-3/returned.go
@@ -16,8 +16,14 @@
 
 // playReturned has an executor crash and come back under its id, and lose its machine for good as
 // soon as the subtasks are at work on it again.
+// One subtask of another job is at work on each machine, so that all stay in their service.
 func playReturned(w *world, trouble bool) bool {
 	client := &http.Client{Timeout: 3 * time.Second}
+	spread, machines := newID(), len(w.provider.machines)-spares
+	if !w.submitSpread(client, longPrefix, spread, machines, 1, true, work{longTime, "done"}) {
+		cannotRun("the job that keeps the machines in their service was not accepted")
+	}
+	w.awaitRunning(spread, machines)
 	job := newID()
 	if !w.submit(client, longPrefix, job, 3, true, work{longTime, "done"}) {
 		cannotRun("the job was not accepted")
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -53,6 +53,9 @@
 // mayMiss is how many subtasks of a step that lasts may be away at a time.
 const mayMiss = 1
 
+// spares is the number of machines that are off.
+const spares = 2
+
 // longTime is longer than any case.
 const longTime = time.Hour
 
@@ -63,7 +66,7 @@
 	}
 	w := &world{out: out, began: time.Now(), works: map[string]work{}}
 	w.system = newSystem(dir, binary, entries)
-	w.provider = startProvider(w, map[string]int{service: machines, standby: 2})
+	w.provider = startProvider(w, map[string]int{service: machines, standby: spares})
 	w.system.provider = w.provider.address
 	return w
 }
@@ -144,10 +147,18 @@
 // submit submits a job of one step with client attempts like those of the pages, and reports
 // whether it was accepted.
 func (w *world) submit(client *http.Client, prefix, id string, count int, long bool, take work) bool {
+	return w.submitSpread(client, prefix, id, count, 0, long, take)
+}
+
+// submitSpread is submit with at most perServer subtasks on an executor, 0 for any number.
+func (w *world) submitSpread(client *http.Client, prefix, id string, count, perServer int, long bool, take work) bool {
 	w.mu.Lock()
 	w.works[id] = take
 	w.mu.Unlock()
 	step := map[string]any{"count": count, "cpu": 500, "memMb": 128, "estimateMs": 900}
+	if perServer > 0 {
+		step["maxPerServer"] = perServer
+	}
 	if long {
 		step["longRunning"] = true
 		step["mayMiss"] = mayMiss
