--- a/review/standin-3/system.go
+++ b/review/standin-3/system.go
@@ -208,11 +208,6 @@
 	<-p.ended
 }
 
-// signal sends a signal to a process.
-func (p *process) signal(sig syscall.Signal) {
-	_ = p.command.Process.Signal(sig) // fails if the process has ended
-}
-
 func (s *system) close() {
 	for _, p := range s.all() {
 		p.kill()
